--- a/src/main/java/cairnknot/Admission.java
+++ b/src/main/java/wheatspread/Admission.java
@@ -1,4 +1,4 @@
-package cairnknot;
+package wheatspread;
 
 import java.util.List;
 
--- a/src/main/java/cairnknot/BenchLink.java
+++ b/src/main/java/wheatspread/BenchLink.java
@@ -1,15 +1,15 @@
-package cairnknot;
-
-import cairnknot.Admission.Advice;
-import cairnknot.Admission.Dependency;
-import cairnknot.Admission.Effect;
-import cairnknot.Admission.Gauges;
-import cairnknot.Admission.Halt;
-import cairnknot.Admission.Outcome;
-import cairnknot.Admission.Request;
-import cairnknot.Admission.RequestClass;
-import cairnknot.Admission.Settings;
-import cairnknot.Admission.Tenant;
+package wheatspread;
+
+import wheatspread.Admission.Advice;
+import wheatspread.Admission.Dependency;
+import wheatspread.Admission.Effect;
+import wheatspread.Admission.Gauges;
+import wheatspread.Admission.Halt;
+import wheatspread.Admission.Outcome;
+import wheatspread.Admission.Request;
+import wheatspread.Admission.RequestClass;
+import wheatspread.Admission.Settings;
+import wheatspread.Admission.Tenant;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
--- a/src/main/java/cairnknot/Main.java
+++ b/src/main/java/wheatspread/Main.java
@@ -1,4 +1,4 @@
-package cairnknot;
+package wheatspread;
 
 import java.io.IOException;
 
@@ -8,13 +8,13 @@
 
     public static void main(String[] args) throws IOException {
         if (args.length != 1 || !args[0].equals("benchlink")) {
-            System.err.println("usage: java -jar cairnknot.jar benchlink");
+            System.err.println("usage: java -jar wheatspread.jar benchlink");
             System.exit(2);
         }
         try {
             new BenchLink(System.in, System.out).serve();
         } catch (BenchLink.BadInput e) {
-            System.err.println("cairnknot: " + e.getMessage());
+            System.err.println("wheatspread: " + e.getMessage());
             System.exit(1);
         }
     }
--- a/src/test/java/cairnknot/BenchLinkTest.java
+++ b/src/test/java/wheatspread/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package cairnknot;
+package wheatspread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
--- a/src/test/java/cairnknot/ChoiceTest.java
+++ b/src/test/java/wheatspread/ChoiceTest.java
@@ -1,16 +1,16 @@
-package cairnknot;
+package wheatspread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import cairnknot.Admission.Advice;
-import cairnknot.Admission.Callers;
-import cairnknot.Admission.Effect;
-import cairnknot.Admission.Gauges;
-import cairnknot.Admission.Outcome;
-import cairnknot.Admission.RequestClass;
-import cairnknot.Admission.Settings;
-import cairnknot.Admission.Tenant;
+import wheatspread.Admission.Advice;
+import wheatspread.Admission.Callers;
+import wheatspread.Admission.Effect;
+import wheatspread.Admission.Gauges;
+import wheatspread.Admission.Outcome;
+import wheatspread.Admission.RequestClass;
+import wheatspread.Admission.Settings;
+import wheatspread.Admission.Tenant;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -667,7 +667,7 @@
 
     @Test
     void theModuleStaysWithinItsBound() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/cairnknot/Choice.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/wheatspread/Choice.java"));
         assertThat(lines.stream().filter(l -> !l.isBlank()).count()).isLessThanOrEqualTo(910);
     }
 }
--- a/src/test/java/cairnknot/Host.java
+++ b/src/test/java/wheatspread/Host.java
@@ -1,19 +1,19 @@
-package cairnknot;
+package wheatspread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cairnknot.Admission.Advice;
-import cairnknot.Admission.Below;
-import cairnknot.Admission.Callers;
-import cairnknot.Admission.Dependency;
-import cairnknot.Admission.Effect;
-import cairnknot.Admission.Gauges;
-import cairnknot.Admission.Halt;
-import cairnknot.Admission.Limits;
-import cairnknot.Admission.Request;
-import cairnknot.Admission.RequestClass;
-import cairnknot.Admission.Settings;
-import cairnknot.Admission.Tenant;
+import wheatspread.Admission.Advice;
+import wheatspread.Admission.Below;
+import wheatspread.Admission.Callers;
+import wheatspread.Admission.Dependency;
+import wheatspread.Admission.Effect;
+import wheatspread.Admission.Gauges;
+import wheatspread.Admission.Halt;
+import wheatspread.Admission.Limits;
+import wheatspread.Admission.Request;
+import wheatspread.Admission.RequestClass;
+import wheatspread.Admission.Settings;
+import wheatspread.Admission.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/cairnknot/RandomEventsTest.java
+++ b/src/test/java/wheatspread/RandomEventsTest.java
@@ -1,16 +1,16 @@
-package cairnknot;
+package wheatspread;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import cairnknot.Admission.Advice;
-import cairnknot.Admission.Callers;
-import cairnknot.Admission.Effect;
-import cairnknot.Admission.Gauges;
-import cairnknot.Admission.Halt;
-import cairnknot.Admission.Outcome;
-import cairnknot.Admission.Request;
-import cairnknot.Admission.Settings;
-import cairnknot.Admission.Tenant;
+import wheatspread.Admission.Advice;
+import wheatspread.Admission.Callers;
+import wheatspread.Admission.Effect;
+import wheatspread.Admission.Gauges;
+import wheatspread.Admission.Halt;
+import wheatspread.Admission.Outcome;
+import wheatspread.Admission.Request;
+import wheatspread.Admission.Settings;
+import wheatspread.Admission.Tenant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
