--- a/src/main/java/wheatspread/Admission.java
+++ b/src/main/java/wheatspread/admission/Admission.java
@@ -1,4 +1,4 @@
-package wheatspread;
+package wheatspread.admission;
 
 import java.util.List;
 
--- a/src/main/java/wheatspread/Choice.java
+++ b/src/main/java/wheatspread/admission/Choice.java
@@ -1,5 +1,5 @@
 /* The decisions of wheatspread; its interface, the types, events and actions, stands in Admission.java. */
-package wheatspread;
+package wheatspread.admission;
 
 import java.util.ArrayDeque;
 import java.util.ArrayList;
--- /dev/null
+++ b/src/main/java/wheatspread/core/Core.java
@@ -0,0 +1,557 @@
+package wheatspread.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import java.util.function.Function;
+import wheatspread.admission.Admission;
+import wheatspread.admission.Admission.Effect;
+import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Admission.Settings;
+
+/**
+ * Carries out what the module decides, and keeps what every front's requests share: the request table, the
+ * key table, timers, gauges, drain and the final answers. It knows no wire. All calls come from one thread;
+ * events are gathered and handed to the module together, as the simulator's batches are.
+ */
+public final class Core implements Kernel.Listener {
+    /** The core fails a request this long before it is due, whatever the module does; us. */
+    private static final long DUE_MARGIN = 5_000;
+    /** All that is still open is failed this long before the process is stopped; us. */
+    private static final long STOP_MARGIN = 200_000;
+    /** The gauges are asked for this long before the module looks at them; us. */
+    private static final long GAUGES_AHEAD = 10_000;
+    /** A reading older than this counts as missing; us. */
+    private static final long GAUGES_STALE = 300_000;
+    /** Tries in hand beyond which new ones are refused unseen: a bound on memory, far over what is usual. */
+    private static final int MOST_IN_HAND = 2_000;
+    private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+
+    private final Site site;
+    private final Function<Settings, Admission> newModule;
+    private final Clock clock;
+    private final Records records;
+    private final Announcer announcer;
+    private final Consumer<String> log;
+    private final RequestTable table = new RequestTable();
+    private final KeyTable keys;
+    private final Counts counts = new Counts();
+    private final Carrier carrier = new Carrier();
+    private Kernel kernel;
+    private Consumer<Long> idleCloser = after -> { };
+
+    private Admission module;
+    private List<Consumer<Admission>> events = new ArrayList<>();
+    private boolean flushing;
+    private long now;
+    private final PriorityQueue<Long> wakes = new PriorityQueue<>();
+
+    private Gauges reading = NO_GAUGES;
+    private long readAt;
+    private double feedback = Double.NaN;
+    private boolean healthy = true;
+    private long retiredAt = Long.MAX_VALUE;
+
+    public Core(Site site, Function<Settings, Admission> newModule, Clock clock, Records records,
+                Announcer announcer, Consumer<String> log) {
+        this.site = site;
+        this.newModule = newModule;
+        this.clock = clock;
+        this.records = records;
+        this.announcer = announcer;
+        this.log = log;
+        keys = new KeyTable(site.settings().classes().stream()
+            .mapToLong(c -> c.effect() == Effect.KEYED ? c.window() : 0).toArray());
+    }
+
+    /** The kernel needs the core as its listener, so it is handed in afterwards. */
+    public void attach(Kernel link) {
+        kernel = link;
+    }
+
+    /** Who closes connections unused for so many microseconds when the module asks for it. */
+    public void closeIdleWith(Consumer<Long> closer) {
+        idleCloser = closer;
+    }
+
+    public Site site() {
+        return site;
+    }
+
+    public Counts counts() {
+        return counts;
+    }
+
+    // ---- what fronts say ----
+
+    /**
+     * Takes a try into the hold; its reply gets one answer. The result is the ticket for {@link #gone}, or
+     * null if it was answered already.
+     */
+    public Long submit(Submission submission, Reply reply) {
+        counts.read++;
+        if (module == null || table.size() >= MOST_IN_HAND) {
+            counts.refused++;
+            reply.answer(new Answer(Answer.Kind.REFUSED, null, 0, false, feedback));
+            return null;
+        }
+        if (table.byJob(submission.job()) != null) {
+            counts.failed++;
+            reply.answer(new Answer(Answer.Kind.FAILED, null, 0, false, feedback)); // that name is in use
+            return null;
+        }
+        Try one = table.add(submission, reply);
+        long left = submission.due() - DUE_MARGIN - clock.now();
+        one.dueTimer = clock.after(Math.max(0, left), () -> due(one));
+        event(m -> arrive(m, one));
+        return one.number;
+    }
+
+    private void arrive(Admission to, Try one) {
+        Submission s = one.submission;
+        KeyTable.Entry entry = keys.find(s, now);
+        boolean reads = s.unique() == null;
+        one.entry = entry;
+        if (entry == null && !reads) {
+            one.entry = keys.put(one);
+        }
+        if (one.answered()) {
+            release(one);
+            return; // its caller went, or its time was up, before the module saw it
+        }
+        boolean write = site.settings().classes().get(s.kind()).effect() != Effect.IDEMPOTENT;
+        to.arrived(new Admission.Request(one.number, s.tenant(), s.kind(), Math.max(0, now - s.door()),
+            Math.max(1, s.due() - now), entry == null ? 0 : entry.owner.number, false, s.item() != null,
+            write, s.heldKb(), s.hint()));
+    }
+
+    /** The caller of a try no longer waits: no answer is owed. */
+    public void gone(Long ticket) {
+        Try one = ticket == null ? null : table.byNumber(ticket);
+        if (one == null || one.answered()) {
+            return;
+        }
+        counts.gone++;
+        one.reply = null;
+        one.dueTimer.cancel();
+        event(m -> m.gone(one.number));
+        letGo(one);
+    }
+
+    /** What health checks hear. */
+    public boolean well() {
+        return module != null && healthy;
+    }
+
+    /** The free value that goes with answers and checks; NaN where none is set. */
+    public double feedback() {
+        return feedback;
+    }
+
+    /** How many tries still owe an answer. */
+    public int open() {
+        return table.unanswered().size();
+    }
+
+    // ---- drain ----
+
+    /** The notice to leave: the process is stopped after so many microseconds. */
+    public void drain(long left) {
+        retiredAt = clock.now();
+        healthy = false;
+        announcer.announce(false);
+        if (module != null) {
+            event(m -> m.retiring(left));
+        }
+        clock.after(Math.max(0, left - STOP_MARGIN), () -> table.unanswered().forEach(this::due));
+    }
+
+    // ---- what the kernel tells ----
+
+    @Override
+    public void booted(boolean cold, long age) {
+        if (module != null) {
+            return; // the link came back; the module goes on
+        }
+        Settings told = site.settings();
+        module = newModule.apply(new Settings(told.cores(), told.servers(), cold, told.halt(), told.fresh(),
+            told.resolution(), told.limits(), told.below(), told.callers(), told.classes(), told.tenants()));
+        now = clock.now() - age;
+        module.begin(now); // it takes its first batch for the start, and a cold kernel warms since then
+        event(m -> { });
+        if (retiredAt == Long.MAX_VALUE) {
+            announcer.announce(true);
+        }
+    }
+
+    @Override
+    public void blocked(String job, long notice, byte[] call) {
+        Try one = table.byJob(job);
+        if (one == null) {
+            return;
+        }
+        one.notice = notice;
+        one.callBody = call;
+        event(m -> m.blocked(one.number));
+    }
+
+    @Override
+    public void ended(String job, Kernel.End end, long took, byte[] result) {
+        Try one = table.byJob(job);
+        if (one == null) {
+            return;
+        }
+        dropCall(one);
+        switch (end) {
+            case OK -> over(one, end, result, Outcome.OK, took);
+            case ERROR -> over(one, end, null, Outcome.FAILED, took);
+            case STOPPED -> {
+                if (one.answered()) {
+                    over(one, end, null, Outcome.CANCELED, took);
+                } else {
+                    one.run = Try.Run.PAUSED; // it still owes an answer, and the module decides which
+                    event(m -> m.completed(one.number, Outcome.CANCELED, took));
+                }
+            }
+            default -> neverStarted(one);
+        }
+    }
+
+    /** The kernel started nothing: the try never ran, and gives its key free. */
+    private void neverStarted(Try one) {
+        one.run = Try.Run.NONE;
+        event(m -> m.completed(one.number, Outcome.IGNORED, 0));
+        finish(one, Answer.Kind.FAILED, null, 0, false);
+    }
+
+    private void over(Try one, Kernel.End end, byte[] result, Outcome outcome, long took) {
+        event(m -> m.completed(one.number, outcome, took));
+        settle(one, end, result);
+    }
+
+    /** Notes how a run ended, and answers it and all that wait for its result. */
+    private void settle(Try one, Kernel.End end, byte[] result) {
+        one.run = Try.Run.ENDED;
+        boolean ok = end == Kernel.End.OK;
+        if (one.entry != null && one.entry.owner == one) {
+            one.entry.end = end;
+            one.entry.result = result;
+        }
+        finish(one, ok ? Answer.Kind.SERVED : Answer.Kind.FAILED, result, 0, false);
+        for (Try joiner : new ArrayList<>(one.joiners)) {
+            joined(joiner, end, result);
+        }
+        one.joiners.clear();
+        table.remove(one);
+    }
+
+    private void joined(Try joiner, Kernel.End end, byte[] result) {
+        boolean ok = end == Kernel.End.OK;
+        long took = clock.now() - joiner.joinedAt;
+        event(m -> m.completed(joiner.number, ok ? Outcome.OK : Outcome.FAILED, took));
+        finish(joiner, ok ? Answer.Kind.SERVED : Answer.Kind.FAILED, result, 0, false);
+    }
+
+    @Override
+    public void notStarted(String job) {
+        Try one = table.byJob(job);
+        if (one != null && one.run == Try.Run.ACTIVE) {
+            log.accept("the kernel would not start " + job);
+            neverStarted(one);
+        }
+    }
+
+    @Override
+    public void gauges(double[] row) {
+        reading = readings(row);
+        readAt = clock.now();
+    }
+
+    private Gauges readings(double[] row) {
+        double[] by = {Double.NaN, Double.NaN, Double.NaN, Double.NaN};
+        for (int i = 0; i < Math.min(row.length, site.gauges().size()); i++) {
+            int at = List.of("core_use", "on_cores", "heap_share", "links").indexOf(site.gauges().get(i));
+            if (at >= 0) {
+                by[at] = row[i];
+            }
+        }
+        return new Gauges(by[0], by[1], by[2], by[3]);
+    }
+
+    // ---- the final answer ----
+
+    /** The one place that gives a final answer, once. */
+    private void finish(Try one, Answer.Kind kind, byte[] body, long later, boolean last) {
+        Reply reply = one.reply;
+        if (reply != null) {
+            one.reply = null;
+            one.dueTimer.cancel();
+            counts.count(kind);
+            reply.answer(new Answer(kind, body, later, last, feedback));
+        }
+        letGo(one);
+    }
+
+    /** A request is failed when it is due, even if nothing else happens. */
+    private void due(Try one) {
+        if (!one.answered()) {
+            counts.overdue++;
+            event(m -> m.gone(one.number));
+            finish(one, Answer.Kind.OUT_OF_TIME, null, 0, false);
+        }
+    }
+
+    /** Once nobody waits: its call is given up, and it leaves the table unless its run goes on. */
+    private void letGo(Try one) {
+        dropCall(one);
+        if (one.joinedAt > 0 && one.entry != null) {
+            one.entry.owner.joiners.remove(one);
+        }
+        if (one.run == Try.Run.PAUSED && one.answered()) {
+            settle(one, Kernel.End.STOPPED, null); // nothing will take it up again
+        } else if (one.run == Try.Run.NONE || one.run == Try.Run.ENDED) {
+            release(one);
+            table.remove(one);
+        }
+    }
+
+    /** A try that ended without a run gives its key free; none of those that wait for it ran either. */
+    private void release(Try one) {
+        if (one.everRan() || one.entry == null || one.entry.owner != one) {
+            return;
+        }
+        keys.remove(one.entry);
+        List<Try> waiting = new ArrayList<>(one.joiners);
+        one.joiners.clear();
+        for (Try joiner : waiting) {
+            event(m -> m.completed(joiner.number, Outcome.FAILED, clock.now() - joiner.joinedAt));
+            finish(joiner, Answer.Kind.REFUSED, null, 0, false);
+        }
+    }
+
+    private static void dropCall(Try one) {
+        if (one.call != null) {
+            one.call.giveUp();
+            one.call = null;
+            one.callTimer.cancel();
+        }
+    }
+
+    // ---- batches ----
+
+    private void event(Consumer<Admission> event) {
+        events.add(event);
+        flushSoon();
+    }
+
+    private void flushSoon() {
+        if (!flushing) {
+            flushing = true;
+            clock.soon(this::flush);
+        }
+    }
+
+    /** Hands all that has come in to the module and carries out what it decides. */
+    private void flush() {
+        flushing = false;
+        if (module == null) {
+            events.clear();
+            return;
+        }
+        List<Consumer<Admission>> batch = events;
+        events = new ArrayList<>();
+        now = Math.max(now, clock.now());
+        module.begin(now);
+        boolean bell = false;
+        while (!wakes.isEmpty() && wakes.peek() <= now) {
+            wakes.poll();
+            bell = true;
+        }
+        if (bell) {
+            // before all else, so that the module's tick never runs without its gauges
+            module.timer(now - readAt <= GAUGES_STALE ? reading : NO_GAUGES);
+            keys.sweep(now);
+        }
+        batch.forEach(event -> event.accept(module));
+        module.decide(carrier);
+    }
+
+    /** Timers may fire a little early by the Unix clock; a bell rung early would be the module's last. */
+    private void ringAt(long at) {
+        long left = at - clock.now();
+        clock.after(Math.max(0, left), () -> {
+            if (clock.now() < at) {
+                ringAt(at);
+            } else {
+                flushSoon();
+            }
+        });
+    }
+
+    /** Carries out the module's actions. */
+    private final class Carrier implements Admission.Actions {
+        @Override
+        public void run(long id) {
+            Try one = table.byNumber(id);
+            if (one == null || one.answered() && one.run == Try.Run.NONE) {
+                moot(id);
+            } else if (one.run == Try.Run.PAUSED) {
+                one.run = Try.Run.ACTIVE;
+                kernel.resume(one.submission.job());
+            } else if (one.run == Try.Run.NONE && !mayRun(one)) {
+                moot(id);
+                finish(one, Answer.Kind.REFUSED, null, 0, false);
+            } else if (one.run == Try.Run.NONE) {
+                one.run = Try.Run.ACTIVE;
+                counts.runs++;
+                kernel.run(one.submission.job(), site.classes().get(one.submission.kind()),
+                    one.submission.body());
+            }
+        }
+
+        private void moot(long id) {
+            event(m -> m.completed(id, Outcome.IGNORED, 0));
+        }
+
+        /** Guards rules 2 and 3 whatever the module says: no second run of a key, no run past the grace. */
+        private boolean mayRun(Try one) {
+            boolean late = retiredAt != Long.MAX_VALUE
+                && one.submission.door() > retiredAt + site.settings().limits().drainGrace();
+            boolean second = one.submission.unique() != null && one.entry.owner != one;
+            return !late && !second;
+        }
+
+        @Override
+        public void refuse(long id, long stayAway, boolean dontRetry) {
+            Try one = table.byNumber(id);
+            if (one != null) {
+                Answer.Kind kind = one.everRan() ? Answer.Kind.FAILED : Answer.Kind.REFUSED;
+                finish(one, kind, null, stayAway, dontRetry);
+            }
+        }
+
+        @Override
+        public void fail(long id) {
+            Try one = table.byNumber(id);
+            if (one != null) {
+                finish(one, Answer.Kind.FAILED, null, 0, false);
+            }
+        }
+
+        @Override
+        public void stop(long id) {
+            Try one = table.byNumber(id);
+            if (one != null && one.run == Try.Run.ACTIVE) {
+                kernel.pause(one.submission.job());
+            }
+        }
+
+        @Override
+        public void call(long id, long giveUpAfter) {
+            Try one = table.byNumber(id);
+            if (one == null || one.notice == 0 || one.answered()) {
+                return; // nobody waits: the kernel ends the run at its call, and tells
+            }
+            dropCall(one);
+            counts.calls++;
+            long began = clock.now();
+            one.callTimer = clock.after(giveUpAfter, () -> {
+                dropCall(one);
+                called(one, Outcome.TIMED_OUT, began, null);
+            });
+            one.call = records.call(one.submission.job(), one.callBody, giveUpAfter, (outcome, reply) -> {
+                one.callTimer.cancel();
+                one.call = null;
+                called(one, outcome, began, reply);
+            });
+        }
+
+        private void called(Try one, Outcome outcome, long began, byte[] reply) {
+            if (outcome == Outcome.OK) {
+                one.notice = 0;
+                one.callBody = null;
+                kernel.callDone(one.submission.job(), reply);
+            }
+            long took = clock.now() - began;
+            event(m -> m.called(one.number, outcome, took));
+        }
+
+        @Override
+        public void skipCall(long id) {
+            Try one = table.byNumber(id);
+            if (one != null && one.notice != 0) {
+                counts.skips++;
+                kernel.skipCall(one.submission.job(), one.notice);
+                one.notice = 0;
+                one.callBody = null;
+            }
+        }
+
+        @Override
+        public void pin(long id, long ttl) {
+            Try one = table.byNumber(id);
+            if (one == null) {
+                return;
+            }
+            if (one.entry == null) {
+                one.entry = keys.put(one);
+            }
+            one.entry.pinnedUntil = now + ttl;
+        }
+
+        @Override
+        public void unpin(long id) {
+            Try one = table.byNumber(id);
+            if (one != null && one.entry != null && one.entry.owner == one) {
+                one.entry.pinnedUntil = 0; // the sweep takes it once no second run can follow
+            }
+        }
+
+        @Override
+        public void join(long id) {
+            Try one = table.byNumber(id);
+            if (one == null || one.answered()) {
+                return;
+            }
+            counts.joins++;
+            one.joinedAt = clock.now();
+            if (one.entry.end != null) {
+                joined(one, one.entry.end, one.entry.result);
+            } else {
+                one.entry.owner.joiners.add(one);
+            }
+        }
+
+        @Override
+        public void health(boolean good, boolean stored) {
+            healthy = good && retiredAt == Long.MAX_VALUE;
+            announcer.announce(healthy);
+        }
+
+        @Override
+        public void advise(double value) {
+            feedback = value;
+        }
+
+        @Override
+        public void closeIdle(long after) {
+            idleCloser.accept(after);
+        }
+
+        @Override
+        public void wake(long after) {
+            wakes.add(now + after);
+            ringAt(now + after);
+            if (after > 2 * GAUGES_AHEAD) {
+                clock.after(after - GAUGES_AHEAD, kernel::askGauges);
+            }
+        }
+
+        @Override
+        public void log(String text) {
+            log.accept(text);
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/wheatspread/core/KeyTable.java
@@ -0,0 +1,89 @@
+package wheatspread.core;
+
+import java.util.HashMap;
+import java.util.Map;
+
+/**
+ * Which try stands for a key, and what became of it. An entry of a keyed class is there from the reading of
+ * the first try, pinned or not, and once that try ran it stays for the class's window: no matter what the
+ * module forgets, a second try finds it. An entry whose try ends without a run is gone at once.
+ */
+final class KeyTable {
+    /** Repeats are found by when they were written; those still unread when the window ends get this long. */
+    private static final long READ_LATE = 5_000_000;
+
+    /** One key in the table. */
+    static final class Entry {
+        final String key;
+        final Try owner;
+        /** Until when the module keeps it; a read's entry lives by this alone. */
+        long pinnedUntil;
+        /** How the owner's run ended; null while it has not. */
+        Kernel.End end;
+        byte[] result;
+
+        Entry(String key, Try owner) {
+            this.key = key;
+            this.owner = owner;
+        }
+    }
+
+    private final Map<String, Entry> entries = new HashMap<>();
+    private final long[] windows;
+
+    /** {@code windows}: by class, how long after its door a try that ran forbids another; 0 if reads. */
+    KeyTable(long[] windows) {
+        this.windows = windows.clone();
+    }
+
+    static String keyOf(Submission s) {
+        if (s.unique() != null) {
+            return "u " + s.kind() + ' ' + s.unique();
+        }
+        return s.item() == null ? null : "i " + s.kind() + ' ' + s.item();
+    }
+
+    /** The living entry that a new try repeats, or null. */
+    Entry find(Submission s, long now) {
+        String key = keyOf(s);
+        Entry entry = key == null ? null : entries.get(key);
+        if (entry == null) {
+            return null;
+        }
+        return (s.unique() == null ? mayBeRead(entry, now) : forbids(entry, s)) ? entry : null;
+    }
+
+    private static boolean mayBeRead(Entry entry, long now) {
+        return entry.end == null ? !entry.owner.answered()
+            : entry.end == Kernel.End.OK && now < entry.pinnedUntil;
+    }
+
+    private boolean forbids(Entry entry, Submission s) {
+        return !entry.owner.everRan() || s.door() <= entry.owner.submission.door() + windows[s.kind()];
+    }
+
+    Entry put(Try owner) {
+        Entry entry = new Entry(keyOf(owner.submission), owner);
+        entries.put(entry.key, entry);
+        return entry;
+    }
+
+    /** Takes out the entry of a try that ended without a run, or that the module forgets. */
+    void remove(Entry entry) {
+        entries.remove(entry.key, entry);
+    }
+
+    /** Whether forgetting this entry could let a second try run. */
+    private boolean mustStay(Entry entry, long now) {
+        return entry.owner.submission.unique() != null && entry.owner.everRan()
+            && now <= entry.owner.submission.door() + windows[entry.owner.submission.kind()] + READ_LATE;
+    }
+
+    void sweep(long now) {
+        entries.values().removeIf(e -> e.end != null && e.pinnedUntil < now && !mustStay(e, now));
+    }
+
+    int size() {
+        return entries.size();
+    }
+}
--- /dev/null
+++ b/src/main/java/wheatspread/core/Try.java
@@ -0,0 +1,44 @@
+package wheatspread.core;
+
+import java.util.ArrayList;
+import java.util.List;
+
+/** One try in hand, from its reading until both its answer is given and its run, if any, has ended. */
+final class Try {
+    /** Where its run stands. */
+    enum Run { NONE, ACTIVE, PAUSED, ENDED }
+
+    /** The number by which the module knows it. */
+    final long number;
+    final Submission submission;
+    Reply reply;
+    Run run = Run.NONE;
+    Clock.Timer dueTimer;
+    /** The key's entry it stands in or repeats; null where it has no key. */
+    KeyTable.Entry entry;
+    /** When it asked for the result of another try, in Unix microseconds; 0 if it did not. */
+    long joinedAt;
+
+    /** The notice of the call that its run waits for, and the call's body; 0 if it waits for none. */
+    long notice;
+    byte[] callBody;
+    Records.Call call;
+    Clock.Timer callTimer;
+
+    /** The tries that wait for this one's result. */
+    final List<Try> joiners = new ArrayList<>();
+
+    Try(long number, Submission submission, Reply reply) {
+        this.number = number;
+        this.submission = submission;
+        this.reply = reply;
+    }
+
+    boolean answered() {
+        return reply == null;
+    }
+
+    boolean everRan() {
+        return run != Run.NONE;
+    }
+}
--- /dev/null
+++ b/src/main/java/wheatspread/kernel/KernelLink.java
@@ -0,0 +1,263 @@
+package wheatspread.kernel;
+
+import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.EventLoop;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.socket.nio.NioSocketChannel;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.string.StringDecoder;
+import io.netty.handler.codec.string.StringEncoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Base64;
+import java.util.Deque;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
+import org.json.JSONArray;
+import org.json.JSONException;
+import org.json.JSONObject;
+import wheatspread.core.Kernel;
+
+/**
+ * The link to the kernel. Commands are kept until the kernel has shown that it read them: it reads a link in
+ * order, so the answer to a question for gauges vouches for every command before it, and a notice of a job
+ * vouches for what was said of that job. What a lost link may have swallowed is said again on the next one,
+ * but only after all notices that were missed have been read, so that nothing is run a second time.
+ */
+public final class KernelLink implements Kernel {
+    private static final int LONGEST_LINE = 256 * 1024;
+    private static final long FIRST_RETRY_MS = 20;
+    private static final long LONGEST_RETRY_MS = 400;
+    /** How long missed notices are waited for where the kernel does not say that they are through. */
+    private static final long SYNC_MS = 1_000;
+    private static final String SYNC = "sync";
+
+    /** A command not known to be read; {@code number} counts commands. */
+    private record Command(long number, String type, String job, String line) { }
+
+    private final EventLoop loop;
+    private final InetSocketAddress address;
+    private final Listener listener;
+    private final Consumer<String> log;
+    private final Deque<Command> unconfirmed = new ArrayDeque<>();
+    private Channel channel;
+    /** Commands may go out: the kernel is up and the notices missed have been read. */
+    private boolean ready;
+    private boolean closed;
+    private long lastNotice;
+    private long lastCommand;
+    private long retryMs = FIRST_RETRY_MS;
+
+    public KernelLink(EventLoop loop, InetSocketAddress address, Listener listener, Consumer<String> log) {
+        this.loop = loop;
+        this.address = address;
+        this.listener = listener;
+        this.log = log;
+    }
+
+    public void open() {
+        if (closed) {
+            return;
+        }
+        ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .handler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel ch) {
+                    ch.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE),
+                        new StringDecoder(StandardCharsets.UTF_8), new StringEncoder(StandardCharsets.UTF_8),
+                        new Connection());
+                }
+            }).connect(address);
+        opening.addListener(done -> {
+            if (!done.isSuccess()) {
+                retry();
+            }
+        });
+    }
+
+    public void close() {
+        closed = true;
+        if (channel != null) {
+            channel.close();
+        }
+    }
+
+    private void retry() {
+        loop.schedule(this::open, retryMs, TimeUnit.MILLISECONDS);
+        retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2);
+    }
+
+    // ---- commands ----
+
+    @Override
+    public void run(String job, String kind, byte[] body) {
+        command("SCHED", job, new JSONObject().put("kind", kind).put("data", encode(body)));
+    }
+
+    @Override
+    public void pause(String job) {
+        command("PREEMPT", job, new JSONObject());
+    }
+
+    @Override
+    public void resume(String job) {
+        command("RESCHED", job, new JSONObject());
+    }
+
+    @Override
+    public void callDone(String job, byte[] reply) {
+        command("IODONE", job, new JSONObject().put("data", encode(reply)));
+    }
+
+    @Override
+    public void skipCall(String job, long notice) {
+        command("NOIO", job, new JSONObject().put("n", notice));
+    }
+
+    @Override
+    public void askGauges() {
+        if (ready) {
+            say(new JSONObject().put("type", "SYSINFO").put("ref", Long.toString(lastCommand)).toString());
+        }
+    }
+
+    private void command(String type, String job, JSONObject fields) {
+        String line = fields.put("type", type).put("job", job).toString();
+        unconfirmed.add(new Command(++lastCommand, type, job, line));
+        if (ready) {
+            say(line);
+        }
+    }
+
+    private void say(String line) {
+        channel.writeAndFlush(line + "\n", channel.voidPromise());
+    }
+
+    private static String encode(byte[] bytes) {
+        return Base64.getEncoder().encodeToString(bytes);
+    }
+
+    /** All missed notices are read: says again what the kernel may not have heard. */
+    private void becomeReady() {
+        if (!ready) {
+            ready = true;
+            unconfirmed.forEach(command -> say(command.line()));
+        }
+    }
+
+    // ---- notices ----
+
+    /** One connection to the kernel; a later one replaces it. */
+    private final class Connection extends SimpleChannelInboundHandler<String> {
+        @Override
+        public void channelActive(ChannelHandlerContext ctx) {
+            channel = ctx.channel();
+            say(new JSONObject().put("type", "OPEN").put("n", lastNotice).toString());
+        }
+
+        @Override
+        public void channelInactive(ChannelHandlerContext ctx) {
+            ready = false;
+            channel = null;
+            if (!closed) {
+                log.accept("kernel link lost after notice " + lastNotice);
+                retry();
+            }
+        }
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, String line) {
+            try {
+                read(ctx, new JSONObject(line));
+            } catch (JSONException | IllegalArgumentException e) {
+                log.accept("kernel line not understood: " + e.getMessage());
+            }
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+            log.accept("kernel link: " + cause);
+            ctx.close();
+        }
+
+        private void read(ChannelHandlerContext ctx, JSONObject notice) {
+            String type = notice.getString("type");
+            switch (type) {
+                case "BOOTED" -> booted(ctx, notice);
+                case "INFO" -> info(notice);
+                case "EINVAL" -> invalid(notice);
+                default -> {
+                    long n = notice.optLong("n", 0);
+                    if (n > lastNotice) {
+                        lastNotice = n;
+                        numbered(type, n, notice);
+                    }
+                }
+            }
+        }
+
+        private void booted(ChannelHandlerContext ctx, JSONObject notice) {
+            retryMs = FIRST_RETRY_MS;
+            say(new JSONObject().put("type", "SYSINFO").put("ref", SYNC).toString());
+            loop.schedule(() -> {
+                if (ctx.channel() == channel) {
+                    becomeReady();
+                }
+            }, SYNC_MS, TimeUnit.MILLISECONDS);
+            listener.booted(notice.getString("state").equals("COLD"), micros(notice));
+        }
+
+        private void info(JSONObject notice) {
+            String ref = notice.optString("ref");
+            if (ref.equals(SYNC)) {
+                becomeReady();
+            } else if (!ref.isEmpty()) {
+                long heard = Long.parseLong(ref);
+                while (!unconfirmed.isEmpty() && unconfirmed.peek().number() <= heard) {
+                    unconfirmed.poll();
+                }
+            }
+            JSONArray row = notice.optJSONArray("gauges", new JSONArray());
+            double[] gauges = new double[row.length()];
+            for (int i = 0; i < gauges.length; i++) {
+                gauges[i] = row.optDouble(i, Double.NaN);
+            }
+            listener.gauges(gauges);
+        }
+
+        private void invalid(JSONObject notice) {
+            log.accept("the kernel did not carry out " + notice);
+            String job = notice.optString("job");
+            unconfirmed.removeIf(c -> c.job().equals(job) && c.type().equals(notice.optString("state")));
+            if (notice.optString("state").equals("SCHED")) {
+                listener.notStarted(job);
+            }
+        }
+
+        private void numbered(String type, long n, JSONObject notice) {
+            String job = notice.optString("job");
+            if (type.equals("REAP")) {
+                unconfirmed.removeIf(c -> c.job().equals(job));
+                End end = End.valueOf(notice.getString("state"));
+                listener.ended(job, end, micros(notice), end == End.OK ? body(notice) : null);
+            } else if (type.equals("IOREQ")) {
+                // a pause may have crossed this notice, the rest has not
+                unconfirmed.removeIf(c -> c.job().equals(job) && !c.type().equals("PREEMPT"));
+                listener.blocked(job, n, body(notice));
+            }
+        }
+
+        private byte[] body(JSONObject notice) {
+            return Base64.getDecoder().decode(notice.optString("data"));
+        }
+
+        private long micros(JSONObject notice) {
+            return Math.round(notice.optDouble("took", 0) * 1000);
+        }
+    }
+}
--- a/src/main/java/wheatspread/BenchLink.java
+++ b/src/main/java/wheatspread/sim/BenchLink.java
@@ -1,15 +1,12 @@
-package wheatspread;
-
-import wheatspread.Admission.Advice;
-import wheatspread.Admission.Dependency;
-import wheatspread.Admission.Effect;
-import wheatspread.Admission.Gauges;
-import wheatspread.Admission.Halt;
-import wheatspread.Admission.Outcome;
-import wheatspread.Admission.Request;
-import wheatspread.Admission.RequestClass;
-import wheatspread.Admission.Settings;
-import wheatspread.Admission.Tenant;
+package wheatspread.sim;
+
+import wheatspread.admission.Admission;
+import wheatspread.admission.Choice;
+import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Admission.Request;
+import wheatspread.config.Fields;
+import wheatspread.config.SettingsReader;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -28,20 +25,10 @@
 import java.util.Map;
 
 /** The wire: one line of events in, one line of actions out, one {@link Choice} for each instance. */
-final class BenchLink {
+public final class BenchLink {
     private static final Map<String, Outcome> OUTCOMES = Map.of("Ok", Outcome.OK, "Failed", Outcome.FAILED,
         "QueueFull", Outcome.QUEUE_FULL, "TimedOut", Outcome.TIMED_OUT, "ConnectError", Outcome.CONNECT_ERROR,
         "ResetByPeer", Outcome.RESET, "Canceled", Outcome.CANCELED, "Ignored", Outcome.IGNORED);
-    private static final Map<String, Effect> EFFECTS = Map.of("idempotent", Effect.IDEMPOTENT,
-        "deduplicated", Effect.KEYED, "at_most_once", Effect.AT_MOST_ONCE);
-    private static final Map<String, Dependency> DEPENDENCIES = Map.of("silent", Dependency.NONE,
-        "shared", Dependency.SHARED, "tier", Dependency.TIER);
-    private static final Map<String, Halt> HALTS = Map.of("silent", Halt.NONE, "abort", Halt.ABORT,
-        "suspend", Halt.SUSPEND);
-    private static final Map<String, Advice> ADVICE = Map.of("silent", Advice.NONE, "threshold",
-        Advice.THRESHOLD,
-        "window", Advice.WINDOW, "share_of", Advice.SHARE);
-
     private final JsonFactory json = new JsonFactory();
     private final BufferedReader in;
     private final OutputStream out;
@@ -50,7 +37,7 @@
     private long now;
 
     /** What was read cannot be understood. */
-    static final class BadInput extends RuntimeException {
+    public static final class BadInput extends RuntimeException {
         private static final long serialVersionUID = 1L;
 
         BadInput(String message) {
@@ -61,12 +48,12 @@
     /** One worker and the order of its gauges. */
     private record Instance(Admission choice, List<String> gauges) { }
 
-    BenchLink(InputStream in, OutputStream out) {
+    public BenchLink(InputStream in, OutputStream out) {
         this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
         this.out = new BufferedOutputStream(out, 1 << 16);
     }
 
-    void serve() throws IOException {
+    public void serve() throws IOException {
         for (String text = in.readLine(); text != null; text = in.readLine()) {
             line++;
             try (JsonGenerator reply = json.createGenerator(out)) {
@@ -89,7 +76,7 @@
         reply.writeStartObject();
         reply.writeArrayFieldStart("parts");
         for (Object part : batch.list("parts")) {
-            part(fields(part, "parts"), reply);
+            part(Fields.of(part, "parts"), reply);
         }
         reply.writeEndArray();
         reply.writeEndObject();
@@ -100,7 +87,7 @@
         Instance instance = instances.get(worker);
         boolean begun = false;
         for (Object item : part.list("items")) {
-            Fields event = fields(item, "items");
+            Fields event = Fields.of(item, "items");
             String name = event.text("m");
             if (name.equals("NewInstance")) {
                 instance = create(event);
@@ -147,70 +134,20 @@
     private static Request request(Fields e) {
         return new Request(e.id("Tid"), (int) e.number("Customer", 0), (int) e.integer("Band"),
             e.time("Age", 0), e.time("Left", 0), (long) e.number("DupOf", 0), e.flag("AgainByClient"),
-            e.map.get("NameKey") != null, e.flag("Mutates"), e.number("HeldKb"), e.time("WorkHint", 0));
+            e.has("NameKey"), e.flag("Mutates"), e.number("HeldKb"), e.time("WorkHint", 0));
     }
 
     private static Gauges gauges(Instance instance, Fields event) {
-        Map<String, Double> values = new HashMap<>();
         List<Object> row = event.list("Telemetry");
-        for (int i = 0; i < Math.min(row.size(), instance.gauges.size()); i++) {
-            values.put(instance.gauges.get(i), row.get(i) instanceof Number n ? n.doubleValue() : Double.NaN);
-        }
-        return new Gauges(values.getOrDefault("core_use", Double.NaN), values.getOrDefault("on_cores",
-            Double.NaN),
-            values.getOrDefault("heap_share", Double.NaN), values.getOrDefault("links", Double.NaN));
+        return SettingsReader.gauges(instance.gauges, i -> i < row.size() && row.get(i) instanceof Number n
+            ? n.doubleValue() : Double.NaN);
     }
 
     private Instance create(Fields event) throws IOException {
-        Object told = event.map.get("Info");
-        Fields info = told instanceof String s ? parse(s) : fields(told, "Info");
-        Fields family = fields(info.map.get("FamilyInfo"), "FamilyInfo");
-        List<String> gauges = new ArrayList<>();
-        family.list("Gauges").forEach(g -> gauges.add(String.valueOf(g)));
-        return new Instance(new Choice(settings(info, family), event.integer("InitSeed")), gauges);
-    }
-
-    private static Settings settings(Fields info, Fields family) {
-        Fields rules = fields(info.map.get("Rules"), "Rules");
-        Fields ceilings = fields(info.map.getOrDefault("Ceilings", Map.of()), "Ceilings");
-        Fields prices = fields(info.map.getOrDefault("Tariffs", Map.of()), "Tariffs");
-        List<RequestClass> classes = new ArrayList<>();
-        for (Object lane : info.list("Lanes")) {
-            classes.add(requestClass(fields(lane, "Lanes"), family, classes.size()));
-        }
-        List<Tenant> tenants = new ArrayList<>();
-        for (Object party : info.list("Parties")) {
-            tenants.add(new Tenant(fields(party, "Parties").number("QuotaPerS", 0)));
-        }
-        Admission.Limits limits = new Admission.Limits(family.number("MemoryKb"), family.number("RunFactor",
-            1),
-            family.number("KbPerKey", 0), rules.number("TipMultiple"), rules.number("ColdFrom", 1),
-            rules.time("Cold", 0), rules.time("AnswerSlack", 0), rules.time("DrainGrace", 0));
-        Admission.Below below = new Admission.Below(family.word("DependsOn", DEPENDENCIES, Dependency.NONE),
-            family.number("CallsOut", 0), family.time("DepWindow", 0), family.time("Linger", 0));
-        Admission.Callers callers = new Admission.Callers((int) family.number("Callers", 0),
-            family.word("Say", ADVICE, Advice.NONE), family.time("Heeded", 0),
-            ceilings.flag("RetryAfter") ? ceilings.time("MaxRetryAfter", 0) : 0,
-            family.flag("RegistryFollows"), family.time("Idle", 0), prices.number("Handshake", 0),
-            prices.number("Connection", 0));
-        return new Settings((int) family.integer("NCores"),
-            (int) info.number("ReplicasOfMe", 0), family.flag("Cold"),
-            family.word("Halt", HALTS, Halt.NONE), family.time("Fresh", 0), info.time("Resolution", 0),
-                limits,
-            below, callers, classes, tenants);
-    }
-
-    private static RequestClass requestClass(Fields lane, Fields family, int index) {
-        long deadline = lane.time("Deadline");
-        return new RequestClass(lane.time("Aim", deadline), lane.number("AimStretch", 0), deadline,
-            lane.word("Effect", EFFECTS), lane.number("Worth", 1), lane.number("LateWorth", 0),
-            lane.time("Window", 0), nth(family, "ClassCalls", index) == Boolean.TRUE,
-            nth(family, "ClassSkipWorth", index) instanceof Number n ? n.doubleValue() : 0);
-    }
-
-    private static Object nth(Fields fields, String name, int index) {
-        List<Object> list = fields.list(name);
-        return index < list.size() ? list.get(index) : null;
+        Object told = event.get("Info");
+        Fields info = told instanceof String s ? parse(s) : Fields.of(told, "Info");
+        return new Instance(new Choice(SettingsReader.read(info), event.integer("InitSeed")),
+            SettingsReader.gauges(info));
     }
 
     private Fields parse(String text) throws IOException {
@@ -220,7 +157,7 @@
             if (parser.nextToken() != null) {
                 throw new BadInput("more than one value");
             }
-            return fields(value, "message");
+            return Fields.of(value, "message");
         }
     }
 
@@ -254,83 +191,6 @@
             : token == JsonToken.VALUE_FALSE ? Boolean.FALSE : null;
     }
 
-    @SuppressWarnings("unchecked")
-    private static Fields fields(Object value, String name) {
-        if (value instanceof Map<?, ?> map) {
-            return new Fields((Map<String, Object>) map);
-        }
-        throw new BadInput(name + " is not an object");
-    }
-
-    /** Typed access to one object of the wire. */
-    private record Fields(Map<String, Object> map) {
-        double number(String name) {
-            if (map.get(name) instanceof Number n) {
-                return n.doubleValue();
-            }
-            throw new BadInput(name + " is missing or not a number");
-        }
-
-        double number(String name, double absent) {
-            return map.get(name) == null ? absent : number(name);
-        }
-
-        long integer(String name) {
-            double value = number(name);
-            if (map.get(name) instanceof Long n) {
-                return n;
-            }
-            throw new BadInput(name + " is not an integer: " + value);
-        }
-
-        long id(String name) {
-            return integer(name);
-        }
-
-        long time(String name) {
-            return Math.round(number(name) * 1000);
-        }
-
-        long time(String name, long absent) {
-            return map.get(name) == null ? absent : time(name);
-        }
-
-        boolean flag(String name) {
-            return map.get(name) == Boolean.TRUE;
-        }
-
-        String text(String name) {
-            if (map.get(name) instanceof String s) {
-                return s;
-            }
-            throw new BadInput(name + " is missing or not text");
-        }
-
-        <T> T word(String name, Map<String, T> words) {
-            T known = words.get(text(name));
-            if (known == null) {
-                throw new BadInput(name + " is an unknown word: " + text(name));
-            }
-            return known;
-        }
-
-        <T> T word(String name, Map<String, T> words, T absent) {
-            return map.get(name) == null ? absent : word(name, words);
-        }
-
-        @SuppressWarnings("unchecked")
-        List<Object> list(String name) {
-            Object value = map.get(name);
-            if (value == null) {
-                return List.of();
-            }
-            if (value instanceof List<?> list) {
-                return (List<Object>) list;
-            }
-            throw new BadInput(name + " is not a list");
-        }
-    }
-
     /** Writes the actions of one instance; opens its part of the reply with the first of them. */
     private static final class Reply implements Admission.Actions {
         private final JsonGenerator json;
--- a/src/test/java/wheatspread/ChoiceTest.java
+++ b/src/test/java/wheatspread/admission/ChoiceTest.java
@@ -1,16 +1,16 @@
-package wheatspread;
+package wheatspread.admission;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import wheatspread.Admission.Advice;
-import wheatspread.Admission.Callers;
-import wheatspread.Admission.Effect;
-import wheatspread.Admission.Gauges;
-import wheatspread.Admission.Outcome;
-import wheatspread.Admission.RequestClass;
-import wheatspread.Admission.Settings;
-import wheatspread.Admission.Tenant;
+import wheatspread.admission.Admission.Advice;
+import wheatspread.admission.Admission.Callers;
+import wheatspread.admission.Admission.Effect;
+import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Admission.RequestClass;
+import wheatspread.admission.Admission.Settings;
+import wheatspread.admission.Admission.Tenant;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -667,7 +667,7 @@
 
     @Test
     void theModuleStaysWithinItsBound() throws Exception {
-        List<String> lines = Files.readAllLines(Path.of("src/main/java/wheatspread/Choice.java"));
+        List<String> lines = Files.readAllLines(Path.of("src/main/java/wheatspread/admission/Choice.java"));
         assertThat(lines.stream().filter(l -> !l.isBlank()).count()).isLessThanOrEqualTo(910);
     }
 }
--- a/src/test/java/wheatspread/Host.java
+++ b/src/test/java/wheatspread/admission/Host.java
@@ -1,19 +1,19 @@
-package wheatspread;
+package wheatspread.admission;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import wheatspread.Admission.Advice;
-import wheatspread.Admission.Below;
-import wheatspread.Admission.Callers;
-import wheatspread.Admission.Dependency;
-import wheatspread.Admission.Effect;
-import wheatspread.Admission.Gauges;
-import wheatspread.Admission.Halt;
-import wheatspread.Admission.Limits;
-import wheatspread.Admission.Request;
-import wheatspread.Admission.RequestClass;
-import wheatspread.Admission.Settings;
-import wheatspread.Admission.Tenant;
+import wheatspread.admission.Admission.Advice;
+import wheatspread.admission.Admission.Below;
+import wheatspread.admission.Admission.Callers;
+import wheatspread.admission.Admission.Dependency;
+import wheatspread.admission.Admission.Effect;
+import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.Halt;
+import wheatspread.admission.Admission.Limits;
+import wheatspread.admission.Admission.Request;
+import wheatspread.admission.Admission.RequestClass;
+import wheatspread.admission.Admission.Settings;
+import wheatspread.admission.Admission.Tenant;
 import java.util.ArrayList;
 import java.util.List;
 
--- a/src/test/java/wheatspread/RandomEventsTest.java
+++ b/src/test/java/wheatspread/admission/RandomEventsTest.java
@@ -1,16 +1,16 @@
-package wheatspread;
+package wheatspread.admission;
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import wheatspread.Admission.Advice;
-import wheatspread.Admission.Callers;
-import wheatspread.Admission.Effect;
-import wheatspread.Admission.Gauges;
-import wheatspread.Admission.Halt;
-import wheatspread.Admission.Outcome;
-import wheatspread.Admission.Request;
-import wheatspread.Admission.Settings;
-import wheatspread.Admission.Tenant;
+import wheatspread.admission.Admission.Advice;
+import wheatspread.admission.Admission.Callers;
+import wheatspread.admission.Admission.Effect;
+import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.Halt;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Admission.Request;
+import wheatspread.admission.Admission.Settings;
+import wheatspread.admission.Admission.Tenant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
--- a/src/test/java/wheatspread/BenchLinkTest.java
+++ b/src/test/java/wheatspread/sim/BenchLinkTest.java
@@ -1,4 +1,4 @@
-package wheatspread;
+package wheatspread.sim;
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
