Add the uwsgi front, with recorded exchanges and a proof that both fronts agree

What was seen: the core had one front. The second reads and writes uwsgi packets (Routes, VarsReader and UwsgiConnection on top of a codec), is set up by an operator's file (deploy/uwsgi.json shows one) and stays off on the platform. The listener of both fronts moved to the package sockets.

Playing recorded exchanges (src/test/resources/scenes) found faults in the first landing, each now with its scene: - Core.Carrier.stop sent PREEMPT again at each tick until the stop was confirmed, since the module asks again (05-due, 08-drain); asked once now. - An oversize line closed its connection: the frame decoder fires the exception and does not throw it, so the catch in LineDecoder never saw it (06-bad-input). RpcConnection.exceptionCaught answers it and the connection stays. - A try that was due when read went through the module and got an error; it is refused at once, since it never ran (05-due).

Checked: BothFrontsTest drives both protocols at once against stand-in kernel and records: same outcomes, 16 tries read, 8 served, 2 refused, 6 failed, one run of a key shared by both; deadline and drain included. 11-uwsgi-hard shows packets cut off mid-header and mid-body, the same packet twice, oversize and trickling bytes. Ruled out by scene: that a repeat read late runs again (02), that a reply that crosses UNOP is taken for the next call's (07), that missing gauges stop the tick (09).

Conclusion: both fronts keep the same rules on one core; PackagesTest holds that the core knows no wire and that no packages import in a circle.

--- /dev/null
+++ b/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -0,0 +1,122 @@
+package wheatspread.config;
+
+import java.net.InetSocketAddress;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.regex.Pattern;
+import java.util.regex.PatternSyntaxException;
+import wheatspread.core.Site;
+
+/**
+ * The operator's file: where the uwsgi front listens, its bounds, which vars carry what, and what holds for
+ * a request whose packet does not say. Times are microseconds here and milliseconds in the file.
+ */
+public record UwsgiConfig(InetSocketAddress listen, int mostConnections, int mostVars, int mostBody,
+                          long readTimeout, long idleTimeout, String healthPath, Vars vars, Defaults defaults,
+                          List<Route> routes) {
+    private static final Set<String> KEYS = Set.of("listen", "max_connections", "max_vars", "max_body",
+        "read_timeout_ms", "idle_timeout_ms", "health_path", "vars", "defaults", "routes");
+    private static final Set<String> DEFAULT_KEYS = Set.of("class", "tenant", "limit_ms", "cpu_ms", "ram_kb");
+    private static final Map<String, Match> MATCHES = Map.of("exact", Match.EXACT, "prefix", Match.PREFIX,
+        "prefix_first", Match.PREFIX_FIRST, "regex", Match.REGEX, "regex_any_case", Match.REGEX_ANY_CASE);
+
+    /** The names of the vars that carry a request's particulars. */
+    public record Vars(String kind, String tenant, String limit, String hint, String ram, String unique,
+                       String item) {
+        /** What a proxy is asked to call them, unless the file says otherwise. */
+        public static final Vars USUAL = new Vars("RECIPE_CLASS", "RECIPE_TENANT", "RECIPE_LIMIT_MS",
+            "RECIPE_CPU_MS", "RECIPE_RAM_KB", "RECIPE_UNIQUE", "RECIPE_ITEM");
+    }
+
+    /** What holds where a packet does not say; an index of -1 and a limit of 0 mean that nothing is set. */
+    public record Defaults(int kind, int tenant, long limit, long hint, double ramKb) { }
+
+    /** How a route's path is compared, as the location forms of nginx are. */
+    public enum Match { EXACT, PREFIX, PREFIX_FIRST, REGEX, REGEX_ANY_CASE }
+
+    /** Defaults for the requests whose path matches; {@code pattern} is null unless it is a regex. */
+    public record Route(Match match, String path, Pattern pattern, Defaults defaults) { }
+
+    public static UwsgiConfig readFile(Path file, Site site) {
+        Fields all = Fields.of(ServerConfig.readFile(file).toMap(), "");
+        return read(all.object("uwsgi", false), site);
+    }
+
+    static UwsgiConfig read(Fields told, Site site) {
+        known(told, KEYS);
+        Fields names = told.object("vars", true);
+        known(names, Set.of("class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "unique", "item"));
+        Vars usual = Vars.USUAL;
+        Vars vars = new Vars(names.text("class", usual.kind), names.text("tenant", usual.tenant),
+            names.text("limit_ms", usual.limit), names.text("cpu_ms", usual.hint),
+            names.text("ram_kb", usual.ram), names.text("unique", usual.unique),
+            names.text("item", usual.item));
+        Defaults none = new Defaults(-1, -1, 0, 0, 24);
+        Defaults defaults = defaults(told.object("defaults", true), none, site, DEFAULT_KEYS);
+        List<Route> routes = new ArrayList<>();
+        for (Object one : told.list("routes")) {
+            routes.add(route(Fields.of(one, "uwsgi.routes[" + routes.size() + "]"), defaults, site));
+        }
+        return new UwsgiConfig(ServerConfig.address(told, "listen"),
+            told.integer("max_connections", 256, 1, 4096), told.integer("max_vars", 16_384, 64, 65_535),
+            told.integer("max_body", 2_048, 0, 1 << 20), millis(told, "read_timeout_ms", 5_000),
+            millis(told, "idle_timeout_ms", 60_000), told.text("health_path", ""), vars, defaults,
+            List.copyOf(routes));
+    }
+
+    private static long millis(Fields told, String key, int absent) {
+        return told.integer(key, absent, 10, 3_600_000) * 1000L;
+    }
+
+    private static Defaults defaults(Fields told, Defaults outer, Site site, Set<String> keys) {
+        known(told, keys);
+        return new Defaults(index(told, "class", site.classes(), outer.kind),
+            index(told, "tenant", site.tenants(), outer.tenant),
+            told.integer("limit_ms", (int) (outer.limit / 1000), 0, 3_600_000) * 1000L,
+            Math.round(positive(told, "cpu_ms", outer.hint / 1000.0) * 1000),
+            positive(told, "ram_kb", outer.ramKb));
+    }
+
+    private static double positive(Fields told, String key, double absent) {
+        double value = told.number(key, absent);
+        if (!(value >= 0 && value < 1e6)) {
+            throw told.bad(key, "is out of range: " + value);
+        }
+        return value;
+    }
+
+    private static int index(Fields told, String key, List<String> names, int absent) {
+        int index = told.has(key) ? names.indexOf(told.text(key)) : absent;
+        if (told.has(key) && index < 0) {
+            throw told.bad(key, "is none of " + names + ": " + told.text(key));
+        }
+        return index;
+    }
+
+    private static Route route(Fields told, Defaults outer, Site site) {
+        Match match = told.word("match", MATCHES);
+        String path = told.text("path");
+        Pattern pattern = null;
+        try {
+            if (match == Match.REGEX || match == Match.REGEX_ANY_CASE) {
+                pattern = Pattern.compile(path, match == Match.REGEX ? 0 : Pattern.CASE_INSENSITIVE);
+            }
+        } catch (PatternSyntaxException e) {
+            throw told.bad("path", "is no regular expression: " + e.getDescription());
+        }
+        return new Route(match, path, pattern, defaults(told, outer, site,
+            Set.of("match", "path", "class", "tenant", "limit_ms", "cpu_ms", "ram_kb")));
+    }
+
+    /** A misspelt key must not pass for an absent one. */
+    private static void known(Fields told, Set<String> keys) {
+        for (String name : told.names()) {
+            if (!keys.contains(name)) {
+                throw told.bad(name, "is an unknown key");
+            }
+        }
+    }
+}
--- a/src/main/java/wheatspread/core/Core.java
+++ b/src/main/java/wheatspread/core/Core.java
@@ -19,6 +19,8 @@
 public final class Core implements Kernel.Listener {
     /** The core fails a request this long before it is due, whatever the module does; us. */
     private static final long DUE_MARGIN = 5_000;
+    /** What the module fails this shortly before it is due, it fails for want of time; us. */
+    private static final long NEARLY_DUE = 100_000;
     /** All that is still open is failed this long before the process is stopped; us. */
     private static final long STOP_MARGIN = 200_000;
     /** The gauges are asked for this long before the module looks at them; us. */
@@ -92,7 +94,8 @@
      */
     public Long submit(Submission submission, Reply reply) {
         counts.read++;
-        if (module == null || table.size() >= MOST_IN_HAND) {
+        boolean tooLate = submission.due() - DUE_MARGIN <= clock.now();
+        if (module == null || tooLate || table.size() >= MOST_IN_HAND) {
             counts.refused++;
             reply.answer(new Answer(Answer.Kind.REFUSED, null, 0, false, feedback));
             return null;
@@ -399,6 +402,7 @@
                 moot(id);
             } else if (one.run == Try.Run.PAUSED) {
                 one.run = Try.Run.ACTIVE;
+                one.stopAsked = false;
                 kernel.resume(one.submission.job());
             } else if (one.run == Try.Run.NONE && !mayRun(one)) {
                 moot(id);
@@ -436,14 +440,19 @@
         public void fail(long id) {
             Try one = table.byNumber(id);
             if (one != null) {
-                finish(one, Answer.Kind.FAILED, null, 0, false);
+                Admission.RequestClass kind = site.settings().classes().get(one.submission.kind());
+                Submission s = one.submission;
+                boolean late = now > s.door() + kind.aim() || now > s.due() - NEARLY_DUE;
+                finish(one, late ? Answer.Kind.OUT_OF_TIME : Answer.Kind.FAILED, null, 0, false);
             }
         }
 
         @Override
         public void stop(long id) {
             Try one = table.byNumber(id);
-            if (one != null && one.run == Try.Run.ACTIVE) {
+            // the module asks again at every tick until the stop is confirmed; the kernel is asked once
+            if (one != null && one.run == Try.Run.ACTIVE && !one.stopAsked) {
+                one.stopAsked = true;
                 kernel.pause(one.submission.job());
             }
         }
--- a/src/main/java/wheatspread/core/Try.java
+++ b/src/main/java/wheatspread/core/Try.java
@@ -13,6 +13,8 @@
     final Submission submission;
     Reply reply;
     Run run = Run.NONE;
+    /** The kernel has been asked to stop its run. */
+    boolean stopAsked;
     Clock.Timer dueTimer;
     /** The key's entry it stands in or repeats; null where it has no key. */
     KeyTable.Entry entry;
--- a/src/main/java/wheatspread/daemon/Main.java
+++ b/src/main/java/wheatspread/daemon/Main.java
@@ -1,22 +1,29 @@
 package wheatspread.daemon;
 
 import java.io.IOException;
+import java.nio.file.Path;
 import wheatspread.config.Fields;
 import wheatspread.config.ServerConfig;
+import wheatspread.config.UwsgiConfig;
 import wheatspread.sim.BenchLink;
 
-/** Command line: {@code serve} runs the server, {@code benchlink} speaks the simulator's wire. */
+/**
+ * Command line: {@code serve} runs the server, with a second front if an operator's file is named;
+ * {@code benchlink} speaks the simulator's wire.
+ */
 public final class Main {
-    private static final String USAGE = "usage: java -jar wheatspread.jar serve | benchlink";
+    private static final String USAGE = "usage: java -jar wheatspread.jar serve [OPERATOR_FILE] | benchlink";
 
     private Main() { }
 
     public static void main(String[] args) throws IOException, InterruptedException {
-        String command = args.length == 1 ? args[0] : "";
-        switch (command) {
-            case "serve" -> serve();
-            case "benchlink" -> benchlink();
-            default -> exit(2, USAGE);
+        String command = args.length == 0 ? "" : args[0];
+        if (command.equals("serve") && args.length <= 2) {
+            serve(args.length == 2 ? args[1] : null);
+        } else if (command.equals("benchlink") && args.length == 1) {
+            benchlink();
+        } else {
+            exit(2, USAGE);
         }
     }
 
@@ -28,9 +35,12 @@
         }
     }
 
-    private static void serve() throws InterruptedException {
+    private static void serve(String operatorFile) throws InterruptedException {
         try {
-            Server server = new Server(ServerConfig.fromEnvironment(System.getenv()), Main::log);
+            ServerConfig config = ServerConfig.fromEnvironment(System.getenv());
+            UwsgiConfig uwsgi = operatorFile == null ? null
+                : UwsgiConfig.readFile(Path.of(operatorFile), config.site());
+            Server server = new Server(config, uwsgi, LoopClock::new, Main::log);
             server.start();
             // SIGTERM is the notice to leave: the JVM waits for this hook, which waits for the drain
             Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server), "drain"));
--- a/src/main/java/wheatspread/daemon/Server.java
+++ b/src/main/java/wheatspread/daemon/Server.java
@@ -3,16 +3,28 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.nio.NioIoHandler;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
+import java.util.function.Function;
 import wheatspread.admission.Choice;
 import wheatspread.announce.AnnounceClient;
+import wheatspread.config.Fields;
 import wheatspread.config.ServerConfig;
+import wheatspread.config.UwsgiConfig;
+import wheatspread.core.Clock;
 import wheatspread.core.Core;
+import wheatspread.core.Counts;
 import wheatspread.jsonrpc.RpcFront;
 import wheatspread.kernel.KernelLink;
 import wheatspread.records.RecordsClient;
+import wheatspread.sockets.Listener;
+import wheatspread.uwsgi.UwsgiFront;
 
 /** One server process: wires core, links and fronts to one event loop, and leads it from start to exit. */
 public final class Server {
@@ -23,25 +35,30 @@
     private static final int OWN_SOCKETS = 96;
     /** The process ends this long before it would be killed. */
     private static final long STOP_MARGIN_US = 120_000;
-    private static final long DRAIN_LOOK_MS = 25;
+    private static final long DRAIN_LOOK = 25_000;
 
     private final ServerConfig config;
     private final Consumer<String> log;
     private final MultiThreadIoEventLoopGroup group =
         new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
-    private final LoopClock clock = new LoopClock(loop);
+    private final Clock clock;
     private final KernelLink kernel;
     private final RecordsClient records;
     private final AnnounceClient announcer;
     private final Core core;
-    private final RpcFront front;
+    /** The fronts with the addresses they listen on, in the order in which they are bound. */
+    private final Map<Listener, InetSocketAddress> fronts = new LinkedHashMap<>();
+    private final List<InetSocketAddress> bound = new ArrayList<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
     private Phase phase = Phase.NEW;
     private long leaveBy;
     private long listenUntil;
 
-    public Server(ServerConfig config, Consumer<String> log) {
+    /** {@code uwsgi} is null where the second front is off; {@code newClock} makes the clock of the loop. */
+    public Server(ServerConfig config, UwsgiConfig uwsgi, Function<EventLoop, Clock> newClock,
+                  Consumer<String> log) {
+        clock = newClock.apply(loop);
         this.config = config;
         this.log = log;
         records = new RecordsClient(loop, config.records(), clock, log);
@@ -50,8 +67,17 @@
             announcer, log);
         kernel = new KernelLink(loop, config.kernel(), core, log);
         core.attach(kernel);
-        front = new RpcFront(core, clock, config.sockets() - OWN_SOCKETS, log);
-        core.closeIdleWith(front::closeIdle);
+        int sockets = config.sockets() - OWN_SOCKETS;
+        if (uwsgi != null) {
+            sockets -= uwsgi.mostConnections();
+            UwsgiFront second = new UwsgiFront(loop, core, clock, uwsgi, config.seed(), log);
+            fronts.put(second.listener(), uwsgi.listen());
+        }
+        if (sockets < 1) {
+            throw new Fields.BadValue("uwsgi.max_connections leaves no sockets to the platform's front");
+        }
+        fronts.put(new RpcFront(loop, core, clock, sockets, log).listener(), config.listen());
+        core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
     private void enter(Phase next) {
@@ -65,10 +91,15 @@
             enter(Phase.STARTING);
             kernel.open();
         });
-        front.listen(loop, config.listen()).syncUninterruptibly();
+        fronts.forEach((front, address) -> bound.add(front.listen(address)));
         loop.execute(() -> enter(Phase.SERVING));
     }
 
+    /** The addresses that were bound: the uwsgi front's first where it is on, then the platform's. */
+    public List<InetSocketAddress> bound() {
+        return List.copyOf(bound);
+    }
+
     /** The notice to leave. */
     public void drain() {
         loop.execute(() -> {
@@ -80,7 +111,7 @@
             leaveBy = clock.now() + config.stopMicros() - STOP_MARGIN_US;
             listenUntil = Math.min(clock.now() + grace, leaveBy - 2 * STOP_MARGIN_US);
             core.drain(config.stopMicros());
-            front.lastCall();
+            fronts.keySet().forEach(Listener::lastCall);
             look();
         });
     }
@@ -89,19 +120,19 @@
     private void look() {
         boolean listening = clock.now() < listenUntil;
         if (!listening) {
-            front.stopListening();
+            fronts.keySet().forEach(Listener::stopListening);
         }
         if (clock.now() >= leaveBy || !listening && core.open() == 0) {
             close();
         } else {
-            loop.schedule(this::look, DRAIN_LOOK_MS, TimeUnit.MILLISECONDS);
+            clock.after(DRAIN_LOOK, this::look);
         }
     }
 
     private void close() {
         enter(Phase.CLOSING);
         log.accept(core.counts().toString());
-        front.close();
+        fronts.keySet().forEach(Listener::close);
         kernel.close();
         records.close();
         announcer.close();
@@ -111,6 +142,16 @@
         });
     }
 
+    /** What became of the tries so far. */
+    Counts counts() {
+        return core.counts();
+    }
+
+    /** Ends at once, with whatever is open; for a start that failed and for tests. */
+    void kill() {
+        group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
+    }
+
     public void awaitStopped() throws InterruptedException {
         stopped.await();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
--- a/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -2,6 +2,8 @@
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.handler.codec.TooLongFrameException;
+import java.io.IOException;
 import java.util.Base64;
 import java.util.HashMap;
 import java.util.Map;
@@ -11,9 +13,11 @@
 import wheatspread.core.Answer;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
+import wheatspread.sockets.Caller;
+import wheatspread.sockets.Listener;
 
 /** One proxy's connection: reads JSON-RPC lines, hands tries to the core and writes their answers. */
-final class RpcConnection extends SimpleChannelInboundHandler<Object> {
+final class RpcConnection extends SimpleChannelInboundHandler<String> implements Caller {
     static final int REFUSED = -32066;
     static final int FAILED = -32000;
     static final int OUT_OF_TIME = -32001;
@@ -23,7 +27,7 @@
     private static final int INVALID_PARAMS = -32602;
     private static final int MOST_OPEN = 32;
 
-    private final RpcFront front;
+    private final Listener listener;
     private final Core core;
     private final Clock clock;
     private final RequestReader reader;
@@ -43,8 +47,8 @@
         }
     }
 
-    RpcConnection(RpcFront front, Core core, Clock clock, RequestReader reader, Consumer<String> log) {
-        this.front = front;
+    RpcConnection(Listener listener, Core core, Clock clock, RequestReader reader, Consumer<String> log) {
+        this.listener = listener;
         this.core = core;
         this.clock = clock;
         this.reader = reader;
@@ -57,12 +61,12 @@
     public void channelActive(ChannelHandlerContext context) {
         ctx = context;
         usedAt = clock.now();
-        front.opened(this);
+        listener.opened(this);
     }
 
     @Override
     public void channelInactive(ChannelHandlerContext context) {
-        front.closed(this);
+        listener.closed(this);
         open.values().forEach(one -> core.gone(one.ticket)); // nobody is left to hear an answer
         open.clear();
     }
@@ -75,23 +79,31 @@
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (!(cause instanceof java.io.IOException)) {
+        if (cause instanceof TooLongFrameException) {
+            // the decoder skips the rest of that line, and what is open here goes on
+            error("null", PARSE_ERROR, "line over " + RpcFront.LONGEST_LINE + " bytes", null);
+            return;
+        }
+        if (!(cause instanceof IOException)) {
             log.accept("proxy connection: " + cause);
         }
         context.close();
     }
 
-    void lastCall() {
+    @Override
+    public void lastCall() {
         write("{\"jsonrpc\":\"2.0\",\"method\":\"lastCall\"}\n");
     }
 
-    void closeIfIdleSince(long time) {
+    @Override
+    public void closeIfIdleSince(long time) {
         if (open.isEmpty() && usedAt < time) {
             close();
         }
     }
 
-    void close() {
+    @Override
+    public void close() {
         ctx.close();
     }
 
@@ -102,15 +114,11 @@
     // ---- requests ----
 
     @Override
-    protected void channelRead0(ChannelHandlerContext context, Object line) {
+    protected void channelRead0(ChannelHandlerContext context, String line) {
         usedAt = clock.now();
-        if (line == LineDecoder.TOO_LONG) {
-            error("null", PARSE_ERROR, "line over " + RpcFront.LONGEST_LINE + " bytes", null);
-            return;
-        }
         JSONObject message;
         try {
-            message = new JSONObject((String) line);
+            message = new JSONObject(line);
         } catch (JSONException | StackOverflowError e) {
             error("null", PARSE_ERROR, "not a JSON object", null);
             return;
--- /dev/null
+++ b/src/main/java/wheatspread/sockets/Caller.java
@@ -0,0 +1,12 @@
+package wheatspread.sockets;
+
+/** One caller's connection, as its listener deals with it. */
+public interface Caller {
+    /** Asks the caller to send nothing new here. */
+    void lastCall();
+
+    /** Closes the connection if nothing is open on it and nothing came since that time, in microseconds. */
+    void closeIfIdleSince(long time);
+
+    void close();
+}
--- /dev/null
+++ b/src/main/java/wheatspread/sockets/Listener.java
@@ -0,0 +1,106 @@
+package wheatspread.sockets;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.EventLoop;
+import io.netty.channel.WriteBufferWaterMark;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.InetSocketAddress;
+import java.util.ArrayList;
+import java.util.LinkedHashSet;
+import java.util.Set;
+import java.util.function.Consumer;
+import wheatspread.core.Clock;
+
+/**
+ * A listening socket with the callers it accepted: it bounds their number, their idling and what waits to be
+ * written to them, and passes on that the server leaves.
+ */
+public final class Listener {
+    private static final long SWEEP = 100_000;
+    private static final int WRITE_LOW = 64 * 1024;
+    private static final int WRITE_HIGH = 128 * 1024;
+
+    private final EventLoop loop;
+    private final Clock clock;
+    private final int mostConnections;
+    private final Consumer<Channel> pipeline;
+    private final Set<Caller> callers = new LinkedHashSet<>();
+    private Channel listening;
+    private long idleAfter;
+    private boolean leaving;
+
+    /** {@code pipeline} gives an accepted channel its handlers, the last of which tells {@link #opened}. */
+    public Listener(EventLoop loop, Clock clock, int mostConnections, Consumer<Channel> pipeline) {
+        this.loop = loop;
+        this.clock = clock;
+        this.mostConnections = mostConnections;
+        this.pipeline = pipeline;
+    }
+
+    /** Binds and accepts; what cannot be bound is thrown. Returns the address that was bound. */
+    public InetSocketAddress listen(InetSocketAddress address) {
+        listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
+                new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH))
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel channel) {
+                    if (callers.size() >= mostConnections) {
+                        channel.close(); // guards the descriptors that kernel, records and announce need
+                    } else {
+                        pipeline.accept(channel);
+                    }
+                }
+            }).bind(address).syncUninterruptibly().channel();
+        loop.execute(this::sweep);
+        return (InetSocketAddress) listening.localAddress();
+    }
+
+    public void opened(Caller caller) {
+        callers.add(caller);
+        if (leaving) {
+            caller.lastCall();
+        }
+    }
+
+    public void closed(Caller caller) {
+        callers.remove(caller);
+    }
+
+    /** Connections without an open request are closed after so many microseconds; 0 means never. */
+    public void closeIdle(long after) {
+        idleAfter = after;
+    }
+
+    private void sweep() {
+        if (idleAfter > 0) {
+            long before = clock.now() - idleAfter;
+            new ArrayList<>(callers).forEach(caller -> caller.closeIfIdleSince(before));
+        }
+        clock.after(SWEEP, this::sweep);
+    }
+
+    /** Tells all callers that nothing new may come on what they hold open. */
+    public void lastCall() {
+        leaving = true;
+        new ArrayList<>(callers).forEach(Caller::lastCall);
+    }
+
+    public boolean leaving() {
+        return leaving;
+    }
+
+    public void stopListening() {
+        listening.close();
+    }
+
+    public void close() {
+        stopListening();
+        new ArrayList<>(callers).forEach(Caller::close);
+    }
+}
--- /dev/null
+++ b/src/main/java/wheatspread/uwsgi/UwsgiEncoder.java
@@ -0,0 +1,34 @@
+package wheatspread.uwsgi;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.handler.codec.EncoderException;
+import io.netty.handler.codec.MessageToByteEncoder;
+import java.nio.charset.StandardCharsets;
+
+/** Writes packets: both modifiers round the size, and sizes little-endian. */
+public final class UwsgiEncoder extends MessageToByteEncoder<UwsgiPacket> {
+    @Override
+    protected void encode(ChannelHandlerContext ctx, UwsgiPacket packet, ByteBuf out) {
+        write(packet, out);
+    }
+
+    public static void write(UwsgiPacket packet, ByteBuf out) {
+        int start = out.writerIndex();
+        out.writeByte(packet.modifier1()).writeShortLE(0).writeByte(packet.modifier2());
+        packet.vars().forEach((name, value) -> {
+            text(name, out);
+            text(value, out);
+        });
+        int size = out.writerIndex() - start - UwsgiPacket.HEADER;
+        if (size > UwsgiPacket.MOST_VARS) {
+            throw new EncoderException("vars of " + size + " bytes do not fit a packet");
+        }
+        out.setShortLE(start + 1, size);
+    }
+
+    private static void text(String text, ByteBuf out) {
+        byte[] bytes = text.getBytes(StandardCharsets.ISO_8859_1);
+        out.writeShortLE(bytes.length).writeBytes(bytes);
+    }
+}
--- /dev/null
+++ b/src/test/java/wheatspread/daemon/BothFrontsTest.java
@@ -0,0 +1,82 @@
+package wheatspread.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.Map;
+import java.util.TreeMap;
+import org.junit.jupiter.api.Test;
+
+/** Both protocols at once, on one core: the same requests come to the same ends and counts. */
+class BothFrontsTest {
+    @Test
+    void bothProtocolsSeeTheSameOutcomesAndCounts() throws Exception {
+        try (Stage stage = new Stage(); StandInProxy proxy = new StandInProxy(stage)) {
+            StandInKernel kernel = new StandInKernel(stage);
+            start(kernel);
+            start(() -> answerCalls(stage));
+            assertThat(stage.nextAnnounced()).endsWith("{\"accepting\":\"true\"}");
+
+            proxy.ask("stew", "north", 5000, null, "ok-1");
+            proxy.ask("stew", "south", 5000, null, "error-2");
+            proxy.ask("stew", "south", 5000, null, "call-3");
+            proxy.ask("save", "north", 8000, "k1", "ok-4");
+            proxy.ask("save", "north", 8000, "k1", "ok-4");
+            proxy.ask("stew", "east", 5000, null, "ok-5");
+            proxy.ask("save", "south", 8000, null, "ok-6");
+            expect(proxy, Map.of("ok-1", "served 1-ko", "error-2", "failed", "call-3", "served reply",
+                "ok-4", "served 4-ko", "ok-5", "malformed", "ok-6", "malformed"));
+            assertThat(Collections.frequency(kernel.runs, "ok-4")).as("runs of one key over both").isOne();
+            assertThat(Collections.frequency(kernel.runs, "ok-1")).isEqualTo(2);
+
+            proxy.ask("stew", "north", 900, null, "hang-7");
+            stage.clock().advance(900_000);
+            expect(proxy, Map.of("hang-7", "out of time"));
+
+            proxy.ask("save", "north", 8000, "k2", "hang-8");
+            stage.clock().advance(0);
+            stage.server.drain();
+            stage.clock().advance(2_600_000);
+            proxy.ask("stew", "north", 5000, null, "ok-9");
+            stage.clock().advance(1_400_000);
+            expect(proxy, Map.of("hang-8", "out of time", "ok-9", "refused"));
+            stage.server.awaitStopped();
+
+            assertThat(stage.announced.poll()).endsWith("{\"accepting\":\"false\"}");
+            assertThat(kernel.runs).doesNotContain("ok-9").contains("hang-8");
+            // each front: ok-1, call-3 and ok-4 twice served; error-2, hang-7, hang-8 failed; ok-9 refused
+            assertThat(stage.server.counts().toString())
+                .startsWith("read 16, served 8, refused 2, failed 6").contains("gone 0, runs 10, joins 4");
+        }
+    }
+
+    /** The answers over both protocols are those, and so the same. */
+    private static void expect(StandInProxy proxy, Map<String, String> outcomes) throws IOException {
+        assertThat(proxy.overJsonRpc()).isEqualTo(new TreeMap<>(outcomes));
+        assertThat(proxy.overUwsgi()).isEqualTo(new TreeMap<>(outcomes));
+        proxy.forget();
+    }
+
+    private static void start(Runnable party) {
+        Thread thread = new Thread(party, "stand-in");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    /** A records service that answers every call with the same reply. */
+    private static void answerCalls(Stage stage) {
+        while (!stage.records.isClosed()) {
+            try (Wire wire = new Wire(stage.records.accept())) {
+                for (String line = wire.line(); line != null; line = wire.line()) {
+                    String[] words = line.split(" ");
+                    wire.bytes(Integer.parseInt(words[3]) + 2);
+                    wire.write((words[1] + " DONE 5\r\nreply\r\n").getBytes(StandardCharsets.US_ASCII));
+                }
+            } catch (IOException e) {
+                continue; // that connection ended, or the stage did
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/wheatspread/daemon/ManualClock.java
@@ -0,0 +1,60 @@
+package wheatspread.daemon;
+
+import io.netty.channel.EventLoop;
+import java.util.Map;
+import java.util.TreeMap;
+import wheatspread.core.Clock;
+
+/** A clock that moves only when a test says so; its timers fire on the loop, in the order of their times. */
+final class ManualClock implements Clock {
+    /** Unix microseconds at the start of every test. */
+    static final long START = 1_700_000_000_000_000L;
+
+    private final EventLoop loop;
+    private final TreeMap<Long, Map<Integer, Runnable>> timers = new TreeMap<>();
+    private volatile long now = START;
+    private int set;
+
+    ManualClock(EventLoop loop) {
+        this.loop = loop;
+    }
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public Timer after(long micros, Runnable task) {
+        long at = now + micros;
+        int number = ++set;
+        timers.computeIfAbsent(at, t -> new TreeMap<>()).put(number, task);
+        return () -> timers.getOrDefault(at, new TreeMap<>()).remove(number);
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        loop.execute(task);
+    }
+
+    /** Moves on; what a timer asks to be run soon is run before the next timer. */
+    void advance(long micros) {
+        long until = now + micros;
+        loop.submit(() -> { }).syncUninterruptibly();
+        while (loop.submit(() -> step(until)).syncUninterruptibly().getNow()) {
+            loop.submit(() -> { }).syncUninterruptibly();
+        }
+    }
+
+    private boolean step(long until) {
+        Map.Entry<Long, Map<Integer, Runnable>> first = timers.firstEntry();
+        if (first == null || first.getKey() > until) {
+            now = until;
+            return false;
+        }
+        timers.remove(first.getKey());
+        now = first.getKey();
+        first.getValue().values().forEach(Runnable::run);
+        return true;
+    }
+}
--- /dev/null
+++ b/src/test/java/wheatspread/daemon/Stage.java
@@ -0,0 +1,91 @@
+package wheatspread.daemon;
+
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.concurrent.BlockingQueue;
+import java.util.concurrent.LinkedBlockingQueue;
+import java.util.concurrent.TimeUnit;
+import org.json.JSONObject;
+import wheatspread.config.Fields;
+import wheatspread.config.ServerConfig;
+import wheatspread.config.UwsgiConfig;
+
+/** A server with the clock of a test, and the parties round it on ephemeral ports. */
+final class Stage implements AutoCloseable {
+    final ServerSocket kernels = socket();
+    final ServerSocket records = socket();
+    private final ServerSocket announce = socket();
+    /** What was announced, repeats left out. */
+    final BlockingQueue<String> announced = new LinkedBlockingQueue<>();
+    final Server server;
+    final InetSocketAddress uwsgi;
+    final InetSocketAddress jsonrpc;
+    private ManualClock clock;
+
+    Stage() throws IOException {
+        JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
+        told.put("kernel", "127.0.0.1:" + kernels.getLocalPort());
+        told.put("records", "127.0.0.1:" + records.getLocalPort());
+        told.put("announce", "127.0.0.1:" + announce.getLocalPort());
+        ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
+        UwsgiConfig front = UwsgiConfig.readFile(Path.of("src/test/resources/operator.json"), config.site());
+        Thread thread = new Thread(this::hearAnnouncements, "announce stand-in");
+        thread.setDaemon(true);
+        thread.start();
+        server = new Server(config, front, loop -> clock = new ManualClock(loop), text -> { });
+        server.start();
+        uwsgi = server.bound().get(0);
+        jsonrpc = server.bound().get(1);
+    }
+
+    private static ServerSocket socket() throws IOException {
+        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        socket.setSoTimeout(10_000);
+        return socket;
+    }
+
+    ManualClock clock() {
+        return clock;
+    }
+
+    private void hearAnnouncements() {
+        String last = "";
+        while (!announce.isClosed()) {
+            try (Wire wire = new Wire(announce.accept())) {
+                for (String line = wire.line(); line != null; line = wire.line()) {
+                    int length = 0;
+                    for (String header = wire.line(); !header.isEmpty(); header = wire.line()) {
+                        if (header.toLowerCase().startsWith("content-length:")) {
+                            length = Integer.parseInt(header.substring(15).trim());
+                        }
+                    }
+                    String report = line + " " + new String(wire.bytes(length), StandardCharsets.UTF_8);
+                    wire.write("HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                    if (!report.equals(last)) {
+                        announced.add(report);
+                    }
+                    last = report;
+                }
+            } catch (IOException e) {
+                last = ""; // the connection ended, or the stage did
+            }
+        }
+    }
+
+    String nextAnnounced() throws InterruptedException {
+        return announced.poll(10, TimeUnit.SECONDS);
+    }
+
+    @Override
+    public void close() throws IOException {
+        server.kill();
+        kernels.close();
+        records.close();
+        announce.close();
+    }
+}
--- /dev/null
+++ b/src/test/java/wheatspread/daemon/Wire.java
@@ -0,0 +1,61 @@
+package wheatspread.daemon;
+
+import java.io.ByteArrayOutputStream;
+import java.io.Closeable;
+import java.io.IOException;
+import java.io.InputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+
+/** One end of a real connection to the program, read and written byte for byte. */
+final class Wire implements Closeable {
+    /** A program that stays silent fails a test rather than hang it. */
+    private static final int PATIENCE_MS = 10_000;
+
+    private final Socket socket;
+    private final InputStream in;
+
+    Wire(Socket socket) throws IOException {
+        this.socket = socket;
+        socket.setSoTimeout(PATIENCE_MS);
+        socket.setTcpNoDelay(true);
+        in = socket.getInputStream();
+    }
+
+    static Wire to(InetSocketAddress address) throws IOException {
+        return new Wire(new Socket(address.getAddress(), address.getPort()));
+    }
+
+    void write(byte[] bytes) throws IOException {
+        socket.getOutputStream().write(bytes);
+        socket.getOutputStream().flush();
+    }
+
+    void line(String text) throws IOException {
+        write((text + "\n").getBytes(StandardCharsets.UTF_8));
+    }
+
+    /** The next line without its end; null at the end of the stream. */
+    String line() throws IOException {
+        ByteArrayOutputStream line = new ByteArrayOutputStream();
+        for (int c = in.read(); c != '\n'; c = in.read()) {
+            if (c < 0) {
+                return line.size() == 0 ? null : line.toString(StandardCharsets.UTF_8);
+            }
+            line.write(c);
+        }
+        return line.toString(StandardCharsets.UTF_8).replaceAll("\r$", "");
+    }
+
+    byte[] bytes(int count) throws IOException {
+        byte[] bytes = in.readNBytes(count);
+        return bytes.length == count ? bytes : Arrays.copyOf(bytes, bytes.length);
+    }
+
+    @Override
+    public void close() throws IOException {
+        socket.close();
+    }
+}
