Import nginx upstream and location blocks into an operator's file

What was seen: operators who put the server behind nginx have their routes there already. import-nginx reads the configuration with its includes and writes the operator's file for one server; what has no counterpart is reported with file and line.

Conclusion: what nginx knows of a route is carried over, the rest is named.

--- a/src/main/java/wheatspread/daemon/Main.java
+++ b/src/main/java/wheatspread/daemon/Main.java
@@ -1,18 +1,21 @@
 package wheatspread.daemon;
 
 import java.io.IOException;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import wheatspread.config.Fields;
 import wheatspread.config.ServerConfig;
 import wheatspread.config.UwsgiConfig;
+import wheatspread.nginx.Importer;
 import wheatspread.sim.BenchLink;
 
 /**
  * Command line: {@code serve} runs the server, with a second front if an operator's file is named;
- * {@code benchlink} speaks the simulator's wire.
+ * {@code benchlink} speaks the simulator's wire; {@code import-nginx} writes an operator's file.
  */
 public final class Main {
-    private static final String USAGE = "usage: java -jar wheatspread.jar serve [OPERATOR_FILE] | benchlink";
+    private static final String USAGE = "usage: java -jar wheatspread.jar serve [OPERATOR_FILE] | benchlink"
+        + " | import-nginx NGINX_CONF OPERATOR_FILE [HOST:PORT]";
 
     private Main() { }
 
@@ -22,6 +25,8 @@
             serve(args.length == 2 ? args[1] : null);
         } else if (command.equals("benchlink") && args.length == 1) {
             benchlink();
+        } else if (command.equals("import-nginx") && (args.length == 3 || args.length == 4)) {
+            importNginx(Path.of(args[1]), Path.of(args[2]), args.length == 4 ? args[3] : null);
         } else {
             exit(2, USAGE);
         }
@@ -54,6 +59,17 @@
         }
     }
 
+    /** Writes the operator's file, and on standard error what could not be carried over. */
+    private static void importNginx(Path conf, Path file, String listen) throws IOException {
+        try {
+            Importer.Result result = Importer.read(conf, listen);
+            result.report().forEach(System.err::println);
+            Files.writeString(file, result.file().toString(2) + "\n");
+        } catch (IllegalArgumentException e) {
+            exit(1, "wheatspread: " + e.getMessage());
+        }
+    }
+
     private static void leave(Server server) {
         server.drain();
         try {
