--- /dev/null
+++ b/Makefile
@@ -0,0 +1,19 @@
+.PHONY: build test lint run adapter clean
+
+build:           ## the jar, without tests
+	mvn -q -DskipTests package
+
+test:            ## tests and lint, as CI runs them
+	mvn -B verify
+
+lint:            ## style alone; the compiler's warnings are errors in every build
+	mvn -q checkstyle:check
+
+run: build       ## one server; GW_CONFIG names its configuration, FRONT an operator's file
+	$$(sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml) $(FRONT)
+
+adapter: build   ## the decisions on the simulator's wire, on standard input and output
+	$$(sed -n 's/^sim = "exec \(.*\)"$$/\1/p' deploy/balancer.toml)
+
+clean:
+	mvn -q clean
