Take batches out of the core, and record scenes for broken links, services and keys

What was seen: reading the core again found one fault and one gap. - Core.pin kept a try tied to the entry it repeated even where that entry's try had been refused in the same batch; its run was then refused too. It now stands for the key itself (KeyTable.holds). - Server.look could end the process in the very look that closed the listener, with a connection accepted but unread; it waits 150 ms now (08-drain). - Names of faulty keys in lists lacked their path (ConfigTest): Fields.objects. Batches, wakes and gauges went from Core to Batches; the mapping of gauges, which stood twice, to Site.

Ruled out: that a refused connection is told before its call is entered, which would lose the call; Netty connects in a later task.

--- a/src/main/java/wheatspread/config/Fields.java
+++ b/src/main/java/wheatspread/config/Fields.java
@@ -1,7 +1,9 @@
 package wheatspread.config;
 
+import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 
 /** Typed access to one object of a message or a configuration; complaints name the faulty key by its path. */
 public final class Fields {
@@ -124,11 +126,20 @@
         throw bad(name, "is not a list");
     }
 
+    /** The objects of a list, each with its path. */
+    public List<Fields> objects(String name) {
+        List<Fields> objects = new ArrayList<>();
+        for (Object one : list(name)) {
+            objects.add(of(one, key(name) + "[" + objects.size() + "]"));
+        }
+        return objects;
+    }
+
     public BadValue bad(String name, String complaint) {
         return new BadValue(key(name) + " " + complaint);
     }
 
-    public java.util.Set<String> names() {
+    public Set<String> names() {
         return map.keySet();
     }
 
--- a/src/main/java/wheatspread/config/SettingsReader.java
+++ b/src/main/java/wheatspread/config/SettingsReader.java
@@ -1,15 +1,12 @@
 package wheatspread.config;
 
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.function.IntToDoubleFunction;
 import wheatspread.admission.Admission;
 import wheatspread.admission.Admission.Advice;
 import wheatspread.admission.Admission.Dependency;
 import wheatspread.admission.Admission.Effect;
-import wheatspread.admission.Admission.Gauges;
 import wheatspread.admission.Admission.Halt;
 import wheatspread.admission.Admission.RequestClass;
 import wheatspread.admission.Admission.Settings;
@@ -34,13 +31,12 @@
         Fields ceilings = info.object("Ceilings", true);
         Fields prices = info.object("Tariffs", true);
         List<RequestClass> classes = new ArrayList<>();
-        for (Object lane : info.list("Lanes")) {
-            int index = classes.size();
-            classes.add(requestClass(Fields.of(lane, "Lanes[" + index + "]"), family, index));
+        for (Fields lane : info.objects("Lanes")) {
+            classes.add(requestClass(lane, family, classes.size()));
         }
         List<Tenant> tenants = new ArrayList<>();
-        for (Object party : info.list("Parties")) {
-            tenants.add(new Tenant(Fields.of(party, "Parties").number("QuotaPerS", 0)));
+        for (Fields party : info.objects("Parties")) {
+            tenants.add(new Tenant(party.number("QuotaPerS", 0)));
         }
         Admission.Limits limits = new Admission.Limits(family.number("MemoryKb"),
             family.number("RunFactor", 1), family.number("KbPerKey", 0), rules.number("TipMultiple"),
@@ -78,23 +74,8 @@
         return names;
     }
 
-    /** A row of readings by their names; NaN where one is missing. */
-    public static Gauges gauges(List<String> names, IntToDoubleFunction row) {
-        Map<String, Double> values = new HashMap<>();
-        for (int i = 0; i < names.size(); i++) {
-            values.put(names.get(i), row.applyAsDouble(i));
-        }
-        return new Gauges(values.getOrDefault("core_use", Double.NaN),
-            values.getOrDefault("on_cores", Double.NaN), values.getOrDefault("heap_share", Double.NaN),
-            values.getOrDefault("links", Double.NaN));
-    }
-
     /** The names listed under a key, as those of classes and tenants are. */
     static List<String> names(Fields info, String list) {
-        List<String> names = new ArrayList<>();
-        for (Object one : info.list(list)) {
-            names.add(Fields.of(one, list + "[" + names.size() + "]").text("Name"));
-        }
-        return names;
+        return info.objects(list).stream().map(one -> one.text("Name")).toList();
     }
 }
--- a/src/main/java/wheatspread/config/UwsgiConfig.java
+++ b/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -57,8 +57,8 @@
         Defaults none = new Defaults(-1, -1, 0, 0, 24);
         Defaults defaults = defaults(told.object("defaults", true), none, site, DEFAULT_KEYS);
         List<Route> routes = new ArrayList<>();
-        for (Object one : told.list("routes")) {
-            routes.add(route(Fields.of(one, "uwsgi.routes[" + routes.size() + "]"), defaults, site));
+        for (Fields one : told.objects("routes")) {
+            routes.add(route(one, defaults, site));
         }
         return new UwsgiConfig(ServerConfig.address(told, "listen"),
             told.integer("max_connections", 256, 1, 4096), told.integer("max_vars", 16_384, 64, 65_535),
--- /dev/null
+++ b/src/main/java/wheatspread/core/Batches.java
@@ -0,0 +1,114 @@
+package wheatspread.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.PriorityQueue;
+import java.util.function.Consumer;
+import wheatspread.admission.Admission;
+import wheatspread.admission.Admission.Gauges;
+
+/**
+ * Hands events to the module as the simulator does: all of one turn of the loop together, with the gauges
+ * where one of its timers rang, and one decision behind them.
+ */
+final class Batches {
+    /** The gauges are asked for this long before the module looks at them; us. */
+    private static final long GAUGES_AHEAD = 10_000;
+    /** A reading older than this counts as missing; us. */
+    private static final long GAUGES_STALE = 300_000;
+    private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
+
+    private final Clock clock;
+    private final Runnable askGauges;
+    private Admission module;
+    private Admission.Actions actions;
+    private List<Consumer<Admission>> events = new ArrayList<>();
+    private boolean flushing;
+    private long now;
+    private final PriorityQueue<Long> wakes = new PriorityQueue<>();
+    private Gauges reading = NO_GAUGES;
+    private long readAt;
+
+    Batches(Clock clock, Runnable askGauges) {
+        this.clock = clock;
+        this.askGauges = askGauges;
+    }
+
+    /** The module takes its first batch for the start of the kernel, and a cold one warms since then. */
+    void begin(Admission started, Admission.Actions carrier, long startedAt) {
+        module = started;
+        actions = carrier;
+        now = startedAt;
+        module.begin(now);
+        flushSoon();
+    }
+
+    boolean begun() {
+        return module != null;
+    }
+
+    /** The clock of the batch under way, in Unix microseconds. */
+    long now() {
+        return now;
+    }
+
+    void read(Gauges gauges) {
+        reading = gauges;
+        readAt = clock.now();
+    }
+
+    void event(Consumer<Admission> event) {
+        if (module != null) {
+            events.add(event);
+            flushSoon();
+        }
+    }
+
+    private void flushSoon() {
+        if (!flushing) {
+            flushing = true;
+            clock.soon(this::flush);
+        }
+    }
+
+    /** Hands over all that has come in and has the module decide; what that brings about is a later batch. */
+    private void flush() {
+        flushing = false;
+        List<Consumer<Admission>> batch = events;
+        events = new ArrayList<>();
+        now = Math.max(now, clock.now());
+        module.begin(now);
+        boolean bell = false;
+        while (!wakes.isEmpty() && wakes.peek() <= now) {
+            wakes.poll();
+            bell = true;
+        }
+        if (bell) {
+            // before all else, so that the module's tick never runs without its gauges
+            module.timer(now - readAt <= GAUGES_STALE ? reading : NO_GAUGES);
+        }
+        batch.forEach(event -> event.accept(module));
+        module.decide(actions);
+    }
+
+    /** Rings the module's timer after so many microseconds, with gauges read just before. */
+    void wake(long after) {
+        wakes.add(now + after);
+        ringAt(now + after);
+        if (after > 2 * GAUGES_AHEAD) {
+            clock.after(after - GAUGES_AHEAD, askGauges);
+        }
+    }
+
+    /** Timers may fire a little early by the Unix clock; a bell rung early would be the module's last. */
+    private void ringAt(long at) {
+        long left = at - clock.now();
+        clock.after(Math.max(0, left), () -> {
+            if (clock.now() < at) {
+                ringAt(at);
+            } else {
+                flushSoon();
+            }
+        });
+    }
+}
--- a/src/main/java/wheatspread/core/Core.java
+++ b/src/main/java/wheatspread/core/Core.java
@@ -2,12 +2,10 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import java.util.PriorityQueue;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import wheatspread.admission.Admission;
 import wheatspread.admission.Admission.Effect;
-import wheatspread.admission.Admission.Gauges;
 import wheatspread.admission.Admission.Outcome;
 import wheatspread.admission.Admission.Settings;
 
@@ -23,13 +21,10 @@
     private static final long NEARLY_DUE = 100_000;
     /** All that is still open is failed this long before the process is stopped; us. */
     private static final long STOP_MARGIN = 200_000;
-    /** The gauges are asked for this long before the module looks at them; us. */
-    private static final long GAUGES_AHEAD = 10_000;
-    /** A reading older than this counts as missing; us. */
-    private static final long GAUGES_STALE = 300_000;
+    /** How often keys whose time is over are taken out; us. */
+    private static final long SWEEP = 1_000_000;
     /** Tries in hand beyond which new ones are refused unseen: a bound on memory, far over what is usual. */
     private static final int MOST_IN_HAND = 2_000;
-    private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
 
     private final Site site;
     private final Function<Settings, Admission> newModule;
@@ -44,14 +39,7 @@
     private Kernel kernel;
     private Consumer<Long> idleCloser = after -> { };
 
-    private Admission module;
-    private List<Consumer<Admission>> events = new ArrayList<>();
-    private boolean flushing;
-    private long now;
-    private final PriorityQueue<Long> wakes = new PriorityQueue<>();
-
-    private Gauges reading = NO_GAUGES;
-    private long readAt;
+    private final Batches batches;
     private double feedback = Double.NaN;
     private boolean healthy = true;
     private long retiredAt = Long.MAX_VALUE;
@@ -64,6 +52,7 @@
         this.records = records;
         this.announcer = announcer;
         this.log = log;
+        batches = new Batches(clock, () -> kernel.askGauges());
         keys = new KeyTable(site.settings().classes().stream()
             .mapToLong(c -> c.effect() == Effect.KEYED ? c.window() : 0).toArray());
     }
@@ -95,7 +84,7 @@
     public Long submit(Submission submission, Reply reply) {
         counts.read++;
         boolean tooLate = submission.due() - DUE_MARGIN <= clock.now();
-        if (module == null || tooLate || table.size() >= MOST_IN_HAND) {
+        if (!batches.begun() || tooLate || table.size() >= MOST_IN_HAND) {
             counts.refused++;
             reply.answer(new Answer(Answer.Kind.REFUSED, null, 0, false, feedback));
             return null;
@@ -114,6 +103,7 @@
 
     private void arrive(Admission to, Try one) {
         Submission s = one.submission;
+        long now = batches.now();
         KeyTable.Entry entry = keys.find(s, now);
         boolean reads = s.unique() == null;
         one.entry = entry;
@@ -145,7 +135,7 @@
 
     /** What health checks hear. */
     public boolean well() {
-        return module != null && healthy;
+        return batches.begun() && healthy;
     }
 
     /** The free value that goes with answers and checks; NaN where none is set. */
@@ -165,9 +155,7 @@
         retiredAt = clock.now();
         healthy = false;
         announcer.announce(false);
-        if (module != null) {
-            event(m -> m.retiring(left));
-        }
+        event(m -> m.retiring(left));
         clock.after(Math.max(0, left - STOP_MARGIN), () -> table.unanswered().forEach(this::due));
     }
 
@@ -175,15 +163,12 @@
 
     @Override
     public void booted(boolean cold, long age) {
-        if (module != null) {
+        if (batches.begun()) {
             return; // the link came back; the module goes on
         }
-        Settings told = site.settings();
-        module = newModule.apply(new Settings(told.cores(), told.servers(), cold, told.halt(), told.fresh(),
-            told.resolution(), told.limits(), told.below(), told.callers(), told.classes(), told.tenants()));
-        now = clock.now() - age;
-        module.begin(now); // it takes its first batch for the start, and a cold kernel warms since then
-        event(m -> { });
+        Admission module = newModule.apply(site.settings(cold));
+        batches.begin(module, carrier, clock.now() - age);
+        clock.after(SWEEP, this::sweep);
         if (retiredAt == Long.MAX_VALUE) {
             announcer.announce(true);
         }
@@ -268,19 +253,7 @@
 
     @Override
     public void gauges(double[] row) {
-        reading = readings(row);
-        readAt = clock.now();
-    }
-
-    private Gauges readings(double[] row) {
-        double[] by = {Double.NaN, Double.NaN, Double.NaN, Double.NaN};
-        for (int i = 0; i < Math.min(row.length, site.gauges().size()); i++) {
-            int at = List.of("core_use", "on_cores", "heap_share", "links").indexOf(site.gauges().get(i));
-            if (at >= 0) {
-                by[at] = row[i];
-            }
-        }
-        return new Gauges(by[0], by[1], by[2], by[3]);
+        batches.read(Site.reading(site.gauges(), i -> i < row.length ? row[i] : Double.NaN));
     }
 
     // ---- the final answer ----
@@ -342,55 +315,15 @@
         }
     }
 
-    // ---- batches ----
-
-    private void event(Consumer<Admission> event) {
-        events.add(event);
-        flushSoon();
-    }
-
-    private void flushSoon() {
-        if (!flushing) {
-            flushing = true;
-            clock.soon(this::flush);
-        }
+    private void sweep() {
+        keys.sweep(clock.now());
+        clock.after(SWEEP, this::sweep);
     }
 
-    /** Hands all that has come in to the module and carries out what it decides. */
-    private void flush() {
-        flushing = false;
-        if (module == null) {
-            events.clear();
-            return;
-        }
-        List<Consumer<Admission>> batch = events;
-        events = new ArrayList<>();
-        now = Math.max(now, clock.now());
-        module.begin(now);
-        boolean bell = false;
-        while (!wakes.isEmpty() && wakes.peek() <= now) {
-            wakes.poll();
-            bell = true;
-        }
-        if (bell) {
-            // before all else, so that the module's tick never runs without its gauges
-            module.timer(now - readAt <= GAUGES_STALE ? reading : NO_GAUGES);
-            keys.sweep(now);
-        }
-        batch.forEach(event -> event.accept(module));
-        module.decide(carrier);
-    }
+    // ---- the module ----
 
-    /** Timers may fire a little early by the Unix clock; a bell rung early would be the module's last. */
-    private void ringAt(long at) {
-        long left = at - clock.now();
-        clock.after(Math.max(0, left), () -> {
-            if (clock.now() < at) {
-                ringAt(at);
-            } else {
-                flushSoon();
-            }
-        });
+    private void event(Consumer<Admission> event) {
+        batches.event(event);
     }
 
     /** Carries out the module's actions. */
@@ -442,6 +375,7 @@
             if (one != null) {
                 Admission.RequestClass kind = site.settings().classes().get(one.submission.kind());
                 Submission s = one.submission;
+                long now = batches.now();
                 boolean late = now > s.door() + kind.aim() || now > s.due() - NEARLY_DUE;
                 finish(one, late ? Answer.Kind.OUT_OF_TIME : Answer.Kind.FAILED, null, 0, false);
             }
@@ -504,10 +438,11 @@
             if (one == null) {
                 return;
             }
-            if (one.entry == null) {
+            // where the try that it repeats was let go without a run, it stands for the key itself
+            if (one.entry == null || one.entry.owner != one && !keys.holds(one.entry)) {
                 one.entry = keys.put(one);
             }
-            one.entry.pinnedUntil = now + ttl;
+            one.entry.pinnedUntil = batches.now() + ttl;
         }
 
         @Override
@@ -551,11 +486,7 @@
 
         @Override
         public void wake(long after) {
-            wakes.add(now + after);
-            ringAt(now + after);
-            if (after > 2 * GAUGES_AHEAD) {
-                clock.after(after - GAUGES_AHEAD, kernel::askGauges);
-            }
+            batches.wake(after);
         }
 
         @Override
--- a/src/main/java/wheatspread/core/KeyTable.java
+++ b/src/main/java/wheatspread/core/KeyTable.java
@@ -79,6 +79,10 @@
             && now <= entry.owner.submission.door() + windows[entry.owner.submission.kind()] + READ_LATE;
     }
 
+    boolean holds(Entry entry) {
+        return entries.get(entry.key) == entry;
+    }
+
     void sweep(long now) {
         entries.values().removeIf(e -> e.end != null && e.pinnedUntil < now && !mustStay(e, now));
     }
--- a/src/main/java/wheatspread/core/Site.java
+++ b/src/main/java/wheatspread/core/Site.java
@@ -1,6 +1,10 @@
 package wheatspread.core;
 
+import java.util.HashMap;
 import java.util.List;
+import java.util.Map;
+import java.util.function.IntToDoubleFunction;
+import wheatspread.admission.Admission.Gauges;
 import wheatspread.admission.Admission.Settings;
 
 /** The settings with the names of their classes and tenants, by index, and the order of the gauges. */
@@ -10,4 +14,22 @@
         tenants = List.copyOf(tenants);
         gauges = List.copyOf(gauges);
     }
+
+    /** The settings of a process whose kernel says whether it started cold. */
+    Settings settings(boolean cold) {
+        return new Settings(settings.cores(), settings.servers(), cold, settings.halt(), settings.fresh(),
+            settings.resolution(), settings.limits(), settings.below(), settings.callers(),
+            settings.classes(), settings.tenants());
+    }
+
+    /** A row of readings by their names; NaN where one is missing. */
+    public static Gauges reading(List<String> names, IntToDoubleFunction row) {
+        Map<String, Double> values = new HashMap<>();
+        for (int i = 0; i < names.size(); i++) {
+            values.put(names.get(i), row.applyAsDouble(i));
+        }
+        return new Gauges(values.getOrDefault("core_use", Double.NaN),
+            values.getOrDefault("on_cores", Double.NaN), values.getOrDefault("heap_share", Double.NaN),
+            values.getOrDefault("links", Double.NaN));
+    }
 }
--- a/src/main/java/wheatspread/daemon/Server.java
+++ b/src/main/java/wheatspread/daemon/Server.java
@@ -35,6 +35,8 @@
     private static final int OWN_SOCKETS = 96;
     /** The process ends this long before it would be killed. */
     private static final long STOP_MARGIN_US = 120_000;
+    /** What was accepted just before the listener closed gets this long to be read; us. */
+    private static final long LISTENER_GONE = 150_000;
     private static final long DRAIN_LOOK = 25_000;
 
     private final ServerConfig config;
@@ -122,7 +124,8 @@
         if (!listening) {
             fronts.keySet().forEach(Listener::stopListening);
         }
-        if (clock.now() >= leaveBy || !listening && core.open() == 0) {
+        boolean quiet = clock.now() >= listenUntil + LISTENER_GONE && core.open() == 0;
+        if (clock.now() >= leaveBy || quiet) {
             close();
         } else {
             clock.after(DRAIN_LOOK, this::look);
--- a/src/main/java/wheatspread/sim/BenchLink.java
+++ b/src/main/java/wheatspread/sim/BenchLink.java
@@ -7,6 +7,7 @@
 import wheatspread.admission.Admission.Request;
 import wheatspread.config.Fields;
 import wheatspread.config.SettingsReader;
+import wheatspread.core.Site;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -139,7 +140,7 @@
 
     private static Gauges gauges(Instance instance, Fields event) {
         List<Object> row = event.list("Telemetry");
-        return SettingsReader.gauges(instance.gauges, i -> i < row.size() && row.get(i) instanceof Number n
+        return Site.reading(instance.gauges, i -> i < row.size() && row.get(i) instanceof Number n
             ? n.doubleValue() : Double.NaN);
     }
 
--- /dev/null
+++ b/src/test/java/wheatspread/config/ConfigTest.java
@@ -0,0 +1,82 @@
+package wheatspread.config;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.Map;
+import org.json.JSONObject;
+import org.json.JSONPointer;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfigTest {
+    private static final Path PLATFORM = Path.of("src/test/resources/config.json");
+    private static final Path OPERATOR = Path.of("src/test/resources/operator.json");
+
+    private static Map<String, Object> changed(Path file, String pointer, String key, String value)
+        throws IOException {
+        JSONObject json = new JSONObject(Files.readString(file));
+        Object at = pointer.isEmpty() ? json : new JSONPointer(pointer).queryFrom(json);
+        ((JSONObject) at).put(key, JSONObject.stringToValue(value));
+        return json.toMap();
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "|kernel|nowhere|kernel is not host:port: nowhere",
+        "|listen|127.0.0.1:70000|listen is not host:port",
+        "|records|null|records is missing or not text",
+        "|stop_ms|soon|stop_ms is missing or not a number",
+        "|stop_ms|5|stop_ms is 5, not from 100",
+        "|seed|xyz|seed is not up to 16 hex digits",
+        "|settings|3|settings is not an object",
+        "/limits|sockets|8|limits.sockets is 8",
+        "/settings/FamilyInfo|Halt|melt|settings.FamilyInfo.Halt is an unknown word: melt",
+        "/settings/FamilyInfo|MemoryKb|much|settings.FamilyInfo.MemoryKb is missing or not a number",
+        "/settings/Lanes/1|Deadline|null|settings.Lanes[1].Deadline is missing or not a number",
+        "/settings/Lanes/0|Name|7|settings.Lanes[0].Name is missing or not text"})
+    void aFaultyPlatformKeyIsNamed(String pointer, String key, String value, String complaint)
+        throws IOException {
+        Map<String, Object> told = changed(PLATFORM, pointer == null ? "" : pointer, key, value);
+        assertThatThrownBy(() -> ServerConfig.read(Fields.of(told, ""))).isInstanceOf(Fields.BadValue.class)
+            .hasMessageContaining(complaint);
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "/uwsgi|listen|null|uwsgi.listen is missing or not text",
+        "/uwsgi|max_conections|3|uwsgi.max_conections is an unknown key",
+        "/uwsgi|max_body|-1|uwsgi.max_body is -1, not from 0",
+        "/uwsgi|read_timeout_ms|1.5|uwsgi.read_timeout_ms is not an integer",
+        "/uwsgi/defaults|class|soup|uwsgi.defaults.class is none of [stew, save]: soup",
+        "/uwsgi/defaults|ram_kb|-2|uwsgi.defaults.ram_kb is out of range",
+        "/uwsgi/routes/1|match|like|uwsgi.routes[1].match is an unknown word: like",
+        "/uwsgi/routes/1|tenant|east|uwsgi.routes[1].tenant is none of [north, south]: east"})
+    void aFaultyOperatorKeyIsNamed(String pointer, String key, String value, String complaint)
+        throws IOException {
+        ServerConfig config = ServerConfig.read(Fields.of(changed(PLATFORM, "", "name", "w1"), ""));
+        Fields told = Fields.of(changed(OPERATOR, pointer, key, value), "").object("uwsgi", false);
+        assertThatThrownBy(() -> UwsgiConfig.read(told, config.site())).isInstanceOf(Fields.BadValue.class)
+            .hasMessageContaining(complaint);
+    }
+
+    @Test
+    void theOperatorsFileInDeployIsReadAndRoutesInheritItsDefaults() throws IOException {
+        JSONObject platform = new JSONObject(Files.readString(PLATFORM));
+        String[] classes = {"recipe-page", "search", "ingredients", "save-plan"};
+        JSONObject lane = platform.getJSONObject("settings").getJSONArray("Lanes").getJSONObject(0);
+        for (int i = 0; i < classes.length; i++) {
+            platform.getJSONObject("settings").getJSONArray("Lanes")
+                .put(i, new JSONObject(lane.toString()).put("Name", classes[i]));
+        }
+        platform.getJSONObject("settings").getJSONArray("Parties").getJSONObject(0).put("Name", "main-site");
+        ServerConfig config = ServerConfig.read(Fields.of(platform.toMap(), ""));
+        UwsgiConfig uwsgi = UwsgiConfig.readFile(Path.of("deploy/uwsgi.json"), config.site());
+        assertThat(uwsgi.routes().get(0).defaults())
+            .isEqualTo(new UwsgiConfig.Defaults(3, 0, 0, 410_000, 24));
+    }
+}
--- a/src/test/java/wheatspread/daemon/ManualClock.java
+++ b/src/test/java/wheatspread/daemon/ManualClock.java
@@ -10,6 +10,8 @@
     /** Unix microseconds at the start of every test. */
     static final long START = 1_700_000_000_000_000L;
 
+    private static final int SETTLE_ROUNDS = 10;
+
     private final EventLoop loop;
     private final TreeMap<Long, Map<Integer, Runnable>> timers = new TreeMap<>();
     private volatile long now = START;
@@ -37,11 +39,21 @@
         loop.execute(task);
     }
 
-    /** Moves on; what a timer asks to be run soon is run before the next timer. */
+    /** Moves on; what a timer brings about is through before the next timer. */
     void advance(long micros) {
         long until = now + micros;
-        loop.submit(() -> { }).syncUninterruptibly();
+        settle();
         while (loop.submit(() -> step(until)).syncUninterruptibly().getNow()) {
+            settle();
+        }
+    }
+
+    /**
+     * Lets the loop come round several times, each with a look at its sockets: what was written is read, and
+     * the tasks that follow from it (a batch, then a connection, then its refusal) are run.
+     */
+    private void settle() {
+        for (int round = 0; round < SETTLE_ROUNDS; round++) {
             loop.submit(() -> { }).syncUninterruptibly();
         }
     }
--- a/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/src/test/java/wheatspread/daemon/SceneTest.java
@@ -22,8 +22,9 @@
 
 /**
  * Plays recorded exchanges against the program. A line {@code party> text} is sent to it, {@code party< text}
- * must come from it; {@code clock 50} moves the clock on by milliseconds. The parties are the kernel, the
- * records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
+ * must come from it; {@code clock 50} moves the clock on by milliseconds; {@code cut}, {@code down} and
+ * {@code up} break a connection or a service, and {@code quiet} says that nothing came. The parties are the
+ * kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
  */
 class SceneTest {
     static Stream<Path> scenes() throws IOException {
@@ -76,6 +77,15 @@
                 stage.server.awaitStopped();
             } else if (words[0].equals("nogauges")) {
                 gauges = false;
+            } else if (words[0].equals("quiet")) {
+                barrier();
+                assertThat(rest.equals("kernel") ? kernelLines() : wire(rest).available()).isZero();
+            } else if (words[0].equals("down")) {
+                stage.down(rest);
+            } else if (words[0].equals("up")) {
+                stage.up(rest);
+            } else if (words[0].equals("cut") && rest.equals("announce")) {
+                stage.cutAnnounce();
             } else if (words[0].equals("cut")) {
                 wires.remove(rest).close();
             } else if (words[0].endsWith("job")) {
@@ -176,6 +186,21 @@
             }
         }
 
+        /** How many bytes the kernel has to read, questions for gauges left out. */
+        private int kernelLines() throws IOException {
+            Wire kernel = wire("kernel");
+            int waiting = kernel.available();
+            while (waiting > 0) {
+                String line = kernel.line();
+                if (!line.contains("\"SYSINFO\"")) {
+                    return line.length();
+                }
+                answerGauges(line);
+                waiting = kernel.available();
+            }
+            return 0;
+        }
+
         private String kernelLine() throws IOException {
             String got = wire("kernel").line();
             while (got != null && got.contains("\"SYSINFO\"")) {
--- a/src/test/java/wheatspread/daemon/Stage.java
+++ b/src/test/java/wheatspread/daemon/Stage.java
@@ -17,9 +17,11 @@
 
 /** A server with the clock of a test, and the parties round it on ephemeral ports. */
 final class Stage implements AutoCloseable {
-    final ServerSocket kernels = socket();
-    final ServerSocket records = socket();
-    private final ServerSocket announce = socket();
+    final ServerSocket kernels = socket(0);
+    volatile ServerSocket records = socket(0);
+    private volatile ServerSocket announce = socket(0);
+    private volatile Wire announcing;
+    private volatile boolean closed;
     /** What was announced, repeats left out. */
     final BlockingQueue<String> announced = new LinkedBlockingQueue<>();
     final Server server;
@@ -43,8 +45,8 @@
         jsonrpc = server.bound().get(1);
     }
 
-    private static ServerSocket socket() throws IOException {
-        ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+    private static ServerSocket socket(int port) throws IOException {
+        ServerSocket socket = new ServerSocket(port, 50, InetAddress.getLoopbackAddress());
         socket.setSoTimeout(10_000);
         return socket;
     }
@@ -55,8 +57,9 @@
 
     private void hearAnnouncements() {
         String last = "";
-        while (!announce.isClosed()) {
+        while (!closed) {
             try (Wire wire = new Wire(announce.accept())) {
+                announcing = wire;
                 for (String line = wire.line(); line != null; line = wire.line()) {
                     int length = 0;
                     for (String header = wire.line(); !header.isEmpty(); header = wire.line()) {
@@ -77,12 +80,31 @@
         }
     }
 
+    /** A service goes down: connections are refused. */
+    void down(String service) throws IOException {
+        (service.equals("records") ? records : announce).close();
+    }
+
+    /** It comes back at the same address. */
+    void up(String service) throws IOException {
+        if (service.equals("records")) {
+            records = socket(records.getLocalPort());
+        } else {
+            announce = socket(announce.getLocalPort());
+        }
+    }
+
+    void cutAnnounce() throws IOException {
+        announcing.close();
+    }
+
     String nextAnnounced() throws InterruptedException {
         return announced.poll(10, TimeUnit.SECONDS);
     }
 
     @Override
     public void close() throws IOException {
+        closed = true;
         server.kill();
         kernels.close();
         records.close();
--- a/src/test/java/wheatspread/daemon/Wire.java
+++ b/src/test/java/wheatspread/daemon/Wire.java
@@ -54,6 +54,10 @@
         return bytes.length == count ? bytes : Arrays.copyOf(bytes, bytes.length);
     }
 
+    int available() throws IOException {
+        return in.available();
+    }
+
     @Override
     public void close() throws IOException {
         socket.close();
--- /dev/null
+++ b/src/test/java/wheatspread/uwsgi/RoutesTest.java
@@ -0,0 +1,38 @@
+package wheatspread.uwsgi;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.List;
+import java.util.Locale;
+import java.util.regex.Pattern;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+import wheatspread.config.UwsgiConfig.Defaults;
+import wheatspread.config.UwsgiConfig.Match;
+import wheatspread.config.UwsgiConfig.Route;
+
+class RoutesTest {
+    /** The n-th route gives class n; none gives -1. */
+    private static final List<String> ROUTES = List.of("prefix /", "prefix /a/", "exact /a/",
+        "regex ^/a/.*x$", "prefix_first /a/first/", "regex_any_case \\.PNG$", "prefix /a/long/");
+
+    @ParameterizedTest
+    @CsvSource({"/a/, 2", "/a/b, 1", "/a/bx, 3", "/a/first/bx, 4", "/a/b.png, 5", "/a/long/y, 6",
+        "/a/long/x, 3", "/q, 0", "q, -1", "/a/x.pngx, 3"})
+    void takesTheRouteThatNginxWould(String path, int kind) {
+        List<Route> routes = ROUTES.stream()
+            .map(text -> route(text.split(" "), ROUTES.indexOf(text))).toList();
+        assertThat(new Routes(routes, defaults(-1)).find(path).kind()).isEqualTo(kind);
+    }
+
+    private static Route route(String[] words, int kind) {
+        Match match = Match.valueOf(words[0].toUpperCase(Locale.ROOT));
+        Pattern pattern = match == Match.REGEX ? Pattern.compile(words[1])
+            : match == Match.REGEX_ANY_CASE ? Pattern.compile(words[1], Pattern.CASE_INSENSITIVE) : null;
+        return new Route(match, words[1], pattern, defaults(kind));
+    }
+
+    private static Defaults defaults(int kind) {
+        return new Defaults(kind, -1, 0, 0, 0);
+    }
+}
