Keep the ticks going after a fault in the module, and test the core without a wire

What was seen: an exception out of Choice would leave Batches.flush before the module asked for its next wake, and no tick would come again; due requests would still be failed by the core's timers, but nothing would be run. Batches catches it, logs it and wakes the module again.

Calls (made, given up, skipped) went from Core to a class of its own. CoreTest drives the core with a scripted module and no wire at all: a faulty decision, a repeat whose first try is refused in the same batch, a second run of a key and a run past the drain's grace that the module asks for wrongly. ImporterTest reads what the importer wrote as the operator's file that it is.

--- a/src/main/java/wheatspread/core/Batches.java
+++ b/src/main/java/wheatspread/core/Batches.java
@@ -16,10 +16,13 @@
     private static final long GAUGES_AHEAD = 10_000;
     /** A reading older than this counts as missing; us. */
     private static final long GAUGES_STALE = 300_000;
+    /** The module is woken this long after it failed; us. */
+    private static final long AFTER_FAULT = 50_000;
     private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
 
     private final Clock clock;
     private final Runnable askGauges;
+    private final Consumer<String> log;
     private Admission module;
     private Admission.Actions actions;
     private List<Consumer<Admission>> events = new ArrayList<>();
@@ -29,9 +32,10 @@
     private Gauges reading = NO_GAUGES;
     private long readAt;
 
-    Batches(Clock clock, Runnable askGauges) {
+    Batches(Clock clock, Runnable askGauges, Consumer<String> log) {
         this.clock = clock;
         this.askGauges = askGauges;
+        this.log = log;
     }
 
     /** The module takes its first batch for the start of the kernel, and a cold one warms since then. */
@@ -87,8 +91,14 @@
             // before all else, so that the module's tick never runs without its gauges
             module.timer(now - readAt <= GAUGES_STALE ? reading : NO_GAUGES);
         }
-        batch.forEach(event -> event.accept(module));
-        module.decide(actions);
+        try {
+            batch.forEach(event -> event.accept(module));
+            module.decide(actions);
+        } catch (RuntimeException e) {
+            // a fault in one decision must not end the ticks, or every later request would be lost with it
+            log.accept("the module failed: " + e);
+            wake(AFTER_FAULT);
+        }
     }
 
     /** Rings the module's timer after so many microseconds, with gauges read just before. */
--- a/src/main/java/wheatspread/core/Core.java
+++ b/src/main/java/wheatspread/core/Core.java
@@ -29,7 +29,7 @@
     private final Site site;
     private final Function<Settings, Admission> newModule;
     private final Clock clock;
-    private final Records records;
+    private final Calls calls;
     private final Announcer announcer;
     private final Consumer<String> log;
     private final RequestTable table = new RequestTable();
@@ -49,10 +49,10 @@
         this.site = site;
         this.newModule = newModule;
         this.clock = clock;
-        this.records = records;
         this.announcer = announcer;
         this.log = log;
-        batches = new Batches(clock, () -> kernel.askGauges());
+        batches = new Batches(clock, () -> kernel.askGauges(), log);
+        calls = new Calls(clock, records, batches::event, counts);
         keys = new KeyTable(site.settings().classes().stream()
             .mapToLong(c -> c.effect() == Effect.KEYED ? c.window() : 0).toArray());
     }
@@ -191,7 +191,7 @@
         if (one == null) {
             return;
         }
-        dropCall(one);
+        Calls.drop(one);
         switch (end) {
             case OK -> over(one, end, result, Outcome.OK, took);
             case ERROR -> over(one, end, null, Outcome.FAILED, took);
@@ -281,7 +281,7 @@
 
     /** Once nobody waits: its call is given up, and it leaves the table unless its run goes on. */
     private void letGo(Try one) {
-        dropCall(one);
+        Calls.drop(one);
         if (one.joinedAt > 0 && one.entry != null) {
             one.entry.owner.joiners.remove(one);
         }
@@ -307,14 +307,6 @@
         }
     }
 
-    private static void dropCall(Try one) {
-        if (one.call != null) {
-            one.call.giveUp();
-            one.call = null;
-            one.callTimer.cancel();
-        }
-    }
-
     private void sweep() {
         keys.sweep(clock.now());
         clock.after(SWEEP, this::sweep);
@@ -397,38 +389,14 @@
             if (one == null || one.notice == 0 || one.answered()) {
                 return; // nobody waits: the kernel ends the run at its call, and tells
             }
-            dropCall(one);
-            counts.calls++;
-            long began = clock.now();
-            one.callTimer = clock.after(giveUpAfter, () -> {
-                dropCall(one);
-                called(one, Outcome.TIMED_OUT, began, null);
-            });
-            one.call = records.call(one.submission.job(), one.callBody, giveUpAfter, (outcome, reply) -> {
-                one.callTimer.cancel();
-                one.call = null;
-                called(one, outcome, began, reply);
-            });
-        }
-
-        private void called(Try one, Outcome outcome, long began, byte[] reply) {
-            if (outcome == Outcome.OK) {
-                one.notice = 0;
-                one.callBody = null;
-                kernel.callDone(one.submission.job(), reply);
-            }
-            long took = clock.now() - began;
-            event(m -> m.called(one.number, outcome, took));
+            calls.make(one, giveUpAfter, kernel);
         }
 
         @Override
         public void skipCall(long id) {
             Try one = table.byNumber(id);
             if (one != null && one.notice != 0) {
-                counts.skips++;
-                kernel.skipCall(one.submission.job(), one.notice);
-                one.notice = 0;
-                one.callBody = null;
+                calls.skip(one, kernel);
             }
         }
 
--- a/src/main/java/wheatspread/core/Counts.java
+++ b/src/main/java/wheatspread/core/Counts.java
@@ -2,17 +2,17 @@
 
 /** What became of the tries of this process, for its log and for tests. */
 public final class Counts {
-    public long read;
-    public long served;
-    public long refused;
-    public long failed;
-    public long gone;
+    long read;
+    long served;
+    long refused;
+    long failed;
+    long gone;
     /** Failed by the core's own timer, since they were due. */
-    public long overdue;
-    public long runs;
-    public long joins;
-    public long calls;
-    public long skips;
+    long overdue;
+    long runs;
+    long joins;
+    long calls;
+    long skips;
 
     void count(Answer.Kind kind) {
         switch (kind) {
--- /dev/null
+++ b/src/test/java/wheatspread/core/CoreTest.java
@@ -0,0 +1,217 @@
+package wheatspread.core;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import wheatspread.admission.Admission;
+import wheatspread.admission.Admission.Actions;
+import wheatspread.admission.Admission.RequestClass;
+
+/** The core without any wire, and with a module that does what a test says: guards Choice never needs. */
+class CoreTest {
+    private static final long SECOND = 1_000_000;
+
+    private long now = 1_700_000_000 * SECOND;
+    private final TreeMap<Long, List<Runnable>> timers = new TreeMap<>();
+    private final Deque<Runnable> soon = new ArrayDeque<>();
+    private final List<String> log = new ArrayList<>();
+    private final List<String> kernelSaid = new ArrayList<>();
+    private final List<String> answers = new ArrayList<>();
+    private final Deque<Consumer<Actions>> decisions = new ArrayDeque<>();
+    private final List<String> heard = new ArrayList<>();
+    private Core core;
+
+    @BeforeEach
+    void start() {
+        RequestClass keyed = new RequestClass(3 * SECOND, 0, 9 * SECOND, Admission.Effect.KEYED, 5, 0,
+            20 * SECOND, true, 0);
+        Admission.Settings settings = new Admission.Settings(2, 1, false, Admission.Halt.SUSPEND, 0, 4_000,
+            new Admission.Limits(20_000, 8, 10, 6, 0.2, SECOND, 60_000, 5 * SECOND / 2),
+            new Admission.Below(Admission.Dependency.SHARED, 4, SECOND, 0),
+            new Admission.Callers(1, Admission.Advice.NONE, 0, 0, true, 0, 0, 0), List.of(keyed), List.of());
+        core = new Core(new Site(settings, List.of("save"), List.of(), List.of()), s -> new Scripted(),
+            new FakeClock(), (job, body, patience, listener) -> () -> { }, accepting -> { }, log::add);
+        core.attach(new FakeKernel());
+        core.booted(false, 0);
+        settle();
+    }
+
+    private void submit(String job, String key) {
+        core.submit(new Submission(job, 0, 0, now, now + 8 * SECOND, 20, 0, key, null, new byte[0]),
+            answer -> answers.add(job + " " + answer.kind()));
+    }
+
+    private void settle() {
+        while (!soon.isEmpty()) {
+            soon.poll().run();
+        }
+    }
+
+    private void advance(long micros) {
+        long until = now + micros;
+        while (!timers.isEmpty() && timers.firstKey() <= until) {
+            now = timers.firstKey();
+            new ArrayList<>(timers.pollFirstEntry().getValue()).forEach(Runnable::run);
+            settle();
+        }
+        now = until;
+    }
+
+    @Test
+    void aFaultOfTheModuleEndsNeitherItsTicksNorTheDueTimes() {
+        decisions.add(actions -> {
+            throw new IllegalStateException("odd");
+        });
+        submit("a", "k");
+        settle();
+        assertThat(log).containsExactly("the module failed: java.lang.IllegalStateException: odd");
+        advance(60_000);
+        assertThat(heard).contains("timer");
+        advance(8 * SECOND);
+        assertThat(answers).containsExactly("a OUT_OF_TIME");
+    }
+
+    @Test
+    void aRepeatWhoseFirstTryIsRefusedInTheSameBatchStandsForTheKey() {
+        decisions.add(actions -> {
+            actions.refuse(1, 0, false);
+            actions.pin(2, 20 * SECOND);
+            actions.run(2);
+        });
+        submit("a", "k");
+        submit("b", "k");
+        settle();
+        assertThat(answers).containsExactly("a REFUSED");
+        assertThat(kernelSaid).containsExactly("run b");
+    }
+
+    @Test
+    void noSecondRunOfAKeyWhateverTheModuleSays() {
+        decisions.add(actions -> actions.run(1));
+        submit("a", "k");
+        settle();
+        decisions.add(actions -> {
+            actions.unpin(1);
+            actions.run(2);
+        });
+        submit("b", "k");
+        settle();
+        assertThat(kernelSaid).containsExactly("run a");
+        assertThat(answers).containsExactly("b REFUSED");
+        decisions.add(actions -> actions.refuse(1, 0, false));
+        submit("c", "k2");
+        settle();
+        assertThat(answers).as("no refusal after a run").contains("a FAILED");
+    }
+
+    @Test
+    void nothingRunsThatCameAfterTheGrace() {
+        core.drain(10 * SECOND);
+        advance(5 * SECOND / 2 + 1);
+        decisions.add(actions -> actions.run(1));
+        submit("a", "k");
+        settle();
+        assertThat(kernelSaid).isEmpty();
+        assertThat(answers).containsExactly("a REFUSED");
+    }
+
+    private final class FakeClock implements Clock {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public Timer after(long micros, Runnable task) {
+            List<Runnable> at = timers.computeIfAbsent(now + micros, t -> new ArrayList<>());
+            at.add(task);
+            return () -> at.remove(task);
+        }
+
+        @Override
+        public void soon(Runnable task) {
+            soon.add(task);
+        }
+    }
+
+    private final class FakeKernel implements Kernel {
+        @Override
+        public void run(String job, String kind, byte[] body) {
+            kernelSaid.add("run " + job);
+        }
+
+        @Override
+        public void pause(String job) {
+            kernelSaid.add("pause " + job);
+        }
+
+        @Override
+        public void resume(String job) {
+            kernelSaid.add("resume " + job);
+        }
+
+        @Override
+        public void callDone(String job, byte[] reply) {
+            kernelSaid.add("callDone " + job);
+        }
+
+        @Override
+        public void skipCall(String job, long notice) {
+            kernelSaid.add("skipCall " + job);
+        }
+
+        @Override
+        public void askGauges() {
+            kernelSaid.add("gauges");
+        }
+    }
+
+    /** Decides what the test has queued, once a batch, and notes what it hears. */
+    private final class Scripted implements Admission {
+        private boolean arrived;
+
+        @Override
+        public void begin(long clock) { }
+
+        @Override
+        public void arrived(Request request) {
+            arrived = true;
+        }
+
+        @Override
+        public void completed(long id, Outcome outcome, long elapsed) {
+            heard.add("completed " + id + " " + outcome);
+        }
+
+        @Override
+        public void blocked(long id) { }
+
+        @Override
+        public void called(long id, Outcome outcome, long elapsed) { }
+
+        @Override
+        public void gone(long id) { }
+
+        @Override
+        public void retiring(long left) { }
+
+        @Override
+        public void timer(Gauges gauges) {
+            heard.add("timer");
+        }
+
+        @Override
+        public void decide(Actions actions) {
+            if (arrived && !decisions.isEmpty()) {
+                decisions.poll().accept(actions);
+            }
+        }
+    }
+}
--- a/src/test/java/wheatspread/nginx/ImporterTest.java
+++ b/src/test/java/wheatspread/nginx/ImporterTest.java
@@ -10,6 +10,8 @@
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import wheatspread.config.UwsgiConfig;
+import wheatspread.core.Site;
 
 class ImporterTest {
     private static final Path FOLDER = Path.of("src/test/resources/nginx");
@@ -26,6 +28,17 @@
         assertThat(report).containsExactlyElementsOf(Files.readAllLines(FOLDER.resolve("site.expected")));
     }
 
+    @Test
+    void whatIsWrittenIsAnOperatorsFile() throws IOException {
+        Path written = folder.resolve("operator.json");
+        Files.writeString(written, Importer.read(FOLDER.resolve("site.conf"), null).file().toString());
+        Site site = new Site(null, List.of("search", "save-plan"), List.of("school-feeding"), List.of());
+        UwsgiConfig config = UwsgiConfig.readFile(written, site);
+        assertThat(config.mostConnections()).isEqualTo(120);
+        assertThat(config.routes()).hasSize(5);
+        assertThat(config.routes().get(1).defaults().limit()).isEqualTo(14_000_000);
+    }
+
     @Test
     void withoutAnAddressTheFirstServerThatIsUpIsTaken() {
         JSONObject file = Importer.read(FOLDER.resolve("site.conf"), null).file();
