Read proxies' JSON strictly, and bound how long a connection may take to open

The links to kernel, records and announce had Netty's 30 s for opening a connection, so that a call could wait on one that hangs; 1 s now, and for a call that counts as refused: nothing was sent.

Ruled out: that a report to announce waits behind a hanging connection; its patience of 1.2 s opens another.

--- a/src/main/java/wheatspread/announce/AnnounceClient.java
+++ b/src/main/java/wheatspread/announce/AnnounceClient.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -28,6 +29,7 @@
 public final class AnnounceClient implements Announcer {
     /** Four reports may be lost before an entry lapses. */
     private static final long PERIOD_MS = 600;
+    private static final int CONNECT_MS = 1_000;
     private static final long PATIENCE_MS = 1_200;
 
     private final EventLoop loop;
@@ -87,6 +89,7 @@
 
     private void connect() {
         new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
--- a/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -10,6 +10,7 @@
 import java.util.function.Consumer;
 import org.json.JSONException;
 import org.json.JSONObject;
+import org.json.JSONParserConfiguration;
 import wheatspread.core.Answer;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
@@ -21,6 +22,8 @@
     static final int REFUSED = -32066;
     static final int FAILED = -32000;
     static final int OUT_OF_TIME = -32001;
+    /** Else the parser takes names without quotes, and does not see what follows the object. */
+    private static final JSONParserConfiguration STRICT = new JSONParserConfiguration().withStrictMode(true);
     private static final int PARSE_ERROR = -32700;
     private static final int INVALID_REQUEST = -32600;
     private static final int METHOD_NOT_FOUND = -32601;
@@ -118,7 +121,7 @@
         usedAt = clock.now();
         JSONObject message;
         try {
-            message = new JSONObject(line);
+            message = new JSONObject(line, STRICT);
         } catch (JSONException | StackOverflowError e) {
             error("null", PARSE_ERROR, "not a JSON object", null);
             return;
--- a/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/src/main/java/wheatspread/kernel/KernelLink.java
@@ -5,6 +5,7 @@
 import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -31,6 +32,7 @@
  */
 public final class KernelLink implements Kernel {
     private static final int LONGEST_LINE = 256 * 1024;
+    private static final int CONNECT_MS = 1_000;
     private static final long FIRST_RETRY_MS = 20;
     private static final long LONGEST_RETRY_MS = 400;
     /** How long missed notices are waited for where the kernel does not say that they are through. */
@@ -65,6 +67,7 @@
             return;
         }
         ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
--- a/src/main/java/wheatspread/records/RecordsClient.java
+++ b/src/main/java/wheatspread/records/RecordsClient.java
@@ -5,6 +5,7 @@
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.socket.nio.NioSocketChannel;
@@ -27,6 +28,8 @@
     private static final long IDLE_MOST = 8_000_000;
     /** Calls on one connection before another is opened: a break fails all that are on it. */
     private static final int SHARED_BY = 4;
+    /** A connection that hangs longer counts as refused: nothing was sent on it. */
+    private static final int CONNECT_MS = 1_000;
     private static final int MOST_CONNECTIONS = 16;
 
     private final EventLoop loop;
@@ -103,6 +106,7 @@
 
         void open() {
             new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
