Keep nested locations nested, and foreign ones in the precedence, on import

What was seen: the importer put nested locations beside their parents, so that a regular expression within a ^~ prefix could never match (Routes.find skips regular expressions there), and left out locations that pass elsewhere, so that a shorter ^~ prefix could win where nginx had gone past it.

--- a/src/main/java/wheatspread/config/UwsgiConfig.java
+++ b/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -2,7 +2,6 @@
 
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -37,8 +36,11 @@
     /** How a route's path is compared, as the location forms of nginx are. */
     public enum Match { EXACT, PREFIX, PREFIX_FIRST, REGEX, REGEX_ANY_CASE }
 
-    /** Defaults for the requests whose path matches; {@code pattern} is null unless it is a regex. */
-    public record Route(Match match, String path, Pattern pattern, Defaults defaults) { }
+    /**
+     * Defaults for the requests whose path matches; {@code pattern} is null unless it is a regex. The routes
+     * within it are looked at where it is the one that matches; they take nothing over from it.
+     */
+    public record Route(Match match, String path, Pattern pattern, Defaults defaults, List<Route> routes) { }
 
     public static UwsgiConfig readFile(Path file, Site site) {
         Fields all = Fields.of(ServerConfig.readFile(file).toMap(), "");
@@ -56,15 +58,11 @@
             names.text("item", usual.item));
         Defaults none = new Defaults(-1, -1, 0, 0, 24);
         Defaults defaults = defaults(told.object("defaults", true), none, site, DEFAULT_KEYS);
-        List<Route> routes = new ArrayList<>();
-        for (Fields one : told.objects("routes")) {
-            routes.add(route(one, defaults, site));
-        }
         return new UwsgiConfig(ServerConfig.address(told, "listen"),
             told.integer("max_connections", 256, 1, 4096), told.integer("max_vars", 16_384, 64, 65_535),
             told.integer("max_body", 2_048, 0, 1 << 20), millis(told, "read_timeout_ms", 5_000),
             millis(told, "idle_timeout_ms", 60_000), told.text("health_path", ""), vars, defaults,
-            List.copyOf(routes));
+            routes(told, defaults, site));
     }
 
     private static long millis(Fields told, String key, int absent) {
@@ -96,6 +94,10 @@
         return index;
     }
 
+    private static List<Route> routes(Fields told, Defaults outer, Site site) {
+        return told.objects("routes").stream().map(one -> route(one, outer, site)).toList();
+    }
+
     private static Route route(Fields told, Defaults outer, Site site) {
         Match match = told.word("match", MATCHES);
         String path = told.text("path");
@@ -108,7 +110,8 @@
             throw told.bad("path", "is no regular expression: " + e.getDescription());
         }
         return new Route(match, path, pattern, defaults(told, outer, site,
-            Set.of("match", "path", "class", "tenant", "limit_ms", "cpu_ms", "ram_kb")));
+            Set.of("match", "path", "class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "routes")),
+            routes(told, outer, site));
     }
 
     /** A misspelt key must not pass for an absent one. */
--- a/src/main/java/wheatspread/nginx/Importer.java
+++ b/src/main/java/wheatspread/nginx/Importer.java
@@ -47,7 +47,7 @@
     private long mostConnections;
 
     /** What an enclosing block hands down to a location. */
-    private record Scope(Map<String, Directive> inherited, List<Directive> params) { }
+    private record Scope(Map<String, Directive> inherited, List<Directive> params, JSONArray routes) { }
 
     private Importer(String listen) {
         this.listen = listen;
@@ -62,7 +62,7 @@
             Importer importer = new Importer(listen);
             List<Directive> all = ConfParser.parse(file);
             importer.collectUpstreams(all);
-            importer.walk(all, new Scope(Map.of(), List.of()));
+            importer.walk(all, new Scope(Map.of(), List.of(), importer.routes));
             return new Result(importer.operatorFile(file), List.copyOf(importer.report));
         } catch (ConfParser.BadConf e) {
             throw new IllegalArgumentException(e.getMessage(), e);
@@ -174,7 +174,7 @@
     // ---- locations ----
 
     private void walk(List<Directive> block, Scope outer) {
-        Scope scope = scope(block, outer);
+        Scope scope = scope(block, outer, outer.routes());
         for (Directive d : block) {
             if (d.name().equals("location") && d.block() != null) {
                 location(d, scope);
@@ -188,7 +188,7 @@
     }
 
     /** As nginx inherits: a value goes down unless it is set again, the params only where none are set. */
-    private static Scope scope(List<Directive> block, Scope outer) {
+    private static Scope scope(List<Directive> block, Scope outer, JSONArray routes) {
         Map<String, Directive> inherited = new HashMap<>(outer.inherited());
         List<Directive> params = new ArrayList<>();
         for (Directive d : block) {
@@ -198,46 +198,61 @@
                 params.add(d);
             }
         }
-        return new Scope(inherited, params.isEmpty() ? outer.params() : params);
+        return new Scope(inherited, params.isEmpty() ? outer.params() : params, routes);
     }
 
+    /** Every location becomes a route, since one that leads elsewhere has its part in the precedence too. */
     private void location(Directive location, Scope outer) {
-        Scope scope = scope(location.block(), outer);
+        JSONObject route = route(location, outer.routes());
+        if (route == null) {
+            return;
+        }
+        JSONArray nested = new JSONArray();
+        Scope scope = scope(location.block(), outer, nested);
         Directive pass = null;
         for (Directive d : location.block()) {
-            switch (d.name()) {
-                case "uwsgi_pass" -> pass = d;
-                case "location" -> location(d, scope);
-                default -> {
-                    if (!CARRIED.contains(d.name())) {
-                        complain(d, "has no counterpart in the recipe server");
-                    }
-                }
+            if (d.name().equals("uwsgi_pass")) {
+                pass = d;
+            } else if (d.name().equals("location") && d.block() != null) {
+                location(d, scope);
+            } else if (!CARRIED.contains(d.name())) {
+                complain(d, "has no counterpart in the recipe server");
             }
         }
         if (pass != null && passesHere(pass)) {
-            route(location, scope);
+            fill(route, scope);
+        }
+        if (!nested.isEmpty()) {
+            route.put("routes", nested);
         }
     }
 
-    private void route(Directive location, Scope scope) {
+    /** Adds the route of a location to its level; null where its form or its place is taken or unknown. */
+    private JSONObject route(Directive location, JSONArray level) {
         boolean modified = location.args().size() == 2;
         String path = location.arg(modified ? 1 : 0);
         String match = modified ? MATCHES.get(location.arg(0)) : "prefix";
-        if (match == null || location.args().size() > 2) {
+        if (match == null || path.isEmpty() || location.args().size() > 2) {
             complain(location, "unknown form: " + String.join(" ", location.args()));
-            return;
+            return null;
         }
         if (path.startsWith("@")) {
             complain(location, path + " is named: only the proxy's own redirects lead there");
-            return;
+            return null;
         }
-        Directive earlier = seen.putIfAbsent(match + " " + path, location);
-        if (earlier != null) {
-            complain(location, "the same location stands at " + earlier.place() + "; that one is taken");
-            return;
+        for (Object other : level) {
+            JSONObject earlier = (JSONObject) other;
+            if (earlier.get("match").equals(match) && earlier.get("path").equals(path)) {
+                complain(location, "the same location stands before this one, which is left out");
+                return null;
+            }
         }
         JSONObject route = new JSONObject().put("match", match).put("path", path);
+        level.put(route);
+        return route;
+    }
+
+    private void fill(JSONObject route, Scope scope) {
         scope.params().forEach(param -> param(param, route));
         Directive read = scope.inherited().get("uwsgi_read_timeout");
         if (read != null && !route.has("limit_ms")) {
@@ -247,7 +262,6 @@
         sendTimeout = Math.max(sendTimeout, send == null ? 0 : time(send));
         Directive size = scope.inherited().get("client_max_body_size");
         bodySize = Math.max(bodySize, size == null ? -1 : size(size));
-        routes.put(route);
     }
 
     private void param(Directive param, JSONObject route) {
--- a/src/test/java/wheatspread/nginx/ImporterTest.java
+++ b/src/test/java/wheatspread/nginx/ImporterTest.java
@@ -35,7 +35,8 @@
         Site site = new Site(null, List.of("search", "save-plan"), List.of("school-feeding"), List.of());
         UwsgiConfig config = UwsgiConfig.readFile(written, site);
         assertThat(config.mostConnections()).isEqualTo(120);
-        assertThat(config.routes()).hasSize(5);
+        assertThat(config.routes()).hasSize(7);
+        assertThat(config.routes().get(3).routes()).hasSize(1);
         assertThat(config.routes().get(1).defaults().limit()).isEqualTo(14_000_000);
     }
 
--- a/src/test/java/wheatspread/uwsgi/RoutesTest.java
+++ b/src/test/java/wheatspread/uwsgi/RoutesTest.java
@@ -25,11 +25,26 @@
         assertThat(new Routes(routes, defaults(-1)).find(path).kind()).isEqualTo(kind);
     }
 
+    /** Within a prefix that goes before regular expressions, regular expressions of its own still count. */
+    @ParameterizedTest
+    @CsvSource({"/a/x, 2", "/a/in/y, 3", "/a/in/x, 2", "/a/y, 1", "/b/x, 4", "/b/y, 5",
+        "/b/in/x, 4", "/b/in/y, 6"})
+    void looksWithinTheLongestPrefix(String path, int kind) {
+        Route inA = route("regex x$".split(" "), 2);
+        Route prefixInA = route("prefix /a/in/".split(" "), 3);
+        Route prefixInB = route("prefix /b/in/".split(" "), 6);
+        List<Route> routes = List.of(
+            new Route(Match.PREFIX_FIRST, "/a/", null, defaults(1), List.of(inA, prefixInA)),
+            route("regex x$".split(" "), 4),
+            new Route(Match.PREFIX, "/b/", null, defaults(5), List.of(prefixInB)));
+        assertThat(new Routes(routes, defaults(-1)).find(path).kind()).isEqualTo(kind);
+    }
+
     private static Route route(String[] words, int kind) {
         Match match = Match.valueOf(words[0].toUpperCase(Locale.ROOT));
         Pattern pattern = match == Match.REGEX ? Pattern.compile(words[1])
             : match == Match.REGEX_ANY_CASE ? Pattern.compile(words[1], Pattern.CASE_INSENSITIVE) : null;
-        return new Route(match, words[1], pattern, defaults(kind));
+        return new Route(match, words[1], pattern, defaults(kind), List.of());
     }
 
     private static Defaults defaults(int kind) {
