--- a/src/main/java/wheatspread/core/KeyTable.java
+++ b/src/main/java/wheatspread/core/KeyTable.java
@@ -86,8 +86,4 @@
     void sweep(long now) {
         entries.values().removeIf(e -> e.end != null && e.pinnedUntil < now && !mustStay(e, now));
     }
-
-    int size() {
-        return entries.size();
-    }
 }
--- a/src/main/java/wheatspread/daemon/Main.java
+++ b/src/main/java/wheatspread/daemon/Main.java
@@ -55,7 +55,7 @@
         } catch (IllegalArgumentException e) {
             exit(1, "wheatspread: configuration: settings: " + e.getMessage());
         } catch (Exception e) {
-            exit(1, "wheatspread: cannot start: " + e.getMessage());
+            exit(1, "wheatspread: " + e.getMessage());
         }
     }
 
--- a/src/main/java/wheatspread/daemon/Server.java
+++ b/src/main/java/wheatspread/daemon/Server.java
@@ -94,6 +94,7 @@
             kernel.open();
         });
         fronts.forEach((front, address) -> bound.add(front.listen(address)));
+        log.accept("listening on " + bound);
         loop.execute(() -> enter(Phase.SERVING));
     }
 
--- a/src/main/java/wheatspread/sim/BenchLink.java
+++ b/src/main/java/wheatspread/sim/BenchLink.java
@@ -1,13 +1,5 @@
 package wheatspread.sim;
 
-import wheatspread.admission.Admission;
-import wheatspread.admission.Choice;
-import wheatspread.admission.Admission.Gauges;
-import wheatspread.admission.Admission.Outcome;
-import wheatspread.admission.Admission.Request;
-import wheatspread.config.Fields;
-import wheatspread.config.SettingsReader;
-import wheatspread.core.Site;
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
@@ -24,6 +16,14 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Admission.Request;
+import wheatspread.admission.Admission;
+import wheatspread.admission.Choice;
+import wheatspread.config.Fields;
+import wheatspread.config.SettingsReader;
+import wheatspread.core.Site;
 
 /** The wire: one line of events in, one line of actions out, one {@link Choice} for each instance. */
 public final class BenchLink {
--- a/src/main/java/wheatspread/sockets/Listener.java
+++ b/src/main/java/wheatspread/sockets/Listener.java
@@ -2,6 +2,7 @@
 
 import io.netty.bootstrap.ServerBootstrap;
 import io.netty.channel.Channel;
+import io.netty.channel.ChannelFuture;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
@@ -45,7 +46,7 @@
 
     /** Binds and accepts; what cannot be bound is thrown. Returns the address that was bound. */
     public InetSocketAddress listen(InetSocketAddress address) {
-        listening = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture binding = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
             .childOption(ChannelOption.TCP_NODELAY, true)
             .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
@@ -59,7 +60,12 @@
                         pipeline.accept(channel);
                     }
                 }
-            }).bind(address).syncUninterruptibly().channel();
+            }).bind(address).awaitUninterruptibly();
+        if (!binding.isSuccess()) {
+            throw new IllegalStateException("cannot listen on " + address + ": "
+                + binding.cause().getMessage());
+        }
+        listening = binding.channel();
         loop.execute(this::sweep);
         return (InetSocketAddress) listening.localAddress();
     }
@@ -106,10 +112,6 @@
         new ArrayList<>(callers).forEach(Caller::lastCall);
     }
 
-    public boolean leaving() {
-        return leaving;
-    }
-
     public void stopListening() {
         listening.close();
     }
