--- a/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -193,7 +193,10 @@
         result(id, result);
     }
 
-    /** A proxy names the try it gave up by its txn or by the id of its request. */
+    /**
+     * A proxy names what it gave up by the id of the request, as a notification:
+     * {@code "params":{"id":55}}. The txn, which the page on the protocol leaves open, is taken as well.
+     */
     private void interrupt(JSONObject message, JSONObject params) {
         Object txn = params == null ? null : params.opt("txn");
         Object id = params == null || params.opt("id") == null ? message.opt("id") : params.opt("id");
