Answer a key with another body, and figures out of range, with an error

Checked: Core.arrive looked a key up and let the newcomer join whatever stood for it; KeyTable never compared bodies, so a key of a keyed request sent with another body got the result made of the first one. RequestReader took any limit and cost up to 1e9 ms, a door in the future, and did not read standing or lb at all. NaN was ruled out: the strict parser turns it away already. Now a try with another body than its key's is answered with a conflict (-32002; 409 on the uwsgi front), as is a txn in use; figures are held to ten deadlines of the class, a door to this machine's clock, keys to 256 characters.

--- a/src/main/java/wheatspread/core/Answer.java
+++ b/src/main/java/wheatspread/core/Answer.java
@@ -6,6 +6,9 @@
  * asks that no other server be tried; {@code feedback} is the free value, NaN where none was set.
  */
 public record Answer(Kind kind, byte[] body, long later, boolean last, double feedback) {
-    /** What became of the try. Only {@code REFUSED} promises that it never ran. */
-    public enum Kind { SERVED, REFUSED, FAILED, OUT_OF_TIME }
+    /**
+     * What became of the try. Only {@code REFUSED} promises that it never ran; {@code CONFLICT} is a try that
+     * claims the name of another one in hand, or its key with another body.
+     */
+    public enum Kind { SERVED, REFUSED, FAILED, OUT_OF_TIME, CONFLICT }
 }
--- a/src/main/java/wheatspread/core/Core.java
+++ b/src/main/java/wheatspread/core/Core.java
@@ -91,7 +91,7 @@
         }
         if (table.byJob(submission.job()) != null) {
             counts.failed++;
-            reply.answer(new Answer(Answer.Kind.FAILED, null, 0, false, feedback)); // that name is in use
+            reply.answer(new Answer(Answer.Kind.CONFLICT, null, 0, false, feedback)); // that name is in use
             return null;
         }
         Try one = table.add(submission, reply);
@@ -114,6 +114,11 @@
             release(one);
             return; // its caller went, or its time was up, before the module saw it
         }
+        if (!reads && entry != null && !entry.sameBody(s)) {
+            // the result of the try that has the key was made of another body, and is not for this caller
+            finish(one, Answer.Kind.CONFLICT, null, 0, false);
+            return;
+        }
         boolean write = site.settings().classes().get(s.kind()).effect() != Effect.IDEMPOTENT;
         to.arrived(new Admission.Request(one.number, s.tenant(), s.kind(), Math.max(0, now - s.door()),
             Math.max(1, s.due() - now), entry == null ? 0 : entry.owner.number, false, s.item() != null,
--- a/src/main/java/wheatspread/core/KeyTable.java
+++ b/src/main/java/wheatspread/core/KeyTable.java
@@ -1,5 +1,6 @@
 package wheatspread.core;
 
+import java.util.Arrays;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -26,6 +27,11 @@
             this.key = key;
             this.owner = owner;
         }
+
+        /** All tries of one keyed request carry the same body; another body claims a key not its own. */
+        boolean sameBody(Submission other) {
+            return Arrays.equals(owner.submission.body(), other.body());
+        }
     }
 
     private final Map<String, Entry> entries = new HashMap<>();
--- a/src/main/java/wheatspread/jsonrpc/RequestReader.java
+++ b/src/main/java/wheatspread/jsonrpc/RequestReader.java
@@ -6,13 +6,20 @@
 import java.util.Map;
 import org.json.JSONObject;
 import wheatspread.admission.Admission.Effect;
+import wheatspread.admission.Admission.RequestClass;
 import wheatspread.core.Site;
 import wheatspread.core.Submission;
 
 /** Reads the parameters of a class's method into a submission; complaints name the parameter. */
 final class RequestReader {
     private static final int LONGEST_BODY = 2 * 1024;
+    private static final int LONGEST_KEY = 256;
+    private static final double MOST_CALLER = Integer.MAX_VALUE;
     private static final double MOST_RAM = 2_000;
+    /** How far ahead of this machine's clock a door may lie; ms. */
+    private static final double DOOR_AHEAD = 1_000;
+    /** A limit or a cost over so many deadlines of the class is no figure to plan with. */
+    private static final double MOST_DEADLINES = 10;
 
     private final Site site;
     private final Map<String, Integer> kinds;
@@ -43,27 +50,48 @@
         return kinds.containsKey(method);
     }
 
-    Submission read(String method, JSONObject params) {
+    /** {@code now} is Unix time in microseconds. */
+    Submission read(String method, JSONObject params, long now) {
         int kind = kinds.get(method);
         String txn = text(params, "txn");
         if (!txn.matches("[0-9a-fA-F]{16}")) {
             throw new BadParameter("txn is not 16 hex digits");
         }
-        long door = Math.round(number(params, "door", 0, 1e15)) * 1000;
-        long limit = Math.round(number(params, "limit", 0, 1e9) * 1000);
+        RequestClass told = site.settings().classes().get(kind);
+        // guards what the module learns of costs and times, and its tags, against figures nobody means
+        double most = MOST_DEADLINES * told.deadline() / 1000;
+        long door = Math.round(number(params, "door", 0, now / 1000.0 + DOOR_AHEAD)) * 1000;
+        long limit = Math.round(number(params, "limit", 0, most) * 1000);
         double ram = number(params, "ram", 0, MOST_RAM);
-        long cpu = params.has("cpu") ? Math.round(number(params, "cpu", 0, 1e9) * 1000) : 0;
+        long cpu = Math.round(optional(params, "cpu", most) * 1000);
+        optional(params, "lb", MOST_CALLER);
+        if (optional(params, "standing", 1) >= 1) {
+            throw new BadParameter("standing is out of range");
+        }
         String unique = null;
         String item = null;
-        if (site.settings().classes().get(kind).effect() == Effect.KEYED) {
-            unique = text(params, "unique");
+        if (told.effect() == Effect.KEYED) {
+            unique = key(params, "unique");
         } else if (params.has("item")) {
-            item = text(params, "item");
+            item = key(params, "item");
         }
         return new Submission(txn, kind, tenant(params), door, door + limit, ram, cpu, unique, item,
             body(params));
     }
 
+    private static double optional(JSONObject params, String name, double most) {
+        return params.has(name) ? number(params, name, 0, most) : 0;
+    }
+
+    /** A key is kept for its window, so its length is bounded. */
+    private static String key(JSONObject params, String name) {
+        String key = text(params, name);
+        if (key.isEmpty() || key.length() > LONGEST_KEY) {
+            throw new BadParameter(name + " is empty or over " + LONGEST_KEY + " characters");
+        }
+        return key;
+    }
+
     private int tenant(JSONObject params) {
         if (tenants.isEmpty()) {
             return 0;
--- a/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -22,6 +22,7 @@
     static final int REFUSED = -32066;
     static final int FAILED = -32000;
     static final int OUT_OF_TIME = -32001;
+    static final int CONFLICT = -32002;
     /** Else the parser takes names without quotes, and does not see what follows the object. */
     private static final JSONParserConfiguration STRICT = new JSONParserConfiguration().withStrictMode(true);
     private static final int PARSE_ERROR = -32700;
@@ -158,7 +159,7 @@
             return;
         }
         try {
-            var submission = reader.read(method, params);
+            var submission = reader.read(method, params, clock.now());
             Open one = new Open(submission.job());
             open.put(id, one);
             one.ticket = core.submit(submission, answer -> answer(id, answer));
@@ -183,6 +184,7 @@
                 error(id, REFUSED, "refused: this try never ran", data);
             }
             case OUT_OF_TIME -> error(id, OUT_OF_TIME, "out of time", data);
+            case CONFLICT -> error(id, CONFLICT, "txn is in use, or unique has another body", data);
             default -> error(id, FAILED, "failed", data);
         }
     }
--- a/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -202,6 +202,7 @@
                 + "Retry-After: " + retryAfter(answer.later()) + "\r\n"
                 + (answer.last() ? "X-Recipe-Give-Up: 1\r\n" : ""));
             case OUT_OF_TIME -> respond(slot, "504 Gateway Timeout", text("out of time"), feedback);
+            case CONFLICT -> respond(slot, "409 Conflict", text("key has another body"), feedback);
             default -> respond(slot, "500 Internal Server Error", text("failed"), feedback);
         }
     }
