Reload addresses on SIGHUP, and give each records call a connection of its own

Checked: nothing handled the signal, and the addresses were final fields of the three clients. KernelLink.channelInactive cleared whatever channel was there, also a newer one. RecordsClient kept a connection whose call was given up and put four calls on one; a second copy of a reply could end a later call of the same job. AnnounceClient held a report up for 1.2 s when the one before got no answer. KernelLink counted a notice as read before it was understood, and a link that hangs open was never left. Now: Hangup hands SIGHUP to Server.reload, which reads and checks the whole file and then moves the three clients on the running core; a bad file is logged by its key. The kernel's old link serves until the new one is there; a line that is not understood is asked for again once. A records connection takes one call at a time, none after a given-up one, none for a job it has seen, none after 1 s of rest; after noise nothing more is read from it.

--- a/src/main/java/wheatspread/announce/AnnounceClient.java
+++ b/src/main/java/wheatspread/announce/AnnounceClient.java
@@ -23,24 +23,23 @@
 import wheatspread.core.Announcer;
 
 /**
- * Reports to the announce service, again and again: an entry lapses 3 s after its last report. Where the
- * service is down or does not answer, the next report tries a new connection.
+ * Reports to the announce service, again and again: an entry lapses 3 s after its last report. A report that
+ * gets no answer holds up nothing: the next one, or a change, goes over a new connection.
  */
 public final class AnnounceClient implements Announcer {
     /** Four reports may be lost before an entry lapses. */
     private static final long PERIOD_MS = 600;
-    private static final int CONNECT_MS = 1_000;
-    private static final long PATIENCE_MS = 1_200;
+    private static final int CONNECT_MS = 500;
+    /** A change is reported once more after this long: an older report may be read behind it. */
+    private static final long AGAIN_MS = 150;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final String name;
     private final Consumer<String> log;
-    private Channel channel;
+    private InetSocketAddress address;
+    /** Where the last report went, or is to go once it is connected. */
+    private Connection connection;
     private Boolean accepting;
-    private Boolean told;
-    private boolean waiting;
-    private long askedAt;
     private boolean started;
     private boolean closed;
 
@@ -60,65 +59,99 @@
             loop.scheduleAtFixedRate(this::report, 0, PERIOD_MS, TimeUnit.MILLISECONDS);
         } else if (news) {
             report();
+            loop.schedule(this::report, AGAIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** The service is to be reached at another address from now on, and hears at once. */
+    public void moveTo(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            dropConnection();
+            if (started) {
+                report();
+            }
         }
     }
 
     public void close() {
         closed = true;
-        if (channel != null) {
-            channel.close();
+        dropConnection();
+    }
+
+    private void dropConnection() {
+        if (connection != null) {
+            connection.close();
+            connection = null;
         }
     }
 
     private void report() {
-        long now = System.nanoTime() / 1_000_000;
-        if (closed || waiting && now - askedAt < PATIENCE_MS) {
+        if (closed) {
             return;
         }
-        if (waiting && channel != null) {
-            channel.close(); // no answer: the report may not have counted
-        }
-        waiting = true;
-        askedAt = now;
-        if (channel != null && channel.isActive()) {
-            send();
+        if (connection != null && !connection.waiting) {
+            connection.send();
         } else {
-            connect();
+            dropConnection(); // no answer yet: waiting for it would hold this report up, and the next ones
+            connection = new Connection();
+            connection.open();
         }
     }
 
-    private void connect() {
-        new Bootstrap().group(loop).channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(64 * 1024),
-                        new Connection());
-                }
-            }).connect(address).addListener(done -> {
-                if (!done.isSuccess()) {
-                    waiting = false;
-                }
-            });
-    }
+    /** One connection to the announce service, with a report under way or none. */
+    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
+        private Channel channel;
+        private boolean waiting = true;
+        private boolean dropped;
 
-    private void send() {
-        told = accepting;
-        byte[] body = ("{\"accepting\":\"" + accepting + "\"}").getBytes(StandardCharsets.US_ASCII);
-        DefaultFullHttpRequest put = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT,
-            "/announce/" + name, Unpooled.wrappedBuffer(body));
-        put.headers().set(HttpHeaderNames.HOST, address.getHostString() + ':' + address.getPort());
-        put.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
-        channel.writeAndFlush(put, channel.voidPromise());
-    }
+        void open() {
+            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(64 * 1024),
+                            Connection.this);
+                    }
+                }).connect(address).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        ended();
+                    }
+                });
+        }
+
+        void close() {
+            dropped = true;
+            if (channel != null) {
+                channel.close();
+            }
+        }
+
+        void send() {
+            waiting = true;
+            byte[] body = ("{\"accepting\":\"" + accepting + "\"}").getBytes(StandardCharsets.US_ASCII);
+            DefaultFullHttpRequest put = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT,
+                "/announce/" + name, Unpooled.wrappedBuffer(body));
+            put.headers().set(HttpHeaderNames.HOST, address.getHostString() + ':' + address.getPort());
+            put.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
+            channel.writeAndFlush(put, channel.voidPromise());
+        }
+
+        private void ended() {
+            if (connection == this) {
+                connection = null;
+            }
+        }
 
-    /** One connection to the announce service. */
-    private final class Connection extends SimpleChannelInboundHandler<FullHttpResponse> {
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
-            send();
+            if (dropped) {
+                channel.close();
+            } else {
+                send();
+            }
         }
 
         @Override
@@ -127,17 +160,11 @@
             if (response.status().code() != 204) {
                 log.accept("announce service answered " + response.status());
             }
-            if (!accepting.equals(told)) {
-                report(); // it changed while the last report was under way
-            }
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (ctx.channel() == channel) {
-                channel = null;
-                waiting = false;
-            }
+            ended();
         }
 
         @Override
--- a/src/main/java/wheatspread/config/ServerConfig.java
+++ b/src/main/java/wheatspread/config/ServerConfig.java
@@ -32,6 +32,12 @@
         return read(Fields.of(json.toMap(), ""));
     }
 
+    /** This configuration with the addresses at which another one reaches the parties round the server. */
+    public ServerConfig withAddressesOf(ServerConfig other) {
+        return new ServerConfig(name, listen, other.kernel, other.records, other.announce, seed, stopMicros,
+            sockets, site);
+    }
+
     static JSONObject readFile(Path file) {
         try {
             return new JSONObject(Files.readString(file, StandardCharsets.UTF_8));
--- a/src/main/java/wheatspread/daemon/Main.java
+++ b/src/main/java/wheatspread/daemon/Main.java
@@ -46,6 +46,8 @@
             UwsgiConfig uwsgi = operatorFile == null ? null
                 : UwsgiConfig.readFile(Path.of(operatorFile), config.site());
             Server server = new Server(config, uwsgi, LoopClock::new, Main::log);
+            // SIGHUP says that the configuration was replaced
+            Hangup.handle(() -> server.reload(() -> ServerConfig.fromEnvironment(System.getenv())));
             server.start();
             // SIGTERM is the notice to leave: the JVM waits for this hook, which waits for the drain
             Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server), "drain"));
--- a/src/main/java/wheatspread/daemon/Server.java
+++ b/src/main/java/wheatspread/daemon/Server.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.Consumer;
 import java.util.function.Function;
+import java.util.function.Supplier;
 import wheatspread.admission.Choice;
 import wheatspread.announce.AnnounceClient;
 import wheatspread.config.Fields;
@@ -103,6 +104,32 @@
         return List.copyOf(bound);
     }
 
+    /**
+     * Takes over the addresses of a new configuration while everything goes on. It is read and checked whole
+     * before anything changes; what is wrong with it is logged, and the old one stays. One at a time, or an
+     * older file might be taken over behind a newer one.
+     */
+    public synchronized void reload(Supplier<ServerConfig> reader) {
+        try {
+            ServerConfig next = reader.get();
+            loop.execute(() -> {
+                if (phase.compareTo(Phase.CLOSING) >= 0) {
+                    return;
+                }
+                log.accept("reload: kernel " + next.kernel() + ", records " + next.records() + ", announce "
+                    + next.announce());
+                if (!next.withAddressesOf(config).equals(config)) {
+                    log.accept("reload: what else changed holds from the next start on");
+                }
+                kernel.moveTo(next.kernel());
+                records.moveTo(next.records());
+                announcer.moveTo(next.announce());
+            });
+        } catch (IllegalArgumentException e) {
+            log.accept("reload: the old configuration stays: " + e.getMessage());
+        }
+    }
+
     /** The notice to leave. */
     public void drain() {
         loop.execute(() -> {
--- a/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/src/main/java/wheatspread/kernel/KernelLink.java
@@ -38,20 +38,29 @@
     /** How long missed notices are waited for where the kernel does not say that they are through. */
     private static final long SYNC_MS = 1_000;
     private static final String SYNC = "sync";
+    /** Questions for gauges in a row, one a tick of the module, without a line after which a link hangs. */
+    private static final int UNHEARD_MOST = 100;
 
     /** A command not known to be read; {@code number} counts commands. */
     private record Command(long number, String type, String job, String line) { }
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final Listener listener;
     private final Consumer<String> log;
     private final Deque<Command> unconfirmed = new ArrayDeque<>();
-    private Channel channel;
+    private InetSocketAddress address;
+    /** The link in use; what any other one still brings is dropped. */
+    private Connection current;
+    /** The link that is to replace it, while it is being opened. */
+    private Connection opening;
     /** Commands may go out: the kernel is up and the notices missed have been read. */
     private boolean ready;
+    private boolean booted;
     private boolean closed;
+    private int unheard;
     private long lastNotice;
+    /** The last notice before a line that was not understood and asked for again; -1 if there is none. */
+    private long askedAgain = -1;
     private long lastCommand;
     private long retryMs = FIRST_RETRY_MS;
 
@@ -66,32 +75,51 @@
         if (closed) {
             return;
         }
-        ChannelFuture opening = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        Connection next = new Connection();
+        opening = next;
+        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel ch) {
                     ch.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE),
                         new StringDecoder(StandardCharsets.UTF_8), new StringEncoder(StandardCharsets.UTF_8),
-                        new Connection());
+                        next);
                 }
             }).connect(address);
-        opening.addListener(done -> {
-            if (!done.isSuccess()) {
+        connecting.addListener(done -> {
+            if (!done.isSuccess() && opening == next) {
+                opening = null;
                 retry();
             }
         });
     }
 
+    /**
+     * The kernel is to be reached at another address from now on. The old link serves until the new one is
+     * there; commands that it may have swallowed are said again there, behind the missed notices.
+     */
+    public void moveTo(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            retryMs = FIRST_RETRY_MS;
+            open();
+        }
+    }
+
     public void close() {
         closed = true;
-        if (channel != null) {
-            channel.close();
+        if (current != null) {
+            current.channel.close();
         }
     }
 
     private void retry() {
-        loop.schedule(this::open, retryMs, TimeUnit.MILLISECONDS);
+        loop.schedule(() -> {
+            if (opening == null && current == null) {
+                open();
+            }
+        }, retryMs, TimeUnit.MILLISECONDS);
         retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2);
     }
 
@@ -124,7 +152,11 @@
 
     @Override
     public void askGauges() {
-        if (ready) {
+        if (current != null && booted && ++unheard > UNHEARD_MOST) {
+            // guards against a link that stays open and carries nothing: runs would end unheard
+            log.accept("kernel link silent, opened anew");
+            current.channel.close();
+        } else if (ready) {
             say(new JSONObject().put("type", "SYSINFO").put("ref", Long.toString(lastCommand)).toString());
         }
     }
@@ -138,7 +170,7 @@
     }
 
     private void say(String line) {
-        channel.writeAndFlush(line + "\n", channel.voidPromise());
+        current.channel.writeAndFlush(line + "\n", current.channel.voidPromise());
     }
 
     private static String encode(byte[] bytes) {
@@ -157,28 +189,60 @@
 
     /** One connection to the kernel; a later one replaces it. */
     private final class Connection extends SimpleChannelInboundHandler<String> {
+        private Channel channel;
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
+            if (opening != this || closed) {
+                channel.close(); // the address changed while it was being opened
+                return;
+            }
+            Connection old = current;
+            opening = null;
+            current = this;
+            ready = false;
+            unheard = 0;
+            if (old != null) {
+                old.channel.close();
+            }
             say(new JSONObject().put("type", "OPEN").put("n", lastNotice).toString());
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            if (current != this) {
+                return; // a late close of a link that was replaced must not drop the new one
+            }
             ready = false;
-            channel = null;
+            current = null;
             if (!closed) {
                 log.accept("kernel link lost after notice " + lastNotice);
-                retry();
+                if (opening == null) {
+                    retry();
+                }
             }
         }
 
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, String line) {
+            if (current != this) {
+                return;
+            }
+            unheard = 0;
             try {
-                read(ctx, new JSONObject(line));
+                read(new JSONObject(line));
             } catch (JSONException | IllegalArgumentException e) {
                 log.accept("kernel line not understood: " + e.getMessage());
+                askAgain();
+            }
+        }
+
+        /** Guards against a notice lost in a garbled line. Once only: the kernel may have nothing better. */
+        private void askAgain() {
+            if (askedAgain != lastNotice) {
+                askedAgain = lastNotice;
+                channel.close();
             }
         }
 
@@ -188,31 +252,33 @@
             ctx.close();
         }
 
-        private void read(ChannelHandlerContext ctx, JSONObject notice) {
+        private void read(JSONObject notice) {
             String type = notice.getString("type");
             switch (type) {
-                case "BOOTED" -> booted(ctx, notice);
+                case "BOOTED" -> booted(notice);
                 case "INFO" -> info(notice);
                 case "EINVAL" -> invalid(notice);
                 default -> {
                     long n = notice.optLong("n", 0);
                     if (n > lastNotice) {
-                        lastNotice = n;
                         numbered(type, n, notice);
                     }
                 }
             }
         }
 
-        private void booted(ChannelHandlerContext ctx, JSONObject notice) {
+        private void booted(JSONObject notice) {
+            boolean cold = notice.getString("state").equals("COLD");
+            long age = micros(notice);
+            booted = true;
             retryMs = FIRST_RETRY_MS;
             say(new JSONObject().put("type", "SYSINFO").put("ref", SYNC).toString());
             loop.schedule(() -> {
-                if (ctx.channel() == channel) {
+                if (current == this) {
                     becomeReady();
                 }
             }, SYNC_MS, TimeUnit.MILLISECONDS);
-            listener.booted(notice.getString("state").equals("COLD"), micros(notice));
+            listener.booted(cold, age);
         }
 
         private void info(JSONObject notice) {
@@ -242,16 +308,23 @@
             }
         }
 
+        /** A notice counts as read only once all of it is understood, or a new link would leave it out. */
         private void numbered(String type, long n, JSONObject notice) {
             String job = notice.optString("job");
             if (type.equals("REAP")) {
-                unconfirmed.removeIf(c -> c.job().equals(job));
                 End end = End.valueOf(notice.getString("state"));
-                listener.ended(job, end, micros(notice), end == End.OK ? body(notice) : null);
+                byte[] result = end == End.OK ? body(notice) : null;
+                lastNotice = n;
+                unconfirmed.removeIf(c -> c.job().equals(job));
+                listener.ended(job, end, micros(notice), result);
             } else if (type.equals("IOREQ")) {
+                byte[] call = body(notice);
+                lastNotice = n;
                 // a pause may have crossed this notice, the rest has not
                 unconfirmed.removeIf(c -> c.job().equals(job) && !c.type().equals("PREEMPT"));
-                listener.blocked(job, n, body(notice));
+                listener.blocked(job, n, call);
+            } else {
+                lastNotice = n;
             }
         }
 
--- a/src/main/java/wheatspread/records/RecordsClient.java
+++ b/src/main/java/wheatspread/records/RecordsClient.java
@@ -22,21 +22,31 @@
 import wheatspread.core.Clock;
 import wheatspread.core.Records;
 
-/** Calls to the records service over a few connections that are used again and again. */
+/**
+ * Calls to the records service over connections that are used again while they are fresh. A reply that is
+ * spoilt or never comes makes its connection useless to all that is on it, so each call has one to itself
+ * as long as there are enough of them.
+ */
 public final class RecordsClient implements Records {
-    /** The service closes what was idle for 10 s; a call must not cross that. */
-    private static final long IDLE_MOST = 8_000_000;
-    /** Calls on one connection before another is opened: a break fails all that are on it. */
-    private static final int SHARED_BY = 4;
+    /** Unused for longer, a connection may be closed or forgotten by the service, which would cost a call. */
+    private static final long IDLE_MOST = 1_000_000;
     /** A connection that hangs longer counts as refused: nothing was sent on it. */
     private static final int CONNECT_MS = 1_000;
-    private static final int MOST_CONNECTIONS = 16;
+    /** Past this many connections calls share them. */
+    private static final int MOST_CONNECTIONS = 40;
+    /** Calls after which a connection is closed, since what it remembers of them grows. */
+    private static final int MOST_CALLS = 64;
+    private static final long SWEEP = 500_000;
 
     private final EventLoop loop;
-    private final InetSocketAddress address;
     private final Clock clock;
     private final Consumer<String> log;
+    /** Those to the present address that may take calls, the one used last at the end. */
     private final List<Connection> connections = new ArrayList<>();
+    /** Those that take no more calls, until what is in hand there has ended. */
+    private final Set<Connection> leaving = new HashSet<>();
+    private InetSocketAddress address;
+    private boolean sweeping;
 
     public RecordsClient(EventLoop loop, InetSocketAddress address, Clock clock, Consumer<String> log) {
         this.loop = loop;
@@ -53,27 +63,52 @@
         return pending;
     }
 
+    /** The service is to be reached at another address from now on; calls in hand may end at the old one. */
+    public void moveTo(InetSocketAddress next) {
+        if (!next.equals(address)) {
+            address = next;
+            new ArrayList<>(connections).forEach(Connection::leave);
+        }
+    }
+
     public void close() {
         new ArrayList<>(connections).forEach(Connection::close);
+        new ArrayList<>(leaving).forEach(Connection::close);
     }
 
+    /** The free connection used last, so that the others grow old and go; a new one; or the least busy. */
     private Connection pick(String job) {
         Connection best = null;
         for (Connection c : new ArrayList<>(connections)) {
-            if (c.pending.isEmpty() && clock.now() - c.usedAt > IDLE_MOST) {
+            if (c.idleFor() > IDLE_MOST) {
                 c.close();
-            } else if (!c.stale.contains(job) && (best == null || c.pending.size() < best.pending.size())) {
+            } else if (!c.seen.contains(job) && (best == null || c.pending.size() <= best.pending.size())) {
                 best = c;
             }
         }
-        if (best == null || best.pending.size() >= SHARED_BY && connections.size() < MOST_CONNECTIONS) {
+        boolean full = connections.size() + leaving.size() >= MOST_CONNECTIONS;
+        if (best == null || !best.pending.isEmpty() && !full) {
             best = new Connection();
-            connections.add(best);
             best.open();
         }
+        connections.remove(best);
+        connections.add(best);
+        if (!sweeping) {
+            sweeping = true;
+            clock.after(SWEEP, this::sweep);
+        }
         return best;
     }
 
+    /** Closes what nobody used for a while. */
+    private void sweep() {
+        new ArrayList<>(connections).stream().filter(c -> c.idleFor() > IDLE_MOST).forEach(Connection::close);
+        sweeping = !connections.isEmpty();
+        if (sweeping) {
+            clock.after(SWEEP, this::sweep);
+        }
+    }
+
     /** One call that has no reply yet. */
     private static final class Pending implements Call {
         private final Connection connection;
@@ -99,8 +134,11 @@
     /** One connection with the calls on it. */
     private final class Connection extends SimpleChannelInboundHandler<ReplyDecoder.Reply> {
         private final Map<String, Pending> pending = new LinkedHashMap<>();
-        /** Jobs whose call here was given up: a reply that crossed it is not one to a later call. */
-        private final Set<String> stale = new HashSet<>();
+        /**
+         * The jobs that had a call here. None gets a second one: a late reply, or a second copy of one, would
+         * be taken for the reply to that.
+         */
+        private final Set<String> seen = new HashSet<>();
         private Channel channel;
         private long usedAt = clock.now();
 
@@ -119,19 +157,41 @@
                 });
         }
 
+        long idleFor() {
+            return pending.isEmpty() ? clock.now() - usedAt : 0;
+        }
+
         void close() {
             connections.remove(this);
+            leaving.remove(this);
             if (channel != null) {
                 channel.close();
             }
         }
 
+        /** Takes no more calls, and goes with the last of those in hand. */
+        void leave() {
+            connections.remove(this);
+            leaving.add(this);
+            closeIfDone();
+        }
+
+        private void closeIfDone() {
+            if (pending.isEmpty() && leaving.contains(this)) {
+                close();
+            }
+        }
+
         void add(Pending call) {
             usedAt = clock.now();
+            seen.add(call.job);
             pending.put(call.job, call);
             if (channel != null) {
                 send(call);
             }
+            if (seen.size() >= MOST_CALLS) {
+                leave();
+            }
         }
 
         private void send(Pending call) {
@@ -142,19 +202,26 @@
             channel.writeAndFlush(out, channel.voidPromise());
         }
 
+        /** No reply came in time: this connection may be one that never brings another. */
         void giveUp(Pending call) {
-            if (pending.remove(call.job, call) && channel != null) {
-                stale.add(call.job);
-                ByteBuf out = channel.alloc().buffer();
-                out.writeCharSequence("UNOP " + call.job + "\r\n", StandardCharsets.US_ASCII);
-                channel.writeAndFlush(out, channel.voidPromise());
+            if (pending.remove(call.job, call)) {
+                if (channel != null) {
+                    ByteBuf out = channel.alloc().buffer();
+                    out.writeCharSequence("UNOP " + call.job + "\r\n", StandardCharsets.US_ASCII);
+                    channel.writeAndFlush(out, channel.voidPromise());
+                }
+                leave();
             }
         }
 
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
-            pending.values().forEach(this::send);
+            if (connections.contains(this) || leaving.contains(this)) {
+                pending.values().forEach(this::send);
+            } else {
+                channel.close(); // all it was opened for was given up
+            }
         }
 
         @Override
@@ -163,6 +230,7 @@
             Pending call = pending.remove(reply.job());
             if (call != null) {
                 call.listener.ended(outcome(reply.word()), reply.body());
+                closeIfDone();
             }
         }
 
@@ -189,6 +257,7 @@
 
         private void ended(Outcome outcome) {
             connections.remove(this);
+            leaving.remove(this);
             List<Pending> broken = new ArrayList<>(pending.values());
             pending.clear();
             broken.forEach(call -> call.listener.ended(outcome, null));
--- a/src/test/java/wheatspread/daemon/BothFrontsTest.java
+++ b/src/test/java/wheatspread/daemon/BothFrontsTest.java
@@ -24,10 +24,11 @@
             proxy.ask("stew", "south", 5000, null, "call-3");
             proxy.ask("save", "north", 8000, "k1", "ok-4");
             proxy.ask("save", "north", 8000, "k1", "ok-4");
+            proxy.ask("save", "north", 8000, "k1", "other-4");
             proxy.ask("stew", "east", 5000, null, "ok-5");
             proxy.ask("save", "south", 8000, null, "ok-6");
             expect(proxy, Map.of("ok-1", "served 1-ko", "error-2", "failed", "call-3", "served reply",
-                "ok-4", "served 4-ko", "ok-5", "malformed", "ok-6", "malformed"));
+                "ok-4", "served 4-ko", "other-4", "conflict", "ok-5", "malformed", "ok-6", "malformed"));
             assertThat(Collections.frequency(kernel.runs, "ok-4")).as("runs of one key over both").isOne();
             assertThat(Collections.frequency(kernel.runs, "ok-1")).isEqualTo(2);
 
@@ -46,9 +47,10 @@
 
             assertThat(stage.announced.poll()).endsWith("{\"accepting\":\"false\"}");
             assertThat(kernel.runs).doesNotContain("ok-9").contains("hang-8");
-            // each front: ok-1, call-3 and ok-4 twice served; error-2, hang-7, hang-8 failed; ok-9 refused
+            // each front: ok-1, call-3 and ok-4 twice served; error-2, other-4, hang-7 and hang-8 failed;
+            // ok-9 refused
             assertThat(stage.server.counts().toString())
-                .startsWith("read 16, served 8, refused 2, failed 6").contains("gone 0, runs 10, joins 4");
+                .startsWith("read 18, served 8, refused 2, failed 8").contains("gone 0, runs 10, joins 4");
         }
     }
 
@@ -68,15 +70,24 @@
     /** A records service that answers every call with the same reply. */
     private static void answerCalls(Stage stage) {
         while (!stage.records.isClosed()) {
-            try (Wire wire = new Wire(stage.records.accept())) {
-                for (String line = wire.line(); line != null; line = wire.line()) {
-                    String[] words = line.split(" ");
-                    wire.bytes(Integer.parseInt(words[3]) + 2);
-                    wire.write((words[1] + " DONE 5\r\nreply\r\n").getBytes(StandardCharsets.US_ASCII));
-                }
+            try {
+                Wire wire = new Wire(stage.records.accept());
+                start(() -> answerCalls(wire));
             } catch (IOException e) {
-                continue; // that connection ended, or the stage did
+                continue; // the stage was closed
             }
         }
     }
+
+    private static void answerCalls(Wire wire) {
+        try (wire) {
+            for (String line = wire.line(); line != null; line = wire.line()) {
+                String[] words = line.split(" ");
+                wire.bytes(Integer.parseInt(words[3]) + 2);
+                wire.write((words[1] + " DONE 5\r\nreply\r\n").getBytes(StandardCharsets.US_ASCII));
+            }
+        } catch (IOException e) {
+            return; // that connection ended
+        }
+    }
 }
--- a/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/src/test/java/wheatspread/daemon/SceneTest.java
@@ -23,8 +23,10 @@
 /**
  * Plays recorded exchanges against the program. A line {@code party> text} is sent to it, {@code party< text}
  * must come from it; {@code clock 50} moves the clock on by milliseconds; {@code cut}, {@code down} and
- * {@code up} break a connection or a service, and {@code quiet} says that nothing came. The parties are the
- * kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
+ * {@code up} break a connection or a service, and {@code quiet} says that nothing came; {@code reload} gives
+ * all parties new addresses, after which old connections are called {@code old-kernel} and so on, or changes
+ * one key; {@code bytes} sends part of a line; {@code mute} leaves reports unanswered. The parties are
+ * the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
  */
 class SceneTest {
     static Stream<Path> scenes() throws IOException {
@@ -73,6 +75,22 @@
             } else if (words[0].equals("drain")) {
                 barrier();
                 stage.server.drain();
+            } else if (words[0].equals("reload")) {
+                barrier();
+                String[] bad = rest.split(" ", 2);
+                stage.reload(bad[0], bad.length > 1 ? bad[1] : "");
+                if (rest.isEmpty()) {
+                    for (String name : List.of("kernel", "records")) {
+                        wires.put("old-" + name, wires.remove(name));
+                    }
+                }
+            } else if (words[0].equals("logged")) {
+                assertThat(stage.logged).contains(rest);
+            } else if (words[0].equals("mute")) {
+                stage.mute = true;
+            } else if (words[0].equals("bytes")) {
+                String[] part = rest.split(" ", 2);
+                wire(part[0]).write(part[1].getBytes(StandardCharsets.UTF_8));
             } else if (words[0].equals("stopped")) {
                 stage.server.awaitStopped();
             } else if (words[0].equals("nogauges")) {
@@ -132,7 +150,7 @@
         private void send(String party, String text) throws IOException {
             if (party.startsWith("u")) {
                 wire(party).write(packet(text));
-            } else if (party.startsWith("records")) {
+            } else if (party.contains("records")) {
                 wire(party).write(unescape(text));
             } else {
                 wire(party).line(text.replace("$now", Long.toString(stage.clock().now() / 1000)));
--- a/src/test/java/wheatspread/daemon/Stage.java
+++ b/src/test/java/wheatspread/daemon/Stage.java
@@ -17,13 +17,17 @@
 
 /** A server with the clock of a test, and the parties round it on ephemeral ports. */
 final class Stage implements AutoCloseable {
-    final ServerSocket kernels = socket(0);
+    volatile ServerSocket kernels = socket(0);
     volatile ServerSocket records = socket(0);
     private volatile ServerSocket announce = socket(0);
     private volatile Wire announcing;
     private volatile boolean closed;
+    private volatile String last = "";
+    /** Reports count, but get no answer. */
+    volatile boolean mute;
     /** What was announced, repeats left out. */
     final BlockingQueue<String> announced = new LinkedBlockingQueue<>();
+    final BlockingQueue<String> logged = new LinkedBlockingQueue<>();
     final Server server;
     final InetSocketAddress uwsgi;
     final InetSocketAddress jsonrpc;
@@ -31,16 +35,12 @@
     private ManualClock clock;
 
     Stage() throws IOException {
-        JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
-        told.put("kernel", "127.0.0.1:" + kernels.getLocalPort());
-        told.put("records", "127.0.0.1:" + records.getLocalPort());
-        told.put("announce", "127.0.0.1:" + announce.getLocalPort());
-        ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
+        ServerConfig config = ServerConfig.read(Fields.of(configuration().toMap(), ""));
         UwsgiConfig front = UwsgiConfig.readFile(Path.of("src/test/resources/operator.json"), config.site());
         Thread thread = new Thread(this::hearAnnouncements, "announce stand-in");
         thread.setDaemon(true);
         thread.start();
-        server = new Server(config, front, loop -> clock = new ManualClock(loop), text -> { });
+        server = new Server(config, front, loop -> clock = new ManualClock(loop), logged::add);
         server.start();
         uwsgi = server.bound().get(0);
         jsonrpc = server.bound().get(1);
@@ -48,6 +48,32 @@
         clock.settleWith(this::roundTrip);
     }
 
+    private JSONObject configuration() throws IOException {
+        return new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
+            .put("kernel", "127.0.0.1:" + kernels.getLocalPort())
+            .put("records", "127.0.0.1:" + records.getLocalPort())
+            .put("announce", "127.0.0.1:" + announce.getLocalPort());
+    }
+
+    /** A configuration with new addresses, the old ones refusing; or one with a key changed to a value. */
+    void reload(String key, String value) throws IOException {
+        JSONObject told = configuration();
+        if (key.isEmpty()) {
+            kernels.close();
+            records.close();
+            announce.close();
+            kernels = socket(0);
+            records = socket(0);
+            announce = socket(0);
+            last = "";
+            told = configuration();
+        } else {
+            told.put(key, value);
+        }
+        Fields fields = Fields.of(told.toMap(), "");
+        server.reload(() -> ServerConfig.read(fields));
+    }
+
     /** A health check, on a connection of its own as the protocol has it. */
     private void roundTrip() {
         try {
@@ -72,7 +98,6 @@
     }
 
     private void hearAnnouncements() {
-        String last = "";
         while (!closed) {
             try (Wire wire = new Wire(announce.accept())) {
                 announcing = wire;
@@ -84,7 +109,9 @@
                         }
                     }
                     String report = line + " " + new String(wire.bytes(length), StandardCharsets.UTF_8);
-                    wire.write("HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                    if (!mute) {
+                        wire.write("HTTP/1.1 204 No Content\r\n\r\n".getBytes(StandardCharsets.UTF_8));
+                    }
                     if (!report.equals(last)) {
                         announced.add(report);
                     }
--- a/src/test/java/wheatspread/daemon/StandInProxy.java
+++ b/src/test/java/wheatspread/daemon/StandInProxy.java
@@ -17,9 +17,9 @@
 /** A small proxy that asks for the same over both protocols at once and tells the outcomes alike. */
 final class StandInProxy implements AutoCloseable {
     private static final Map<Integer, String> STATUSES = Map.of(200, "served", 503, "refused", 500, "failed",
-        504, "out of time", 400, "malformed");
+        504, "out of time", 400, "malformed", 409, "conflict");
     private static final Map<Integer, String> CODES = Map.of(-32066, "refused", -32000, "failed", -32001,
-        "out of time", -32602, "malformed");
+        "out of time", -32602, "malformed", -32002, "conflict");
 
     private final Stage stage;
     private final Wire jsonrpc;
