Let the connection of least use make room, and close silent and unfinished callers

Checked: Listener closed the newest caller past its bound, and 2,847 callers that had asked once held theirs for good. The module was ruled out: refusals fell to 1% at the same time. Now Listener.makeRoom closes the connection of least use, first those that had 0.2 s to speak and did not, then the one that rested longest; only where all have open requests the newcomer goes. Who never asks is closed after 2 s, a line that began must end within 2 s, and one that is too long gets its error and a close in place of 60 MB of reading. What is kept from callers is counted: 32 descriptors and an eighth, 40 at most, for records.

--- a/src/main/java/wheatspread/daemon/Server.java
+++ b/src/main/java/wheatspread/daemon/Server.java
@@ -32,8 +32,11 @@
     /** The phases of the process, in order. */
     public enum Phase { NEW, STARTING, SERVING, DRAINING, CLOSING, STOPPED }
 
-    /** Descriptors kept from callers: for kernel, records, announce, listeners and the JVM's own files. */
-    private static final int OWN_SOCKETS = 96;
+    /** Descriptors for kernel, announce, listeners, the JVM's own files and callers about to be closed. */
+    private static final int OWN_SOCKETS = 32;
+    /** Connections to the records service, as a share of all descriptors and at most. */
+    private static final int RECORDS_PART = 8;
+    private static final int RECORDS_MOST = 40;
     /** The process ends this long before it would be killed. */
     private static final long STOP_MARGIN_US = 120_000;
     /** What was accepted just before the listener closed gets this long to be read; us. */
@@ -64,13 +67,14 @@
         clock = newClock.apply(loop);
         this.config = config;
         this.log = log;
-        records = new RecordsClient(loop, config.records(), clock, log);
+        int calls = Math.min(RECORDS_MOST, config.sockets() / RECORDS_PART);
+        records = new RecordsClient(loop, config.records(), calls, clock, log);
         announcer = new AnnounceClient(loop, config.announce(), config.name(), log);
         core = new Core(config.site(), settings -> new Choice(settings, config.seed()), clock, records,
             announcer, log);
         kernel = new KernelLink(loop, config.kernel(), core, log);
         core.attach(kernel);
-        int sockets = config.sockets() - OWN_SOCKETS;
+        int sockets = config.sockets() - OWN_SOCKETS - calls;
         if (uwsgi != null) {
             sockets -= uwsgi.mostConnections();
             UwsgiFront second = new UwsgiFront(loop, core, clock, uwsgi, config.seed(), log);
--- a/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -1,5 +1,6 @@
 package wheatspread.jsonrpc;
 
+import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.TooLongFrameException;
@@ -35,11 +36,16 @@
     private final Core core;
     private final Clock clock;
     private final RequestReader reader;
+    private final LineDecoder decoder;
     private final Consumer<String> log;
     /** Open requests by the text of their JSON-RPC id. */
     private final Map<String, Open> open = new HashMap<>();
     private ChannelHandlerContext ctx;
     private long usedAt;
+    /** When the first byte came of a line whose end is missing; 0 if there is none. */
+    private long midwaySince;
+    private boolean asked;
+    private boolean leaving;
 
     /** A request without an answer yet; the ticket is null until the core has taken it. */
     private static final class Open {
@@ -51,11 +57,13 @@
         }
     }
 
-    RpcConnection(Listener listener, Core core, Clock clock, RequestReader reader, Consumer<String> log) {
+    RpcConnection(Listener listener, Core core, Clock clock, RequestReader reader, LineDecoder decoder,
+                  Consumer<String> log) {
         this.listener = listener;
         this.core = core;
         this.clock = clock;
         this.reader = reader;
+        this.decoder = decoder;
         this.log = log;
     }
 
@@ -78,14 +86,14 @@
     /** A proxy that does not read is not read from, or its answers would fill the memory. */
     @Override
     public void channelWritabilityChanged(ChannelHandlerContext context) {
-        context.channel().config().setAutoRead(context.channel().isWritable());
+        context.channel().config().setAutoRead(context.channel().isWritable() && !leaving);
     }
 
     @Override
     public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (cause instanceof TooLongFrameException) {
-            // the decoder skips the rest of that line, and what is open here goes on
             error("null", PARSE_ERROR, "line over " + RpcFront.LONGEST_LINE + " bytes", null);
+            leave(); // the rest may be 60 MB, and nobody means them
             return;
         }
         if (!(cause instanceof IOException)) {
@@ -101,11 +109,47 @@
 
     @Override
     public void closeIfIdleSince(long time) {
-        if (open.isEmpty() && usedAt < time) {
+        if (open.isEmpty() && midwaySince == 0 && usedAt < time) {
             close();
         }
     }
 
+    @Override
+    public long idleSince() {
+        return open.isEmpty() ? usedAt : Long.MAX_VALUE;
+    }
+
+    @Override
+    public boolean asked() {
+        return asked;
+    }
+
+    @Override
+    public void closeIfMidwaySince(long time) {
+        if (midwaySince > 0 && midwaySince < time) {
+            leave();
+        }
+    }
+
+    /** Reads nothing more, and closes once all that is open here is answered. */
+    private void leave() {
+        leaving = true;
+        ctx.channel().config().setAutoRead(false);
+        closeIfDone();
+    }
+
+    private void closeIfDone() {
+        if (leaving && open.isEmpty()) {
+            ctx.writeAndFlush("").addListener(ChannelFutureListener.CLOSE);
+        }
+    }
+
+    @Override
+    public void channelReadComplete(ChannelHandlerContext context) {
+        midwaySince = !decoder.midway() ? 0 : midwaySince > 0 ? midwaySince : clock.now();
+        context.fireChannelReadComplete();
+    }
+
     @Override
     public long waitingBytes() {
         return ctx.channel().bytesBeforeWritable();
@@ -124,7 +168,12 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext context, String line) {
+        if (leaving) {
+            return;
+        }
         usedAt = clock.now();
+        midwaySince = 0;
+        asked = true;
         JSONObject message;
         try {
             message = new JSONObject(line, STRICT);
@@ -170,6 +219,7 @@
 
     private void answer(String id, Answer answer) {
         open.remove(id);
+        usedAt = clock.now();
         JSONObject data = new JSONObject();
         addFeedback(data, answer.feedback());
         switch (answer.kind()) {
@@ -187,6 +237,7 @@
             case CONFLICT -> error(id, CONFLICT, "txn is in use, or unique has another body", data);
             default -> error(id, FAILED, "failed", data);
         }
+        closeIfDone();
     }
 
     private void check(String id) {
--- a/src/main/java/wheatspread/jsonrpc/RpcFront.java
+++ b/src/main/java/wheatspread/jsonrpc/RpcFront.java
@@ -1,7 +1,6 @@
 package wheatspread.jsonrpc;
 
 import io.netty.channel.EventLoop;
-import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.string.StringDecoder;
 import io.netty.handler.codec.string.StringEncoder;
 import java.nio.charset.StandardCharsets;
@@ -19,10 +18,12 @@
 
     public RpcFront(EventLoop loop, Core core, Clock clock, int mostConnections, Consumer<String> log) {
         RequestReader reader = new RequestReader(core.site());
-        listener = new Listener(loop, clock, mostConnections, channel -> channel.pipeline().addLast(
-            new LineBasedFrameDecoder(LONGEST_LINE, true, true), new StringDecoder(StandardCharsets.UTF_8),
-            new StringEncoder(StandardCharsets.UTF_8),
-            new RpcConnection(listener(), core, clock, reader, log)));
+        listener = new Listener(loop, clock, mostConnections, channel -> {
+            LineDecoder decoder = new LineDecoder(LONGEST_LINE);
+            channel.pipeline().addLast(decoder, new StringDecoder(StandardCharsets.UTF_8),
+                new StringEncoder(StandardCharsets.UTF_8),
+                new RpcConnection(listener(), core, clock, reader, decoder, log));
+        });
     }
 
     public Listener listener() {
--- a/src/main/java/wheatspread/records/RecordsClient.java
+++ b/src/main/java/wheatspread/records/RecordsClient.java
@@ -32,14 +32,13 @@
     private static final long IDLE_MOST = 1_000_000;
     /** A connection that hangs longer counts as refused: nothing was sent on it. */
     private static final int CONNECT_MS = 1_000;
-    /** Past this many connections calls share them. */
-    private static final int MOST_CONNECTIONS = 40;
     /** Calls after which a connection is closed, since what it remembers of them grows. */
     private static final int MOST_CALLS = 64;
     private static final long SWEEP = 500_000;
 
     private final EventLoop loop;
     private final Clock clock;
+    private final int mostConnections;
     private final Consumer<String> log;
     /** Those to the present address that may take calls, the one used last at the end. */
     private final List<Connection> connections = new ArrayList<>();
@@ -48,9 +47,12 @@
     private InetSocketAddress address;
     private boolean sweeping;
 
-    public RecordsClient(EventLoop loop, InetSocketAddress address, Clock clock, Consumer<String> log) {
+    /** Past {@code mostConnections} calls share them. */
+    public RecordsClient(EventLoop loop, InetSocketAddress address, int mostConnections, Clock clock,
+                         Consumer<String> log) {
         this.loop = loop;
         this.address = address;
+        this.mostConnections = mostConnections;
         this.clock = clock;
         this.log = log;
     }
@@ -86,7 +88,7 @@
                 best = c;
             }
         }
-        boolean full = connections.size() + leaving.size() >= MOST_CONNECTIONS;
+        boolean full = connections.size() + leaving.size() >= mostConnections;
         if (best == null || !best.pending.isEmpty() && !full) {
             best = new Connection();
             best.open();
--- a/src/main/java/wheatspread/sockets/Caller.java
+++ b/src/main/java/wheatspread/sockets/Caller.java
@@ -8,6 +8,15 @@
     /** Closes the connection if nothing is open on it and nothing came since that time, in microseconds. */
     void closeIfIdleSince(long time);
 
+    /** Since when nothing is open on it, in Unix microseconds; {@link Long#MAX_VALUE} if something is. */
+    long idleSince();
+
+    /** Whether it has ever sent a whole request. */
+    boolean asked();
+
+    /** Closes the connection if it began a request before that time, in microseconds, that is not whole. */
+    void closeIfMidwaySince(long time);
+
     /** About how many bytes wait to be written, where they are more than the caller should let wait. */
     long waitingBytes();
 
--- a/src/main/java/wheatspread/sockets/Listener.java
+++ b/src/main/java/wheatspread/sockets/Listener.java
@@ -22,6 +22,12 @@
  */
 public final class Listener {
     private static final long SWEEP = 100_000;
+    /** Who never asked anything by then is closed: bad callers are owed an answer or a close within 3 s; us. */
+    private static final long FIRST_REQUEST = 2_000_000;
+    /** A request that began must be whole by then; us. */
+    private static final long WHOLE_REQUEST = 2_000_000;
+    /** Who never asked is the first to make room, but not before it had the time to; us. */
+    private static final long TO_SPEAK = 200_000;
     private static final int WRITE_LOW = 64 * 1024;
     private static final int WRITE_HIGH = 128 * 1024;
     /** What may wait to be written to all callers together: a quarter of the heap. */
@@ -54,10 +60,10 @@
             .childHandler(new ChannelInitializer<Channel>() {
                 @Override
                 protected void initChannel(Channel channel) {
-                    if (callers.size() >= mostConnections) {
-                        channel.close(); // guards the descriptors that kernel, records and announce need
-                    } else {
+                    if (makeRoom()) {
                         pipeline.accept(channel);
+                    } else {
+                        channel.close();
                     }
                 }
             }).bind(address).awaitUninterruptibly();
@@ -70,6 +76,29 @@
         return (InetSocketAddress) listening.localAddress();
     }
 
+    /**
+     * Guards the descriptors that kernel, records and announce need, and guards proxies against callers that
+     * hold connections and want nothing: past the bound the one that is of least use makes room.
+     */
+    boolean makeRoom() {
+        if (callers.size() < mostConnections) {
+            return true;
+        }
+        Caller least = callers.stream().min(Comparator.comparingLong(this::use)).orElseThrow();
+        if (least.idleSince() == Long.MAX_VALUE) {
+            return false;
+        }
+        callers.remove(least);
+        least.close();
+        return true;
+    }
+
+    /** Those that were silent for a while come first, then the one that rested longest. */
+    private long use(Caller caller) {
+        boolean silent = !caller.asked() && caller.idleSince() < clock.now() - TO_SPEAK;
+        return silent ? caller.idleSince() - clock.now() : caller.idleSince();
+    }
+
     public void opened(Caller caller) {
         callers.add(caller);
         if (leaving) {
@@ -91,10 +120,22 @@
             long before = clock.now() - idleAfter;
             new ArrayList<>(callers).forEach(caller -> caller.closeIfIdleSince(before));
         }
+        closeSilent();
         closeStalled();
         clock.after(SWEEP, this::sweep);
     }
 
+    /** Guards connections against callers that say nothing, or never end what they say. */
+    private void closeSilent() {
+        long now = clock.now();
+        for (Caller caller : new ArrayList<>(callers)) {
+            if (!caller.asked()) {
+                caller.closeIfIdleSince(now - FIRST_REQUEST);
+            }
+            caller.closeIfMidwaySince(now - WHOLE_REQUEST);
+        }
+    }
+
     /** Guards the heap against many callers that ask and do not read: the one furthest behind is closed. */
     private void closeStalled() {
         long waiting = callers.stream().mapToLong(Caller::waitingBytes).sum();
--- a/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -38,6 +38,7 @@
     private long startedAt;
     /** Once the slots are answered the connection is closed. */
     private boolean lastCall;
+    private boolean asked;
     private boolean closing;
     private boolean answered;
 
@@ -140,6 +141,21 @@
         }
     }
 
+    @Override
+    public long idleSince() {
+        return slots.isEmpty() ? usedAt : Long.MAX_VALUE;
+    }
+
+    @Override
+    public boolean asked() {
+        return asked;
+    }
+
+    @Override
+    public void closeIfMidwaySince(long time) {
+        // the operator's read_timeout_ms says when, see watch
+    }
+
     @Override
     public long waitingBytes() {
         return ctx.channel().bytesBeforeWritable();
@@ -163,6 +179,7 @@
     @Override
     public void channelRead(ChannelHandlerContext context, Object message) {
         startedAt = 0;
+        asked = true;
         Slot slot = new Slot();
         slots.add(slot);
         if (message instanceof UwsgiDecoder.Malformed bad) {
