--- a/src/main/java/wheatspread/sockets/Listener.java
+++ b/src/main/java/wheatspread/sockets/Listener.java
@@ -22,7 +22,7 @@
  */
 public final class Listener {
     private static final long SWEEP = 100_000;
-    /** Who never asked anything by then is closed: bad callers are owed an answer or a close within 3 s; us. */
+    /** Who never asked by then is closed: bad callers are owed an answer or a close within 3 s; us. */
     private static final long FIRST_REQUEST = 2_000_000;
     /** A request that began must be whole by then; us. */
     private static final long WHOLE_REQUEST = 2_000_000;
