Open the window told to callers at rest, and judge calls by their median age

Checked: a probe logged the module's state each half second. It refused nothing (hold 0, pressure under 0.1); the tries were never sent. One jam at the start told a window of 2 D over 8 proxies, 3 each, and value() kept near that for good. The bound on calls sat at its floor of 7.33 of 18.33: one save-plan call without a reply lived 4.6 s, and the mean age of the calls in hand passed twice the usual 1.7 ms. Memory, D and the hold were ruled out. Now the window grows to four times as much while the pressure is under 0.3 and nothing is held, and closes twice as fast; it starts untold. Calls are judged by the median age in hand and by a difference over 10 ms; a call without a reply says nothing of others, and where a late answer earns nothing a call is waited for up to the aim, not the deadline.

--- a/src/main/java/wheatspread/admission/Choice.java
+++ b/src/main/java/wheatspread/admission/Choice.java
@@ -74,6 +74,8 @@
     private static final double CALL_DRIFT = 1.001;
     /** Mean call time over the usual one at which calls count as slow and their bound shrinks. */
     private static final double CALL_SLOW = 2.0;
+    /** A difference between call times that the process's own turns on its core account for; us. */
+    private static final double CALL_NOISE = 10_000;
     /** Wait at a call, as a share of the class's aim, after which it is skipped where that earns worth. */
     private static final double SKIP_AFTER = 0.1;
     /** Calls for one request at one point before it is given up; each further one waits a tick more. */
@@ -100,6 +102,11 @@
     /** Rate of tries over what the quotas give a server of the mean above which the fleet counts as flooded:
      * quotas may promise half of what the fleet can do, and load may go beyond that by a quarter. */
     private static final double FLOODED = 2.5;
+    /** The most that callers may have out there, as a multiple of twice D; they come in clumps. */
+    private static final double ROOM_MOST = 4;
+    /** Growth of that multiple per tick while the pressure is under this mark; it shrinks twice as fast. */
+    private static final double ROOM_GAIN = 0.1;
+    private static final double IDLE_PRESSURE = 0.3;
     /** A change of advice smaller than this is not sent. */
     private static final double ADVICE_STEP = 0.02;
 
@@ -229,8 +236,6 @@
     private double slot;
 
     private int callsOut;
-    /** Sum of the times at which the calls in hand began. */
-    private long callsBegun;
     private double callsMean;
     private long callsSince;
     private double callBound;
@@ -254,6 +259,8 @@
     private boolean jammed;
     private double advice;
     private double adviceSent;
+    private double room = ROOM_MOST;
+    private double roomSent = ROOM_MOST;
 
     /** The seed only spreads the times after which refused callers come back. */
     public Choice(Settings settings, long seed) {
@@ -380,8 +387,9 @@
             return;
         }
         boolean unseen = outcome == Outcome.QUEUE_FULL || outcome == Outcome.CONNECT_ERROR;
-        callEnded(job, !unseen, elapsed);
-        judgeCalls(unseen || callNow > CALL_SLOW * callUsual); // what turns calls away is crowded
+        // one without a reply says nothing of the others; where none gets one, their ages do
+        callEnded(job, !unseen && outcome != Outcome.TIMED_OUT, elapsed);
+        judgeCalls(unseen || slow(callNow)); // what turns calls away is crowded
         job.since = now;
         if (outcome == Outcome.OK) {
             move(job, State.RUNNING);
@@ -677,7 +685,7 @@
         });
         expire();
         estimateSlot();
-        if (callsOut > 0 && now - callsBegun / callsOut > CALL_SLOW * callUsual && callUsual > 0) {
+        if (slow(callAge())) {
             judgeCalls(true); // hanging calls tell by their ages before any of them ends
         }
         if (gauges != null && !stuck()) {
@@ -857,11 +865,12 @@
         long left = Math.min(job.due, stopAt - STOP_MARGIN) - settle - now;
         if (job.kind.skipWorth() > 0) {
             left = Math.min(left, (long) (CALL_PATIENCE * job.kind.aim()));
+        } else if (job.kind.lateWorth() == 0) {
+            left = Math.min(left, Math.max(job.aim - now, job.kind.aim() / 2)); // later it earns nothing
         }
         job.calls++;
         job.since = now;
         callsOut++;
-        callsBegun += now;
         move(job, State.CALLING);
         actions.call(job.id(), Math.max(settle, left));
     }
@@ -887,13 +896,25 @@
     private void callEnded(Job job, boolean seen, long elapsed) {
         countCalls();
         callsOut--;
-        callsBegun -= job.since;
         if (seen) {
             callNow = callNow == 0 ? elapsed : callNow + CALL_GAIN * (elapsed - callNow);
             callUsual = callUsual == 0 ? callNow : Math.min(callNow, callUsual * CALL_DRIFT);
         }
     }
 
+    private boolean slow(double time) {
+        return callUsual > 0 && time > Math.max(CALL_SLOW * callUsual, callUsual + CALL_NOISE);
+    }
+
+    /** The median age of the calls in hand: a mean would take one lost reply for a slow service, and so would
+     * a single call, unless hardly more may be in hand. */
+    private double callAge() {
+        long[] ages = jobs.values().stream().filter(job -> job.state == State.CALLING)
+            .mapToLong(job -> now - job.since).sorted().toArray();
+        double enough = Math.max(1, Math.min(2, settings.below().callsOut() / 2));
+        return ages.length < enough ? 0 : ages[(ages.length - 1) / 2];
+    }
+
     private void judgeCalls(boolean slow) {
         double least = settings.below().callsOut() * CALLS_LEAST;
         callBound = slow ? Math.max(least, callBound * 0.9)
@@ -919,9 +940,15 @@
         }
         advice += ADVICE_GAIN * (Math.min(PRESSURE_MOST, pressure()) - 1);
         advice = Math.max(0, Math.min(ADVICE_MOST, advice));
+        // guards against callers kept from idle cores, for good, by what one short jam made them heed
+        room *= pressure() < IDLE_PRESSURE && held == 0 ? 1 + ROOM_GAIN : 1 - 2 * ROOM_GAIN;
+        room = Math.max(1, Math.min(ROOM_MOST, room));
         double wanted = Math.max(advice, Math.min(1, (unread - UNREAD_MARK) / (JAMMED - UNREAD_MARK)));
-        if (Math.abs(wanted - adviceSent) >= ADVICE_STEP || wanted == 0 && adviceSent > 0) {
+        boolean moved = settings.callers().advice() == Advice.WINDOW
+            && Math.abs(room - roomSent) > ROOM_GAIN * roomSent;
+        if (moved || Math.abs(wanted - adviceSent) >= ADVICE_STEP || wanted == 0 && adviceSent > 0) {
             adviceSent = wanted;
+            roomSent = room;
             actions.advise(value());
         }
     }
@@ -987,7 +1014,8 @@
         return switch (settings.callers().advice()) {
             case THRESHOLD -> adviceSent;
             case SHARE -> 1 - adviceSent;
-            default -> Math.max(1, 2.0 * depth * (1 - adviceSent) / Math.max(1, settings.callers().count()));
+            default -> Math.max(1, 2.0 * depth * room * (1 - adviceSent)
+                / Math.max(1, settings.callers().count()));
         };
     }
 }
