Rehearse requests before the process listens, so that its first seconds serve

So the JVM loading and compiling what a request needs is the cause; load, kernel and hold were ruled out. Now Rehearsal takes up to 400 requests through a front, a core and a module of its own, with no socket, for 1.5 s at most, before the listeners are bound.

--- a/src/main/java/wheatspread/daemon/Main.java
+++ b/src/main/java/wheatspread/daemon/Main.java
@@ -48,6 +48,7 @@
             Server server = new Server(config, uwsgi, LoopClock::new, Main::log);
             // SIGHUP says that the configuration was replaced
             Hangup.handle(() -> server.reload(() -> ServerConfig.fromEnvironment(System.getenv())));
+            log("rehearsed " + new Rehearsal(config.site()).play(Rehearsal.LONGEST_NS) + " requests");
             server.start();
             // SIGTERM is the notice to leave: the JVM waits for this hook, which waits for the drain
             Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server), "drain"));
--- /dev/null
+++ b/src/main/java/wheatspread/daemon/Rehearsal.java
@@ -0,0 +1,176 @@
+package wheatspread.daemon;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.embedded.EmbeddedChannel;
+import io.netty.util.ReferenceCountUtil;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
+import java.util.Base64;
+import java.util.Comparator;
+import java.util.Deque;
+import java.util.PriorityQueue;
+import org.json.JSONObject;
+import wheatspread.admission.Admission.Effect;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Admission.RequestClass;
+import wheatspread.admission.Choice;
+import wheatspread.core.Clock;
+import wheatspread.core.Core;
+import wheatspread.core.Kernel;
+import wheatspread.core.Records;
+import wheatspread.core.Site;
+import wheatspread.jsonrpc.RpcFront;
+
+/**
+ * Takes some requests through a front, a core and a module of its own before the process listens, without a
+ * socket. Guards against the first seconds of service: until the JVM has loaded and compiled what a request
+ * needs, a part of a core is too slow for the load, tries wait unread, and good ones are refused.
+ */
+final class Rehearsal implements Clock, Kernel, Records {
+    private static final int ROUNDS = 400;
+    /** It ends early where the core is slow: a server that comes late serves nobody. */
+    static final long LONGEST_NS = 1_500_000_000L;
+    private static final long STEP = 5_000;
+    private static final byte[] BODY = new byte[256];
+
+    private record Task(long at, long number, Runnable what) { }
+
+    private final Site site;
+    private final Core core;
+    private final PriorityQueue<Task> tasks =
+        new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::number));
+    private final Deque<Runnable> soon = new ArrayDeque<>();
+    private long now = 1_000_000_000;
+    private long set;
+    private long notices;
+
+    Rehearsal(Site site) {
+        this.site = site;
+        core = new Core(site, settings -> new Choice(settings, 1), this, this, accepting -> { }, text -> { });
+        core.attach(this);
+        core.booted(false, 0);
+    }
+
+    /** Goes on for so many nanoseconds at most, and returns how many requests were served. */
+    int play(long longest) {
+        long until = System.nanoTime() + longest;
+        RpcFront front = new RpcFront(null, core, this, 1, text -> { });
+        EmbeddedChannel channel = new EmbeddedChannel(new ChannelInitializer<Channel>() {
+            @Override
+            protected void initChannel(Channel opened) {
+                front.listener().accept(opened);
+            }
+        });
+        int served = 0;
+        for (int round = 1; round <= ROUNDS && System.nanoTime() < until; round++) {
+            channel.writeInbound(Unpooled.copiedBuffer(request(round) + "\n", StandardCharsets.UTF_8));
+            pass(now + STEP);
+            for (Object out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
+                served += out instanceof ByteBuf line
+                    && line.toString(StandardCharsets.UTF_8).contains("\"result\"") ? 1 : 0;
+                ReferenceCountUtil.release(out);
+            }
+        }
+        channel.finishAndReleaseAll();
+        return served;
+    }
+
+    private String request(int round) {
+        int kind = round % site.classes().size();
+        RequestClass told = site.settings().classes().get(kind);
+        JSONObject params = new JSONObject().put("txn", String.format("%016x", round)).put("door", now / 1000)
+            .put("lb", 1).put("limit", told.deadline() / 1000).put("cpu", 20.5).put("ram", 20.5)
+            .put("standing", 0.5).put("blob", encoded());
+        if (!site.tenants().isEmpty()) {
+            params.put("team", site.tenants().get(round % site.tenants().size()));
+        }
+        params.put(told.effect() == Effect.KEYED ? "unique" : "item", "rehearsed-" + round);
+        return new JSONObject().put("jsonrpc", "2.0").put("id", round).put("method", site.classes().get(kind))
+            .put("params", params).toString();
+    }
+
+    private static String encoded() {
+        return Base64.getEncoder().encodeToString(BODY);
+    }
+
+    private void pass(long until) {
+        while (!soon.isEmpty() || !tasks.isEmpty() && tasks.peek().at() <= until) {
+            if (soon.isEmpty()) {
+                now = Math.max(now, tasks.peek().at());
+                tasks.poll().what().run();
+            } else {
+                soon.poll().run();
+            }
+        }
+        now = until;
+    }
+
+    // ---- the clock ----
+
+    @Override
+    public long now() {
+        return now;
+    }
+
+    @Override
+    public Timer after(long micros, Runnable task) {
+        Task one = new Task(now + micros, ++set, task);
+        tasks.add(one);
+        return () -> tasks.remove(one);
+    }
+
+    @Override
+    public void soon(Runnable task) {
+        soon.add(task);
+    }
+
+    // ---- the kernel: each run asks for a call, if its class makes calls, and ends well ----
+
+    @Override
+    public void run(String job, String kind, byte[] body) {
+        boolean calls = site.settings().classes().get(site.classes().indexOf(kind)).calls();
+        after(STEP, () -> {
+            if (calls) {
+                core.blocked(job, ++notices, body);
+            } else {
+                core.ended(job, End.OK, STEP, body);
+            }
+        });
+    }
+
+    @Override
+    public void pause(String job) {
+        core.ended(job, End.STOPPED, STEP, null);
+    }
+
+    @Override
+    public void resume(String job) {
+        core.ended(job, End.OK, STEP, BODY);
+    }
+
+    @Override
+    public void callDone(String job, byte[] reply) {
+        after(STEP, () -> core.ended(job, End.OK, STEP, reply));
+    }
+
+    @Override
+    public void skipCall(String job, long notice) {
+        callDone(job, BODY);
+    }
+
+    @Override
+    public void askGauges() {
+        core.gauges(new double[] {0.5, 2, 0.1, 3});
+    }
+
+    // ---- the records service ----
+
+    @Override
+    public Call call(String job, byte[] body, long patience, Records.Listener listener) {
+        Timer reply = after(STEP, () -> listener.ended(Outcome.OK, body));
+        return reply::cancel;
+    }
+}
--- a/src/main/java/wheatspread/sockets/Listener.java
+++ b/src/main/java/wheatspread/sockets/Listener.java
@@ -61,7 +61,7 @@
                 @Override
                 protected void initChannel(Channel channel) {
                     if (makeRoom()) {
-                        pipeline.accept(channel);
+                        accept(channel);
                     } else {
                         channel.close();
                     }
@@ -76,6 +76,11 @@
         return (InetSocketAddress) listening.localAddress();
     }
 
+    /** Gives a channel the handlers of a caller. */
+    public void accept(Channel channel) {
+        pipeline.accept(channel);
+    }
+
     /**
      * Guards the descriptors that kernel, records and announce need, and guards proxies against callers that
      * hold connections and want nothing: past the bound the one that is of least use makes room.
--- a/src/test/java/wheatspread/daemon/BothFrontsTest.java
+++ b/src/test/java/wheatspread/daemon/BothFrontsTest.java
@@ -4,10 +4,15 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
 import java.util.Collections;
 import java.util.Map;
 import java.util.TreeMap;
+import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
+import wheatspread.config.Fields;
+import wheatspread.config.ServerConfig;
 
 /** Both protocols at once, on one core: the same requests come to the same ends and counts. */
 class BothFrontsTest {
@@ -54,6 +59,14 @@
         }
     }
 
+    /** Guards against a rehearsal that compiles the refusal of requests in place of their service. */
+    @Test
+    void theRehearsalServesWhatItAsks() throws Exception {
+        JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
+        Rehearsal rehearsal = new Rehearsal(ServerConfig.read(Fields.of(told.toMap(), "")).site());
+        assertThat(rehearsal.play(Long.MAX_VALUE / 2)).isBetween(390, 400);
+    }
+
     /** The answers over both protocols are those, and so the same. */
     private static void expect(StandInProxy proxy, Map<String, String> outcomes) throws IOException {
         assertThat(proxy.overJsonRpc()).isEqualTo(new TreeMap<>(outcomes));
