--- a/src/main/java/wheatspread/sockets/Listener.java
+++ b/src/main/java/wheatspread/sockets/Listener.java
@@ -31,7 +31,7 @@
     private static final int WRITE_LOW = 64 * 1024;
     private static final int WRITE_HIGH = 128 * 1024;
     /** What may wait to be written to all callers together: a quarter of the heap. */
-    private static final long MOST_WAITING = 16 * 1024 * 1024;
+    private static final long MOST_WAITING = 12 * 1024 * 1024;
 
     private final EventLoop loop;
     private final Clock clock;
