Split the build into a reactor of server and lab

Need: the growth to come brings a laboratory with libraries that must stay out of the server's jar. The platform's build makes the server alone.

--- a/Makefile
+++ b/Makefile
@@ -1,6 +1,6 @@
 .PHONY: build test lint run adapter clean
 
-build:           ## the jar, without tests
+build:           ## the jars of server and lab, without tests
 	mvn -q -DskipTests package
 
 test:            ## tests and lint, as CI runs them
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -0,0 +1,22 @@
+package wheatspread.lab;
+
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+
+/** The laboratory: load, stand-ins, experiments and their reports. */
+@Command(name = "wheatspread-lab", mixinStandardHelpOptions = true, version = "0.1.0",
+    description = "Measures the server beside stand-ins of the parties round it.",
+    synopsisSubcommandLabel = "COMMAND")
+public final class Lab implements Runnable {
+    @CommandLine.Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    public static void main(String[] args) {
+        System.exit(new CommandLine(new Lab()).execute(args));
+    }
+
+    @Override
+    public void run() {
+        throw new CommandLine.ParameterException(spec.commandLine(), "a command is missing");
+    }
+}
--- a/src/test/java/wheatspread/PackagesTest.java
+++ b/server/src/test/java/wheatspread/PackagesTest.java
@@ -66,10 +66,10 @@
 
     @Test
     void theDeployFileListsEveryServerPackage() throws IOException {
-        String deploy = Files.readString(Path.of("deploy/balancer.toml"));
+        String deploy = Files.readString(Path.of("../deploy/balancer.toml"));
         for (String name : imports().keySet()) {
             if (!Set.of("admission", "sim").contains(name)) {
-                assertThat(deploy).contains("\"src/main/java/wheatspread/" + name + "\"");
+                assertThat(deploy).contains("\"server/src/main/java/wheatspread/" + name + "\"");
             }
         }
     }
