--- a/server/src/main/java/wheatspread/announce/AnnounceClient.java
+++ b/server/src/main/java/wheatspread/announce/AnnounceClient.java
@@ -6,9 +6,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
 import io.netty.handler.codec.http.HttpClientCodec;
@@ -33,7 +32,8 @@
     /** A change is reported once more after this long: an older report may be read behind it. */
     private static final long AGAIN_MS = 150;
 
-    private final EventLoop loop;
+    private final EventLoopGroup loop;
+    private final Bootstrap clients;
     private final String name;
     private final Consumer<String> log;
     private InetSocketAddress address;
@@ -43,8 +43,9 @@
     private boolean started;
     private boolean closed;
 
-    public AnnounceClient(EventLoop loop, InetSocketAddress address, String name, Consumer<String> log) {
-        this.loop = loop;
+    public AnnounceClient(Bootstrap clients, InetSocketAddress address, String name, Consumer<String> log) {
+        loop = clients.config().group();
+        this.clients = clients;
         this.address = address;
         this.name = name;
         this.log = log;
@@ -106,7 +107,7 @@
         private boolean dropped;
 
         void open() {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            clients.clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- a/server/src/main/java/wheatspread/config/Fields.java
+++ b/server/src/main/java/wheatspread/config/Fields.java
@@ -4,6 +4,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.TreeSet;
 
 /** Typed access to one object of a message or a configuration; complaints name the faulty key by its path. */
 public final class Fields {
@@ -139,6 +140,15 @@
         return new BadValue(key(name) + " " + complaint);
     }
 
+    /** A misspelt key must not pass for an absent one. */
+    public void only(Set<String> keys) {
+        for (String name : names()) {
+            if (!keys.contains(name)) {
+                throw bad(name, "is an unknown key; known are " + new TreeSet<>(keys));
+            }
+        }
+    }
+
     public Set<String> names() {
         return map.keySet();
     }
--- /dev/null
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -0,0 +1,91 @@
+package wheatspread.config;
+
+import java.nio.file.Path;
+import java.util.Map;
+import java.util.Set;
+import wheatspread.connections.ConnectionLimits;
+import wheatspread.connections.ConnectionLimits.Refusal;
+import wheatspread.core.Site;
+import wheatspread.turns.TurnLimits;
+
+/**
+ * The operator's file: the second front, what holds for connections, and how the event loop spends its turns.
+ * What is absent has its default. Times are microseconds here and milliseconds in the file.
+ *
+ * @param uwsgi null where the second front is off
+ * @param mostConnections of all fronts together; 0 for what the descriptors allow
+ * @param connections what holds for every front's connections, but for their number
+ * @param transport {@code nio}, {@code epoll} or {@code auto}
+ * @param reportSeconds how often counters are logged; 0 for at the end only
+ */
+public record OperatorConfig(UwsgiConfig uwsgi, int mostConnections, ConnectionLimits connections,
+                             TurnLimits turns, String transport, int reportSeconds) {
+    /** What holds without a file, as on the platform. */
+    public static final OperatorConfig NONE =
+        new OperatorConfig(null, 0, ConnectionLimits.usual(0), TurnLimits.USUAL, "nio", 0);
+
+    private static final int HOUR_MS = 3_600_000;
+    private static final Map<String, Refusal> REFUSALS = Map.of("close", Refusal.CLOSE, "reset",
+        Refusal.RESET,
+        "answer", Refusal.ANSWER);
+    private static final Map<String, String> TRANSPORTS = Map.of("nio", "nio", "epoll", "epoll", "auto",
+        "auto");
+
+    /** Complaints name the file and the key. */
+    public static OperatorConfig readFile(Path file, Site site) {
+        Fields all = Fields.of(ServerConfig.readFile(file).toMap(), "");
+        try {
+            return read(all, site);
+        } catch (Fields.BadValue e) {
+            throw new Fields.BadValue(file + ": " + e.getMessage());
+        }
+    }
+
+    static OperatorConfig read(Fields told, Site site) {
+        told.only(Set.of("uwsgi", "connections", "turns", "transport", "report_s"));
+        UwsgiConfig uwsgi = told.has("uwsgi") ? UwsgiConfig.read(told.object("uwsgi", false), site) : null;
+        Fields connections = told.object("connections", true);
+        return new OperatorConfig(uwsgi, connections.integer("max", 0, 0, 1 << 20), limits(connections),
+            turns(told.object("turns", true)), told.word("transport", TRANSPORTS, NONE.transport),
+            told.integer("report_s", 0, 0, 3_600));
+    }
+
+    private static ConnectionLimits limits(Fields told) {
+        told.only(Set.of("max", "max_per_source", "accepts_per_s", "accept_burst", "first_request_ms",
+            "whole_request_ms", "idle_timeout_ms", "leaving_ms", "to_speak_ms", "max_partial_kb", "refused"));
+        ConnectionLimits usual = NONE.connections;
+        return new ConnectionLimits(0, told.integer("max_per_source", usual.mostOfSource(), 0, 1 << 20),
+            told.integer("accepts_per_s", usual.acceptsPerSecond(), 0, 1_000_000),
+            told.integer("accept_burst", usual.acceptBurst(), 1, 1_000_000),
+            millis(told, "first_request_ms", usual.firstRequest(), 10),
+            millis(told, "whole_request_ms", usual.wholeRequest(), 10),
+            millis(told, "idle_timeout_ms", usual.idle(), 0), millis(told, "leaving_ms", usual.leaving(), 10),
+            millis(told, "to_speak_ms", usual.toSpeak(), 0),
+            told.integer("max_partial_kb", (int) (usual.mostHeld() >> 10), 64, 1 << 20) * 1024L,
+            told.word("refused", REFUSALS, usual.refusal()));
+    }
+
+    private static TurnLimits turns(Fields told) {
+        told.only(Set.of("read_kb", "requests", "read_us", "lately_ms", "sleepers_part", "expiring"));
+        TurnLimits usual = TurnLimits.USUAL;
+        return new TurnLimits(told.integer("read_kb", usual.mostBytes() >> 10, 4, 1 << 16) << 10,
+            told.integer("requests", usual.mostRequests(), 1, 100_000),
+            told.integer("read_us", usual.mostMicros(), 100, 1_000_000), millis(told, "lately_ms",
+                usual.lately(), 0),
+            told.integer("sleepers_part", usual.sleepersPart(), 2, 1_000),
+            told.integer("expiring", usual.mostExpiring(), 1, 100_000));
+    }
+
+    private static long millis(Fields told, String key, long absent, int least) {
+        return told.integer(key, (int) (absent / 1_000), least, HOUR_MS) * 1_000L;
+    }
+
+    /** What holds for the uwsgi front's connections. */
+    public ConnectionLimits uwsgiLimits() {
+        ConnectionLimits c = connections;
+        return new ConnectionLimits(uwsgi.mostConnections(), c.mostOfSource(), c.acceptsPerSecond(),
+            c.acceptBurst(), c.firstRequest(), uwsgi.readTimeout(), uwsgi.idleTimeout(), c.leaving(),
+                c.toSpeak(),
+            c.mostHeld(), c.refusal());
+    }
+}
--- a/server/src/main/java/wheatspread/config/UwsgiConfig.java
+++ b/server/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -1,7 +1,6 @@
 package wheatspread.config;
 
 import java.net.InetSocketAddress;
-import java.nio.file.Path;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -42,15 +41,10 @@
      */
     public record Route(Match match, String path, Pattern pattern, Defaults defaults, List<Route> routes) { }
 
-    public static UwsgiConfig readFile(Path file, Site site) {
-        Fields all = Fields.of(ServerConfig.readFile(file).toMap(), "");
-        return read(all.object("uwsgi", false), site);
-    }
-
     static UwsgiConfig read(Fields told, Site site) {
-        known(told, KEYS);
+        told.only(KEYS);
         Fields names = told.object("vars", true);
-        known(names, Set.of("class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "unique", "item"));
+        names.only(Set.of("class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "unique", "item"));
         Vars usual = Vars.USUAL;
         Vars vars = new Vars(names.text("class", usual.kind), names.text("tenant", usual.tenant),
             names.text("limit_ms", usual.limit), names.text("cpu_ms", usual.hint),
@@ -70,7 +64,7 @@
     }
 
     private static Defaults defaults(Fields told, Defaults outer, Site site, Set<String> keys) {
-        known(told, keys);
+        told.only(keys);
         return new Defaults(index(told, "class", site.classes(), outer.kind),
             index(told, "tenant", site.tenants(), outer.tenant),
             told.integer("limit_ms", (int) (outer.limit / 1000), 0, 3_600_000) * 1000L,
@@ -113,13 +107,4 @@
             Set.of("match", "path", "class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "routes")),
             routes(told, outer, site));
     }
-
-    /** A misspelt key must not pass for an absent one. */
-    private static void known(Fields told, Set<String> keys) {
-        for (String name : told.names()) {
-            if (!keys.contains(name)) {
-                throw told.bad(name, "is an unknown key");
-            }
-        }
-    }
 }
--- /dev/null
+++ b/server/src/main/java/wheatspread/connections/Connection.java
@@ -0,0 +1,70 @@
+package wheatspread.connections;
+
+/**
+ * One connection in a {@link ConnectionTable}: a node of its table's lists, with nothing in it that a
+ * connection at rest doesn't need. Only the table changes it.
+ */
+public final class Connection {
+    /** What a connection is about, as far as its limits go. */
+    public enum State {
+        /** Accepted, and no byte has come. */
+        NEW,
+        /** A part of a message has come. */
+        SPEAKING,
+        /** It waits for answers, and says nothing. */
+        ASKING,
+        /** It has asked before, and everything is answered. */
+        RESTING,
+        /** Nothing more is read from it; it closes once everything is answered. */
+        LEAVING,
+        /** It is no longer in the table. */
+        GONE
+    }
+
+    final Caller caller;
+    final Sources.Source source;
+    State state = State.GONE;
+    /** Since when it is in this state: since its first byte where it speaks, since its last use otherwise. */
+    long since;
+    long usedAt;
+    int open;
+    int held;
+    boolean asked;
+    boolean leaving;
+    /** Bytes wait in its socket that this server was too busy to read, or does not read on purpose. */
+    boolean unread;
+    /** The neighbours in the list of its state. */
+    Connection previous;
+    Connection next;
+    /** The neighbours among the connections of its source that rest. */
+    Connection previousOfSource;
+    Connection nextOfSource;
+
+    Connection(Caller caller, Sources.Source source) {
+        this.caller = caller;
+        this.source = source;
+    }
+
+    public State state() {
+        return state;
+    }
+
+    public Caller caller() {
+        return caller;
+    }
+
+    /** Requests that wait for their answers. */
+    public int open() {
+        return open;
+    }
+
+    /** When it last asked or was answered, or was accepted; microseconds. */
+    public long usedAt() {
+        return usedAt;
+    }
+
+    /** Tells whether bytes wait in its socket that are not its fault: its limits start anew meanwhile. */
+    public void unread(boolean waits) {
+        unread = waits;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/connections/ConnectionCounters.java
@@ -0,0 +1,36 @@
+package wheatspread.connections;
+
+/** How often each limit of a {@link ConnectionTable} came to bear since the start. */
+public final class ConnectionCounters {
+    long accepted;
+    long paused;
+    long refusedFull;
+    long refusedSource;
+    long roomSilent;
+    long roomSpeaking;
+    long roomResting;
+    long closedSilent;
+    long closedHalf;
+    long closedIdle;
+    long closedLeaving;
+    long closedHeld;
+
+    /** Connections that were turned away at once, for whatever reason. */
+    public long refused() {
+        return refusedFull + refusedSource;
+    }
+
+    /** Connections that made room for others. */
+    public long madeRoom() {
+        return roomSilent + roomSpeaking + roomResting;
+    }
+
+    @Override
+    public String toString() {
+        return "accepted " + accepted + ", accepts_paused " + paused + ", refused_full " + refusedFull
+            + ", refused_source " + refusedSource + ", room_silent " + roomSilent + ", room_speaking "
+            + roomSpeaking + ", room_resting " + roomResting + ", closed_silent " + closedSilent
+            + ", closed_half " + closedHalf + ", closed_idle " + closedIdle + ", closed_leaving "
+            + closedLeaving + ", closed_held " + closedHeld;
+    }
+}
--- a/server/src/main/java/wheatspread/daemon/LoopClock.java
+++ b/server/src/main/java/wheatspread/daemon/LoopClock.java
@@ -1,17 +1,16 @@
 package wheatspread.daemon;
 
-import io.netty.channel.EventLoop;
-import io.netty.util.concurrent.ScheduledFuture;
 import java.time.Instant;
-import java.util.concurrent.TimeUnit;
 import wheatspread.core.Clock;
+import wheatspread.sockets.Turns;
+import wheatspread.timers.TimerWheel;
 
-/** The system's Unix clock, with the timers of the one event loop. */
+/** The system's Unix clock, with the timers and turns of the one event loop. */
 public final class LoopClock implements Clock {
-    private final EventLoop loop;
+    private final Turns turns;
 
-    public LoopClock(EventLoop loop) {
-        this.loop = loop;
+    public LoopClock(Turns turns) {
+        this.turns = turns;
     }
 
     @Override
@@ -22,12 +21,32 @@
 
     @Override
     public Timer after(long micros, Runnable task) {
-        ScheduledFuture<?> future = loop.schedule(task, micros, TimeUnit.MICROSECONDS);
-        return () -> future.cancel(false);
+        Bell bell = new Bell(task);
+        turns.wheel().set(bell, Turns.micros() + micros);
+        return bell;
     }
 
     @Override
     public void soon(Runnable task) {
-        loop.execute(task);
+        turns.soon(task);
+    }
+
+    /** A timer of the wheel. */
+    private final class Bell extends TimerWheel.Timer implements Timer {
+        private final Runnable task;
+
+        Bell(Runnable task) {
+            this.task = task;
+        }
+
+        @Override
+        protected void ring() {
+            turns.run(task);
+        }
+
+        @Override
+        public void cancel() {
+            turns.wheel().cancel(this);
+        }
     }
 }
--- a/server/src/main/java/wheatspread/daemon/Main.java
+++ b/server/src/main/java/wheatspread/daemon/Main.java
@@ -4,8 +4,8 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import wheatspread.config.Fields;
+import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
-import wheatspread.config.UwsgiConfig;
 import wheatspread.nginx.Importer;
 import wheatspread.sim.BenchLink;
 
@@ -43,9 +43,9 @@
     private static void serve(String operatorFile) throws InterruptedException {
         try {
             ServerConfig config = ServerConfig.fromEnvironment(System.getenv());
-            UwsgiConfig uwsgi = operatorFile == null ? null
-                : UwsgiConfig.readFile(Path.of(operatorFile), config.site());
-            Server server = new Server(config, uwsgi, LoopClock::new, Main::log);
+            OperatorConfig operator = operatorFile == null ? OperatorConfig.NONE
+                : OperatorConfig.readFile(Path.of(operatorFile), config.site());
+            Server server = new Server(config, operator, (loop, turns) -> new LoopClock(turns), Main::log);
             // SIGHUP says that the configuration was replaced
             Hangup.handle(() -> server.reload(() -> ServerConfig.fromEnvironment(System.getenv())));
             log("rehearsed " + new Rehearsal(config.site()).play(Rehearsal.LONGEST_NS) + " requests");
--- a/server/src/main/java/wheatspread/daemon/Rehearsal.java
+++ b/server/src/main/java/wheatspread/daemon/Rehearsal.java
@@ -2,8 +2,6 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelInitializer;
 import io.netty.channel.embedded.EmbeddedChannel;
 import io.netty.util.ReferenceCountUtil;
 import java.nio.charset.StandardCharsets;
@@ -17,12 +15,16 @@
 import wheatspread.admission.Admission.Outcome;
 import wheatspread.admission.Admission.RequestClass;
 import wheatspread.admission.Choice;
+import wheatspread.connections.ConnectionLimits;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
 import wheatspread.core.Kernel;
 import wheatspread.core.Records;
 import wheatspread.core.Site;
 import wheatspread.jsonrpc.RpcFront;
+import wheatspread.sockets.Transport;
+import wheatspread.sockets.Turns;
+import wheatspread.turns.TurnLimits;
 
 /**
  * Takes some requests through a front, a core and a module of its own before the process listens, without a
@@ -57,13 +59,11 @@
     /** Goes on for so many nanoseconds at most, and returns how many requests were served. */
     int play(long longest) {
         long until = System.nanoTime() + longest;
-        RpcFront front = new RpcFront(null, core, this, 1, text -> { });
-        EmbeddedChannel channel = new EmbeddedChannel(new ChannelInitializer<Channel>() {
-            @Override
-            protected void initChannel(Channel opened) {
-                front.listener().accept(opened);
-            }
-        });
+        Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, text -> { });
+        var listener = new wheatspread.sockets.Listener(null, turns, this, new RpcFront(core, this),
+            ConnectionLimits.usual(1),
+            text -> { });
+        EmbeddedChannel channel = new EmbeddedChannel(listener.callerOf(0));
         int served = 0;
         for (int round = 1; round <= ROUNDS && System.nanoTime() < until; round++) {
             channel.writeInbound(Unpooled.copiedBuffer(request(round) + "\n", StandardCharsets.UTF_8));
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -1,8 +1,8 @@
 package wheatspread.daemon;
 
+import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
-import io.netty.channel.nio.NioIoHandler;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
@@ -10,14 +10,16 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.function.BiFunction;
 import java.util.function.Consumer;
-import java.util.function.Function;
 import java.util.function.Supplier;
 import wheatspread.admission.Choice;
 import wheatspread.announce.AnnounceClient;
 import wheatspread.config.Fields;
+import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
-import wheatspread.config.UwsgiConfig;
+import wheatspread.connections.Connection.State;
+import wheatspread.connections.ConnectionTable;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
 import wheatspread.core.Counts;
@@ -25,6 +27,8 @@
 import wheatspread.kernel.KernelLink;
 import wheatspread.records.RecordsClient;
 import wheatspread.sockets.Listener;
+import wheatspread.sockets.Transport;
+import wheatspread.sockets.Turns;
 import wheatspread.uwsgi.UwsgiFront;
 
 /** One server process: wires core, links and fronts to one event loop, and leads it from start to exit. */
@@ -45,9 +49,10 @@
 
     private final ServerConfig config;
     private final Consumer<String> log;
-    private final MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-    private final EventLoop loop = group.next();
+    private final OperatorConfig operator;
+    private final Turns turns;
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
     private final Clock clock;
     private final KernelLink kernel;
     private final RecordsClient records;
@@ -61,29 +66,44 @@
     private long leaveBy;
     private long listenUntil;
 
-    /** {@code uwsgi} is null where the second front is off; {@code newClock} makes the clock of the loop. */
-    public Server(ServerConfig config, UwsgiConfig uwsgi, Function<EventLoop, Clock> newClock,
+    /** {@code newClock} makes the clock of the loop. */
+    public Server(ServerConfig config, OperatorConfig operator, BiFunction<EventLoop, Turns, Clock> newClock,
                   Consumer<String> log) {
-        clock = newClock.apply(loop);
         this.config = config;
+        this.operator = operator;
         this.log = log;
+        Transport transport = Transport.named(operator.transport());
+        turns = new Turns(transport, operator.turns(), log);
+        group = new MultiThreadIoEventLoopGroup(1, turns);
+        loop = group.next();
+        clock = newClock.apply(loop, turns);
+        turns.usedBy(clock::now);
+        Bootstrap clients = new Bootstrap().group(loop).channel(transport.clientChannel());
         int calls = Math.min(RECORDS_MOST, config.sockets() / RECORDS_PART);
-        records = new RecordsClient(loop, config.records(), calls, clock, log);
-        announcer = new AnnounceClient(loop, config.announce(), config.name(), log);
+        records = new RecordsClient(clients, config.records(), calls, clock, log);
+        announcer = new AnnounceClient(clients, config.announce(), config.name(), log);
         core = new Core(config.site(), settings -> new Choice(settings, config.seed()), clock, records,
             announcer, log);
-        kernel = new KernelLink(loop, config.kernel(), core, log);
+        kernel = new KernelLink(clients, config.kernel(), core, log);
         core.attach(kernel);
         int sockets = config.sockets() - OWN_SOCKETS - calls;
-        if (uwsgi != null) {
-            sockets -= uwsgi.mostConnections();
-            UwsgiFront second = new UwsgiFront(loop, core, clock, uwsgi, config.seed(), log);
-            fronts.put(second.listener(), uwsgi.listen());
+        if (operator.mostConnections() > sockets) {
+            throw new Fields.BadValue("connections.max is " + operator.mostConnections()
+                + ", and limits.sockets"
+                + " leaves " + sockets);
+        }
+        sockets = operator.mostConnections() > 0 ? operator.mostConnections() : sockets;
+        if (operator.uwsgi() != null) {
+            sockets -= operator.uwsgi().mostConnections();
+            UwsgiFront second = new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
+            fronts.put(new Listener(loop, turns, clock, second, operator.uwsgiLimits(), log),
+                operator.uwsgi().listen());
         }
         if (sockets < 1) {
             throw new Fields.BadValue("uwsgi.max_connections leaves no sockets to the platform's front");
         }
-        fronts.put(new RpcFront(loop, core, clock, sockets, log).listener(), config.listen());
+        fronts.put(new Listener(loop, turns, clock, new RpcFront(core, clock),
+            operator.connections().with(sockets), log), config.listen());
         core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
@@ -100,7 +120,12 @@
         });
         fronts.forEach((front, address) -> bound.add(front.listen(address)));
         log.accept("listening on " + bound);
-        loop.execute(() -> enter(Phase.SERVING));
+        loop.execute(() -> {
+            enter(Phase.SERVING);
+            if (operator.reportSeconds() > 0) {
+                clock.after(operator.reportSeconds() * 1_000_000L, this::reportAgain);
+            }
+        });
     }
 
     /** The addresses that were bound: the uwsgi front's first where it is on, then the platform's. */
@@ -134,6 +159,25 @@
         }
     }
 
+    /** What came of the limits so far. */
+    private void report() {
+        log.accept(core.counts().toString());
+        fronts.forEach((front, address) -> {
+            ConnectionTable table = front.table();
+            log.accept("connections " + address + ": now " + table.size() + ", resting "
+                + table.sizeOf(State.RESTING) + ", " + table.counters());
+        });
+        log.accept("turns: " + turns.times() + ", exhausted " + turns.order().exhausted() + ", sleepers "
+            + turns.order().sleepers() + ", timers " + turns.wheel().size());
+    }
+
+    private void reportAgain() {
+        if (phase.compareTo(Phase.CLOSING) < 0) {
+            report();
+            clock.after(operator.reportSeconds() * 1_000_000L, this::reportAgain);
+        }
+    }
+
     /** The notice to leave. */
     public void drain() {
         loop.execute(() -> {
@@ -166,7 +210,7 @@
 
     private void close() {
         enter(Phase.CLOSING);
-        log.accept(core.counts().toString());
+        report();
         fronts.keySet().forEach(Listener::close);
         kernel.close();
         records.close();
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -1,25 +1,18 @@
 package wheatspread.jsonrpc;
 
-import io.netty.channel.ChannelFutureListener;
-import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.handler.codec.TooLongFrameException;
-import java.io.IOException;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import java.nio.charset.StandardCharsets;
 import java.util.Base64;
-import java.util.HashMap;
-import java.util.Map;
-import java.util.function.Consumer;
 import org.json.JSONException;
 import org.json.JSONObject;
 import org.json.JSONParserConfiguration;
 import wheatspread.core.Answer;
-import wheatspread.core.Clock;
-import wheatspread.core.Core;
-import wheatspread.sockets.Caller;
+import wheatspread.sockets.CallerHandler;
 import wheatspread.sockets.Listener;
 
 /** One proxy's connection: reads JSON-RPC lines, hands tries to the core and writes their answers. */
-final class RpcConnection extends SimpleChannelInboundHandler<String> implements Caller {
+final class RpcConnection extends CallerHandler {
     static final int REFUSED = -32066;
     static final int FAILED = -32000;
     static final int OUT_OF_TIME = -32001;
@@ -32,74 +25,44 @@
     private static final int INVALID_PARAMS = -32602;
     private static final int MOST_OPEN = 32;
 
-    private final Listener listener;
-    private final Core core;
-    private final Clock clock;
-    private final RequestReader reader;
-    private final LineDecoder decoder;
-    private final Consumer<String> log;
-    /** Open requests by the text of their JSON-RPC id. */
-    private final Map<String, Open> open = new HashMap<>();
-    private ChannelHandlerContext ctx;
-    private long usedAt;
-    /** When the first byte came of a line whose end is missing; 0 if there is none. */
-    private long midwaySince;
-    private boolean asked;
-    private boolean leaving;
+    private final RpcFront front;
+    /** The open requests, the newest first; there are too few to need an index. */
+    private Open newest;
+    private int open;
 
     /** A request without an answer yet; the ticket is null until the core has taken it. */
     private static final class Open {
+        /** The text of its JSON-RPC id. */
+        final String id;
         final String txn;
         Long ticket;
+        Open older;
 
-        Open(String txn) {
+        Open(String id, String txn) {
+            this.id = id;
             this.txn = txn;
         }
     }
 
-    RpcConnection(Listener listener, Core core, Clock clock, RequestReader reader, LineDecoder decoder,
-                  Consumer<String> log) {
-        this.listener = listener;
-        this.core = core;
-        this.clock = clock;
-        this.reader = reader;
-        this.decoder = decoder;
-        this.log = log;
+    RpcConnection(Listener listener, RpcFront front) {
+        super(listener);
+        this.front = front;
     }
 
     // ---- the connection ----
 
     @Override
-    public void channelActive(ChannelHandlerContext context) {
-        ctx = context;
-        usedAt = clock.now();
-        listener.opened(this);
+    protected int open() {
+        return open;
     }
 
     @Override
-    public void channelInactive(ChannelHandlerContext context) {
-        listener.closed(this);
-        open.values().forEach(one -> core.gone(one.ticket)); // nobody is left to hear an answer
-        open.clear();
-    }
-
-    /** A proxy that does not read is not read from, or its answers would fill the memory. */
-    @Override
-    public void channelWritabilityChanged(ChannelHandlerContext context) {
-        context.channel().config().setAutoRead(context.channel().isWritable() && !leaving);
-    }
-
-    @Override
-    public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-        if (cause instanceof TooLongFrameException) {
-            error("null", PARSE_ERROR, "line over " + RpcFront.LONGEST_LINE + " bytes", null);
-            leave(); // the rest may be 60 MB, and nobody means them
-            return;
-        }
-        if (!(cause instanceof IOException)) {
-            log.accept("proxy connection: " + cause);
+    protected void gone() {
+        for (Open one = newest; one != null; one = one.older) {
+            front.core.gone(one.ticket);
         }
-        context.close();
+        newest = null;
+        open = 0;
     }
 
     @Override
@@ -107,73 +70,65 @@
         write("{\"jsonrpc\":\"2.0\",\"method\":\"lastCall\"}\n");
     }
 
+    /** Takes lines; what is left is the beginning of one. */
     @Override
-    public void closeIfIdleSince(long time) {
-        if (open.isEmpty() && midwaySince == 0 && usedAt < time) {
-            close();
+    protected int read(ByteBuf bytes) {
+        int lines = 0;
+        while (!leaving()) {
+            int length = bytes.bytesBefore((byte) '\n');
+            if ((length < 0 ? bytes.readableBytes() : length) > RpcFront.LONGEST_LINE) {
+                error("null", PARSE_ERROR, "line over " + RpcFront.LONGEST_LINE + " bytes", null);
+                leave(); // the rest may be 60 MB, and nobody means them
+                return lines;
+            }
+            if (length < 0) {
+                return lines;
+            }
+            int end = length > 0 && bytes.getByte(bytes.readerIndex() + length - 1) == '\r' ? length - 1
+                : length;
+            String line = bytes.toString(bytes.readerIndex(), end, StandardCharsets.UTF_8);
+            bytes.skipBytes(length + 1);
+            lines++;
+            line(line);
         }
+        return lines;
     }
 
-    @Override
-    public long idleSince() {
-        return open.isEmpty() ? usedAt : Long.MAX_VALUE;
-    }
-
-    @Override
-    public boolean asked() {
-        return asked;
+    private void write(String line) {
+        write(ByteBufUtil.writeUtf8(ctx.alloc(), line));
     }
 
-    @Override
-    public void closeIfMidwaySince(long time) {
-        if (midwaySince > 0 && midwaySince < time) {
-            leave();
+    private Open find(String id) {
+        Open one = newest;
+        while (one != null && !one.id.equals(id)) {
+            one = one.older;
         }
+        return one;
     }
 
-    /** Reads nothing more, and closes once all that is open here is answered. */
-    private void leave() {
-        leaving = true;
-        ctx.channel().config().setAutoRead(false);
-        closeIfDone();
-    }
-
-    private void closeIfDone() {
-        if (leaving && open.isEmpty()) {
-            ctx.writeAndFlush("").addListener(ChannelFutureListener.CLOSE);
+    /** Whether it was open until now. */
+    private boolean remove(Open gone) {
+        Open younger = null;
+        Open one = newest;
+        while (one != null && one != gone) {
+            younger = one;
+            one = one.older;
         }
-    }
-
-    @Override
-    public void channelReadComplete(ChannelHandlerContext context) {
-        midwaySince = !decoder.midway() ? 0 : midwaySince > 0 ? midwaySince : clock.now();
-        context.fireChannelReadComplete();
-    }
-
-    @Override
-    public long waitingBytes() {
-        return ctx.channel().bytesBeforeWritable();
-    }
-
-    @Override
-    public void close() {
-        ctx.close();
-    }
-
-    private void write(String line) {
-        ctx.writeAndFlush(line, ctx.voidPromise());
+        if (one == null) {
+            return false;
+        }
+        if (younger == null) {
+            newest = one.older;
+        } else {
+            younger.older = one.older;
+        }
+        open--;
+        return true;
     }
 
     // ---- requests ----
 
-    @Override
-    protected void channelRead0(ChannelHandlerContext context, String line) {
-        if (leaving) {
-            return;
-        }
-        usedAt = clock.now();
-        midwaySince = 0;
-        asked = true;
+    private void line(String line) {
         JSONObject message;
         try {
             message = new JSONObject(line, STRICT);
@@ -191,9 +146,9 @@
             check(id);
         } else if (method.equals("interrupt")) {
             interrupt(message, params);
-        } else if (!reader.knows(method)) {
+        } else if (!front.reader.knows(method)) {
             error(id, METHOD_NOT_FOUND, "no such method", null);
-        } else if (id.equals("null") || open.containsKey(id)) {
+        } else if (id.equals("null") || find(id) != null) {
             error("null", INVALID_REQUEST, "id is missing or in use", null);
         } else if (params == null) {
             error(id, INVALID_PARAMS, "params is missing or not an object", null);
@@ -203,23 +158,25 @@
     }
 
     private void request(String id, String method, JSONObject params) {
-        if (open.size() >= MOST_OPEN) {
+        if (open >= MOST_OPEN) {
             error(id, REFUSED, "over " + MOST_OPEN + " requests are open here", new JSONObject());
             return;
         }
         try {
-            var submission = reader.read(method, params, clock.now());
-            Open one = new Open(submission.job());
-            open.put(id, one);
-            one.ticket = core.submit(submission, answer -> answer(id, answer));
+            var submission = front.reader.read(method, params, front.clock.now());
+            Open one = new Open(id, submission.job());
+            one.older = newest;
+            newest = one;
+            open++;
+            one.ticket = front.core.submit(submission, answer -> answer(one, answer));
         } catch (RequestReader.BadParameter e) {
             error(id, INVALID_PARAMS, e.getMessage(), null);
         }
     }
 
-    private void answer(String id, Answer answer) {
-        open.remove(id);
-        usedAt = clock.now();
+    private void answer(Open one, Answer answer) {
+        remove(one);
+        String id = one.id;
         JSONObject data = new JSONObject();
         addFeedback(data, answer.feedback());
         switch (answer.kind()) {
@@ -237,12 +194,12 @@
             case CONFLICT -> error(id, CONFLICT, "txn is in use, or unique has another body", data);
             default -> error(id, FAILED, "failed", data);
         }
-        closeIfDone();
+        answered();
     }
 
     private void check(String id) {
-        JSONObject result = new JSONObject().put("well", core.well());
-        addFeedback(result, core.feedback());
+        JSONObject result = new JSONObject().put("well", front.core.well());
+        addFeedback(result, front.core.feedback());
         result(id, result);
     }
 
@@ -253,15 +210,13 @@
     private void interrupt(JSONObject message, JSONObject params) {
         Object txn = params == null ? null : params.opt("txn");
         Object id = params == null || params.opt("id") == null ? message.opt("id") : params.opt("id");
-        String found = id == null ? null : JSONObject.valueToString(id);
-        for (Map.Entry<String, Open> entry : open.entrySet()) {
-            if (entry.getValue().txn.equals(txn)) {
-                found = entry.getKey();
-            }
+        Open found = id == null ? null : find(JSONObject.valueToString(id));
+        for (Open one = newest; one != null; one = one.older) {
+            found = one.txn.equals(txn) ? one : found;
         }
-        Open one = found == null ? null : open.remove(found);
-        if (one != null) {
-            core.gone(one.ticket);
+        if (found != null) {
+            remove(found);
+            front.core.gone(found.ticket);
         }
     }
 
--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -6,9 +6,8 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
+import io.netty.channel.EventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import io.netty.handler.codec.LineBasedFrameDecoder;
 import io.netty.handler.codec.string.StringDecoder;
 import io.netty.handler.codec.string.StringEncoder;
@@ -44,7 +43,8 @@
     /** A command not known to be read; {@code number} counts commands. */
     private record Command(long number, String type, String job, String line) { }
 
-    private final EventLoop loop;
+    private final EventLoopGroup loop;
+    private final Bootstrap clients;
     private final Listener listener;
     private final Consumer<String> log;
     private final Deque<Command> unconfirmed = new ArrayDeque<>();
@@ -64,8 +64,9 @@
     private long lastCommand;
     private long retryMs = FIRST_RETRY_MS;
 
-    public KernelLink(EventLoop loop, InetSocketAddress address, Listener listener, Consumer<String> log) {
-        this.loop = loop;
+    public KernelLink(Bootstrap clients, InetSocketAddress address, Listener listener, Consumer<String> log) {
+        loop = clients.config().group();
+        this.clients = clients;
         this.address = address;
         this.listener = listener;
         this.log = log;
@@ -77,7 +78,7 @@
         }
         Connection next = new Connection();
         opening = next;
-        ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
+        ChannelFuture connecting = clients.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
             .handler(new ChannelInitializer<Channel>() {
                 @Override
--- a/server/src/main/java/wheatspread/records/RecordsClient.java
+++ b/server/src/main/java/wheatspread/records/RecordsClient.java
@@ -6,9 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
-import io.netty.channel.EventLoop;
 import io.netty.channel.SimpleChannelInboundHandler;
-import io.netty.channel.socket.nio.NioSocketChannel;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
@@ -36,7 +34,7 @@
     private static final int MOST_CALLS = 64;
     private static final long SWEEP = 500_000;
 
-    private final EventLoop loop;
+    private final Bootstrap clients;
     private final Clock clock;
     private final int mostConnections;
     private final Consumer<String> log;
@@ -48,9 +46,9 @@
     private boolean sweeping;
 
     /** Past {@code mostConnections} calls share them. */
-    public RecordsClient(EventLoop loop, InetSocketAddress address, int mostConnections, Clock clock,
+    public RecordsClient(Bootstrap clients, InetSocketAddress address, int mostConnections, Clock clock,
                          Consumer<String> log) {
-        this.loop = loop;
+        this.clients = clients;
         this.address = address;
         this.mostConnections = mostConnections;
         this.clock = clock;
@@ -145,7 +143,7 @@
         private long usedAt = clock.now();
 
         void open() {
-            new Bootstrap().group(loop).channel(NioSocketChannel.class)
+            clients.clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
--- /dev/null
+++ b/server/src/main/java/wheatspread/sockets/EpollTransport.java
@@ -0,0 +1,84 @@
+package wheatspread.sockets;
+
+import io.netty.channel.Channel;
+import io.netty.channel.IoEvent;
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.IoOps;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollIoEvent;
+import io.netty.channel.epoll.EpollIoHandle;
+import io.netty.channel.epoll.EpollIoHandler;
+import io.netty.channel.epoll.EpollIoOps;
+import io.netty.channel.epoll.EpollServerSocketChannel;
+import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.unix.FileDescriptor;
+
+/** Linux's epoll, by Netty's native library. */
+final class EpollTransport implements Transport {
+    private EpollTransport() { }
+
+    /** Null where the library is not there, or does not load on this machine. */
+    static Transport ifAvailable() {
+        try {
+            return Epoll.isAvailable() ? new EpollTransport() : null;
+        } catch (LinkageError e) {
+            return null;
+        }
+    }
+
+    @Override
+    public String name() {
+        return "epoll";
+    }
+
+    @Override
+    public IoHandlerFactory handlers() {
+        return EpollIoHandler.newFactory();
+    }
+
+    @Override
+    public Class<? extends ServerChannel> serverChannel() {
+        return EpollServerSocketChannel.class;
+    }
+
+    @Override
+    public Class<? extends Channel> clientChannel() {
+        return EpollSocketChannel.class;
+    }
+
+    @Override
+    public CallerHandle defer(IoHandle handle, Turns turns) {
+        return new Deferring(handle, turns);
+    }
+
+    private static final class Deferring extends CallerHandle implements EpollIoHandle {
+        Deferring(IoHandle handle, Turns turns) {
+            super(handle, turns);
+        }
+
+        @Override
+        public FileDescriptor fd() {
+            return ((EpollIoHandle) handle).fd();
+        }
+
+        @Override
+        protected boolean reads(IoEvent event) {
+            return ((EpollIoEvent) event).ops().contains(EpollIoOps.EPOLLIN);
+        }
+
+        @Override
+        protected IoEvent withoutReading(IoEvent event) {
+            EpollIoOps ops = ((EpollIoEvent) event).ops();
+            return ops.contains(EpollIoOps.EPOLLOUT) ? new Event(EpollIoOps.EPOLLOUT) : null;
+        }
+
+        @Override
+        protected IoOps mute(IoOps ops) {
+            return ((EpollIoOps) ops).without(EpollIoOps.EPOLLIN).without(EpollIoOps.EPOLLRDHUP);
+        }
+    }
+
+    private record Event(EpollIoOps ops) implements EpollIoEvent { }
+}
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -1,161 +1,278 @@
 package wheatspread.sockets;
 
-import io.netty.bootstrap.ServerBootstrap;
+import io.netty.bootstrap.Bootstrap;
+import io.netty.buffer.Unpooled;
 import io.netty.channel.Channel;
 import io.netty.channel.ChannelFuture;
-import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelFutureListener;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInboundHandlerAdapter;
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
+import io.netty.channel.FixedRecvByteBufAllocator;
+import io.netty.channel.RecvByteBufAllocator;
 import io.netty.channel.WriteBufferWaterMark;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
+import java.net.Inet4Address;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
+import java.net.SocketAddress;
+import java.nio.ByteBuffer;
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
 import java.util.function.Consumer;
+import wheatspread.connections.Caller;
+import wheatspread.connections.Connection;
+import wheatspread.connections.ConnectionLimits;
+import wheatspread.connections.ConnectionLimits.Refusal;
+import wheatspread.connections.ConnectionTable;
 import wheatspread.core.Clock;
 
 /**
- * A listening socket with the callers it accepted: it bounds their number, their idling and what waits to be
- * written to them, and passes on that the server leaves.
+ * A listening socket with the callers it accepted. Who is let in, who makes room and whose time is over its
+ * {@link ConnectionTable} decides; here that is done to sockets. It also bounds what waits to be written, and
+ * passes on that the server leaves.
  */
 public final class Listener {
-    private static final long SWEEP = 100_000;
-    /** Who never asked by then is closed: bad callers are owed an answer or a close within 3 s; us. */
-    private static final long FIRST_REQUEST = 2_000_000;
-    /** A request that began must be whole by then; us. */
-    private static final long WHOLE_REQUEST = 2_000_000;
-    /** Who never asked is the first to make room, but not before it had the time to; us. */
-    private static final long TO_SPEAK = 200_000;
     private static final int WRITE_LOW = 64 * 1024;
     private static final int WRITE_HIGH = 128 * 1024;
-    /** What may wait to be written to all callers together: a quarter of the heap. */
+    private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH);
+    /** What may wait to be written to all callers together: a quarter of the platform's heap. */
     private static final long MOST_WAITING = 12 * 1024 * 1024;
+    /** How often that is looked at while anybody is beyond the high mark; us. */
+    private static final long STALLED = 100_000;
+    /** Accepting rests so long where the process has no descriptor left; us. */
+    private static final long NO_DESCRIPTOR = 100_000;
+    /** One read; most requests take less. */
+    private static final int READ = 4 * 1024;
 
     private final EventLoop loop;
+    private final Turns turns;
     private final Clock clock;
-    private final int mostConnections;
-    private final Consumer<Channel> pipeline;
-    private final Set<Caller> callers = new LinkedHashSet<>();
+    private final Front front;
+    private final ConnectionTable table;
+    private final Consumer<String> log;
+    private final Set<Caller> stalled = new LinkedHashSet<>();
+    /** One handle reads for all callers, one after another; each has but one read a turn. */
+    private final RecvByteBufAllocator.ExtendedHandle reading = (RecvByteBufAllocator.ExtendedHandle)
+        new FixedRecvByteBufAllocator(READ).maxMessagesPerRead(1).newHandle();
     private Channel listening;
-    private long idleAfter;
+    private Clock.Timer timer;
+    private long armedFor = Long.MAX_VALUE;
+    private boolean watching;
     private boolean leaving;
 
-    /** {@code pipeline} gives an accepted channel its handlers, the last of which tells {@link #opened}. */
-    public Listener(EventLoop loop, Clock clock, int mostConnections, Consumer<Channel> pipeline) {
+    public Listener(EventLoop loop, Turns turns, Clock clock, Front front, ConnectionLimits limits,
+                    Consumer<String> log) {
         this.loop = loop;
+        this.turns = turns;
         this.clock = clock;
-        this.mostConnections = mostConnections;
-        this.pipeline = pipeline;
+        this.front = front;
+        this.log = log;
+        table = new ConnectionTable(limits, clock.now(), this::arm);
+    }
+
+    /** The connections; only the loop's thread may look at them. */
+    public ConnectionTable table() {
+        return table;
     }
 
     /** Binds and accepts; what cannot be bound is thrown. Returns the address that was bound. */
     public InetSocketAddress listen(InetSocketAddress address) {
-        ChannelFuture binding = new ServerBootstrap().group(loop).channel(NioServerSocketChannel.class)
+        ChannelFuture binding = new Bootstrap().group(loop).channel(turns.transport().serverChannel())
             .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childOption(ChannelOption.WRITE_BUFFER_WATER_MARK,
-                new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH))
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    if (makeRoom()) {
-                        accept(channel);
-                    } else {
-                        channel.close();
-                    }
-                }
-            }).bind(address).awaitUninterruptibly();
+            .handler(new Acceptor()).bind(address).awaitUninterruptibly();
         if (!binding.isSuccess()) {
             throw new IllegalStateException("cannot listen on " + address + ": "
                 + binding.cause().getMessage());
         }
         listening = binding.channel();
-        loop.execute(this::sweep);
         return (InetSocketAddress) listening.localAddress();
     }
 
-    /** Gives a channel the handlers of a caller. */
-    public void accept(Channel channel) {
-        pipeline.accept(channel);
+    /** Takes what the listening socket accepted. */
+    private final class Acceptor extends ChannelInboundHandlerAdapter {
+        @Override
+        public void channelRead(ChannelHandlerContext context, Object message) {
+            Channel channel = (Channel) message;
+            long pause = table.pauseAfterAccept(clock.now());
+            if (pause > 0) {
+                rest(pause); // the others wait in the backlog
+            }
+            accept(channel);
+        }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            log.accept("accepting failed: " + cause.getMessage());
+            rest(NO_DESCRIPTOR);
+        }
+
+        private void rest(long pause) {
+            if (listening != null && listening.config().isAutoRead()) {
+                listening.config().setAutoRead(false);
+                clock.after(pause, () -> listening.config().setAutoRead(true));
+            }
+        }
     }
 
-    /**
-     * Guards the descriptors that kernel, records and announce need, and guards proxies against callers that
-     * hold connections and want nothing: past the bound the one that is of least use makes room.
-     */
-    boolean makeRoom() {
-        if (callers.size() < mostConnections) {
-            return true;
+    private void accept(Channel channel) {
+        CallerHandler caller = front.caller(this);
+        Connection connection = table.admit(caller, sourceOf(channel.remoteAddress()), clock.now());
+        if (connection == null) {
+            refuse(channel);
+            return;
         }
-        Caller least = callers.stream().min(Comparator.comparingLong(this::use)).orElseThrow();
-        if (least.idleSince() == Long.MAX_VALUE) {
-            return false;
+        caller.connection = connection;
+        channel.config().setOption(ChannelOption.TCP_NODELAY, true);
+        channel.config().setWriteBufferWaterMark(MARKS);
+        channel.config().setRecvByteBufAllocator(() -> reading);
+        channel.pipeline().addLast(caller);
+        turns.register(connection, () -> loop.register(channel).addListener(done -> {
+            if (!done.isSuccess()) {
+                table.closed(connection);
+                channel.unsafe().closeForcibly();
+            }
+        }));
+    }
+
+    private void refuse(Channel channel) {
+        Refusal refusal = table.limits().refusal();
+        if (refusal == Refusal.ANSWER) {
+            channel.pipeline().addLast(new ChannelInboundHandlerAdapter() {
+                @Override
+                public void channelActive(ChannelHandlerContext context) {
+                    context.writeAndFlush(Unpooled.wrappedBuffer(front.refusal()))
+                        .addListener(ChannelFutureListener.CLOSE);
+                }
+            });
+            loop.register(channel);
+            return;
         }
-        callers.remove(least);
-        least.close();
-        return true;
+        if (refusal == Refusal.RESET) {
+            channel.config().setOption(ChannelOption.SO_LINGER, 0);
+        }
+        channel.unsafe().closeForcibly();
     }
 
-    /** Those that were silent for a while come first, then the one that rested longest. */
-    private long use(Caller caller) {
-        boolean silent = !caller.asked() && caller.idleSince() < clock.now() - TO_SPEAK;
-        return silent ? caller.idleSince() - clock.now() : caller.idleSince();
+    /** What tells sources apart: an IPv4 address, or the network part of an IPv6 address. */
+    static long sourceOf(SocketAddress remote) {
+        if (!(remote instanceof InetSocketAddress socket)) {
+            return 0;
+        }
+        InetAddress address = socket.getAddress();
+        ByteBuffer bytes = ByteBuffer.wrap(address.getAddress());
+        return address instanceof Inet4Address ? 0xFFFF_FFFFL << 32 | bytes.getInt() & 0xFFFF_FFFFL
+            : bytes.getLong();
     }
 
-    public void opened(Caller caller) {
-        callers.add(caller);
+    /** A caller on a channel that something else opened: for rehearsals and tests. */
+    public CallerHandler callerOf(long address) {
+        CallerHandler caller = front.caller(this);
+        caller.connection = table.admit(caller, address, clock.now());
+        return caller;
+    }
+
+    // ---- what callers do ----
+
+    void opened(CallerHandler caller) {
         if (leaving) {
             caller.lastCall();
         }
     }
 
-    public void closed(Caller caller) {
-        callers.remove(caller);
+    void closed(CallerHandler caller) {
+        stalled.remove(caller);
+        table.closed(caller.connection);
     }
 
+    void spent(int bytes, int requests) {
+        turns.order().spent(bytes, requests);
+    }
+
+    void read(CallerHandler caller, boolean whole, int bytes) {
+        table.read(caller.connection, clock.now(), whole, caller.open(), bytes);
+    }
+
+    void answered(CallerHandler caller) {
+        table.answered(caller.connection, clock.now(), caller.open());
+    }
+
+    void left(CallerHandler caller) {
+        table.leave(caller.connection, clock.now());
+    }
+
+    void log(String text) {
+        log.accept(text);
+    }
+
+    // ---- whose time is over ----
+
     /** Connections without an open request are closed after so many microseconds; 0 means never. */
     public void closeIdle(long after) {
-        idleAfter = after;
+        table.closeIdle(after);
     }
 
-    void sweep() {
-        if (idleAfter > 0) {
-            long before = clock.now() - idleAfter;
-            new ArrayList<>(callers).forEach(caller -> caller.closeIfIdleSince(before));
+    /** One timer stands for all connections: it rings when the first limit ends. */
+    private void arm() {
+        long soonest = table == null ? Long.MAX_VALUE : table.soonest();
+        if (soonest < armedFor) {
+            armedFor = soonest;
+            if (timer != null) {
+                timer.cancel();
+            }
+            timer = clock.after(Math.max(0, soonest - clock.now()), this::expire);
         }
-        closeSilent();
-        closeStalled();
-        clock.after(SWEEP, this::sweep);
     }
 
-    /** Guards connections against callers that say nothing, or never end what they say. */
-    private void closeSilent() {
-        long now = clock.now();
-        for (Caller caller : new ArrayList<>(callers)) {
-            if (!caller.asked()) {
-                caller.closeIfIdleSince(now - FIRST_REQUEST);
-            }
-            caller.closeIfMidwaySince(now - WHOLE_REQUEST);
+    private void expire() {
+        timer = null;
+        armedFor = Long.MAX_VALUE;
+        int most = turns.limits().mostExpiring();
+        if (table.expire(clock.now(), most) >= most && table.soonest() <= clock.now()) {
+            armedFor = 0; // the rest follows in the next turn, behind what is owed to anybody
+            turns.atEnd(this::expire);
+        } else {
+            arm();
+        }
+    }
+
+    // ---- what waits to be written ----
+
+    void stalled(CallerHandler caller, boolean stalls) {
+        if (!stalls) {
+            stalled.remove(caller);
+        } else if (stalled.add(caller) && !watching) {
+            watching = true;
+            clock.after(STALLED, this::closeStalled);
         }
     }
 
     /** Guards the heap against many callers that ask and do not read: the one furthest behind is closed. */
     private void closeStalled() {
-        long waiting = callers.stream().mapToLong(Caller::waitingBytes).sum();
+        long waiting = stalled.stream().mapToLong(Caller::waitingBytes).sum();
         while (waiting > MOST_WAITING) {
-            Caller worst = callers.stream().max(Comparator.comparingLong(Caller::waitingBytes)).orElseThrow();
+            Caller worst = stalled.stream().max(Comparator.comparingLong(Caller::waitingBytes)).orElseThrow();
             waiting -= worst.waitingBytes();
-            callers.remove(worst);
+            stalled.remove(worst);
             worst.close();
         }
+        watching = !stalled.isEmpty();
+        if (watching) {
+            clock.after(STALLED, this::closeStalled);
+        }
     }
 
+    // ---- the server leaves ----
+
     /** Tells all callers that nothing new may come on what they hold open. */
     public void lastCall() {
         leaving = true;
-        new ArrayList<>(callers).forEach(Caller::lastCall);
+        table.forEach(Caller::lastCall);
+    }
+
+    public boolean isLeaving() {
+        return leaving;
     }
 
     public void stopListening() {
@@ -164,6 +281,6 @@
 
     public void close() {
         stopListening();
-        new ArrayList<>(callers).forEach(Caller::close);
+        table.forEach(Caller::close);
     }
 }
--- /dev/null
+++ b/server/src/main/java/wheatspread/sockets/Transport.java
@@ -0,0 +1,63 @@
+package wheatspread.sockets;
+
+import io.netty.channel.Channel;
+import io.netty.channel.IoHandle;
+import io.netty.channel.IoHandlerFactory;
+import io.netty.channel.ServerChannel;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.channel.socket.nio.NioSocketChannel;
+
+/** How sockets are reached: the JDK's selectors, or Linux's epoll where its native library loads. */
+public interface Transport {
+    String name();
+
+    IoHandlerFactory handlers();
+
+    Class<? extends ServerChannel> serverChannel();
+
+    Class<? extends Channel> clientChannel();
+
+    /** A handle that has the reads of a caller's socket wait for their turn. */
+    CallerHandle defer(IoHandle handle, Turns turns);
+
+    /** The transport of that name; {@code auto} is epoll where it works. */
+    static Transport named(String name) {
+        if (name.equals("nio")) {
+            return new Nio();
+        }
+        Transport epoll = EpollTransport.ifAvailable();
+        if (epoll == null && name.equals("epoll")) {
+            throw new IllegalStateException("transport epoll does not work here");
+        }
+        return epoll == null ? new Nio() : epoll;
+    }
+
+    /** The JDK's selectors. */
+    final class Nio implements Transport {
+        @Override
+        public String name() {
+            return "nio";
+        }
+
+        @Override
+        public IoHandlerFactory handlers() {
+            return NioIoHandler.newFactory();
+        }
+
+        @Override
+        public Class<? extends ServerChannel> serverChannel() {
+            return NioServerSocketChannel.class;
+        }
+
+        @Override
+        public Class<? extends Channel> clientChannel() {
+            return NioSocketChannel.class;
+        }
+
+        @Override
+        public CallerHandle defer(IoHandle handle, Turns turns) {
+            return new CallerHandle.Nio(handle, turns);
+        }
+    }
+}
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiEncoder.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiEncoder.java
@@ -1,17 +1,12 @@
 package wheatspread.uwsgi;
 
 import io.netty.buffer.ByteBuf;
-import io.netty.channel.ChannelHandlerContext;
 import io.netty.handler.codec.EncoderException;
-import io.netty.handler.codec.MessageToByteEncoder;
 import java.nio.charset.StandardCharsets;
 
 /** Writes packets: both modifiers round the size, and sizes little-endian. */
-public final class UwsgiEncoder extends MessageToByteEncoder<UwsgiPacket> {
-    @Override
-    protected void encode(ChannelHandlerContext ctx, UwsgiPacket packet, ByteBuf out) {
-        write(packet, out);
-    }
+public final class UwsgiEncoder {
+    private UwsgiEncoder() { }
 
     public static void write(UwsgiPacket packet, ByteBuf out) {
         int start = out.writerIndex();
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
@@ -1,31 +1,39 @@
 package wheatspread.uwsgi;
 
-import io.netty.channel.EventLoop;
+import java.nio.charset.StandardCharsets;
 import java.util.SplittableRandom;
-import java.util.function.Consumer;
 import wheatspread.config.UwsgiConfig;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
+import wheatspread.sockets.CallerHandler;
+import wheatspread.sockets.Front;
 import wheatspread.sockets.Listener;
 
 /** The second front: the uwsgi protocol, on the same core and under the same rules. */
-public final class UwsgiFront {
-    private final Listener listener;
+public final class UwsgiFront implements Front {
+    final Core core;
+    final Clock clock;
+    final UwsgiConfig config;
+    final VarsReader reader;
     private long lastJob;
 
     /** The seed only keeps the names of this front's jobs apart from those of another life. */
-    public UwsgiFront(EventLoop loop, Core core, Clock clock, UwsgiConfig config, long seed,
-                      Consumer<String> log) {
+    public UwsgiFront(Core core, Clock clock, UwsgiConfig config, long seed) {
+        this.core = core;
+        this.clock = clock;
+        this.config = config;
         lastJob = new SplittableRandom(seed).nextLong();
-        VarsReader reader = new VarsReader(core.site(), config, () -> String.format("%016x", ++lastJob));
-        listener = new Listener(loop, clock, config.mostConnections(), channel -> {
-            UwsgiDecoder decoder = new UwsgiDecoder(config.mostVars(), config.mostBody());
-            channel.pipeline().addLast(decoder, new UwsgiEncoder(),
-                new UwsgiConnection(listener(), core, clock, config, reader, decoder, log));
-        });
+        reader = new VarsReader(core.site(), config, () -> String.format("%016x", ++lastJob));
     }
 
-    public Listener listener() {
-        return listener;
+    @Override
+    public CallerHandler caller(Listener listener) {
+        return new UwsgiConnection(listener, this);
+    }
+
+    @Override
+    public byte[] refusal() {
+        return ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\n"
+            + "Connection: close\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
     }
 }
--- a/server/src/test/java/wheatspread/config/ConfigTest.java
+++ b/server/src/test/java/wheatspread/config/ConfigTest.java
@@ -75,7 +75,7 @@
         }
         platform.getJSONObject("settings").getJSONArray("Parties").getJSONObject(0).put("Name", "main-site");
         ServerConfig config = ServerConfig.read(Fields.of(platform.toMap(), ""));
-        UwsgiConfig uwsgi = UwsgiConfig.readFile(Path.of("../deploy/uwsgi.json"), config.site());
+        UwsgiConfig uwsgi = OperatorConfig.readFile(Path.of("../deploy/uwsgi.json"), config.site()).uwsgi();
         assertThat(uwsgi.routes().get(0).defaults())
             .isEqualTo(new UwsgiConfig.Defaults(3, 0, 0, 410_000, 24));
     }
--- a/server/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/server/src/test/java/wheatspread/daemon/SceneTest.java
@@ -25,7 +25,8 @@
  * must come from it; {@code clock 50} moves the clock on by milliseconds; {@code cut}, {@code down} and
  * {@code up} break a connection or a service, and {@code quiet} says that nothing came; {@code reload} gives
  * all parties new addresses, after which old connections are called {@code old-kernel} and so on, or changes
- * one key; {@code bytes} sends part of a line; {@code mute} leaves reports unanswered. The parties are
+ * one key; {@code operator} goes over the operator's file; {@code bytes} sends part of a line; {@code mute}
+ * leaves reports unanswered. The parties are
  * the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
  */
 class SceneTest {
@@ -39,9 +40,11 @@
     @MethodSource("scenes")
     void plays(Path scene) throws Exception {
         List<String> lines = Files.readAllLines(scene);
-        try (Stage stage = new Stage(); Parties parties = new Parties(stage)) {
+        String over = lines.stream().filter(line
+            -> line.startsWith("operator ")).findFirst().orElse("operator {}");
+        try (Stage stage = new Stage(over.substring(9)); Parties parties = new Parties(stage)) {
             for (int i = 0; i < lines.size(); i++) {
-                if (!lines.get(i).isBlank() && !lines.get(i).startsWith("#")) {
+                if (!lines.get(i).isBlank() && !lines.get(i).matches("(#|operator ).*")) {
                     try {
                         parties.play(lines.get(i));
                     } catch (IOException e) {
--- a/server/src/test/java/wheatspread/daemon/Stage.java
+++ b/server/src/test/java/wheatspread/daemon/Stage.java
@@ -12,8 +12,8 @@
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
 import wheatspread.config.Fields;
+import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
-import wheatspread.config.UwsgiConfig;
 
 /** A server with the clock of a test, and the parties round it on ephemeral ports. */
 final class Stage implements AutoCloseable {
@@ -35,12 +35,25 @@
     private ManualClock clock;
 
     Stage() throws IOException {
+        this("{}");
+    }
+
+    /** {@code over} goes over the operator's file, key by key. */
+    Stage(String over) throws IOException {
         ServerConfig config = ServerConfig.read(Fields.of(configuration().toMap(), ""));
-        UwsgiConfig front = UwsgiConfig.readFile(Path.of("src/test/resources/operator.json"), config.site());
+        JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/operator.json")));
+        JSONObject more = new JSONObject(over);
+        JSONObject uwsgiOver = more.optJSONObject("uwsgi", new JSONObject());
+        uwsgiOver.keySet().forEach(key -> told.getJSONObject("uwsgi").put(key, uwsgiOver.get(key)));
+        more.keySet().stream().filter(key -> !key.equals("uwsgi")).forEach(key -> told.put(key,
+            more.get(key)));
+        Path file = Files.writeString(Files.createTempFile("operator", ".json"), told.toString());
+        OperatorConfig front = OperatorConfig.readFile(file, config.site());
+        Files.delete(file);
         Thread thread = new Thread(this::hearAnnouncements, "announce stand-in");
         thread.setDaemon(true);
         thread.start();
-        server = new Server(config, front, loop -> clock = new ManualClock(loop), logged::add);
+        server = new Server(config, front, (loop, turns) -> clock = new ManualClock(loop), logged::add);
         server.start();
         uwsgi = server.bound().get(0);
         jsonrpc = server.bound().get(1);
--- a/server/src/test/java/wheatspread/nginx/ImporterTest.java
+++ b/server/src/test/java/wheatspread/nginx/ImporterTest.java
@@ -10,6 +10,7 @@
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.io.TempDir;
+import wheatspread.config.OperatorConfig;
 import wheatspread.config.UwsgiConfig;
 import wheatspread.core.Site;
 
@@ -33,7 +34,7 @@
         Path written = folder.resolve("operator.json");
         Files.writeString(written, Importer.read(FOLDER.resolve("site.conf"), null).file().toString());
         Site site = new Site(null, List.of("search", "save-plan"), List.of("school-feeding"), List.of());
-        UwsgiConfig config = UwsgiConfig.readFile(written, site);
+        UwsgiConfig config = OperatorConfig.readFile(written, site).uwsgi();
         assertThat(config.mostConnections()).isEqualTo(120);
         assertThat(config.routes()).hasSize(7);
         assertThat(config.routes().get(3).routes()).hasSize(1);
--- a/server/src/test/java/wheatspread/sockets/ListenerTest.java
+++ b/server/src/test/java/wheatspread/sockets/ListenerTest.java
@@ -2,92 +2,40 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.embedded.EmbeddedChannel;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
-import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
+import wheatspread.connections.ConnectionLimits;
 import wheatspread.core.Clock;
+import wheatspread.turns.TurnLimits;
 
 class ListenerTest {
-    private static final long NOW = 100_000_000;
-    private static final long MEGABYTE = 1024 * 1024;
+    private static final int MEGABYTE = 1024 * 1024;
 
+    private final List<Runnable> timers = new ArrayList<>();
     private final List<String> heard = new ArrayList<>();
-    private Listener listener;
-
-    @BeforeEach
-    void open() {
-        listener = new Listener(null, new StillClock(), 3, channel -> { });
-        listener.opened(new Silent("a", 3 * MEGABYTE, NOW, true));
-        listener.opened(new Silent("b", 9 * MEGABYTE, NOW - 10, true));
-        listener.opened(new Silent("c", 0, Long.MAX_VALUE, true));
-    }
-
-    @Test
-    void theCallerFurthestBehindIsClosedWhereTooMuchWaits() {
-        listener.sweep();
-        assertThat(heard).isEmpty();
-        listener.opened(new Silent("d", 5 * MEGABYTE, NOW, true));
-        listener.sweep();
-        listener.sweep();
-        assertThat(heard).containsExactly("b closed");
-    }
-
-    @Test
-    void idleConnectionsAreClosedOnlyWhenAsked() {
-        listener.closeIdle(NOW - 1_000);
-        listener.sweep();
-        assertThat(heard).containsExactly("a idle since 1000", "b idle since 1000", "c idle since 1000");
-        listener.closeIdle(0);
-        listener.sweep();
-        assertThat(heard).hasSize(3);
-    }
-
-    @Test
-    void whoComesWhileTheServerLeavesHearsOfItToo() {
-        listener.lastCall();
-        listener.opened(new Silent("e", 0, NOW, true));
-        assertThat(heard).containsExactly("a last call", "b last call", "c last call", "e last call");
-    }
-
-    /** Guards against callers that hold connections for good, and so shut out those that ask. */
-    @Test
-    void pastTheBoundTheLeastUsefulMakesRoom() {
-        assertThat(listener.makeRoom()).isTrue();
-        listener.opened(new Silent("new", 0, NOW, false));
-        assertThat(listener.makeRoom()).isTrue();
-        assertThat(heard).as("who rested longest, and not who had no time to ask yet")
-            .containsExactly("b closed", "a closed");
-        listener.opened(new Silent("mute", 0, NOW - 300_000, false));
-        listener.opened(new Silent("old", 0, NOW - 900_000, true));
-        assertThat(listener.makeRoom()).isTrue();
-        assertThat(heard).as("who had the time to ask and did not").endsWith("mute closed");
-    }
-
-    @Test
-    void whereAllHaveOpenRequestsTheNewcomerGoes() {
-        listener = new Listener(null, new StillClock(), 1, channel -> { });
-        listener.opened(new Silent("c", 0, Long.MAX_VALUE, true));
-        assertThat(listener.makeRoom()).isFalse();
-        assertThat(heard).isEmpty();
-    }
-
-    @Test
-    void whoNeverAsksIsClosedInTime() {
-        listener.opened(new Silent("mute", 0, NOW - 2_000_001, false));
-        listener.sweep();
-        assertThat(heard).containsExactly("mute idle since " + (NOW - 2_000_000));
-    }
+    private long now = 100_000_000;
+    private final Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, heard::add);
+    private final Listener listener = new Listener(null, turns, new SetClock(), new Echo(),
+        ConnectionLimits.usual(100), heard::add);
 
-    private static final class StillClock implements Clock {
+    /** Keeps its timers for the test to ring. */
+    private final class SetClock implements Clock {
         @Override
         public long now() {
-            return NOW;
+            return now;
         }
 
         @Override
         public Timer after(long micros, Runnable task) {
-            return () -> { };
+            timers.add(task);
+            return () -> timers.remove(task);
         }
 
         @Override
@@ -96,53 +44,137 @@
         }
     }
 
-    private final class Silent implements Caller {
-        private final String name;
-        private final long waiting;
+    /** A front whose messages are words of three bytes; it owes an answer to each until it is told. */
+    private final class Echo implements Front {
+        @Override
+        public CallerHandler caller(Listener of) {
+            return new Word(of);
+        }
+
+        @Override
+        public byte[] refusal() {
+            return new byte[0];
+        }
+    }
 
-        private final long idleSince;
-        private final boolean asked;
+    private final class Word extends CallerHandler {
+        private int open;
 
-        Silent(String name, long waiting, long idleSince, boolean asked) {
-            this.name = name;
-            this.waiting = waiting;
-            this.idleSince = idleSince;
-            this.asked = asked;
+        Word(Listener of) {
+            super(of);
         }
 
         @Override
-        public long idleSince() {
-            return idleSince;
+        protected int read(ByteBuf bytes) {
+            int whole = 0;
+            for (; bytes.readableBytes() >= 3; whole++) {
+                heard.add(bytes.readCharSequence(3, StandardCharsets.US_ASCII).toString());
+                open++;
+            }
+            return whole;
         }
 
         @Override
-        public boolean asked() {
-            return asked;
+        protected int open() {
+            return open;
         }
 
         @Override
-        public void closeIfMidwaySince(long time) {
-            assertThat(time).isEqualTo(NOW - 2_000_000);
+        protected void gone() {
+            heard.add("gone with " + open);
         }
 
         @Override
         public void lastCall() {
-            heard.add(name + " last call");
+            heard.add("last call");
         }
 
-        @Override
-        public void closeIfIdleSince(long time) {
-            heard.add(name + " idle since " + time);
+        private void done() {
+            open--;
+            answered();
         }
+    }
 
-        @Override
-        public long waitingBytes() {
-            return waiting;
+    private EmbeddedChannel open() {
+        return new EmbeddedChannel(listener.callerOf(1));
+    }
+
+    private static void say(EmbeddedChannel channel, String text) {
+        channel.writeInbound(Unpooled.copiedBuffer(text, StandardCharsets.US_ASCII));
+    }
+
+    @Test
+    void whatIsNotWholeIsHeldAndNothingIsAtRest() {
+        EmbeddedChannel channel = open();
+        say(channel, "abcde");
+        assertThat(listener.table().held()).isPositive();
+        say(channel, "fgh");
+        assertThat(listener.table().held()).isPositive();
+        say(channel, "i");
+        assertThat(heard).containsExactly("abc", "def", "ghi");
+        assertThat(listener.table().held()).isZero();
+    }
+
+    @Test
+    void whoLeavesIsReadNoMoreAndClosesOnceAllIsAnswered() {
+        EmbeddedChannel channel = open();
+        Word caller = channel.pipeline().get(Word.class);
+        say(channel, "abcd");
+        caller.leave();
+        assertThat(channel.config().isAutoRead()).isFalse();
+        assertThat(listener.table().held()).isZero();
+        say(channel, "efghi");
+        assertThat(channel.isOpen()).isTrue();
+        caller.done();
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(heard).containsExactly("abc", "gone with 0");
+        assertThat(listener.table().size()).isZero();
+    }
+
+    /** Guards the heap against callers that ask and do not read their answers. */
+    @Test
+    void theCallerFurthestBehindIsClosedWhereTooMuchWaits() {
+        List<EmbeddedChannel> channels = new ArrayList<>();
+        for (int size : new int[] {3, 9, 5}) {
+            EmbeddedChannel channel = open();
+            channel.write(Unpooled.wrappedBuffer(new byte[size * MEGABYTE])); // not flushed: it waits
+            channels.add(channel);
         }
+        List<Runnable> rings = new ArrayList<>(timers);
+        timers.clear();
+        rings.forEach(Runnable::run);
+        assertThat(channels).extracting(EmbeddedChannel::isOpen).containsExactly(true, false, true);
+        channels.forEach(EmbeddedChannel::finishAndReleaseAll);
+    }
 
-        @Override
-        public void close() {
-            heard.add(name + " closed");
+    @Test
+    void whoComesWhileTheServerLeavesHearsOfItToo() {
+        open();
+        listener.lastCall();
+        assertThat(heard).containsExactly("last call");
+        open();
+        assertThat(heard).hasSize(2);
+    }
+
+    /** One timer stands for all limits, whatever the number of connections. */
+    @Test
+    void connectionsHaveNoTimersOfTheirOwn() {
+        for (int i = 0; i < 100; i++) {
+            say(open(), "abc");
+            now += 1_000;
         }
+        assertThat(timers).hasSizeLessThanOrEqualTo(1);
+    }
+
+    @Test
+    void sourcesAreToldApartByAddressOrNetwork() throws Exception {
+        long one = source("127.0.0.1");
+        assertThat(one).isEqualTo(source("127.0.0.1")).isNotEqualTo(source("127.0.0.2"));
+        assertThat(source("2001:db8::1")).isEqualTo(source("2001:db8::2")).isNotEqualTo(source("2001:db9::1"))
+            .isNotEqualTo(one);
+    }
+
+    private static long source(String address) throws Exception {
+        return Listener.sourceOf(new InetSocketAddress(InetAddress.getByName(address), 1));
     }
 }
