Turn a waking crowd away before it fills the hold, and measure crowds in the lab

Need: order of reading alone did not protect the proxies. Change: turns.CrowdGate lets only some of a crowd's requests be in hand, by additive increase and multiplicative decrease, and has the others refused at once with a time to come back; who is turned away stays a sleeper. Native epoll is the choice where an operator's file is given; its interest in a muted caller may not become empty, or Netty takes the descriptor out of the set. Every scene is played on both transports. The lab has idle (a server process on one core with stand-ins, load and holders of connections), crowd (100,000 on one loop in memory) and bench (JMH).

--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -6,7 +6,8 @@
 /** The laboratory: load, stand-ins, experiments and their reports. */
 @Command(name = "wheatspread-lab", mixinStandardHelpOptions = true, version = "0.1.0",
     description = "Measures the server beside stand-ins of the parties round it.",
-    synopsisSubcommandLabel = "COMMAND")
+    synopsisSubcommandLabel = "COMMAND", subcommands = {IdleCommand.class, CrowdCommand.class,
+        BenchCommand.class, HoldCommand.class})
 public final class Lab implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/memory/MemoryCrowd.java
@@ -0,0 +1,186 @@
+package wheatspread.lab.memory;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.channel.EventLoop;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.lang.management.ManagementFactory;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import org.json.JSONObject;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Choice;
+import wheatspread.config.Fields;
+import wheatspread.config.ServerConfig;
+import wheatspread.connections.Connection.State;
+import wheatspread.connections.ConnectionLimits;
+import wheatspread.core.Clock;
+import wheatspread.core.Core;
+import wheatspread.core.Kernel;
+import wheatspread.daemon.LoopClock;
+import wheatspread.jsonrpc.RpcFront;
+import wheatspread.lab.Sites;
+import wheatspread.lab.standins.Parties;
+import wheatspread.sockets.Listener;
+import wheatspread.sockets.Turns;
+import wheatspread.turns.TurnLimits;
+
+/** A crowd on one loop in memory: its heap, its longest turn, and whether all are answered once. */
+public final class MemoryCrowd implements AutoCloseable {
+    private static final long RUN = 15_000;
+
+    private final Turns turns;
+    private final MultiThreadIoEventLoopGroup group;
+    private final EventLoop loop;
+    private final Clock clock;
+    private final List<MemoryChannel> channels = new ArrayList<>();
+    private final AtomicInteger answers = new AtomicInteger();
+    private final AtomicInteger served = new AtomicInteger();
+    private final Listener listener;
+    private final int count;
+
+    /** Who rests for {@code idle} microseconds is closed in the end. */
+    public MemoryCrowd(int count, TurnLimits limits, long idle) {
+        this.count = count;
+        turns = new Turns(new MemoryTransport(), limits, 1, text -> { });
+        group = new MultiThreadIoEventLoopGroup(1, turns);
+        loop = group.next();
+        clock = new LoopClock(turns);
+        turns.usedBy(clock::now);
+        Core core;
+        try (Parties parties = new Parties(RUN, RUN)) {
+            ServerConfig config = ServerConfig.read(Fields.of(Sites.config(parties, 1_000).toMap(), ""));
+            core = new Core(config.site(), settings -> new Choice(settings, 1), clock,
+                (job, body, patience, to) -> clock.after(RUN, () -> to.ended(Outcome.OK, body))::cancel,
+                accepting -> { }, text -> { });
+        }
+        core.attach(new Runs(core));
+        ConnectionLimits usual = ConnectionLimits.usual(count);
+        ConnectionLimits own = new ConnectionLimits(count, 0, 0, 1_000, 60_000_000, 60_000_000, idle,
+            2_000_000,
+            usual.toSpeak(), usual.mostHeld(), usual.refusal());
+        listener = new Listener(loop, turns, clock, new RpcFront(core, clock), own, text -> { });
+        loop.submit(() -> core.booted(false, 20_000_000)).syncUninterruptibly();
+    }
+
+    /** A kernel whose runs all take the same time and ask for no call. */
+    private final class Runs implements Kernel {
+        private final Kernel.Listener to;
+
+        Runs(Kernel.Listener to) {
+            this.to = to;
+        }
+
+        @Override
+        public void run(String job, String kind, byte[] body) {
+            clock.after(RUN, () -> to.ended(job, End.OK, RUN, body));
+        }
+
+        @Override
+        public void pause(String job) {
+            to.ended(job, End.STOPPED, RUN, null);
+        }
+
+        @Override
+        public void resume(String job) {
+            run(job, "", new byte[0]);
+        }
+
+        @Override
+        public void callDone(String job, byte[] reply) {
+            throw new IllegalStateException("no run asks for a call");
+        }
+
+        @Override
+        public void skipCall(String job, long notice) {
+            throw new IllegalStateException("no run asks for a call");
+        }
+
+        @Override
+        public void askGauges() {
+            to.gauges(new double[] {0.3, 1, 0.1, 10});
+        }
+    }
+
+    /** Opens all, has each speak once, then all at once, then waits until all were idle for too long. */
+    public JSONObject play() throws Exception {
+        JSONObject figures = new JSONObject().put("count", count);
+        long empty = liveBytes();
+        for (int i = 0; i < count; i += 500) {
+            int from = i;
+            inLoop(() -> {
+                for (int k = from; k < Math.min(count, from + 500); k++) {
+                    MemoryChannel channel = new MemoryChannel(this::hear);
+                    channels.add(channel);
+                    listener.accept(channel);
+                }
+                return null;
+            });
+        }
+        byte[] check = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n"
+            .getBytes(StandardCharsets.UTF_8);
+        answers.set(0);
+        for (int i = 0; i < count; i++) {
+            channels.get(i).say(check);
+        }
+        await(() -> answers.get() >= count, 30);
+        figures.put("spoke", answers.get()).put("heap_per_connection",
+            (liveBytes() - empty) / (double) count);
+        TimeUnit.MICROSECONDS.sleep(turns.limits().lately() * 6 / 5); // by now they are asleep
+        List<byte[]> requests = new ArrayList<>();
+        for (int i = 0; i < count; i++) {
+            requests.add(Sites.request(2, Sites.KINDS.get(1), "barangay-kitchens", String.format("%016x", i),
+                System.currentTimeMillis()).getBytes(StandardCharsets.UTF_8));
+        }
+        answers.set(0);
+        served.set(0);
+        inLoop(() -> turns.times().takeLongestMicros());
+        long began = System.nanoTime();
+        for (int i = 0; i < count; i++) {
+            channels.get(i).say(requests.get(i));
+        }
+        await(() -> answers.get() >= count, 30);
+        figures.put("burst_answered", answers.get()).put("burst_served", served.get())
+            .put("burst_took_ms", (System.nanoTime() - began) / 1_000_000)
+            .put("burst_longest_turn_us", inLoop(() -> turns.times().takeLongestMicros()));
+        await(() -> listener.table().size() < count, 30);
+        began = System.nanoTime();
+        await(() -> listener.table().size() == 0, 30);
+        return figures.put("expiry_took_ms", (System.nanoTime() - began) / 1_000_000)
+            .put("expiry_left", (Object) inLoop(() -> listener.table().sizeOf(State.RESTING)))
+            .put("expiry_longest_turn_us", inLoop(() -> turns.times().takeLongestMicros()))
+            .put("timers", (Object) inLoop(() -> turns.wheel().size()));
+    }
+
+    private void hear(MemoryChannel from, ByteBuf bytes) {
+        answers.incrementAndGet();
+        if (bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) '\n') > 0
+            && bytes.toString(StandardCharsets.UTF_8).contains("\"result\"")) {
+            served.incrementAndGet();
+        }
+    }
+
+    private <T> T inLoop(Callable<T> what) {
+        return loop.submit(what).syncUninterruptibly().getNow();
+    }
+
+    private void await(Callable<Boolean> done, int seconds) throws InterruptedException {
+        long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(seconds);
+        while (!inLoop(done) && System.nanoTime() < until) {
+            TimeUnit.MILLISECONDS.sleep(2);
+        }
+    }
+
+    private static long liveBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/standins/Parties.java
@@ -0,0 +1,172 @@
+package wheatspread.lab.standins;
+
+import io.netty.bootstrap.ServerBootstrap;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.channel.ChannelHandler;
+import io.netty.channel.ChannelHandlerContext;
+import io.netty.channel.ChannelInitializer;
+import io.netty.channel.ChannelOption;
+import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.channel.SimpleChannelInboundHandler;
+import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.nio.NioServerSocketChannel;
+import io.netty.handler.codec.ByteToMessageDecoder;
+import io.netty.handler.codec.LineBasedFrameDecoder;
+import io.netty.handler.codec.string.StringDecoder;
+import io.netty.handler.codec.string.StringEncoder;
+import java.net.InetSocketAddress;
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.function.Supplier;
+import org.json.JSONObject;
+
+/**
+ * The parties round one server, on a loop of their own: a kernel whose runs all take the same time, however
+ * many there are, a records service that answers every call, and an announce service that answers every
+ * report.
+ */
+public final class Parties implements AutoCloseable {
+    private final MultiThreadIoEventLoopGroup group =
+        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final long runMicros;
+    private final long callMicros;
+    private final InetSocketAddress kernel;
+    private final InetSocketAddress records;
+    private final InetSocketAddress announce;
+    private volatile long runs;
+
+    /** A run takes {@code runMicros} and a call {@code callMicros}. */
+    public Parties(long runMicros, long callMicros) {
+        this.runMicros = runMicros;
+        this.callMicros = callMicros;
+        kernel = listen(Kernel::new, true);
+        records = listen(Records::new, false);
+        announce = listen(Announce::new, true);
+    }
+
+    public String kernel() {
+        return text(kernel);
+    }
+
+    public String records() {
+        return text(records);
+    }
+
+    public String announce() {
+        return text(announce);
+    }
+
+    /** How many runs were started. */
+    public long runs() {
+        return runs;
+    }
+
+    private static String text(InetSocketAddress address) {
+        return "127.0.0.1:" + address.getPort();
+    }
+
+    private InetSocketAddress listen(Supplier<ChannelHandler> handler, boolean lines) {
+        Channel channel = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
+            .childOption(ChannelOption.TCP_NODELAY, true)
+            .childHandler(new ChannelInitializer<Channel>() {
+                @Override
+                protected void initChannel(Channel child) {
+                    if (lines) {
+                        child.pipeline().addLast(new LineBasedFrameDecoder(1 << 20),
+                            new StringDecoder(StandardCharsets.UTF_8));
+                    }
+                    child.pipeline().addLast(new StringEncoder(StandardCharsets.UTF_8), handler.get());
+                }
+            }).bind("127.0.0.1", 0).syncUninterruptibly().channel();
+        return (InetSocketAddress) channel.localAddress();
+    }
+
+    @Override
+    public void close() {
+        group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+    }
+
+    /** The kernel: a run waits for one call if its class makes calls, and ends well. */
+    private final class Kernel extends SimpleChannelInboundHandler<String> {
+        private long notices;
+
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, String line) {
+            JSONObject command = new JSONObject(line);
+            String job = command.optString("job");
+            switch (command.getString("type")) {
+                case "OPEN" -> say(ctx, new JSONObject().put("type", "BOOTED").put("state", "WARM")
+                    .put("took", 20_000));
+                case "SYSINFO" -> say(ctx, new JSONObject().put("type", "INFO").put("ref", command.get("ref"))
+                    .put("gauges", List.of(0.3, 1, 0.1, 10)));
+                case "SCHED" -> {
+                    runs++;
+                    boolean calls = !command.getString("kind").equals("search");
+                    after(ctx, runMicros, () -> {
+                        if (calls) {
+                            say(ctx, notice("IOREQ", job).put("data", "Y2FsbA=="));
+                        } else {
+                            end(ctx, job, "OK");
+                        }
+                    });
+                }
+                case "IODONE", "NOIO", "RESCHED" -> end(ctx, job, "OK");
+                case "PREEMPT" -> end(ctx, job, "STOPPED");
+                default -> throw new IllegalStateException(line);
+            }
+        }
+
+        private JSONObject notice(String type, String job) {
+            return new JSONObject().put("type", type).put("n", ++notices).put("job", job);
+        }
+
+        private void end(ChannelHandlerContext ctx, String job, String state) {
+            say(ctx, notice("REAP", job).put("state", state).put("took", runMicros / 1e3).put("data",
+                "b2s="));
+        }
+
+        private void say(ChannelHandlerContext ctx, JSONObject message) {
+            ctx.writeAndFlush(message + "\n");
+        }
+    }
+
+    private static void after(ChannelHandlerContext ctx, long micros, Runnable task) {
+        ctx.executor().schedule(task, micros, TimeUnit.MICROSECONDS);
+    }
+
+    /** The records service. */
+    private final class Records extends ByteToMessageDecoder {
+        @Override
+        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
+            int end = in.bytesBefore((byte) '\n');
+            if (end < 0) {
+                return;
+            }
+            String[] words = in.toString(in.readerIndex(), end - 1, StandardCharsets.US_ASCII).split(" ");
+            if (words[0].equals("UNOP")) {
+                in.skipBytes(end + 1);
+                return;
+            }
+            int body = Integer.parseInt(words[3]);
+            if (in.readableBytes() < end + 1 + body + 2) {
+                return;
+            }
+            in.skipBytes(end + 1 + body + 2);
+            after(ctx, callMicros, () -> ctx.writeAndFlush(words[1] + " DONE 5\r\nreply\r\n"));
+        }
+    }
+
+    /** The announce service: a report's body has no line of its own, so it is told by the end of its head. */
+    private static final class Announce extends SimpleChannelInboundHandler<String> {
+        @Override
+        protected void channelRead0(ChannelHandlerContext ctx, String line) {
+            if (line.isEmpty()) {
+                ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 204 No Content\r\n\r\n",
+                    StandardCharsets.US_ASCII));
+            }
+        }
+    }
+}
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -46,7 +46,7 @@
         UwsgiConfig uwsgi = told.has("uwsgi") ? UwsgiConfig.read(told.object("uwsgi", false), site) : null;
         Fields connections = told.object("connections", true);
         return new OperatorConfig(uwsgi, connections.integer("max", 0, 0, 1 << 20), limits(connections),
-            turns(told.object("turns", true)), told.word("transport", TRANSPORTS, NONE.transport),
+            turns(told.object("turns", true)), told.word("transport", TRANSPORTS, "auto"),
             told.integer("report_s", 0, 0, 3_600));
     }
 
@@ -66,13 +66,15 @@
     }
 
     private static TurnLimits turns(Fields told) {
-        told.only(Set.of("read_kb", "requests", "read_us", "lately_ms", "sleepers_part", "expiring"));
+        told.only(Set.of("read_kb", "requests", "read_us", "lately_ms", "sleepers_part", "crowd",
+            "expiring"));
         TurnLimits usual = TurnLimits.USUAL;
         return new TurnLimits(told.integer("read_kb", usual.mostBytes() >> 10, 4, 1 << 16) << 10,
             told.integer("requests", usual.mostRequests(), 1, 100_000),
             told.integer("read_us", usual.mostMicros(), 100, 1_000_000), millis(told, "lately_ms",
                 usual.lately(), 0),
             told.integer("sleepers_part", usual.sleepersPart(), 2, 1_000),
+            told.integer("crowd", usual.crowd(), 1, 1 << 20),
             told.integer("expiring", usual.mostExpiring(), 1, 100_000));
     }
 
--- a/server/src/main/java/wheatspread/config/UwsgiConfig.java
+++ b/server/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -53,7 +53,7 @@
         Defaults none = new Defaults(-1, -1, 0, 0, 24);
         Defaults defaults = defaults(told.object("defaults", true), none, site, DEFAULT_KEYS);
         return new UwsgiConfig(ServerConfig.address(told, "listen"),
-            told.integer("max_connections", 256, 1, 4096), told.integer("max_vars", 16_384, 64, 65_535),
+            told.integer("max_connections", 256, 1, 1 << 20), told.integer("max_vars", 16_384, 64, 65_535),
             told.integer("max_body", 2_048, 0, 1 << 20), millis(told, "read_timeout_ms", 5_000),
             millis(told, "idle_timeout_ms", 60_000), told.text("health_path", ""), vars, defaults,
             routes(told, defaults, site));
--- a/server/src/main/java/wheatspread/connections/Connection.java
+++ b/server/src/main/java/wheatspread/connections/Connection.java
@@ -31,6 +31,8 @@
     int held;
     boolean asked;
     boolean leaving;
+    /** Woken up by a request that was turned away unseen: it is a sleeper still. */
+    boolean asleep;
     /** Bytes wait in its socket that this server was too busy to read, or does not read on purpose. */
     boolean unread;
     /** The neighbours in the list of its state. */
@@ -63,6 +65,11 @@
         return usedAt;
     }
 
+    /** Its request was turned away for it is a sleeper, and that is no use of it. */
+    public void sleepsOn(boolean on) {
+        asleep = on;
+    }
+
     /** Tells whether bytes wait in its socket that are not its fault: its limits start anew meanwhile. */
     public void unread(boolean waits) {
         unread = waits;
--- a/server/src/main/java/wheatspread/connections/ConnectionTable.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionTable.java
@@ -154,7 +154,7 @@
         c.unread = false;
         if (whole) {
             c.asked = true;
-            c.usedAt = now;
+            c.usedAt = c.asleep ? c.usedAt : now;
         }
         boolean goesOn = c.state == State.SPEAKING && !whole && bytes > 0;
         settle(c, goesOn ? c.since : now);
@@ -170,7 +170,7 @@
     public void answered(Connection c, long now, int open) {
         if (c.state != State.GONE) {
             c.open = open;
-            c.usedAt = now;
+            c.usedAt = c.asleep ? c.usedAt : now;
             settle(c, c.state == State.SPEAKING ? c.since : now);
         }
     }
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -125,6 +125,21 @@
             write, s.heldKb(), s.hint()));
     }
 
+    /**
+     * Answers a try that is not taken in: a bound of the server's front has been reached. It never runs, and
+     * its caller hears after how many microseconds to come back, where the settings allow that.
+     */
+    public void turnAway(Reply reply, long later) {
+        counts.read++;
+        counts.refused++;
+        reply.answer(new Answer(Answer.Kind.REFUSED, null, Math.min(later, mostStayAway()), false, feedback));
+    }
+
+    /** How long a caller may be asked to stay away; 0 where the settings don't allow it. */
+    public long mostStayAway() {
+        return site.settings().callers().maxStayAway();
+    }
+
     /** The caller of a try no longer waits: no answer is owed. */
     public void gone(Long ticket) {
         Try one = ticket == null ? null : table.byNumber(ticket);
--- a/server/src/main/java/wheatspread/daemon/Rehearsal.java
+++ b/server/src/main/java/wheatspread/daemon/Rehearsal.java
@@ -59,7 +59,7 @@
     /** Goes on for so many nanoseconds at most, and returns how many requests were served. */
     int play(long longest) {
         long until = System.nanoTime() + longest;
-        Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, text -> { });
+        Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1, text -> { });
         var listener = new wheatspread.sockets.Listener(null, turns, this, new RpcFront(core, this),
             ConnectionLimits.usual(1),
             text -> { });
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -73,7 +73,7 @@
         this.operator = operator;
         this.log = log;
         Transport transport = Transport.named(operator.transport());
-        turns = new Turns(transport, operator.turns(), log);
+        turns = new Turns(transport, operator.turns(), config.seed(), log);
         group = new MultiThreadIoEventLoopGroup(1, turns);
         loop = group.next();
         clock = newClock.apply(loop, turns);
@@ -168,7 +168,7 @@
                 + table.sizeOf(State.RESTING) + ", " + table.counters());
         });
         log.accept("turns: " + turns.times() + ", exhausted " + turns.order().exhausted() + ", sleepers "
-            + turns.order().sleepers() + ", timers " + turns.wheel().size());
+            + turns.order().sleepers() + ", timers " + turns.wheel().size() + ", " + turns.gate());
     }
 
     private void reportAgain() {
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -35,12 +35,14 @@
         /** The text of its JSON-RPC id. */
         final String id;
         final String txn;
+        final boolean ofCrowd;
         Long ticket;
         Open older;
 
-        Open(String id, String txn) {
+        Open(String id, String txn, boolean ofCrowd) {
             this.id = id;
             this.txn = txn;
+            this.ofCrowd = ofCrowd;
         }
     }
 
@@ -59,6 +61,7 @@
     @Override
     protected void gone() {
         for (Open one = newest; one != null; one = one.older) {
+            over(one.ofCrowd, Answer.Kind.FAILED);
             front.core.gone(one.ticket);
         }
         newest = null;
@@ -164,7 +167,13 @@
         }
         try {
             var submission = front.reader.read(method, params, front.clock.now());
-            Open one = new Open(id, submission.job());
+            Entry entry = enter();
+            if (entry == Entry.TURNED_AWAY) {
+                long later = listener.later(front.core.mostStayAway());
+                front.core.turnAway(answer -> respond(id, answer), later);
+                return;
+            }
+            Open one = new Open(id, submission.job(), entry == Entry.OF_CROWD);
             one.older = newest;
             newest = one;
             open++;
@@ -176,7 +185,12 @@
 
     private void answer(Open one, Answer answer) {
         remove(one);
-        String id = one.id;
+        over(one.ofCrowd, answer.kind());
+        respond(one.id, answer);
+        answered();
+    }
+
+    private void respond(String id, Answer answer) {
         JSONObject data = new JSONObject();
         addFeedback(data, answer.feedback());
         switch (answer.kind()) {
@@ -194,7 +208,6 @@
             case CONFLICT -> error(id, CONFLICT, "txn is in use, or unique has another body", data);
             default -> error(id, FAILED, "failed", data);
         }
-        answered();
     }
 
     private void check(String id) {
@@ -216,6 +229,7 @@
         }
         if (found != null) {
             remove(found);
+            over(found.ofCrowd, Answer.Kind.FAILED);
             front.core.gone(found.ticket);
         }
     }
--- a/server/src/main/java/wheatspread/sockets/CallerHandle.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandle.java
@@ -16,7 +16,7 @@
  * read waits for its turn. While it waits, what the channel wants to hear of is kept from the selector, or
  * every turn would be told of it again.
  */
-abstract class CallerHandle extends Ready implements IoHandle, IoRegistration {
+public abstract class CallerHandle extends Ready implements IoHandle, IoRegistration {
     protected final IoHandle handle;
     private final Turns turns;
     private final Connection connection;
@@ -25,7 +25,7 @@
     private IoEvent event;
     private boolean muted;
 
-    CallerHandle(IoHandle handle, Turns turns) {
+    protected CallerHandle(IoHandle handle, Turns turns) {
         this.handle = handle;
         this.turns = turns;
         connection = turns.registering();
@@ -66,6 +66,8 @@
     /** Its turn has come. */
     final void read() {
         connection.unread(false);
+        connection.sleepsOn(false);
+        turns.reading(isSleeper());
         if (muted) {
             muted = false;
             if (registration.isValid()) {
--- a/server/src/main/java/wheatspread/sockets/CallerHandler.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandler.java
@@ -8,6 +8,7 @@
 import java.io.IOException;
 import wheatspread.connections.Caller;
 import wheatspread.connections.Connection;
+import wheatspread.core.Answer;
 
 /**
  * The one handler of a caller's channel. A front's own reads messages out of the bytes and holds what is not
@@ -176,6 +177,31 @@
         ctx.close();
     }
 
+    /** How a request that was just read goes on. */
+    protected enum Entry { USUAL, OF_CROWD, TURNED_AWAY }
+
+    /**
+     * Decides whether a request that was just read goes on to the core; a crowd that wakes at once may not.
+     */
+    protected final Entry enter() {
+        Turns turns = listener.turns();
+        if (!turns.admits()) {
+            connection.sleepsOn(true);
+            return Entry.TURNED_AWAY;
+        }
+        return turns.isSleeper() ? Entry.OF_CROWD : Entry.USUAL;
+    }
+
+    /** Tells what became of a request that went on. */
+    protected final void over(boolean ofCrowd, Answer.Kind kind) {
+        if (ofCrowd) {
+            listener.turns().gate().ended(kind == Answer.Kind.SERVED);
+        }
+        if (kind == Answer.Kind.REFUSED) {
+            listener.refused();
+        }
+    }
+
     /** An answer goes out. */
     protected final void write(ByteBuf bytes) {
         ctx.writeAndFlush(bytes, ctx.voidPromise());
--- a/server/src/main/java/wheatspread/sockets/EpollTransport.java
+++ b/server/src/main/java/wheatspread/sockets/EpollTransport.java
@@ -76,7 +76,9 @@
 
         @Override
         protected IoOps mute(IoOps ops) {
-            return ((EpollIoOps) ops).without(EpollIoOps.EPOLLIN).without(EpollIoOps.EPOLLRDHUP);
+            // errors are told in any case; without anything Netty would take the descriptor out of the set
+            return ((EpollIoOps) ops).without(EpollIoOps.EPOLLIN).without(EpollIoOps.EPOLLRDHUP)
+                .with(EpollIoOps.EPOLLERR);
         }
     }
 
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -116,7 +116,8 @@
         }
     }
 
-    private void accept(Channel channel) {
+    /** Takes in a channel that was accepted, here or by something else on the same loop. */
+    public void accept(Channel channel) {
         CallerHandler caller = front.caller(this);
         Connection connection = table.admit(caller, sourceOf(channel.remoteAddress()), clock.now());
         if (connection == null) {
@@ -202,6 +203,19 @@
         table.leave(caller.connection, clock.now());
     }
 
+    Turns turns() {
+        return turns;
+    }
+
+    /** When one that is turned away should come back, in microseconds. */
+    public long later(long most) {
+        return turns.gate().later(most);
+    }
+
+    void refused() {
+        turns.gate().refused(clock.now());
+    }
+
     void log(String text) {
         log.accept(text);
     }
--- a/server/src/main/java/wheatspread/sockets/Turns.java
+++ b/server/src/main/java/wheatspread/sockets/Turns.java
@@ -15,6 +15,7 @@
 import java.util.function.LongSupplier;
 import wheatspread.connections.Connection;
 import wheatspread.timers.TimerWheel;
+import wheatspread.turns.CrowdGate;
 import wheatspread.turns.ReadOrder;
 import wheatspread.turns.TurnLimits;
 
@@ -41,13 +42,16 @@
     private final List<CallerHandle> unmuted = new ArrayList<>();
     private final TurnTimes times = new TurnTimes();
     private LongSupplier now = () -> System.currentTimeMillis() * 1_000;
+    private final CrowdGate gate;
     private Connection registering;
+    private boolean sleeper;
 
-    public Turns(Transport transport, TurnLimits limits, Consumer<String> log) {
+    public Turns(Transport transport, TurnLimits limits, long seed, Consumer<String> log) {
         this.transport = transport;
         this.limits = limits;
         this.log = log;
         order = new ReadOrder(limits);
+        gate = new CrowdGate(limits.crowd(), seed);
     }
 
     /** The clock by which connections were used, in microseconds. */
@@ -105,6 +109,27 @@
         return registering;
     }
 
+    /** Whether what is read now was queued as a sleeper. */
+    void reading(boolean ofSleeper) {
+        sleeper = ofSleeper;
+    }
+
+    /**
+     * Whether a request that was just read may go on; those of sleepers may not where they are a crowd. Who
+     * may go on as a sleeper has to be given back to the {@link #gate}.
+     */
+    boolean admits() {
+        return !sleeper || gate.admits(order.sleepersWaiting());
+    }
+
+    boolean isSleeper() {
+        return sleeper;
+    }
+
+    public CrowdGate gate() {
+        return gate;
+    }
+
     void ready(CallerHandle handle) {
         order.add(handle, now.getAsLong());
         unmuted.add(handle);
@@ -143,8 +168,10 @@
     private void readCallers() {
         order.begin(micros());
         for (var ready = order.take(micros()); ready != null; ready = order.take(micros())) {
-            ((CallerHandle) ready).read();
+            CallerHandle handle = (CallerHandle) ready;
+            run(handle::read);
         }
+        sleeper = false;
         int kept = 0;
         int muted = 0;
         for (CallerHandle handle : unmuted) {
--- a/server/src/main/java/wheatspread/turns/ReadOrder.java
+++ b/server/src/main/java/wheatspread/turns/ReadOrder.java
@@ -37,6 +37,7 @@
         int queue = ready.hasOpenRequests() ? OPEN : ready.usedAt() > now - limits.lately() ? LATELY
             : SLEEPER;
         ready.queue = queue;
+        ready.sleeper = queue == SLEEPER;
         ready.next = null;
         if (last[queue] == null) {
             first[queue] = ready;
@@ -104,6 +105,11 @@
         return sizes[OPEN] + sizes[LATELY] + sizes[SLEEPER];
     }
 
+    /** How many sleepers are among them. */
+    public int sleepersWaiting() {
+        return sizes[SLEEPER];
+    }
+
     /** Turns that left something unread. */
     public long exhausted() {
         return exhausted;
--- a/server/src/main/java/wheatspread/turns/TurnLimits.java
+++ b/server/src/main/java/wheatspread/turns/TurnLimits.java
@@ -8,10 +8,11 @@
  * @param mostMicros time spent on reading, in microseconds
  * @param lately who used its connection within this time is not taken for a sleeper, in microseconds
  * @param sleepersPart a sleeper is read for so many others, so that a busy server reads sleepers too
+ * @param crowd so many sleepers that wait at once are a crowd, see {@link CrowdGate}
  * @param mostExpiring timers, and connections whose limit is over, that a turn deals with
  */
 public record TurnLimits(int mostBytes, int mostRequests, int mostMicros, long lately, int sleepersPart,
-                         int mostExpiring) {
+                         int crowd, int mostExpiring) {
     /** What holds unless an operator's file says otherwise. */
-    public static final TurnLimits USUAL = new TurnLimits(256 * 1024, 128, 4_000, 5_000_000, 8, 128);
+    public static final TurnLimits USUAL = new TurnLimits(256 * 1024, 128, 4_000, 5_000_000, 8, 64, 16);
 }
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -29,6 +29,7 @@
     /** The place of one response in the order of requests. */
     private static final class Slot {
         Long ticket;
+        boolean ofCrowd;
         ByteBuf response;
         Slot next;
     }
@@ -60,6 +61,7 @@
             if (slot.response != null) {
                 slot.response.release();
             } else {
+                over(slot.ofCrowd, Answer.Kind.FAILED);
                 front.core.gone(slot.ticket);
             }
         }
@@ -136,6 +138,13 @@
         } else {
             try {
                 Submission submission = front.reader.read(vars, request.body(), front.clock.now());
+                Entry entry = enter();
+                if (entry == Entry.TURNED_AWAY) {
+                    long later = listener.later(front.core.mostStayAway());
+                    front.core.turnAway(answer -> respond(slot, answer), later);
+                    return;
+                }
+                slot.ofCrowd = entry == Entry.OF_CROWD;
                 slot.ticket = front.core.submit(submission, answer -> answer(slot, answer));
             } catch (VarsReader.BadVar e) {
                 respond(slot, "400 Bad Request", text(e.getMessage()), "");
@@ -144,6 +153,11 @@
     }
 
     private void answer(Slot slot, Answer answer) {
+        over(slot.ofCrowd, answer.kind());
+        respond(slot, answer);
+    }
+
+    private void respond(Slot slot, Answer answer) {
         String feedback = Double.isNaN(answer.feedback()) ? ""
             : "X-Recipe-Feedback: " + answer.feedback() + "\r\n";
         switch (answer.kind()) {
--- a/server/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/server/src/test/java/wheatspread/daemon/SceneTest.java
@@ -16,7 +16,9 @@
 import java.util.stream.Stream;
 import org.json.JSONObject;
 import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import wheatspread.sockets.Transport;
 import wheatspread.uwsgi.UwsgiEncoder;
 import wheatspread.uwsgi.UwsgiPacket;
 
@@ -30,19 +32,22 @@
  * the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
  */
 class SceneTest {
-    static Stream<Path> scenes() throws IOException {
+    /** Every scene on every transport that works here. */
+    static Stream<Arguments> scenes() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("src/test/resources/scenes"))) {
-            return files.sorted().toList().stream();
+            return files.sorted().toList().stream()
+                .flatMap(file -> Stream.of("nio", Transport.named("auto").name()).distinct()
+                    .map(transport -> Arguments.of(file, transport)));
         }
     }
 
     @ParameterizedTest
     @MethodSource("scenes")
-    void plays(Path scene) throws Exception {
+    void plays(Path scene, String transport) throws Exception {
         List<String> lines = Files.readAllLines(scene);
         String over = lines.stream().filter(line
             -> line.startsWith("operator ")).findFirst().orElse("operator {}");
-        try (Stage stage = new Stage(over.substring(9)); Parties parties = new Parties(stage)) {
+        try (Stage stage = new Stage(over.substring(9), transport); Parties parties = new Parties(stage)) {
             for (int i = 0; i < lines.size(); i++) {
                 if (!lines.get(i).isBlank() && !lines.get(i).matches("(#|operator ).*")) {
                     try {
--- a/server/src/test/java/wheatspread/daemon/Stage.java
+++ b/server/src/test/java/wheatspread/daemon/Stage.java
@@ -35,14 +35,14 @@
     private ManualClock clock;
 
     Stage() throws IOException {
-        this("{}");
+        this("{}", "nio");
     }
 
     /** {@code over} goes over the operator's file, key by key. */
-    Stage(String over) throws IOException {
+    Stage(String over, String transport) throws IOException {
         ServerConfig config = ServerConfig.read(Fields.of(configuration().toMap(), ""));
         JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/operator.json")));
-        JSONObject more = new JSONObject(over);
+        JSONObject more = new JSONObject(over).put("transport", transport);
         JSONObject uwsgiOver = more.optJSONObject("uwsgi", new JSONObject());
         uwsgiOver.keySet().forEach(key -> told.getJSONObject("uwsgi").put(key, uwsgiOver.get(key)));
         more.keySet().stream().filter(key -> !key.equals("uwsgi")).forEach(key -> told.put(key,
--- a/server/src/test/java/wheatspread/sockets/ListenerTest.java
+++ b/server/src/test/java/wheatspread/sockets/ListenerTest.java
@@ -21,7 +21,7 @@
     private final List<Runnable> timers = new ArrayList<>();
     private final List<String> heard = new ArrayList<>();
     private long now = 100_000_000;
-    private final Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, heard::add);
+    private final Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1, heard::add);
     private final Listener listener = new Listener(null, turns, new SetClock(), new Echo(),
         ConnectionLimits.usual(100), heard::add);
 
--- a/server/src/test/java/wheatspread/turns/ReadOrderTest.java
+++ b/server/src/test/java/wheatspread/turns/ReadOrderTest.java
@@ -9,7 +9,7 @@
 class ReadOrderTest {
     private static final long NOW = 100_000_000;
 
-    private final ReadOrder order = new ReadOrder(new TurnLimits(10_000, 20, 4_000, 5_000_000, 4, 10));
+    private final ReadOrder order = new ReadOrder(new TurnLimits(10_000, 20, 4_000, 5_000_000, 4, 64, 10));
 
     private static final class One extends Ready {
         private final String name;
