Publish the measurement of idle connections, and make the last limits settings

Need: the operators ask for a published measurement; what may wait to be written was a constant; NIO, asked to wait for less than a millisecond, does not wait at all, so the loop spun through the last one before every timer.

--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run adapter clean
+.PHONY: build test lint run adapter measure clean
 
 build:           ## the jars of server and lab, without tests
 	mvn -q -DskipTests package
@@ -17,3 +17,8 @@
 
 clean:
 	mvn -q clean
+
+measure: build   ## the measurements of idle connections, some ten minutes
+	java -jar lab/target/wheatspread-lab.jar idle
+	java -jar lab/target/wheatspread-lab.jar crowd
+	java -jar lab/target/wheatspread-lab.jar bench --name idle-structures
--- a/lab/src/main/java/wheatspread/lab/IdleCommand.java
+++ b/lab/src/main/java/wheatspread/lab/IdleCommand.java
@@ -3,7 +3,9 @@
 import java.io.IOException;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.LinkedHashMap;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
@@ -68,9 +70,30 @@
             report.put("fleet of " + fleet, fleet());
         }
         report.write(out);
+        plot();
         return 0;
     }
 
+    /** Heap and p99 of each server beside the others. */
+    private void plot() throws IOException {
+        Map<String, Map<String, Double>> series = new LinkedHashMap<>();
+        for (String part : report.parts()) {
+            JSONObject figures = report.get(part);
+            if (figures.has("heap_per_connection")) {
+                Map<String, Double> bars = new LinkedHashMap<>();
+                bars.put("heap each, bytes", figures.getDouble("heap_per_connection"));
+                bars.put("burst p99, ms",
+                    figures.getJSONObject("burst").getJSONObject("load").getDouble("p99_ms"));
+                bars.put("idle CPU, 0.01%", 1e4 * figures.getDouble("idle_loop_cpu"));
+                bars.put("burst lost, 0.01%", 1e4 * (1 - figures.getJSONObject("burst")
+                    .getJSONObject("load").getDouble("in_wanted_time")));
+                series.put(part, bars);
+            }
+        }
+        Report.bars(out.resolve("idle-connections.png"), idle + " idle connections beside " + (int) rate
+            + " requests a second on one core", "", series);
+    }
+
     private String operator(String transport, boolean uwsgi) {
         JSONObject file = new JSONObject().put("transport", transport).put("report_s", 1)
             .put("connections", new JSONObject().put("idle_timeout_ms", IDLE_MS));
@@ -87,7 +110,7 @@
         throws IOException, InterruptedException {
         return new ServerProcess(server, Sites.config(parties, idle + 900),
             transport == null ? null : operator(transport, uwsgi),
-            List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xms192m",
+            List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-XX:-UsePerfData", "-Xlog:gc", "-Xms192m",
                 "-Xmx192m", "-XX:MaxDirectMemorySize=32m",
                 "-Dio.netty.allocator.type=unpooled", "-Dio.netty.noPreferDirect=true"), onCore);
     }
@@ -118,7 +141,8 @@
                 if (transport != null) {
                     int log = process.log().size();
                     figures.put("expiry", holder.ask("closing"));
-                    figures.put("expiry_longest_turn_us", longest(process.log(), log));
+                    figures.put("expiry_longest_turn_us", longest(process.log(), log))
+                        .put("expiry_longest_collection_ms", longestCollection(process.log(), log));
                 }
             }
             figures.put("left_by_itself", process.leave());
@@ -140,7 +164,8 @@
         load.pause();
         JSONObject figures = new JSONObject().put("sleepers", holder.hear());
         TimeUnit.SECONDS.sleep(2);
-        return figures.put("load", during.figures()).put("longest_turn_us", longest(process.log(), log));
+        return figures.put("load", during.figures()).put("longest_turn_us", longest(process.log(), log))
+            .put("longest_collection_ms", longestCollection(process.log(), log));
     }
 
     /** The share of one core that the server's event loop uses. */
@@ -157,6 +182,13 @@
                 "$1"))).max().orElse(-1);
     }
 
+    /** The longest pause for garbage collection, which is a part of the turn that it falls into. */
+    private static double longestCollection(List<String> log, int from) {
+        return log.stream().skip(from).filter(line -> line.contains("Pause Young"))
+            .mapToDouble(line -> Double.parseDouble(line.replaceAll(".* ([\\d.]+)ms$",
+                "$1"))).max().orElse(0);
+    }
+
     private static List<String> last(List<String> log, int count) {
         return log.stream().skip(Math.max(0, log.size() - count)).map(line -> line.replaceAll("^\\d+ ",
             "")).toList();
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/StartCommand.java
@@ -0,0 +1,82 @@
+package wheatspread.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+import org.json.JSONObject;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import wheatspread.lab.report.Report;
+import wheatspread.lab.standins.Parties;
+import wheatspread.lab.standins.ServerProcess;
+
+/** What a start costs on the platform, beside another jar's. */
+@Command(name = "start", mixinStandardHelpOptions = true,
+    description = "Starts servers with the platform's flags, in turns, and measures time, CPU and memory.")
+final class StartCommand implements Callable<Integer> {
+    @Option(names = "--jar", defaultValue = "server/target/wheatspread.jar", description = "The server.")
+    private Path jar;
+    @Option(names = "--before", description = "Another server's jar, started in turns with it.")
+    private Path before;
+    @Option(names = "--deploy", defaultValue = "deploy/balancer.toml", description = "Where the flags stand.")
+    private Path deploy;
+    @Option(names = "--rounds", defaultValue = "7", description = "Starts of each (${DEFAULT-VALUE}).")
+    private int rounds;
+    @Option(names = "--core", defaultValue = "2", description = "The core they run on (${DEFAULT-VALUE}).")
+    private int core;
+    @Option(names = "--out", defaultValue = "docs/measurements", description = "Where the report goes.")
+    private Path out;
+
+    @Override
+    public Integer call() throws Exception {
+        Matcher run = Pattern.compile("run = \"exec java (.*) -jar ").matcher(Files.readString(deploy));
+        if (!run.find()) {
+            throw new IOException(deploy + " has no run line with java's flags");
+        }
+        List<String> flags = List.of(run.group(1).split(" "));
+        List<JSONObject> after = new ArrayList<>();
+        List<JSONObject> old = new ArrayList<>();
+        for (int i = 0; i < rounds; i++) {
+            after.add(start(jar, flags));
+            if (before != null) {
+                old.add(start(before, flags));
+            }
+        }
+        Report report = new Report("start");
+        report.put("now", medians(after));
+        if (before != null) {
+            report.put("before", medians(old));
+        }
+        report.write(out);
+        report.parts().forEach(part -> System.out.println(part + " " + report.get(part)));
+        return 0;
+    }
+
+    private JSONObject start(Path server, List<String> flags) throws Exception {
+        long began = System.nanoTime();
+        try (Parties parties = new Parties(15_000, 5_000);
+             ServerProcess process = new ServerProcess(server, Sites.config(parties, 512), null, flags,
+                 core)) {
+            double wall = (System.nanoTime() - began) / 1e6;
+            double cpu = process.cpuMillis();
+            TimeUnit.SECONDS.sleep(2);
+            return new JSONObject().put("serving_after_ms", wall).put("cpu_ms", cpu)
+                .put("resident_kb", process.residentKb());
+        }
+    }
+
+    private static JSONObject medians(List<JSONObject> all) {
+        JSONObject medians = new JSONObject().put("starts", all.size());
+        for (String key : List.of("serving_after_ms", "cpu_ms", "resident_kb")) {
+            medians.put(key, all.stream().mapToDouble(one
+                -> one.getDouble(key)).sorted().toArray()[all.size() / 2]);
+        }
+        return medians;
+    }
+}
--- a/lab/src/main/java/wheatspread/lab/bench/ConnectionsBenchmark.java
+++ b/lab/src/main/java/wheatspread/lab/bench/ConnectionsBenchmark.java
@@ -70,7 +70,7 @@
         ConnectionLimits usual = ConnectionLimits.usual(size);
         table = new ConnectionTable(new ConnectionLimits(size, 0, 0, 1_000, usual.firstRequest(),
             usual.wholeRequest(), IDLE, usual.leaving(), usual.toSpeak(), usual.mostHeld(),
-                usual.refusal()), now,
+                usual.mostWaiting(), usual.refusal()), now,
             () -> { });
         nodes = new Connection[size];
         plain = new Plain[size];
--- a/lab/src/main/java/wheatspread/lab/memory/MemoryCrowd.java
+++ b/lab/src/main/java/wheatspread/lab/memory/MemoryCrowd.java
@@ -61,7 +61,7 @@
         ConnectionLimits usual = ConnectionLimits.usual(count);
         ConnectionLimits own = new ConnectionLimits(count, 0, 0, 1_000, 60_000_000, 60_000_000, idle,
             2_000_000,
-            usual.toSpeak(), usual.mostHeld(), usual.refusal());
+            usual.toSpeak(), usual.mostHeld(), usual.mostWaiting(), usual.refusal());
         listener = new Listener(loop, turns, clock, new RpcFront(core, clock), own, text -> { });
         loop.submit(() -> core.booted(false, 20_000_000)).syncUninterruptibly();
     }
--- a/lab/src/main/java/wheatspread/lab/memory/MemoryTransport.java
+++ b/lab/src/main/java/wheatspread/lab/memory/MemoryTransport.java
@@ -35,6 +35,11 @@
         return Selector::new;
     }
 
+    @Override
+    public long shortestWait() {
+        return 1;
+    }
+
     @Override
     public Class<? extends ServerChannel> serverChannel() {
         throw new UnsupportedOperationException("channels are handed to the listener");
--- a/lab/src/main/java/wheatspread/lab/report/Report.java
+++ b/lab/src/main/java/wheatspread/lab/report/Report.java
@@ -27,6 +27,11 @@
         parts.put(part, figures);
     }
 
+    /** The names of the parts, in their order. */
+    public List<String> parts() {
+        return List.copyOf(parts.keySet());
+    }
+
     /** The figures of a part. */
     public JSONObject get(String part) {
         return parts.get(part);
@@ -60,6 +65,7 @@
     /** Draws bars, one group for each series, into {@code NAME.png}. */
     public static void bars(Path file, String title, String unit, Map<String, Map<String, Double>> series)
         throws IOException {
+        System.setProperty("java.awt.headless", "true");
         CategoryChart chart = new CategoryChartBuilder().width(900).height(500).title(title).yAxisTitle(unit)
             .build();
         chart.getStyler().setLegendVisible(true);
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -52,7 +52,9 @@
 
     private static ConnectionLimits limits(Fields told) {
         told.only(Set.of("max", "max_per_source", "accepts_per_s", "accept_burst", "first_request_ms",
-            "whole_request_ms", "idle_timeout_ms", "leaving_ms", "to_speak_ms", "max_partial_kb", "refused"));
+            "whole_request_ms", "idle_timeout_ms", "leaving_ms", "to_speak_ms", "max_partial_kb",
+                "max_waiting_kb",
+            "refused"));
         ConnectionLimits usual = NONE.connections;
         return new ConnectionLimits(0, told.integer("max_per_source", usual.mostOfSource(), 0, 1 << 20),
             told.integer("accepts_per_s", usual.acceptsPerSecond(), 0, 1_000_000),
@@ -62,6 +64,7 @@
             millis(told, "idle_timeout_ms", usual.idle(), 0), millis(told, "leaving_ms", usual.leaving(), 10),
             millis(told, "to_speak_ms", usual.toSpeak(), 0),
             told.integer("max_partial_kb", (int) (usual.mostHeld() >> 10), 64, 1 << 20) * 1024L,
+            told.integer("max_waiting_kb", (int) (usual.mostWaiting() >> 10), 256, 1 << 20) * 1024L,
             told.word("refused", REFUSALS, usual.refusal()));
     }
 
@@ -88,6 +91,6 @@
         return new ConnectionLimits(uwsgi.mostConnections(), c.mostOfSource(), c.acceptsPerSecond(),
             c.acceptBurst(), c.firstRequest(), uwsgi.readTimeout(), uwsgi.idleTimeout(), c.leaving(),
                 c.toSpeak(),
-            c.mostHeld(), c.refusal());
+            c.mostHeld(), c.mostWaiting(), c.refusal());
     }
 }
--- a/server/src/main/java/wheatspread/connections/ConnectionCounters.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionCounters.java
@@ -14,6 +14,7 @@
     long closedIdle;
     long closedLeaving;
     long closedHeld;
+    long closedStalled;
 
     /** Connections that were turned away at once, for whatever reason. */
     public long refused() {
@@ -31,6 +32,6 @@
             + ", refused_source " + refusedSource + ", room_silent " + roomSilent + ", room_speaking "
             + roomSpeaking + ", room_resting " + roomResting + ", closed_silent " + closedSilent
             + ", closed_half " + closedHalf + ", closed_idle " + closedIdle + ", closed_leaving "
-            + closedLeaving + ", closed_held " + closedHeld;
+            + closedLeaving + ", closed_held " + closedHeld + ", closed_stalled " + closedStalled;
     }
 }
--- a/server/src/main/java/wheatspread/connections/ConnectionLimits.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionLimits.java
@@ -13,23 +13,24 @@
  * @param leaving a connection that only has to be closed is cut off after that
  * @param toSpeak who has said nothing for longer makes room before all others
  * @param mostHeld bytes of messages that are not whole, of all connections together
+ * @param mostWaiting bytes that wait to be written to callers that do not read, of all connections together
  * @param refusal what a connection gets that can't be taken
  */
 public record ConnectionLimits(int mostConnections, int mostOfSource, int acceptsPerSecond, int acceptBurst,
                                long firstRequest, long wholeRequest, long idle, long leaving, long toSpeak,
-                               long mostHeld, Refusal refusal) {
+                               long mostHeld, long mostWaiting, Refusal refusal) {
     /** What a connection gets that can't be taken: the end, a reset, or an answer and the end. */
     public enum Refusal { CLOSE, RESET, ANSWER }
 
     /** What holds unless an operator's file says otherwise. */
     public static ConnectionLimits usual(int mostConnections) {
         return new ConnectionLimits(mostConnections, 0, 0, 1_000, 2_000_000, 2_000_000, 0, 2_000_000, 200_000,
-            8 << 20, Refusal.CLOSE);
+            8 << 20, 12 << 20, Refusal.CLOSE);
     }
 
     /** The same with room for so many. */
     public ConnectionLimits with(int connections) {
         return new ConnectionLimits(connections, mostOfSource, acceptsPerSecond, acceptBurst, firstRequest,
-            wholeRequest, idle, leaving, toSpeak, mostHeld, refusal);
+            wholeRequest, idle, leaving, toSpeak, mostHeld, mostWaiting, refusal);
     }
 }
--- a/server/src/main/java/wheatspread/connections/ConnectionTable.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionTable.java
@@ -318,6 +318,12 @@
         }
     }
 
+    /** One is closed because too much waits to be written to those that do not read, and most to it. */
+    public void stalls(Connection c) {
+        counters.closedStalled++;
+        close(c);
+    }
+
     /** Does something to every connection; it may be closed meanwhile. */
     public void forEach(Consumer<Caller> what) {
         Connection[] all = new Connection[size];
--- a/server/src/main/java/wheatspread/sockets/EpollTransport.java
+++ b/server/src/main/java/wheatspread/sockets/EpollTransport.java
@@ -38,6 +38,11 @@
         return EpollIoHandler.newFactory();
     }
 
+    @Override
+    public long shortestWait() {
+        return 1;
+    }
+
     @Override
     public Class<? extends ServerChannel> serverChannel() {
         return EpollServerSocketChannel.class;
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -37,9 +37,7 @@
     private static final int WRITE_LOW = 64 * 1024;
     private static final int WRITE_HIGH = 128 * 1024;
     private static final WriteBufferWaterMark MARKS = new WriteBufferWaterMark(WRITE_LOW, WRITE_HIGH);
-    /** What may wait to be written to all callers together: a quarter of the platform's heap. */
-    private static final long MOST_WAITING = 12 * 1024 * 1024;
-    /** How often that is looked at while anybody is beyond the high mark; us. */
+    /** How often what waits to be written is looked at while anybody is beyond the high mark; us. */
     private static final long STALLED = 100_000;
     /** Accepting rests so long where the process has no descriptor left; us. */
     private static final long NO_DESCRIPTOR = 100_000;
@@ -52,7 +50,7 @@
     private final Front front;
     private final ConnectionTable table;
     private final Consumer<String> log;
-    private final Set<Caller> stalled = new LinkedHashSet<>();
+    private final Set<CallerHandler> stalled = new LinkedHashSet<>();
     /** One handle reads for all callers, one after another; each has but one read a turn. */
     private final RecvByteBufAllocator.ExtendedHandle reading = (RecvByteBufAllocator.ExtendedHandle)
         new FixedRecvByteBufAllocator(READ).maxMessagesPerRead(1).newHandle();
@@ -265,11 +263,12 @@
     /** Guards the heap against many callers that ask and do not read: the one furthest behind is closed. */
     private void closeStalled() {
         long waiting = stalled.stream().mapToLong(Caller::waitingBytes).sum();
-        while (waiting > MOST_WAITING) {
-            Caller worst = stalled.stream().max(Comparator.comparingLong(Caller::waitingBytes)).orElseThrow();
+        while (waiting > table.limits().mostWaiting()) {
+            CallerHandler worst = stalled.stream().max(Comparator.comparingLong(Caller::waitingBytes))
+                .orElseThrow();
             waiting -= worst.waitingBytes();
             stalled.remove(worst);
-            worst.close();
+            table.stalls(worst.connection);
         }
         watching = !stalled.isEmpty();
         if (watching) {
--- a/server/src/main/java/wheatspread/sockets/Transport.java
+++ b/server/src/main/java/wheatspread/sockets/Transport.java
@@ -16,6 +16,9 @@
 
     Class<? extends ServerChannel> serverChannel();
 
+    /** The shortest time it can wait, in nanoseconds; asked to wait for less it does not wait at all. */
+    long shortestWait();
+
     Class<? extends Channel> clientChannel();
 
     /** A handle that has the reads of a caller's socket wait for their turn. */
@@ -45,6 +48,11 @@
             return NioIoHandler.newFactory();
         }
 
+        @Override
+        public long shortestWait() {
+            return 1_000_000;
+        }
+
         @Override
         public Class<? extends ServerChannel> serverChannel() {
             return NioServerSocketChannel.class;
--- a/server/src/test/java/wheatspread/config/ConfigTest.java
+++ b/server/src/test/java/wheatspread/config/ConfigTest.java
@@ -79,4 +79,27 @@
         assertThat(uwsgi.routes().get(0).defaults())
             .isEqualTo(new UwsgiConfig.Defaults(3, 0, 0, 410_000, 24));
     }
+
+    @Test
+    void aBadOperatorsFileIsNamedWithItsKeyAndWhatIsAllowed() throws Exception {
+        JSONObject platform = new JSONObject(Files.readString(PLATFORM));
+        ServerConfig config = ServerConfig.read(Fields.of(platform.toMap(), ""));
+        Map<String, String> complaints = Map.of(
+            "{'connections': {'max_per_source': -1}}",
+                "connections.max_per_source is -1, not from 0 to 1048576",
+            "{'connections': {'idle_ms': 5}}",
+                "connections.idle_ms is an unknown key; known are [accept_burst",
+            "{'connections': {'refused': 'maybe'}}", "connections.refused is an unknown word: maybe",
+            "{'turns': {'read_us': 'much'}}", "turns.read_us is missing or not a number",
+            "{'transport': 'pigeon'}", "transport is an unknown word: pigeon",
+            "{'turns': {'expiring': 0}}", "turns.expiring is 0, not from 1 to 100000",
+            "{'upstream': {}}", "upstream is an unknown key; known are [connections, report_s, transport");
+        for (var one : complaints.entrySet()) {
+            Path file = Files.writeString(Files.createTempFile("operator", ".json"),
+                one.getKey().replace('\'', '"'));
+            assertThatThrownBy(() -> OperatorConfig.readFile(file, config.site()))
+                .hasMessageStartingWith(file + ": " + one.getValue());
+            Files.delete(file);
+        }
+    }
 }
--- a/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
+++ b/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
@@ -24,7 +24,7 @@
 
     private ConnectionTable table(int most, int ofSource, long idle) {
         return new ConnectionTable(new ConnectionLimits(most, ofSource, 100, 2, 2 * SECOND, 3 * SECOND, idle,
-            SECOND, SECOND / 5, 1_000, Refusal.CLOSE), now, () -> changes++);
+            SECOND, SECOND / 5, 1_000, 1_000, Refusal.CLOSE), now, () -> changes++);
     }
 
     private final class Named implements Caller {
@@ -222,6 +222,20 @@
         assertThat(table.held()).isEqualTo(950);
     }
 
+    /** Every one keeps what it says in memory until its line ends, which it never does. */
+    @Test
+    void nineteenThousandHalfLinesHoldWhatIsSet() {
+        table = table(19_000, 0, 0);
+        for (int i = 0; i < 19_000; i++) {
+            Connection c = open("c", i % 100);
+            table.read(c, now, false, 0, 40);
+            assertThat(table.held()).isLessThanOrEqualTo(1_000);
+        }
+        assertThat(heard).hasSize(19_000 - 25).containsOnly("c leaves");
+        expire(SECOND);
+        assertThat(heard).as("who does not take the end is cut off").hasSize(100).containsOnly("c closed");
+    }
+
     @Test
     void acceptsArePacedAndOverdrawn() {
         assertThat(table.pauseAfterAccept(now)).as("a burst of two").isZero();
