End a server whose event loop has died with exit code 70

Need: seen while epoll was brought up: a fault in the selector ended the loop's thread, the process stayed, answered nothing, and hung on SIGTERM, since both the main thread and the shutdown hook waited for a stop that nobody would tell. Change: the end of the loop counts as the end of the process; main and hook tell it from a stop in order. Result: the new test hangs into its limit of time without the change.

--- a/server/src/main/java/wheatspread/daemon/Main.java
+++ b/server/src/main/java/wheatspread/daemon/Main.java
@@ -3,6 +3,7 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.concurrent.RejectedExecutionException;
 import wheatspread.config.Fields;
 import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
@@ -17,6 +18,9 @@
     private static final String USAGE = "usage: java -jar wheatspread.jar serve [OPERATOR_FILE] | benchlink"
         + " | import-nginx NGINX_CONF OPERATOR_FILE [HOST:PORT]";
 
+    /** EX_SOFTWARE of sysexits.h. */
+    private static final int LOOP_ENDED = 70;
+
     private Main() { }
 
     public static void main(String[] args) throws IOException, InterruptedException {
@@ -52,7 +56,10 @@
             server.start();
             // SIGTERM is the notice to leave: the JVM waits for this hook, which waits for the drain
             Runtime.getRuntime().addShutdownHook(new Thread(() -> leave(server), "drain"));
-            server.awaitStopped();
+            if (!server.awaitStopped()) {
+                System.err.println("wheatspread: the event loop ended");
+                Runtime.getRuntime().halt(LOOP_ENDED);
+            }
         } catch (Fields.BadValue e) {
             exit(1, "wheatspread: configuration: " + e.getMessage());
         } catch (IllegalArgumentException e) {
@@ -74,13 +81,16 @@
     }
 
     private static void leave(Server server) {
-        server.drain();
+        boolean inOrder = false;
         try {
-            server.awaitStopped();
+            server.drain();
+            inOrder = server.awaitStopped();
         } catch (InterruptedException e) {
             Thread.currentThread().interrupt();
+        } catch (RejectedExecutionException e) {
+            log("the event loop ended before the notice to leave");
         }
-        Runtime.getRuntime().halt(0); // the end was asked for, so it is no failure
+        Runtime.getRuntime().halt(inOrder ? 0 : LOOP_ENDED); // an end that was asked for is no failure
     }
 
     private static void log(String text) {
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -62,7 +62,7 @@
     private final Map<Listener, InetSocketAddress> fronts = new LinkedHashMap<>();
     private final List<InetSocketAddress> bound = new ArrayList<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private Phase phase = Phase.NEW;
+    private volatile Phase phase = Phase.NEW;
     private long leaveBy;
     private long listenUntil;
 
@@ -76,6 +76,8 @@
         turns = new Turns(transport, operator.turns(), config.seed(), log);
         group = new MultiThreadIoEventLoopGroup(1, turns);
         loop = group.next();
+        // without its loop a server reads and answers nothing, and nobody would learn of it
+        group.terminationFuture().addListener(ended -> stopped.countDown());
         clock = newClock.apply(loop, turns);
         turns.usedBy(clock::now);
         Bootstrap clients = new Bootstrap().group(loop).channel(transport.clientChannel());
@@ -231,8 +233,12 @@
         group.shutdownGracefully(0, 0, TimeUnit.MILLISECONDS).syncUninterruptibly();
     }
 
-    public void awaitStopped() throws InterruptedException {
+    /**
+     * Waits until the process may end, and returns whether it left in order: its event loop may have died.
+     */
+    public boolean awaitStopped() throws InterruptedException {
         stopped.await();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
+        return phase == Phase.STOPPED;
     }
 }
--- a/server/src/test/java/wheatspread/daemon/BothFrontsTest.java
+++ b/server/src/test/java/wheatspread/daemon/BothFrontsTest.java
@@ -11,6 +11,7 @@
 import java.util.TreeMap;
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
 import wheatspread.config.Fields;
 import wheatspread.config.ServerConfig;
 
@@ -59,6 +60,16 @@
         }
     }
 
+    /** Guards against a process whose event loop has died, and that stays for ever, deaf to SIGTERM. */
+    @Test
+    @Timeout(20)
+    void aServerWhoseLoopDiedSaysSoInPlaceOfHanging() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.server.kill();
+            assertThat(stage.server.awaitStopped()).isFalse();
+        }
+    }
+
     /** Guards against a rehearsal that compiles the refusal of requests in place of their service. */
     @Test
     void theRehearsalServesWhatItAsks() throws Exception {
