Share the turning away of crowds between the fronts, and drop what nothing calls

Need: read again, both fronts had the same steps to turn a crowd's request away, two settings readers the same reading of milliseconds, the lab two readings of proc's CPU times; some methods had no caller any more. Change: CallerHandler.turnedAway and ofCrowd in place of an enum that each front took apart; Fields.micros; one ServerProcess.millis; Listener.later and isLeaving, Connection.caller, RpcConnection.remove's result and the lab's word speak are gone. Behaviour, bounds and tests stay as they were.

--- a/lab/src/main/java/wheatspread/lab/HoldCommand.java
+++ b/lab/src/main/java/wheatspread/lab/HoldCommand.java
@@ -13,7 +13,7 @@
  * The process that holds connections: it does what its standard input says, and answers a line of JSON each.
  */
 @Command(name = "hold", hidden = true, mixinStandardHelpOptions = true,
-    description = "Holds idle connections; words on standard input: open, speak, burst, closing.")
+    description = "Holds idle connections; words on standard input: open, burst, closing.")
 final class HoldCommand implements Callable<Integer> {
     @Option(names = "--port", required = true)
     private int port;
@@ -31,7 +31,6 @@
             for (String word = in.readLine(); word != null; word = in.readLine()) {
                 JSONObject figures = switch (word) {
                     case "open" -> holder.open(count);
-                    case "speak" -> holder.speak();
                     case "burst" -> holder.burst();
                     case "closing" -> holder.closing(60);
                     default -> new JSONObject().put("error", "unknown word " + word);
--- a/lab/src/main/java/wheatspread/lab/load/Holder.java
+++ b/lab/src/main/java/wheatspread/lab/load/Holder.java
@@ -132,11 +132,6 @@
         return uwsgi ? packet("/health", "") : text("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n");
     }
 
-    /** Each asks for the server's health. */
-    public JSONObject speak() throws InterruptedException {
-        return ask(i -> check());
-    }
-
     /** Each sends a request at once. */
     public JSONObject burst() throws InterruptedException {
         long door = System.currentTimeMillis();
--- a/lab/src/main/java/wheatspread/lab/standins/ServerProcess.java
+++ b/lab/src/main/java/wheatspread/lab/standins/ServerProcess.java
@@ -104,24 +104,26 @@
 
     /** The CPU it has used so far, in milliseconds, by proc(5). */
     public double cpuMillis() throws IOException {
-        String stat = Files.readString(Path.of("/proc/" + process.pid() + "/stat"));
+        return millis(Files.readString(Path.of("/proc/" + process.pid() + "/stat")));
+    }
+
+    private static double millis(String stat) {
         String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
         return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) * 1000.0 / TICKS_PER_SECOND;
     }
 
     /** The CPU its event loop has used so far, in milliseconds; the JVM's own threads are left out. */
     public double loopMillis() throws IOException {
-        long ticks = 0;
+        double millis = 0;
         try (Stream<Path> tasks = Files.list(Path.of("/proc/" + process.pid() + "/task"))) {
             for (Path task : tasks.toList()) {
                 String stat = Files.readString(task.resolve("stat"));
                 if (stat.contains("(multiThreadIo")) {
-                    String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-                    ticks += Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+                    millis += millis(stat);
                 }
             }
         }
-        return ticks * 1000.0 / TICKS_PER_SECOND;
+        return millis;
     }
 
     /** Its resident memory, in KB. */
--- a/server/src/main/java/wheatspread/config/Fields.java
+++ b/server/src/main/java/wheatspread/config/Fields.java
@@ -8,6 +8,8 @@
 
 /** Typed access to one object of a message or a configuration; complaints name the faulty key by its path. */
 public final class Fields {
+    private static final int HOUR_MS = 3_600_000;
+
     private final Map<String, Object> map;
     private final String path;
 
@@ -75,6 +77,13 @@
         return (int) value;
     }
 
+    /**
+     * A time that a file gives in whole milliseconds, an hour at most; all but the file's bounds is in us.
+     */
+    public long micros(String name, long absent, int leastMillis) {
+        return integer(name, (int) (absent / 1_000), leastMillis, HOUR_MS) * 1_000L;
+    }
+
     public long id(String name) {
         return integer(name);
     }
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -24,7 +24,6 @@
     public static final OperatorConfig NONE =
         new OperatorConfig(null, 0, ConnectionLimits.usual(0), TurnLimits.USUAL, "nio", 0);
 
-    private static final int HOUR_MS = 3_600_000;
     private static final Map<String, Refusal> REFUSALS = Map.of("close", Refusal.CLOSE, "reset",
         Refusal.RESET,
         "answer", Refusal.ANSWER);
@@ -59,10 +58,10 @@
         return new ConnectionLimits(0, told.integer("max_per_source", usual.mostOfSource(), 0, 1 << 20),
             told.integer("accepts_per_s", usual.acceptsPerSecond(), 0, 1_000_000),
             told.integer("accept_burst", usual.acceptBurst(), 1, 1_000_000),
-            millis(told, "first_request_ms", usual.firstRequest(), 10),
-            millis(told, "whole_request_ms", usual.wholeRequest(), 10),
-            millis(told, "idle_timeout_ms", usual.idle(), 0), millis(told, "leaving_ms", usual.leaving(), 10),
-            millis(told, "to_speak_ms", usual.toSpeak(), 0),
+            told.micros("first_request_ms", usual.firstRequest(), 10),
+            told.micros("whole_request_ms", usual.wholeRequest(), 10),
+            told.micros("idle_timeout_ms", usual.idle(), 0), told.micros("leaving_ms", usual.leaving(), 10),
+            told.micros("to_speak_ms", usual.toSpeak(), 0),
             told.integer("max_partial_kb", (int) (usual.mostHeld() >> 10), 64, 1 << 20) * 1024L,
             told.integer("max_waiting_kb", (int) (usual.mostWaiting() >> 10), 256, 1 << 20) * 1024L,
             told.word("refused", REFUSALS, usual.refusal()));
@@ -74,17 +73,13 @@
         TurnLimits usual = TurnLimits.USUAL;
         return new TurnLimits(told.integer("read_kb", usual.mostBytes() >> 10, 4, 1 << 16) << 10,
             told.integer("requests", usual.mostRequests(), 1, 100_000),
-            told.integer("read_us", usual.mostMicros(), 100, 1_000_000), millis(told, "lately_ms",
+            told.integer("read_us", usual.mostMicros(), 100, 1_000_000), told.micros("lately_ms",
                 usual.lately(), 0),
             told.integer("sleepers_part", usual.sleepersPart(), 2, 1_000),
             told.integer("crowd", usual.crowd(), 1, 1 << 20),
             told.integer("expiring", usual.mostExpiring(), 1, 100_000));
     }
 
-    private static long millis(Fields told, String key, long absent, int least) {
-        return told.integer(key, (int) (absent / 1_000), least, HOUR_MS) * 1_000L;
-    }
-
     /** What holds for the uwsgi front's connections. */
     public ConnectionLimits uwsgiLimits() {
         ConnectionLimits c = connections;
--- a/server/src/main/java/wheatspread/config/UwsgiConfig.java
+++ b/server/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -54,15 +54,11 @@
         Defaults defaults = defaults(told.object("defaults", true), none, site, DEFAULT_KEYS);
         return new UwsgiConfig(ServerConfig.address(told, "listen"),
             told.integer("max_connections", 256, 1, 1 << 20), told.integer("max_vars", 16_384, 64, 65_535),
-            told.integer("max_body", 2_048, 0, 1 << 20), millis(told, "read_timeout_ms", 5_000),
-            millis(told, "idle_timeout_ms", 60_000), told.text("health_path", ""), vars, defaults,
+            told.integer("max_body", 2_048, 0, 1 << 20), told.micros("read_timeout_ms", 5_000_000L, 10),
+            told.micros("idle_timeout_ms", 60_000_000L, 10), told.text("health_path", ""), vars, defaults,
             routes(told, defaults, site));
     }
 
-    private static long millis(Fields told, String key, int absent) {
-        return told.integer(key, absent, 10, 3_600_000) * 1000L;
-    }
-
     private static Defaults defaults(Fields told, Defaults outer, Site site, Set<String> keys) {
         told.only(keys);
         return new Defaults(index(told, "class", site.classes(), outer.kind),
--- a/server/src/main/java/wheatspread/connections/Connection.java
+++ b/server/src/main/java/wheatspread/connections/Connection.java
@@ -51,10 +51,6 @@
         return state;
     }
 
-    public Caller caller() {
-        return caller;
-    }
-
     /** Requests that wait for their answers. */
     public int open() {
         return open;
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -109,8 +109,7 @@
         return one;
     }
 
-    /** Whether it was open until now. */
-    private boolean remove(Open gone) {
+    private void remove(Open gone) {
         Open younger = null;
         Open one = newest;
         while (one != null && one != gone) {
@@ -118,7 +117,7 @@
             one = one.older;
         }
         if (one == null) {
-            return false;
+            return;
         }
         if (younger == null) {
             newest = one.older;
@@ -126,7 +125,6 @@
             younger.older = one.older;
         }
         open--;
-        return true;
     }
 
     // ---- requests ----
@@ -167,13 +165,10 @@
         }
         try {
             var submission = front.reader.read(method, params, front.clock.now());
-            Entry entry = enter();
-            if (entry == Entry.TURNED_AWAY) {
-                long later = listener.later(front.core.mostStayAway());
-                front.core.turnAway(answer -> respond(id, answer), later);
+            if (turnedAway(front.core, answer -> respond(id, answer))) {
                 return;
             }
-            Open one = new Open(id, submission.job(), entry == Entry.OF_CROWD);
+            Open one = new Open(id, submission.job(), ofCrowd());
             one.older = newest;
             newest = one;
             open++;
--- a/server/src/main/java/wheatspread/sockets/CallerHandler.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandler.java
@@ -9,6 +9,8 @@
 import wheatspread.connections.Caller;
 import wheatspread.connections.Connection;
 import wheatspread.core.Answer;
+import wheatspread.core.Core;
+import wheatspread.core.Reply;
 
 /**
  * The one handler of a caller's channel. A front's own reads messages out of the bytes and holds what is not
@@ -177,19 +179,23 @@
         ctx.close();
     }
 
-    /** How a request that was just read goes on. */
-    protected enum Entry { USUAL, OF_CROWD, TURNED_AWAY }
-
     /**
-     * Decides whether a request that was just read goes on to the core; a crowd that wakes at once may not.
+     * Whether a request that was just read may not go on to the core, since it is of a crowd that wakes at
+     * once. Then it has been answered, with a time to come back.
      */
-    protected final Entry enter() {
+    protected final boolean turnedAway(Core core, Reply reply) {
         Turns turns = listener.turns();
-        if (!turns.admits()) {
-            connection.sleepsOn(true);
-            return Entry.TURNED_AWAY;
+        if (turns.admits()) {
+            return false;
         }
-        return turns.isSleeper() ? Entry.OF_CROWD : Entry.USUAL;
+        connection.sleepsOn(true);
+        core.turnAway(reply, turns.gate().later(core.mostStayAway()));
+        return true;
+    }
+
+    /** Whether a request that goes on was let in as a sleeper's; {@link #over} has to be told of it. */
+    protected final boolean ofCrowd() {
+        return listener.turns().isSleeper();
     }
 
     /** Tells what became of a request that went on. */
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -205,11 +205,6 @@
         return turns;
     }
 
-    /** When one that is turned away should come back, in microseconds. */
-    public long later(long most) {
-        return turns.gate().later(most);
-    }
-
     void refused() {
         turns.gate().refused(clock.now());
     }
@@ -284,10 +279,6 @@
         table.forEach(Caller::lastCall);
     }
 
-    public boolean isLeaving() {
-        return leaving;
-    }
-
     public void stopListening() {
         listening.close();
     }
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -138,13 +138,10 @@
         } else {
             try {
                 Submission submission = front.reader.read(vars, request.body(), front.clock.now());
-                Entry entry = enter();
-                if (entry == Entry.TURNED_AWAY) {
-                    long later = listener.later(front.core.mostStayAway());
-                    front.core.turnAway(answer -> respond(slot, answer), later);
+                if (turnedAway(front.core, answer -> respond(slot, answer))) {
                     return;
                 }
-                slot.ofCrowd = entry == Entry.OF_CROWD;
+                slot.ofCrowd = ofCrowd();
                 slot.ticket = front.core.submit(submission, answer -> answer(slot, answer));
             } catch (VarsReader.BadVar e) {
                 respond(slot, "400 Bad Request", text(e.getMessage()), "");
