--- a/lab/src/main/java/wheatspread/lab/StartCommand.java
+++ b/lab/src/main/java/wheatspread/lab/StartCommand.java
@@ -1,6 +1,10 @@
 package wheatspread.lab;
 
+import java.io.BufferedReader;
 import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -26,6 +30,11 @@
     private Path before;
     @Option(names = "--deploy", defaultValue = "deploy/balancer.toml", description = "Where the flags stand.")
     private Path deploy;
+    @Option(names = "--before-deploy", description = "Where the flags of the other jar stand; the same file.")
+    private Path beforeDeploy;
+    @Option(names = "--half",
+        description = "Something else spins on the same core, so that half of it is left.")
+    private boolean half;
     @Option(names = "--rounds", defaultValue = "7", description = "Starts of each (${DEFAULT-VALUE}).")
     private int rounds;
     @Option(names = "--core", defaultValue = "2", description = "The core they run on (${DEFAULT-VALUE}).")
@@ -35,17 +44,22 @@
 
     @Override
     public Integer call() throws Exception {
-        Matcher run = Pattern.compile("run = \"exec java (.*) -jar ").matcher(Files.readString(deploy));
-        if (!run.find()) {
-            throw new IOException(deploy + " has no run line with java's flags");
-        }
-        List<String> flags = List.of(run.group(1).split(" "));
+        List<String> flags = flags(deploy);
         List<JSONObject> after = new ArrayList<>();
         List<JSONObject> old = new ArrayList<>();
-        for (int i = 0; i < rounds; i++) {
-            after.add(start(jar, flags));
-            if (before != null) {
-                old.add(start(before, flags));
+        List<String> oldFlags = beforeDeploy == null ? flags : flags(beforeDeploy);
+        Process spinner = half ? new ProcessBuilder("taskset", "-c", Integer.toString(core), "sh", "-c",
+            "while :; do :; done").start() : null;
+        try {
+            for (int i = 0; i < rounds; i++) {
+                after.add(start(jar, flags));
+                if (before != null) {
+                    old.add(start(before, oldFlags));
+                }
+            }
+        } finally {
+            if (spinner != null) {
+                spinner.destroyForcibly();
             }
         }
         Report report = new Report("start");
@@ -58,22 +72,51 @@
         return 0;
     }
 
+    private static List<String> flags(Path deploy) throws IOException {
+        Matcher run = Pattern.compile("run = \"exec java (.*) -jar ").matcher(Files.readString(deploy));
+        if (!run.find()) {
+            throw new IOException(deploy + " has no run line with java's flags");
+        }
+        return List.of(run.group(1).split(" "));
+    }
+
     private JSONObject start(Path server, List<String> flags) throws Exception {
         long began = System.nanoTime();
         try (Parties parties = new Parties(15_000, 5_000);
              ServerProcess process = new ServerProcess(server, Sites.config(parties, 512), null, flags,
                  core)) {
             double wall = (System.nanoTime() - began) / 1e6;
+            double answered = firstAnswer(process.port(0), began);
             double cpu = process.cpuMillis();
             TimeUnit.SECONDS.sleep(2);
-            return new JSONObject().put("serving_after_ms", wall).put("cpu_ms", cpu)
+            return new JSONObject().put("serving_after_ms", wall).put("cpu_ms", cpu).put("first_answer_ms",
+                answered)
                 .put("resident_kb", process.residentKb());
         }
     }
 
+    /** Asks until a request is served; milliseconds since the start. */
+    private static double firstAnswer(int port, long began) throws Exception {
+        try (Socket socket = new Socket("127.0.0.1", port)) {
+            socket.setSoTimeout(10_000);
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
+                StandardCharsets.UTF_8));
+            for (int id = 1; id < 1_000; id++) {
+                String line = Sites.request(id, Sites.KINDS.get(1), Sites.TENANTS.get(0),
+                    String.format("%016x", id), System.currentTimeMillis());
+                socket.getOutputStream().write(line.getBytes(StandardCharsets.UTF_8));
+                if (in.readLine().contains("\"result\"")) {
+                    return (System.nanoTime() - began) / 1e6;
+                }
+                TimeUnit.MILLISECONDS.sleep(10);
+            }
+        }
+        throw new IOException("nothing was served");
+    }
+
     private static JSONObject medians(List<JSONObject> all) {
         JSONObject medians = new JSONObject().put("starts", all.size());
-        for (String key : List.of("serving_after_ms", "cpu_ms", "resident_kb")) {
+        for (String key : List.of("serving_after_ms", "first_answer_ms", "cpu_ms", "resident_kb")) {
             medians.put(key, all.stream().mapToDouble(one
                 -> one.getDouble(key)).sorted().toArray()[all.size() / 2]);
         }
--- a/lab/src/main/java/wheatspread/lab/memory/MemoryCrowd.java
+++ b/lab/src/main/java/wheatspread/lab/memory/MemoryCrowd.java
@@ -26,6 +26,7 @@
 import wheatspread.lab.standins.Parties;
 import wheatspread.sockets.Listener;
 import wheatspread.sockets.Turns;
+import wheatspread.logging.EventLog;
 import wheatspread.turns.TurnLimits;
 
 /** A crowd on one loop in memory: its heap, its longest turn, and whether all are answered once. */
@@ -45,7 +46,7 @@
     /** Who rests for {@code idle} microseconds is closed in the end. */
     public MemoryCrowd(int count, TurnLimits limits, long idle) {
         this.count = count;
-        turns = new Turns(new MemoryTransport(), limits, 1, text -> { });
+        turns = new Turns(new MemoryTransport(), limits, 1, EventLog.NONE);
         group = new MultiThreadIoEventLoopGroup(1, turns);
         loop = group.next();
         clock = new LoopClock(turns);
@@ -55,14 +56,14 @@
             ServerConfig config = ServerConfig.read(Fields.of(Sites.config(parties, 1_000).toMap(), ""));
             core = new Core(config.site(), settings -> new Choice(settings, 1), clock,
                 (job, body, patience, to) -> clock.after(RUN, () -> to.ended(Outcome.OK, body))::cancel,
-                accepting -> { }, text -> { });
+                accepting -> { }, EventLog.NONE);
         }
         core.attach(new Runs(core));
         ConnectionLimits usual = ConnectionLimits.usual(count);
         ConnectionLimits own = new ConnectionLimits(count, 0, 0, 1_000, 60_000_000, 60_000_000, idle,
             2_000_000,
             usual.toSpeak(), usual.mostHeld(), usual.mostWaiting(), usual.refusal());
-        listener = new Listener(loop, turns, clock, new RpcFront(core, clock), own, text -> { });
+        listener = new Listener(loop, turns, clock, new RpcFront(core, clock), own, EventLog.NONE);
         loop.submit(() -> core.booted(false, 20_000_000)).syncUninterruptibly();
     }
 
--- a/lab/src/main/java/wheatspread/lab/standins/ServerProcess.java
+++ b/lab/src/main/java/wheatspread/lab/standins/ServerProcess.java
@@ -49,14 +49,14 @@
         reader.start();
         synchronized (log) {
             long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(30);
-            while (!logged("phase SERVING") && System.nanoTime() < until && process.isAlive()) {
+            while (!serving() && System.nanoTime() < until && process.isAlive()) {
                 log.wait(200);
             }
         }
-        if (!logged("phase SERVING")) {
+        if (!serving()) {
             throw new IOException("the server does not start: " + log);
         }
-        Matcher matcher = Pattern.compile("/127\\.0\\.0\\.1:(\\d+)").matcher(line("listening on"));
+        Matcher matcher = Pattern.compile("/127\\.0\\.0\\.1:(\\d+)").matcher(line("listening "));
         while (matcher.find()) {
             addresses.add(matcher.group(1));
         }
@@ -78,6 +78,11 @@
         }
     }
 
+    /** An older build of the server said it in other words. */
+    private boolean serving() {
+        return logged("to=SERVING") || logged("phase SERVING");
+    }
+
     private boolean logged(String text) {
         synchronized (log) {
             return log.stream().anyMatch(line -> line.contains(text));
--- a/server/src/main/java/wheatspread/admission/Choice.java
+++ b/server/src/main/java/wheatspread/admission/Choice.java
@@ -153,6 +153,7 @@
         boolean pinned;
         boolean answered;
         boolean callSpent;
+        boolean takenUp;
         int joiners;
         int calls;
         long since;
@@ -458,8 +459,7 @@
         long soonest = Long.MAX_VALUE;
         for (Job job : arrivals) {
             if (job.state == State.OVER && jobs.get(job.id()) == job) {
-                actions.fail(job.id());
-                jobs.remove(job.id());
+                takeUp(job);
             } else if (job.state == State.HELD) {
                 take(job);
                 if (job.state != State.OVER) {
@@ -473,6 +473,20 @@
         }
     }
 
+    /** A paused run that owes its answer goes on, once: it kept its memory, and a write may not run anew. */
+    private void takeUp(Job job) {
+        if (settings.halt() == Halt.SUSPEND && !job.takenUp && now < Math.min(job.due, stopAt) - settle) {
+            job.takenUp = true;
+            job.callSpent = false;
+            job.since = now;
+            move(job, State.RUNNING);
+            actions.run(job.id());
+        } else {
+            actions.fail(job.id());
+            jobs.remove(job.id());
+        }
+    }
+
     private void take(Job job) {
         Request request = job.request;
         boolean repeat = request.duplicateOf() != 0 && !neverRan.contains(request.duplicateOf());
--- a/server/src/main/java/wheatspread/announce/AnnounceClient.java
+++ b/server/src/main/java/wheatspread/announce/AnnounceClient.java
@@ -18,8 +18,8 @@
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import wheatspread.core.Announcer;
+import wheatspread.logging.EventLog;
 
 /**
  * Reports to the announce service, again and again: an entry lapses 3 s after its last report. A report that
@@ -35,7 +35,7 @@
     private final EventLoopGroup loop;
     private final Bootstrap clients;
     private final String name;
-    private final Consumer<String> log;
+    private final EventLog log;
     private InetSocketAddress address;
     /** Where the last report went, or is to go once it is connected. */
     private Connection connection;
@@ -43,7 +43,7 @@
     private boolean started;
     private boolean closed;
 
-    public AnnounceClient(Bootstrap clients, InetSocketAddress address, String name, Consumer<String> log) {
+    public AnnounceClient(Bootstrap clients, InetSocketAddress address, String name, EventLog log) {
         loop = clients.config().group();
         this.clients = clients;
         this.address = address;
@@ -159,7 +159,7 @@
         protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
             waiting = false;
             if (response.status().code() != 204) {
-                log.accept("announce service answered " + response.status());
+                log.warn("announce_refused", "status", response.status().code());
             }
         }
 
@@ -170,7 +170,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.accept("announce connection: " + cause);
+            log.warn("announce_connection_failed", "error", cause);
             ctx.close();
         }
     }
--- a/server/src/main/java/wheatspread/config/Fields.java
+++ b/server/src/main/java/wheatspread/config/Fields.java
@@ -6,38 +6,114 @@
 import java.util.Set;
 import java.util.TreeSet;
 
-/** Typed access to one object of a message or a configuration; complaints name the faulty key by its path. */
+/**
+ * Typed access to one object of a message or a configuration; complaints name the faulty key by its path. Of
+ * a message the first fault is thrown. Of a file all faults are gathered, a harmless value standing in for
+ * each, and {@link #settle} throws them together.
+ */
 public final class Fields {
     private static final int HOUR_MS = 3_600_000;
 
     private final Map<String, Object> map;
     private final String path;
+    private final Source source;
 
-    private Fields(Map<String, Object> map, String path) {
+    private Fields(Map<String, Object> map, String path, Source source) {
         this.map = map;
         this.path = path;
+        this.source = source;
     }
 
     /** A value is missing, ill-typed or out of range; the message names its key. */
     public static final class BadValue extends IllegalArgumentException {
         private static final long serialVersionUID = 1L;
 
+        private final transient List<String> faults;
+
         public BadValue(String message) {
             super(message);
+            faults = List.of(message);
+        }
+
+        /** Several at once; the message tells the first, and how many there are besides. */
+        BadValue(List<String> faults) {
+            super(faults.get(0) + (faults.size() == 1 ? "" : " (and " + (faults.size() - 1)
+                + " more; 'check' names them all)"));
+            this.faults = List.copyOf(faults);
+        }
+
+        /** Each of them by itself. */
+        public List<String> faults() {
+            return faults;
         }
     }
 
     @SuppressWarnings("unchecked")
     public static Fields of(Object value, String path) {
         if (value instanceof Map<?, ?> map) {
-            return new Fields((Map<String, Object>) map, path);
+            return new Fields((Map<String, Object>) map, path, null);
         }
         throw new BadValue(path + " is not an object");
     }
 
+    static Fields of(Map<String, Object> map, Source source) {
+        return new Fields(map, "", source);
+    }
+
+    /** The file it stands in; null for a message. */
+    public Source source() {
+        return source;
+    }
+
+    /** Throws what is wrong with the file, once all of it has been read. */
+    public void settle() {
+        if (source != null) {
+            source.settle();
+        }
+    }
+
+    /** What a variable of the environment or an option says goes over the file. */
+    void override(String name, Object value, String origin) {
+        map.put(name, value);
+        if (source != null) {
+            source.overriddenBy(key(name), origin);
+        }
+    }
+
+    /** Complains of a key; where faults are gathered, reading goes on with the value that stands in. */
+    <T> T fault(String name, String complaint, T instead) {
+        if (source == null) {
+            throw bad(name, complaint);
+        }
+        source.fault(key(name), complaint);
+        return instead;
+    }
+
+    private <T> T took(String name, T value) {
+        if (source != null) {
+            source.took(key(name), value, map.get(name) != null);
+        }
+        return value;
+    }
+
+    private String told(String name) {
+        Object value = map.get(name);
+        return value == null ? "" : ": " + (value instanceof Map ? "an object" : value instanceof List
+            ? "a list"
+            : value);
+    }
+
     /** The object under a key; an empty one where it may be absent and is. */
     public Fields object(String name, boolean mayBeAbsent) {
-        return mayBeAbsent && !has(name) ? new Fields(Map.of(), key(name)) : of(map.get(name), key(name));
+        if (map.get(name) instanceof Map<?, ?> inner) {
+            @SuppressWarnings("unchecked")
+            Map<String, Object> typed = (Map<String, Object>) inner;
+            return new Fields(typed, key(name), source);
+        }
+        if (!mayBeAbsent || has(name)) {
+            fault(name, "is not an object" + told(name), null);
+        }
+        return new Fields(Map.of(), key(name), source);
     }
 
     public boolean has(String name) {
@@ -50,31 +126,41 @@
 
     public double number(String name) {
         if (map.get(name) instanceof Number n) {
-            return n.doubleValue();
+            return took(name, n.doubleValue());
         }
-        throw bad(name, "is missing or not a number");
+        return fault(name, "is missing or not a number" + told(name), 1.0);
     }
 
     public double number(String name, double absent) {
-        return has(name) ? number(name) : absent;
+        return has(name) ? number(name) : took(name, absent);
+    }
+
+    /** A number within bounds, or the value for an absent key. */
+    public double number(String name, double absent, double least, double most) {
+        double value = number(name, absent);
+        return value >= least && value <= most ? value
+            : fault(name, "is " + value + ", not from " + least + " to " + most, absent);
     }
 
     public long integer(String name) {
         double value = number(name);
         Object n = map.get(name);
         if (n instanceof Long || n instanceof Integer) {
-            return ((Number) n).longValue();
+            return took(name, ((Number) n).longValue());
         }
-        throw bad(name, "is not an integer: " + value);
+        return n instanceof Number ? fault(name, "is not an integer: " + value, 1L) : 1;
     }
 
     /** An integer within bounds, or the value for an absent key. */
     public int integer(String name, int absent, int least, int most) {
-        long value = has(name) ? integer(name) : absent;
-        if (value < least || value > most) {
-            throw bad(name, "is " + value + ", not from " + least + " to " + most);
+        if (has(name) && !(map.get(name) instanceof Number)) {
+            return fault(name, "is missing or not a number" + told(name) + "; allowed is " + least + " to "
+                + most,
+                absent);
         }
-        return (int) value;
+        long value = has(name) ? integer(name) : took(name, (long) absent);
+        return value >= least && value <= most ? (int) value
+            : fault(name, "is " + value + ", not from " + least + " to " + most, absent);
     }
 
     /**
@@ -94,34 +180,53 @@
     }
 
     public long time(String name, long absent) {
-        return has(name) ? time(name) : absent;
+        return has(name) ? time(name) : took(name, absent / 1000.0) >= 0 ? absent : absent;
     }
 
     public boolean flag(String name) {
         return map.get(name) == Boolean.TRUE;
     }
 
+    /** True or false, or the value for an absent key. */
+    public boolean flag(String name, boolean absent) {
+        Object value = map.get(name);
+        return value == null ? took(name, absent) : value instanceof Boolean b ? took(name, b)
+            : fault(name, "is neither true nor false" + told(name), absent);
+    }
+
     public String text(String name) {
         if (map.get(name) instanceof String s) {
-            return s;
+            return took(name, s);
         }
-        throw bad(name, "is missing or not text");
+        return fault(name, "is missing or not text" + told(name), "");
     }
 
     public String text(String name, String absent) {
-        return has(name) ? text(name) : absent;
+        return has(name) ? text(name) : took(name, absent);
     }
 
     public <T> T word(String name, Map<String, T> words) {
-        T known = words.get(text(name));
-        if (known == null) {
-            throw bad(name, "is an unknown word: " + text(name));
+        String told = text(name);
+        T known = words.get(told);
+        if (known == null && map.get(name) instanceof String) {
+            fault(name, "is an unknown word: " + told + "; allowed are " + new TreeSet<>(words.keySet()),
+                null);
         }
-        return known;
+        return known == null ? words.values().iterator().next() : known;
     }
 
     public <T> T word(String name, Map<String, T> words, T absent) {
-        return has(name) ? word(name, words) : absent;
+        return has(name) ? word(name, words) : took(name, absent);
+    }
+
+    /** A list of texts; empty where the key is absent. */
+    public List<String> texts(String name) {
+        List<String> texts = new ArrayList<>();
+        for (Object one : list(name)) {
+            texts.add(one instanceof String s ? s : fault(name, "holds what is not text: " + one, ""));
+        }
+        took(name, texts);
+        return texts;
     }
 
     @SuppressWarnings("unchecked")
@@ -133,14 +238,22 @@
         if (value instanceof List<?> list) {
             return (List<Object>) list;
         }
-        throw bad(name, "is not a list");
+        return fault(name, "is not a list" + told(name), List.of());
     }
 
     /** The objects of a list, each with its path. */
     public List<Fields> objects(String name) {
         List<Fields> objects = new ArrayList<>();
+        int index = 0;
         for (Object one : list(name)) {
-            objects.add(of(one, key(name) + "[" + objects.size() + "]"));
+            String at = name + "[" + index++ + "]";
+            if (one instanceof Map<?, ?> inner) {
+                @SuppressWarnings("unchecked")
+                Map<String, Object> typed = (Map<String, Object>) inner;
+                objects.add(new Fields(typed, key(at), source));
+            } else {
+                fault(at, "is not an object: " + one, null);
+            }
         }
         return objects;
     }
@@ -153,7 +266,7 @@
     public void only(Set<String> keys) {
         for (String name : names()) {
             if (!keys.contains(name)) {
-                throw bad(name, "is an unknown key; known are " + new TreeSet<>(keys));
+                fault(name, "is an unknown key; known are " + new TreeSet<>(keys), null);
             }
         }
     }
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -17,12 +17,14 @@
  * @param connections what holds for every front's connections, but for their number
  * @param transport {@code nio}, {@code epoll} or {@code auto}
  * @param reportSeconds how often counters are logged; 0 for at the end only
+ * @param stats whether the method {@code stats} answers on the platform's front
  */
 public record OperatorConfig(UwsgiConfig uwsgi, int mostConnections, ConnectionLimits connections,
-                             TurnLimits turns, String transport, int reportSeconds) {
+                             TurnLimits turns, String transport, int reportSeconds, LogConfig log,
+                             LifeConfig life, boolean stats) {
     /** What holds without a file, as on the platform. */
-    public static final OperatorConfig NONE =
-        new OperatorConfig(null, 0, ConnectionLimits.usual(0), TurnLimits.USUAL, "nio", 0);
+    public static final OperatorConfig NONE = new OperatorConfig(null, 0, ConnectionLimits.usual(0),
+        TurnLimits.USUAL, "nio", 0, LogConfig.USUAL, LifeConfig.USUAL, false);
 
     private static final Map<String, Refusal> REFUSALS = Map.of("close", Refusal.CLOSE, "reset",
         Refusal.RESET,
@@ -32,21 +34,21 @@
 
     /** Complaints name the file and the key. */
     public static OperatorConfig readFile(Path file, Site site) {
-        Fields all = Fields.of(ServerConfig.readFile(file).toMap(), "");
-        try {
-            return read(all, site);
-        } catch (Fields.BadValue e) {
-            throw new Fields.BadValue(file + ": " + e.getMessage());
-        }
+        return read(JsonFile.read(file), site);
     }
 
     static OperatorConfig read(Fields told, Site site) {
-        told.only(Set.of("uwsgi", "connections", "turns", "transport", "report_s"));
+        told.only(Set.of("uwsgi", "connections", "turns", "transport", "report_s", "log", "life",
+            "stats"));
         UwsgiConfig uwsgi = told.has("uwsgi") ? UwsgiConfig.read(told.object("uwsgi", false), site) : null;
         Fields connections = told.object("connections", true);
-        return new OperatorConfig(uwsgi, connections.integer("max", 0, 0, 1 << 20), limits(connections),
+        OperatorConfig config = new OperatorConfig(uwsgi, connections.integer("max", 0, 0, 1 << 20),
+            limits(connections),
             turns(told.object("turns", true)), told.word("transport", TRANSPORTS, "auto"),
-            told.integer("report_s", 0, 0, 3_600));
+            told.integer("report_s", 0, 0, 3_600), LogConfig.read(told.object("log", true)),
+            LifeConfig.read(told.object("life", true)), told.flag("stats", false));
+        told.settle();
+        return config;
     }
 
     private static ConnectionLimits limits(Fields told) {
@@ -88,4 +90,10 @@
                 c.toSpeak(),
             c.mostHeld(), c.mostWaiting(), c.refusal());
     }
+
+    /** This, with another life and another say on {@code stats}. */
+    public OperatorConfig with(LifeConfig otherLife, boolean tellStats) {
+        return new OperatorConfig(uwsgi, mostConnections, connections, turns, transport, reportSeconds, log,
+            otherLife, tellStats);
+    }
 }
--- a/server/src/main/java/wheatspread/config/ServerConfig.java
+++ b/server/src/main/java/wheatspread/config/ServerConfig.java
@@ -1,13 +1,8 @@
 package wheatspread.config;
 
-import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Map;
-import org.json.JSONException;
-import org.json.JSONObject;
 import wheatspread.core.Site;
 
 /** What a real server is told: addresses, limits, the seed, and the settings of its site. */
@@ -23,13 +18,18 @@
         if (file == null) {
             throw new Fields.BadValue("GW_CONFIG is missing from the environment");
         }
-        JSONObject json = readFile(Path.of(file));
+        return read(fields(Path.of(file), environment));
+    }
+
+    /** The file's keys, with what the environment puts over them. */
+    static Fields fields(Path file, Map<String, String> environment) {
+        Fields told = JsonFile.read(file);
         for (var key : Map.of("name", "GW_NAME", "listen", "GW_LISTEN").entrySet()) {
             if (environment.get(key.getValue()) != null) {
-                json.put(key.getKey(), environment.get(key.getValue()));
+                told.override(key.getKey(), environment.get(key.getValue()), key.getValue());
             }
         }
-        return read(Fields.of(json.toMap(), ""));
+        return told;
     }
 
     /** This configuration with the addresses at which another one reaches the parties round the server. */
@@ -38,34 +38,40 @@
             sockets, site);
     }
 
-    static JSONObject readFile(Path file) {
-        try {
-            return new JSONObject(Files.readString(file, StandardCharsets.UTF_8));
-        } catch (IOException e) {
-            throw new Fields.BadValue(file + " cannot be read: " + e.getMessage());
-        } catch (JSONException e) {
-            throw new Fields.BadValue(file + " is not a JSON object: " + e.getMessage());
-        }
-    }
-
     public static ServerConfig read(Fields told) {
         Fields limits = told.object("limits", true);
-        return new ServerConfig(told.text("name"), address(told, "listen"), address(told, "kernel"),
+        ServerConfig config = new ServerConfig(told.text("name"), address(told, "listen"), address(told,
+            "kernel"),
             address(told, "records"), address(told, "announce"), seed(told),
             told.integer("stop_ms", DEFAULT_STOP_MS, 100, 600_000) * 1000L,
             limits.integer("sockets", DEFAULT_SOCKETS, 64, 1 << 20), site(told.object("settings", false)));
+        told.settle();
+        return config;
+    }
+
+    /** The site alone, for the checks of another file that speaks of its classes; null where it is faulty. */
+    static Site siteOf(Fields told) {
+        try {
+            return told.has("settings") ? site(told.object("settings", false)) : null;
+        } catch (IllegalArgumentException e) {
+            return null; // the whole file is read next, and complains
+        }
     }
 
     private static Site site(Fields settings) {
-        return new Site(SettingsReader.read(settings), SettingsReader.names(settings, "Lanes"),
+        Site site = new Site(SettingsReader.read(settings), SettingsReader.names(settings, "Lanes"),
             SettingsReader.names(settings, "Parties"), SettingsReader.gauges(settings));
+        if (site.classes().isEmpty()) {
+            settings.fault("Lanes", "names no class of requests", null);
+        }
+        return site;
     }
 
     private static long seed(Fields told) {
         try {
             return told.has("seed") ? Long.parseUnsignedLong(told.text("seed"), 16) : 0;
         } catch (NumberFormatException e) {
-            throw told.bad("seed", "is not up to 16 hex digits");
+            return told.fault("seed", "is not up to 16 hex digits: " + told.text("seed"), 0L);
         }
     }
 
@@ -75,7 +81,10 @@
         int colon = text.lastIndexOf(':');
         if (colon < 1 || !text.substring(colon + 1).matches("\\d{1,5}")
             || Integer.parseInt(text.substring(colon + 1)) > 65_535) {
-            throw told.bad(key, "is not host:port: " + text);
+            if (!text.isEmpty()) {
+                told.fault(key, "is not host:port: " + text, null);
+            }
+            return new InetSocketAddress(0);
         }
         return new InetSocketAddress(text.substring(0, colon), Integer.parseInt(text.substring(colon + 1)));
     }
--- a/server/src/main/java/wheatspread/config/UwsgiConfig.java
+++ b/server/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -61,8 +61,8 @@
 
     private static Defaults defaults(Fields told, Defaults outer, Site site, Set<String> keys) {
         told.only(keys);
-        return new Defaults(index(told, "class", site.classes(), outer.kind),
-            index(told, "tenant", site.tenants(), outer.tenant),
+        return new Defaults(index(told, "class", site == null ? null : site.classes(), outer.kind),
+            index(told, "tenant", site == null ? null : site.tenants(), outer.tenant),
             told.integer("limit_ms", (int) (outer.limit / 1000), 0, 3_600_000) * 1000L,
             Math.round(positive(told, "cpu_ms", outer.hint / 1000.0) * 1000),
             positive(told, "ram_kb", outer.ramKb));
@@ -70,18 +70,16 @@
 
     private static double positive(Fields told, String key, double absent) {
         double value = told.number(key, absent);
-        if (!(value >= 0 && value < 1e6)) {
-            throw told.bad(key, "is out of range: " + value);
-        }
-        return value;
+        return value >= 0 && value < 1e6 ? value
+            : told.fault(key, "is out of range: " + value + "; allowed is 0 to under 1000000", absent);
     }
 
     private static int index(Fields told, String key, List<String> names, int absent) {
-        int index = told.has(key) ? names.indexOf(told.text(key)) : absent;
-        if (told.has(key) && index < 0) {
-            throw told.bad(key, "is none of " + names + ": " + told.text(key));
+        if (!told.has(key) || names == null) {
+            return absent; // without a site nothing can be said of its names
         }
-        return index;
+        int index = names.indexOf(told.text(key));
+        return index >= 0 ? index : told.fault(key, "is none of " + names + ": " + told.text(key), absent);
     }
 
     private static List<Route> routes(Fields told, Defaults outer, Site site) {
@@ -97,7 +95,7 @@
                 pattern = Pattern.compile(path, match == Match.REGEX ? 0 : Pattern.CASE_INSENSITIVE);
             }
         } catch (PatternSyntaxException e) {
-            throw told.bad("path", "is no regular expression: " + e.getDescription());
+            told.fault("path", "is no regular expression: " + e.getDescription() + ": " + path, null);
         }
         return new Route(match, path, pattern, defaults(told, outer, site,
             Set.of("match", "path", "class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "routes")),
--- a/server/src/main/java/wheatspread/connections/ConnectionCounters.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionCounters.java
@@ -26,12 +26,13 @@
         return roomSilent + roomSpeaking + roomResting;
     }
 
-    @Override
-    public String toString() {
-        return "accepted " + accepted + ", accepts_paused " + paused + ", refused_full " + refusedFull
-            + ", refused_source " + refusedSource + ", room_silent " + roomSilent + ", room_speaking "
-            + roomSpeaking + ", room_resting " + roomResting + ", closed_silent " + closedSilent
-            + ", closed_half " + closedHalf + ", closed_idle " + closedIdle + ", closed_leaving "
-            + closedLeaving + ", closed_held " + closedHeld + ", closed_stalled " + closedStalled;
+    /** All of them, as names and values in turns. */
+    public Object[] fields() {
+        return new Object[] {"accepted", accepted, "accepts_paused", paused, "refused_full", refusedFull,
+            "refused_source", refusedSource, "room_silent", roomSilent, "room_speaking", roomSpeaking,
+            "room_resting", roomResting, "closed_silent", closedSilent, "closed_half", closedHalf,
+                "closed_idle",
+            closedIdle, "closed_leaving", closedLeaving, "closed_held", closedHeld, "closed_stalled",
+            closedStalled};
     }
 }
--- a/server/src/main/java/wheatspread/core/Batches.java
+++ b/server/src/main/java/wheatspread/core/Batches.java
@@ -6,6 +6,7 @@
 import java.util.function.Consumer;
 import wheatspread.admission.Admission;
 import wheatspread.admission.Admission.Gauges;
+import wheatspread.logging.EventLog;
 
 /**
  * Hands events to the module as the simulator does: all of one turn of the loop together, with the gauges
@@ -22,7 +23,7 @@
 
     private final Clock clock;
     private final Runnable askGauges;
-    private final Consumer<String> log;
+    private final EventLog log;
     private Admission module;
     private Admission.Actions actions;
     private List<Consumer<Admission>> events = new ArrayList<>();
@@ -32,7 +33,7 @@
     private Gauges reading = NO_GAUGES;
     private long readAt;
 
-    Batches(Clock clock, Runnable askGauges, Consumer<String> log) {
+    Batches(Clock clock, Runnable askGauges, EventLog log) {
         this.clock = clock;
         this.askGauges = askGauges;
         this.log = log;
@@ -96,7 +97,7 @@
             module.decide(actions);
         } catch (RuntimeException e) {
             // a fault in one decision must not end the ticks, or every later request would be lost with it
-            log.accept("the module failed: " + e);
+            log.error("module_failed", "error", e);
             wake(AFTER_FAULT);
         }
     }
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -8,6 +8,7 @@
 import wheatspread.admission.Admission.Effect;
 import wheatspread.admission.Admission.Outcome;
 import wheatspread.admission.Admission.Settings;
+import wheatspread.logging.EventLog;
 
 /**
  * Carries out what the module decides, and keeps what every front's requests share: the request table, the
@@ -31,7 +32,7 @@
     private final Clock clock;
     private final Calls calls;
     private final Announcer announcer;
-    private final Consumer<String> log;
+    private final EventLog log;
     private final RequestTable table = new RequestTable();
     private final KeyTable keys;
     private final Counts counts = new Counts();
@@ -43,9 +44,11 @@
     private double feedback = Double.NaN;
     private boolean healthy = true;
     private long retiredAt = Long.MAX_VALUE;
+    private long warmAt;
+    private Runnable whenUp = () -> { };
 
     public Core(Site site, Function<Settings, Admission> newModule, Clock clock, Records records,
-                Announcer announcer, Consumer<String> log) {
+                Announcer announcer, EventLog log) {
         this.site = site;
         this.newModule = newModule;
         this.clock = clock;
@@ -67,6 +70,33 @@
         idleCloser = closer;
     }
 
+    /** What to do when the kernel is up for the first time. */
+    public void whenUp(Runnable task) {
+        whenUp = task;
+    }
+
+    /** What is in hand, by how far it has come. */
+    public record InHand(int held, int running, int paused, int calling, int joined) { }
+
+    /** What owes an answer now; a paused run counts where a repeat waits for it. */
+    public InHand inHand() {
+        int[] of = new int[5];
+        for (Try one : table.unanswered()) {
+            of[one.joinedAt > 0 ? 4 : one.notice != 0 ? 3 : one.run.ordinal()]++;
+        }
+        return new InHand(of[0], of[1], of[2], of[3], of[4]);
+    }
+
+    /** How long until this server is warm at the latest, in microseconds; 0 once it is. */
+    public long warmIn() {
+        return Math.max(0, warmAt - clock.now());
+    }
+
+    /** The counts of this moment. */
+    public Counts countsNow() {
+        return counts.copy();
+    }
+
     public Site site() {
         return site;
     }
@@ -179,6 +209,15 @@
         clock.after(Math.max(0, left - STOP_MARGIN), () -> table.unanswered().forEach(this::due));
     }
 
+    /** Answers all that is open, now: who was not begun hears that it never ran. */
+    public void answerAll() {
+        for (Try one : table.unanswered()) {
+            boolean ran = one.everRan() || one.joinedAt > 0;
+            event(m -> m.gone(one.number));
+            finish(one, ran ? Answer.Kind.FAILED : Answer.Kind.REFUSED, null, 0, true);
+        }
+    }
+
     // ---- what the kernel tells ----
 
     @Override
@@ -188,10 +227,12 @@
         }
         Admission module = newModule.apply(site.settings(cold));
         batches.begin(module, carrier, clock.now() - age);
+        warmAt = cold ? clock.now() - age + site.settings().limits().coldFor() : 0;
         clock.after(SWEEP, this::sweep);
         if (retiredAt == Long.MAX_VALUE) {
             announcer.announce(true);
         }
+        whenUp.run();
     }
 
     @Override
@@ -216,6 +257,7 @@
             case OK -> over(one, end, result, Outcome.OK, took);
             case ERROR -> over(one, end, null, Outcome.FAILED, took);
             case STOPPED -> {
+                one.paused = true;
                 if (one.answered()) {
                     over(one, end, null, Outcome.CANCELED, took);
                 } else {
@@ -223,7 +265,17 @@
                     event(m -> m.completed(one.number, Outcome.CANCELED, took));
                 }
             }
-            default -> neverStarted(one);
+            default -> notTakenUp(one);
+        }
+    }
+
+    /** The kernel ended a try at its word: it never ran, unless it was paused before and taken up again. */
+    private void notTakenUp(Try one) {
+        if (one.paused) {
+            over(one, Kernel.End.STOPPED, null, Outcome.CANCELED,
+                0); // a second run is forbidden all the same
+        } else {
+            neverStarted(one);
         }
     }
 
@@ -266,8 +318,8 @@
     public void notStarted(String job) {
         Try one = table.byJob(job);
         if (one != null && one.run == Try.Run.ACTIVE) {
-            log.accept("the kernel would not start " + job);
-            neverStarted(one);
+            log.warn("kernel_not_started", "job", job);
+            notTakenUp(one);
         }
     }
 
@@ -348,6 +400,7 @@
             } else if (one.run == Try.Run.PAUSED) {
                 one.run = Try.Run.ACTIVE;
                 one.stopAsked = false;
+                counts.resumed++;
                 kernel.resume(one.submission.job());
             } else if (one.run == Try.Run.NONE && !mayRun(one)) {
                 moot(id);
@@ -479,7 +532,7 @@
 
         @Override
         public void log(String text) {
-            log.accept(text);
+            log.info("module", "text", text);
         }
     }
 }
--- a/server/src/main/java/wheatspread/core/Try.java
+++ b/server/src/main/java/wheatspread/core/Try.java
@@ -15,6 +15,8 @@
     Run run = Run.NONE;
     /** The kernel has been asked to stop its run. */
     boolean stopAsked;
+    /** Its run was paused at some time, so that it has begun whatever the kernel says later. */
+    boolean paused;
     Clock.Timer dueTimer;
     /** The key's entry it stands in or repeats; null where it has no key. */
     KeyTable.Entry entry;
--- a/server/src/main/java/wheatspread/daemon/Rehearsal.java
+++ b/server/src/main/java/wheatspread/daemon/Rehearsal.java
@@ -10,6 +10,7 @@
 import java.util.Comparator;
 import java.util.Deque;
 import java.util.PriorityQueue;
+import java.util.function.BooleanSupplier;
 import org.json.JSONObject;
 import wheatspread.admission.Admission.Effect;
 import wheatspread.admission.Admission.Outcome;
@@ -22,6 +23,7 @@
 import wheatspread.core.Records;
 import wheatspread.core.Site;
 import wheatspread.jsonrpc.RpcFront;
+import wheatspread.logging.EventLog;
 import wheatspread.sockets.Transport;
 import wheatspread.sockets.Turns;
 import wheatspread.turns.TurnLimits;
@@ -51,21 +53,25 @@
 
     Rehearsal(Site site) {
         this.site = site;
-        core = new Core(site, settings -> new Choice(settings, 1), this, this, accepting -> { }, text -> { });
+        core = new Core(site, settings -> new Choice(settings, 1), this, this, accepting -> { },
+            EventLog.NONE);
         core.attach(this);
         core.booted(false, 0);
     }
 
-    /** Goes on for so many nanoseconds at most, and returns how many requests were served. */
-    int play(long longest) {
+    /**
+     * Goes on for so many nanoseconds at most, or until there is no more use in it; returns how many requests
+     * were served.
+     */
+    int play(long longest, BooleanSupplier over) {
         long until = System.nanoTime() + longest;
-        Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1, text -> { });
+        Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1, EventLog.NONE);
         var listener = new wheatspread.sockets.Listener(null, turns, this, new RpcFront(core, this),
-            ConnectionLimits.usual(1),
-            text -> { });
+            ConnectionLimits.usual(1), EventLog.NONE);
         EmbeddedChannel channel = new EmbeddedChannel(listener.callerOf(0));
         int served = 0;
-        for (int round = 1; round <= ROUNDS && System.nanoTime() < until; round++) {
+        for (int round = 1; round <= ROUNDS && System.nanoTime() < until
+            && !over.getAsBoolean(); round++) {
             channel.writeInbound(Unpooled.copiedBuffer(request(round) + "\n", StandardCharsets.UTF_8));
             pass(now + STEP);
             for (Object out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -3,19 +3,21 @@
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
+import org.json.JSONObject;
 import wheatspread.admission.Choice;
 import wheatspread.announce.AnnounceClient;
-import wheatspread.config.Fields;
+import wheatspread.config.Configuration;
 import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
 import wheatspread.connections.Connection.State;
@@ -25,30 +27,30 @@
 import wheatspread.core.Counts;
 import wheatspread.jsonrpc.RpcFront;
 import wheatspread.kernel.KernelLink;
+import wheatspread.life.Drain;
+import wheatspread.life.Life;
+import wheatspread.life.Life.Event;
+import wheatspread.life.Life.Phase;
+import wheatspread.logging.EventLog;
 import wheatspread.records.RecordsClient;
 import wheatspread.sockets.Listener;
 import wheatspread.sockets.Transport;
 import wheatspread.sockets.Turns;
 import wheatspread.uwsgi.UwsgiFront;
 
-/** One server process: wires core, links and fronts to one event loop, and leads it from start to exit. */
+/**
+ * One server process: wires core, links and fronts to one event loop, and leads it from start to exit by what
+ * {@link Life} and {@link Drain} say.
+ */
 public final class Server {
-    /** The phases of the process, in order. */
-    public enum Phase { NEW, STARTING, SERVING, DRAINING, CLOSING, STOPPED }
-
-    /** Descriptors for kernel, announce, listeners, the JVM's own files and callers about to be closed. */
-    private static final int OWN_SOCKETS = 32;
-    /** Connections to the records service, as a share of all descriptors and at most. */
-    private static final int RECORDS_PART = 8;
-    private static final int RECORDS_MOST = 40;
-    /** The process ends this long before it would be killed. */
-    private static final long STOP_MARGIN_US = 120_000;
-    /** What was accepted just before the listener closed gets this long to be read; us. */
-    private static final long LISTENER_GONE = 150_000;
+    /** EX_SOFTWARE of sysexits.h. */
+    public static final int LOOP_ENDED = 70;
     private static final long DRAIN_LOOK = 25_000;
+    /** How long a kernel may stay away before that is logged, first; us. */
+    private static final long KERNEL_LATE = 10_000_000;
 
     private final ServerConfig config;
-    private final Consumer<String> log;
+    private final EventLog log;
     private final OperatorConfig operator;
     private final Turns turns;
     private final MultiThreadIoEventLoopGroup group;
@@ -62,13 +64,16 @@
     private final Map<Listener, InetSocketAddress> fronts = new LinkedHashMap<>();
     private final List<InetSocketAddress> bound = new ArrayList<>();
     private final CountDownLatch stopped = new CountDownLatch(1);
-    private volatile Phase phase = Phase.NEW;
-    private long leaveBy;
-    private long listenUntil;
+    private final Life life = new Life(this::entered);
+    private final Marks marks;
+    private Drain drain;
+    private Counts atNotice;
+    private Core.InHand handAtNotice;
+    private boolean rehearsing;
 
     /** {@code newClock} makes the clock of the loop. */
     public Server(ServerConfig config, OperatorConfig operator, BiFunction<EventLoop, Turns, Clock> newClock,
-                  Consumer<String> log) {
+                  EventLog log) {
         this.config = config;
         this.operator = operator;
         this.log = log;
@@ -81,55 +86,154 @@
         clock = newClock.apply(loop, turns);
         turns.usedBy(clock::now);
         Bootstrap clients = new Bootstrap().group(loop).channel(transport.clientChannel());
-        int calls = Math.min(RECORDS_MOST, config.sockets() / RECORDS_PART);
+        int calls = Configuration.recordsConnections(config.sockets());
         records = new RecordsClient(clients, config.records(), calls, clock, log);
         announcer = new AnnounceClient(clients, config.announce(), config.name(), log);
         core = new Core(config.site(), settings -> new Choice(settings, config.seed()), clock, records,
             announcer, log);
         kernel = new KernelLink(clients, config.kernel(), core, log);
         core.attach(kernel);
-        int sockets = config.sockets() - OWN_SOCKETS - calls;
-        if (operator.mostConnections() > sockets) {
-            throw new Fields.BadValue("connections.max is " + operator.mostConnections()
-                + ", and limits.sockets"
-                + " leaves " + sockets);
-        }
-        sockets = operator.mostConnections() > 0 ? operator.mostConnections() : sockets;
+        core.whenUp(() -> on(Event.KERNEL_UP));
+        marks = new Marks(operator.life(), log);
+        int sockets = Configuration.platformConnections(config, operator);
         if (operator.uwsgi() != null) {
-            sockets -= operator.uwsgi().mostConnections();
             UwsgiFront second = new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
             fronts.put(new Listener(loop, turns, clock, second, operator.uwsgiLimits(), log),
                 operator.uwsgi().listen());
         }
-        if (sockets < 1) {
-            throw new Fields.BadValue("uwsgi.max_connections leaves no sockets to the platform's front");
+        RpcFront platform = new RpcFront(core, clock);
+        if (operator.stats()) {
+            platform.tellStats(() -> life.phase().name());
         }
-        fronts.put(new Listener(loop, turns, clock, new RpcFront(core, clock),
+        fronts.put(new Listener(loop, turns, clock, platform,
             operator.connections().with(sockets), log), config.listen());
         core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
-    private void enter(Phase next) {
-        phase = next;
-        log.accept("phase " + next);
+    /** Something happened to the process; on the loop's thread only. */
+    private void on(Event event) {
+        if (!life.on(event) && (event == Event.NOTICE || event == Event.HURRY)) {
+            log.info("notice_again", "phase", life.phase(), "hurry", event == Event.HURRY);
+        }
+        if (event == Event.HURRY && drain != null && !drain.hurried()) {
+            drain.hurry(clock.now());
+        }
     }
 
-    /** Binds the listeners; what cannot be bound is thrown. */
-    public void start() {
-        loop.execute(() -> {
-            enter(Phase.STARTING);
-            kernel.open();
-        });
-        fronts.forEach((front, address) -> bound.add(front.listen(address)));
-        log.accept("listening on " + bound);
-        loop.execute(() -> {
-            enter(Phase.SERVING);
-            if (operator.reportSeconds() > 0) {
-                clock.after(operator.reportSeconds() * 1_000_000L, this::reportAgain);
+    private void entered(Phase from, Phase to, Event by) {
+        log.info("phase", "from", from, "to", to, "by", by);
+        switch (to) {
+            case BINDING -> kernel.open();
+            case WAITING -> {
+                waitForKernel();
+                reportLater();
+            }
+            case SERVING -> {
+                if (from == Phase.BINDING) {
+                    reportLater();
+                }
+                marks.ready(identity());
+            }
+            case DRAINING -> beginDrain();
+            case CLOSING -> close();
+            case STOPPED -> stopped.countDown();
+            default -> { }
+        }
+    }
+
+    private JSONObject identity() {
+        return new JSONObject().put("name", config.name()).put("pid", ProcessHandle.current().pid())
+            .put("listen", bound.stream().map(one -> one.getHostString() + ":" + one.getPort()).toList())
+            .put("at", clock.now() / 1000);
+    }
+
+    /** Takes the operator's lock; only one process of this name may go on. {@code mark} stands in it. */
+    public void lock(String mark) throws IOException, Marks.Taken {
+        marks.lock(new JSONObject().put("name", config.name()).put("pid", ProcessHandle.current().pid())
+            .put("mark", mark));
+    }
+
+    /** Asks on the loop's thread and waits for it. */
+    private void ask(Event event) {
+        loop.submit(() -> on(event)).syncUninterruptibly();
+    }
+
+    /** Warms the JVM before anybody can ask; a notice to leave ends it. */
+    public void rehearse() {
+        ask(Event.START);
+        rehearsing = true;
+        if (!life.leaving()) {
+            long began = System.nanoTime();
+            int played = new Rehearsal(config.site()).play(Rehearsal.LONGEST_NS, life::leaving);
+            log.info("rehearsed", "requests", played, "took_ms", (System.nanoTime() - began) / 1_000_000);
+        }
+    }
+
+    /**
+     * Binds the listeners; what cannot be bound is thrown, after all that was bound is closed. Returns
+     * whether the server listens: a notice to leave may have come first.
+     */
+    public boolean start() {
+        if (!rehearsing) {
+            ask(Event.START);
+        }
+        if (life.leaving()) {
+            return false;
+        }
+        ask(Event.REHEARSED);
+        if (life.leaving()) {
+            return false;
+        }
+        try {
+            fronts.forEach((front, address) -> bound.add(bind(front, address)));
+        } catch (RuntimeException e) {
+            loop.submit(() -> {
+                fronts.keySet().forEach(Listener::close);
+                kernel.close();
+                on(Event.BIND_FAILED);
+            }).syncUninterruptibly();
+            throw e;
+        }
+        log.info("listening", "addresses", bound);
+        ask(Event.BOUND);
+        return true;
+    }
+
+    private static InetSocketAddress bind(Listener front, InetSocketAddress address) {
+        try {
+            return front.listen(address);
+        } catch (Exception e) { // Netty throws what the system said, checked or not
+            throw new IllegalStateException("cannot listen on " + address + ": " + e.getMessage(), e);
+        }
+    }
+
+    /** Tells that the kernel is late, again and again, and gives up where the operator says so. */
+    private void waitForKernel() {
+        long began = clock.now();
+        long most = operator.life().kernelWait();
+        clock.after(most > 0 ? Math.min(most, KERNEL_LATE) : KERNEL_LATE, new Runnable() {
+            @Override
+            public void run() {
+                if (life.phase() != Phase.WAITING) {
+                    return;
+                }
+                long waited = clock.now() - began;
+                log.warn("kernel_late", "waited_ms", waited / 1000, "address", config.kernel());
+                if (most > 0 && waited >= most) {
+                    on(Event.KERNEL_GIVEN_UP);
+                } else {
+                    clock.after(most > 0 ? Math.min(most - waited, KERNEL_LATE) : KERNEL_LATE, this);
+                }
             }
         });
     }
 
+    private void reportLater() {
+        if (operator.reportSeconds() > 0) {
+            clock.after(operator.reportSeconds() * 1_000_000L, this::reportAgain);
+        }
+    }
+
     /** The addresses that were bound: the uwsgi front's first where it is on, then the platform's. */
     public List<InetSocketAddress> bound() {
         return List.copyOf(bound);
@@ -144,83 +248,113 @@
         try {
             ServerConfig next = reader.get();
             loop.execute(() -> {
-                if (phase.compareTo(Phase.CLOSING) >= 0) {
+                on(Event.RELOAD);
+                if (life.phase().compareTo(Phase.CLOSING) >= 0) {
                     return;
                 }
-                log.accept("reload: kernel " + next.kernel() + ", records " + next.records() + ", announce "
-                    + next.announce());
-                if (!next.withAddressesOf(config).equals(config)) {
-                    log.accept("reload: what else changed holds from the next start on");
-                }
+                log.info("reload", "kernel", next.kernel(), "records", next.records(), "announce",
+                    next.announce(), "needs_start", !next.withAddressesOf(config).equals(config));
                 kernel.moveTo(next.kernel());
                 records.moveTo(next.records());
                 announcer.moveTo(next.announce());
             });
         } catch (IllegalArgumentException e) {
-            log.accept("reload: the old configuration stays: " + e.getMessage());
+            log.warn("reload_refused", "reason", e.getMessage());
         }
     }
 
     /** What came of the limits so far. */
     private void report() {
-        log.accept(core.counts().toString());
+        log.info("counts", core.counts().fields());
         fronts.forEach((front, address) -> {
             ConnectionTable table = front.table();
-            log.accept("connections " + address + ": now " + table.size() + ", resting "
-                + table.sizeOf(State.RESTING) + ", " + table.counters());
+            log.info("connections", all(new Object[] {"front", address, "now", table.size(), "resting",
+                table.sizeOf(State.RESTING)}, table.counters().fields()));
         });
-        log.accept("turns: " + turns.times() + ", exhausted " + turns.order().exhausted() + ", sleepers "
-            + turns.order().sleepers() + ", timers " + turns.wheel().size() + ", " + turns.gate());
+        log.info("turns", all(turns.times().fields(), turns.gate().fields(), new Object[] {"exhausted",
+            turns.order().exhausted(), "sleepers", turns.order().sleepers(), "timers",
+                turns.wheel().size()}));
+    }
+
+    private static Object[] all(Object[]... fields) {
+        return Arrays.stream(fields).flatMap(Arrays::stream).toArray();
     }
 
     private void reportAgain() {
-        if (phase.compareTo(Phase.CLOSING) < 0) {
+        if (life.phase().compareTo(Phase.CLOSING) < 0) {
             report();
-            clock.after(operator.reportSeconds() * 1_000_000L, this::reportAgain);
+            reportLater();
         }
     }
 
-    /** The notice to leave. */
+    /** The notice to leave; a second one asks to hurry where {@code again} says that it may. */
     public void drain() {
-        loop.execute(() -> {
-            if (phase.compareTo(Phase.DRAINING) >= 0) {
-                return;
-            }
-            enter(Phase.DRAINING);
-            long grace = config.site().settings().limits().drainGrace();
-            leaveBy = clock.now() + config.stopMicros() - STOP_MARGIN_US;
-            listenUntil = Math.min(clock.now() + grace, leaveBy - 2 * STOP_MARGIN_US);
-            core.drain(config.stopMicros());
-            fronts.keySet().forEach(Listener::lastCall);
-            look();
-        });
+        notice(Event.NOTICE);
+    }
+
+    /** The notice to leave, or a second one that asks not to wait; any thread may call. */
+    public void notice(Event event) {
+        loop.execute(() -> on(event));
+    }
+
+    /** Where the process stands; any thread may ask. */
+    public Phase phase() {
+        return life.phase();
+    }
+
+    private void beginDrain() {
+        marks.notReady();
+        atNotice = core.countsNow();
+        handAtNotice = core.inHand();
+        drain = new Drain(clock.now(), config.stopMicros(), config.site().settings().limits().drainGrace(),
+            life.kernelUp());
+        core.drain(config.stopMicros());
+        fronts.keySet().forEach(Listener::lastCall);
+        look();
     }
 
     /** Looks whether all is answered; new tries come until the listener is closed, so none is left before. */
     private void look() {
-        boolean listening = clock.now() < listenUntil;
-        if (!listening) {
+        Drain.Step step = drain.look(clock.now(), core.open());
+        if (step != Drain.Step.LISTEN) {
             fronts.keySet().forEach(Listener::stopListening);
         }
-        boolean quiet = clock.now() >= listenUntil + LISTENER_GONE && core.open() == 0;
-        if (clock.now() >= leaveBy || quiet) {
-            close();
+        if (step == Drain.Step.ANSWER_ALL) {
+            core.answerAll();
+        }
+        if (step == Drain.Step.LEAVE_EMPTY || step == Drain.Step.LEAVE_IN_TIME) {
+            on(step == Drain.Step.LEAVE_EMPTY ? Event.EMPTY : Event.TIME_UP);
         } else {
             clock.after(DRAIN_LOOK, this::look);
         }
     }
 
+    /** What the drain answered, what it had to fail, and whether anything is left without an answer. */
+    private void tellDrain() {
+        List<Object> fields = new ArrayList<>(List.of("took_ms", drain.took(clock.now()) / 1000, "held",
+            handAtNotice.held(), "running", handAtNotice.running(), "paused", handAtNotice.paused(),
+                "calling",
+            handAtNotice.calling(), "joined", handAtNotice.joined()));
+        fields.addAll(List.of(core.counts().since(atNotice)));
+        fields.addAll(List.of("unanswered", core.open()));
+        log.info("drained", fields.toArray());
+        JSONObject report = new JSONObject();
+        for (int i = 0; i < fields.size(); i += 2) {
+            report.put((String) fields.get(i), fields.get(i + 1));
+        }
+        marks.report(report);
+    }
+
     private void close() {
-        enter(Phase.CLOSING);
+        if (drain != null) {
+            tellDrain();
+        }
         report();
         fronts.keySet().forEach(Listener::close);
         kernel.close();
         records.close();
         announcer.close();
-        loop.execute(() -> {
-            enter(Phase.STOPPED);
-            stopped.countDown();
-        });
+        loop.execute(() -> on(Event.CLOSED));
     }
 
     /** What became of the tries so far. */
@@ -234,11 +368,13 @@
     }
 
     /**
-     * Waits until the process may end, and returns whether it left in order: its event loop may have died.
+     * Waits until the process may end, and returns what it is to exit with: {@link #LOOP_ENDED} where its
+     * event loop has died.
      */
-    public boolean awaitStopped() throws InterruptedException {
+    public int awaitStopped() throws InterruptedException {
         stopped.await();
+        marks.close();
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
-        return phase == Phase.STOPPED;
+        return life.phase() == Phase.STOPPED ? life.exitCode() : LOOP_ENDED;
     }
 }
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -145,6 +145,8 @@
             error(id, INVALID_REQUEST, "method is missing or not a string", null);
         } else if (method.equals("check")) {
             check(id);
+        } else if (method.equals("stats") && front.phase != null) {
+            stats(id);
         } else if (method.equals("interrupt")) {
             interrupt(message, params);
         } else if (!front.reader.knows(method)) {
@@ -211,6 +213,16 @@
         result(id, result);
     }
 
+    private void stats(String id) {
+        JSONObject result = new JSONObject().put("well", front.core.well()).put("phase", front.phase.get())
+            .put("open", front.core.open()).put("warm_in_ms", front.core.warmIn() / 1000);
+        Object[] counts = front.core.counts().fields();
+        for (int i = 0; i < counts.length; i += 2) {
+            result.put((String) counts[i], counts[i + 1]);
+        }
+        result(id, result);
+    }
+
     /**
      * A proxy names what it gave up by the id of the request, as a notification:
      * {@code "params":{"id":55}}. The txn, which the page on the protocol leaves open, is taken as well.
--- a/server/src/main/java/wheatspread/jsonrpc/RpcFront.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcFront.java
@@ -1,6 +1,7 @@
 package wheatspread.jsonrpc;
 
 import java.nio.charset.StandardCharsets;
+import java.util.function.Supplier;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
 import wheatspread.sockets.CallerHandler;
@@ -15,6 +16,8 @@
     final Core core;
     final Clock clock;
     final RequestReader reader;
+    /** Tells the phase of the process for the method {@code stats}; null where that is off. */
+    Supplier<String> phase;
 
     public RpcFront(Core core, Clock clock) {
         this.core = core;
@@ -22,6 +25,14 @@
         reader = new RequestReader(core.site());
     }
 
+    /**
+     * Has the method {@code stats} answer, on which a fleet's supervisor sees whether a server has proven
+     * itself. The platform has no such method, so it is off there.
+     */
+    public void tellStats(Supplier<String> phaseOfProcess) {
+        phase = phaseOfProcess;
+    }
+
     @Override
     public CallerHandler caller(Listener listener) {
         return new RpcConnection(listener, this);
--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -17,11 +17,11 @@
 import java.util.Base64;
 import java.util.Deque;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Consumer;
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
 import wheatspread.core.Kernel;
+import wheatspread.logging.EventLog;
 
 /**
  * The link to the kernel. Commands are kept until the kernel has shown that it read them: it reads a link in
@@ -46,7 +46,7 @@
     private final EventLoopGroup loop;
     private final Bootstrap clients;
     private final Listener listener;
-    private final Consumer<String> log;
+    private final EventLog log;
     private final Deque<Command> unconfirmed = new ArrayDeque<>();
     private InetSocketAddress address;
     /** The link in use; what any other one still brings is dropped. */
@@ -64,7 +64,7 @@
     private long lastCommand;
     private long retryMs = FIRST_RETRY_MS;
 
-    public KernelLink(Bootstrap clients, InetSocketAddress address, Listener listener, Consumer<String> log) {
+    public KernelLink(Bootstrap clients, InetSocketAddress address, Listener listener, EventLog log) {
         loop = clients.config().group();
         this.clients = clients;
         this.address = address;
@@ -155,7 +155,7 @@
     public void askGauges() {
         if (current != null && booted && ++unheard > UNHEARD_MOST) {
             // guards against a link that stays open and carries nothing: runs would end unheard
-            log.accept("kernel link silent, opened anew");
+            log.warn("kernel_silent", "unheard", unheard);
             current.channel.close();
         } else if (ready) {
             say(new JSONObject().put("type", "SYSINFO").put("ref", Long.toString(lastCommand)).toString());
@@ -218,7 +218,7 @@
             ready = false;
             current = null;
             if (!closed) {
-                log.accept("kernel link lost after notice " + lastNotice);
+                log.warn("kernel_lost", "notice", lastNotice);
                 if (opening == null) {
                     retry();
                 }
@@ -234,7 +234,7 @@
             try {
                 read(new JSONObject(line));
             } catch (JSONException | IllegalArgumentException e) {
-                log.accept("kernel line not understood: " + e.getMessage());
+                log.warn("kernel_line_bad", "error", e.getMessage());
                 askAgain();
             }
         }
@@ -249,7 +249,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.accept("kernel link: " + cause);
+            log.warn("kernel_link_failed", "error", cause);
             ctx.close();
         }
 
@@ -301,10 +301,10 @@
         }
 
         private void invalid(JSONObject notice) {
-            log.accept("the kernel did not carry out " + notice);
+            log.warn("kernel_refused", "command", notice.optString("state"), "job", notice.optString("job"));
             String job = notice.optString("job");
             unconfirmed.removeIf(c -> c.job().equals(job) && c.type().equals(notice.optString("state")));
-            if (notice.optString("state").equals("SCHED")) {
+            if (notice.optString("state").equals("SCHED") || notice.optString("state").equals("RESCHED")) {
                 listener.notStarted(job);
             }
         }
--- /dev/null
+++ b/server/src/main/java/wheatspread/logging/EventLayout.java
@@ -0,0 +1,75 @@
+package wheatspread.logging;
+
+import ch.qos.logback.classic.spi.ILoggingEvent;
+import ch.qos.logback.core.LayoutBase;
+import java.time.Instant;
+import java.util.List;
+import org.json.JSONObject;
+import org.json.JSONWriter;
+import org.slf4j.event.KeyValuePair;
+
+/**
+ * One line for each event. JSON: {@code
+ * {"at":"2026-12-01T10:00:00.123Z","level":"INFO","event":"phase",...}}; text: the same with blanks, as
+ * {@code name=value}. {@code server} stands in every line where it is known.
+ */
+final class EventLayout extends LayoutBase<ILoggingEvent> {
+    private final boolean json;
+    private final String server;
+
+    /** {@code server} names the process; null where there is no name. */
+    EventLayout(boolean json, String server) {
+        this.json = json;
+        this.server = server;
+    }
+
+    @Override
+    public String doLayout(ILoggingEvent event) {
+        List<KeyValuePair> pairs = event.getKeyValuePairs() == null ? List.of() : event.getKeyValuePairs();
+        Throwable fault = event.getThrowableProxy() instanceof ch.qos.logback.classic.spi.ThrowableProxy proxy
+            ? proxy.getThrowable() : null;
+        return json ? object(event, pairs, fault) : text(event, pairs, fault);
+    }
+
+    private String text(ILoggingEvent event, List<KeyValuePair> pairs, Throwable fault) {
+        Object[] fields = new Object[2 * pairs.size() + (fault == null ? 0 : 2)];
+        int at = 0;
+        for (KeyValuePair pair : pairs) {
+            fields[at++] = pair.key;
+            fields[at++] = pair.value;
+        }
+        if (fault != null) {
+            fields[at++] = "fault";
+            fields[at] = fault;
+        }
+        return Instant.ofEpochMilli(event.getTimeStamp()) + " " + event.getLevel() + " "
+            + (server == null ? "" : server + " ") + EventLog.line(event.getFormattedMessage(), fields)
+                + "\n";
+    }
+
+    private String object(ILoggingEvent event, List<KeyValuePair> pairs, Throwable fault) {
+        StringBuilder out = new StringBuilder();
+        JSONWriter line = new JSONWriter(out).object().key("at")
+            .value(Instant.ofEpochMilli(event.getTimeStamp()).toString())
+            .key("level").value(event.getLevel().toString()).key("event").value(event.getFormattedMessage());
+        if (server != null) {
+            line.key("server").value(server);
+        }
+        for (KeyValuePair pair : pairs) {
+            line.key(pair.key).value(plain(pair.value));
+        }
+        if (fault != null) {
+            line.key("fault").value(fault.toString());
+        }
+        line.endObject();
+        return out.append('\n').toString();
+    }
+
+    /** Numbers that JSON has no word for, and whatever is no JSON value, stand as text. */
+    private static Object plain(Object value) {
+        boolean number = value instanceof Number n && Double.isFinite(n.doubleValue());
+        return value == null ? JSONObject.NULL : number || value instanceof Boolean ? value
+            : value instanceof java.util.Collection<?> all ? all.stream().map(EventLayout::plain).toList()
+            : String.valueOf(value);
+    }
+}
--- a/server/src/main/java/wheatspread/records/RecordsClient.java
+++ b/server/src/main/java/wheatspread/records/RecordsClient.java
@@ -15,10 +15,10 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.function.Consumer;
 import wheatspread.admission.Admission.Outcome;
 import wheatspread.core.Clock;
 import wheatspread.core.Records;
+import wheatspread.logging.EventLog;
 
 /**
  * Calls to the records service over connections that are used again while they are fresh. A reply that is
@@ -37,7 +37,7 @@
     private final Bootstrap clients;
     private final Clock clock;
     private final int mostConnections;
-    private final Consumer<String> log;
+    private final EventLog log;
     /** Those to the present address that may take calls, the one used last at the end. */
     private final List<Connection> connections = new ArrayList<>();
     /** Those that take no more calls, until what is in hand there has ended. */
@@ -47,7 +47,7 @@
 
     /** Past {@code mostConnections} calls share them. */
     public RecordsClient(Bootstrap clients, InetSocketAddress address, int mostConnections, Clock clock,
-                         Consumer<String> log) {
+                         EventLog log) {
         this.clients = clients;
         this.address = address;
         this.mostConnections = mostConnections;
@@ -251,7 +251,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-            log.accept("records connection: " + cause);
+            log.warn("records_connection_failed", "error", cause);
             ctx.close();
         }
 
--- a/server/src/main/java/wheatspread/sockets/CallerHandler.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandler.java
@@ -148,7 +148,7 @@
     @Override
     public final void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
-            listener.log("caller's connection: " + cause);
+            listener.log().warn("caller_connection_failed", "error", cause);
         }
         context.close();
     }
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -20,13 +20,13 @@
 import java.util.Comparator;
 import java.util.LinkedHashSet;
 import java.util.Set;
-import java.util.function.Consumer;
 import wheatspread.connections.Caller;
 import wheatspread.connections.Connection;
 import wheatspread.connections.ConnectionLimits;
 import wheatspread.connections.ConnectionLimits.Refusal;
 import wheatspread.connections.ConnectionTable;
 import wheatspread.core.Clock;
+import wheatspread.logging.EventLog;
 
 /**
  * A listening socket with the callers it accepted. Who is let in, who makes room and whose time is over its
@@ -49,7 +49,7 @@
     private final Clock clock;
     private final Front front;
     private final ConnectionTable table;
-    private final Consumer<String> log;
+    private final EventLog log;
     private final Set<CallerHandler> stalled = new LinkedHashSet<>();
     /** One handle reads for all callers, one after another; each has but one read a turn. */
     private final RecvByteBufAllocator.ExtendedHandle reading = (RecvByteBufAllocator.ExtendedHandle)
@@ -61,7 +61,7 @@
     private boolean leaving;
 
     public Listener(EventLoop loop, Turns turns, Clock clock, Front front, ConnectionLimits limits,
-                    Consumer<String> log) {
+                    EventLog log) {
         this.loop = loop;
         this.turns = turns;
         this.clock = clock;
@@ -102,7 +102,7 @@
 
         @Override
         public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
-            log.accept("accepting failed: " + cause.getMessage());
+            log.warn("accept_failed", "error", cause.getMessage());
             rest(NO_DESCRIPTOR);
         }
 
@@ -209,8 +209,8 @@
         turns.gate().refused(clock.now());
     }
 
-    void log(String text) {
-        log.accept(text);
+    EventLog log() {
+        return log;
     }
 
     // ---- whose time is over ----
--- a/server/src/main/java/wheatspread/sockets/TurnTimes.java
+++ b/server/src/main/java/wheatspread/sockets/TurnTimes.java
@@ -17,10 +17,10 @@
         longest = Math.max(longest, nanos);
     }
 
-    @Override
-    public String toString() {
-        return "count " + turns + ", busy_us " + busyMicros() + ", p99_us " + quantileMicros(0.99)
-            + ", longest_us " + takeLongestMicros();
+    /** What is logged, as names and values in turns; the longest one since it was last asked for. */
+    public Object[] fields() {
+        return new Object[] {"count", turns, "busy_us", busyMicros(), "p99_us", quantileMicros(0.99),
+            "longest_us", takeLongestMicros()};
     }
 
     public long turns() {
--- a/server/src/main/java/wheatspread/sockets/Turns.java
+++ b/server/src/main/java/wheatspread/sockets/Turns.java
@@ -11,9 +11,9 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.function.Consumer;
 import java.util.function.LongSupplier;
 import wheatspread.connections.Connection;
+import wheatspread.logging.EventLog;
 import wheatspread.timers.TimerWheel;
 import wheatspread.turns.CrowdGate;
 import wheatspread.turns.ReadOrder;
@@ -34,7 +34,7 @@
 
     private final Transport transport;
     private final TurnLimits limits;
-    private final Consumer<String> log;
+    private final EventLog log;
     private final ReadOrder order;
     private final TimerWheel wheel = new TimerWheel(micros());
     private final Deque<Runnable> soon = new ArrayDeque<>();
@@ -46,7 +46,7 @@
     private Connection registering;
     private boolean sleeper;
 
-    public Turns(Transport transport, TurnLimits limits, long seed, Consumer<String> log) {
+    public Turns(Transport transport, TurnLimits limits, long seed, EventLog log) {
         this.transport = transport;
         this.limits = limits;
         this.log = log;
@@ -161,7 +161,7 @@
         try {
             task.run();
         } catch (RuntimeException e) {
-            log.accept("a task of the event loop failed: " + e);
+            log.error("loop_task_failed", "error", e);
         }
     }
 
--- a/server/src/main/java/wheatspread/turns/CrowdGate.java
+++ b/server/src/main/java/wheatspread/turns/CrowdGate.java
@@ -77,8 +77,8 @@
         return (int) window;
     }
 
-    @Override
-    public String toString() {
-        return "crowds " + bursts + ", crowd_turned_away " + turnedAway + ", crowd_window " + (int) window;
+    /** What is logged, as names and values in turns. */
+    public Object[] fields() {
+        return new Object[] {"crowds", bursts, "crowd_turned_away", turnedAway, "crowd_window", (int) window};
     }
 }
--- a/server/src/test/java/wheatspread/PackagesTest.java
+++ b/server/src/test/java/wheatspread/PackagesTest.java
@@ -54,7 +54,7 @@
 
     @Test
     void theCoreKnowsNoWire() throws IOException {
-        assertThat(imports().get("core")).containsExactly("admission");
+        assertThat(imports().get("core")).containsExactly("admission", "logging");
         assertThat(imports().get("admission")).isEmpty();
         try (Stream<Path> files = Files.list(ROOT.resolve("core"))) {
             for (Path file : files.toList()) {
--- a/server/src/test/java/wheatspread/config/ConfigTest.java
+++ b/server/src/test/java/wheatspread/config/ConfigTest.java
@@ -93,12 +93,13 @@
             "{'turns': {'read_us': 'much'}}", "turns.read_us is missing or not a number",
             "{'transport': 'pigeon'}", "transport is an unknown word: pigeon",
             "{'turns': {'expiring': 0}}", "turns.expiring is 0, not from 1 to 100000",
-            "{'upstream': {}}", "upstream is an unknown key; known are [connections, report_s, transport");
+            "{'upstream': {}}",
+                "upstream is an unknown key; known are [connections, life, log, report_s, stats");
         for (var one : complaints.entrySet()) {
             Path file = Files.writeString(Files.createTempFile("operator", ".json"),
                 one.getKey().replace('\'', '"'));
             assertThatThrownBy(() -> OperatorConfig.readFile(file, config.site()))
-                .hasMessageStartingWith(file + ": " + one.getValue());
+                .hasMessageStartingWith(file + ":1: " + one.getValue());
             Files.delete(file);
         }
     }
--- a/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
+++ b/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
@@ -3,6 +3,7 @@
 import static org.assertj.core.api.Assertions.assertThat;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
@@ -117,8 +118,9 @@
         assertThat(expire(6 * SECOND)).containsExactly("rests closed");
         assertThat(expire(2 * SECOND)).containsExactly("used closed");
         assertThat(table.soonest()).as("who waits for an answer has no limit here").isEqualTo(Long.MAX_VALUE);
-        assertThat(table.counters().toString()).contains("closed_silent 1", "closed_half 1", "closed_idle 2",
-            "closed_leaving 1");
+        assertThat(Arrays.toString(table.counters().fields())).contains("closed_silent, 1", "closed_half, 1",
+            "closed_idle, 2",
+            "closed_leaving, 1");
     }
 
     @Test
@@ -204,7 +206,7 @@
         assertThat(heard).containsExactly("a1 closed");
         assertThat(open("a4", 1)).as("nothing of its own rests").isNull();
         assertThat(open("b1", 2)).isNotNull();
-        assertThat(table.counters().toString()).contains("refused_source 1");
+        assertThat(Arrays.toString(table.counters().fields())).contains("refused_source, 1");
     }
 
     @Test
--- a/server/src/test/java/wheatspread/core/CoreTest.java
+++ b/server/src/test/java/wheatspread/core/CoreTest.java
@@ -13,6 +13,7 @@
 import wheatspread.admission.Admission;
 import wheatspread.admission.Admission.Actions;
 import wheatspread.admission.Admission.RequestClass;
+import wheatspread.logging.EventLog;
 
 /** The core without any wire, and with a module that does what a test says: guards Choice never needs. */
 class CoreTest {
@@ -37,7 +38,8 @@
             new Admission.Below(Admission.Dependency.SHARED, 4, SECOND, 0),
             new Admission.Callers(1, Admission.Advice.NONE, 0, 0, true, 0, 0, 0), List.of(keyed), List.of());
         core = new Core(new Site(settings, List.of("save"), List.of(), List.of()), s -> new Scripted(),
-            new FakeClock(), (job, body, patience, listener) -> () -> { }, accepting -> { }, log::add);
+            new FakeClock(), (job, body, patience, listener) -> () -> { }, accepting -> { },
+            EventLog.lines(log::add));
         core.attach(new FakeKernel());
         core.booted(false, 0);
         settle();
@@ -71,7 +73,7 @@
         });
         submit("a", "k");
         settle();
-        assertThat(log).containsExactly("the module failed: java.lang.IllegalStateException: odd");
+        assertThat(log).containsExactly("module_failed error=\"java.lang.IllegalStateException: odd\"");
         advance(60_000);
         assertThat(heard).contains("timer");
         advance(8 * SECOND);
--- a/server/src/test/java/wheatspread/daemon/BothFrontsTest.java
+++ b/server/src/test/java/wheatspread/daemon/BothFrontsTest.java
@@ -66,7 +66,7 @@
     void aServerWhoseLoopDiedSaysSoInPlaceOfHanging() throws Exception {
         try (Stage stage = new Stage()) {
             stage.server.kill();
-            assertThat(stage.server.awaitStopped()).isFalse();
+            assertThat(stage.server.awaitStopped()).isEqualTo(Server.LOOP_ENDED);
         }
     }
 
@@ -75,7 +75,7 @@
     void theRehearsalServesWhatItAsks() throws Exception {
         JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
         Rehearsal rehearsal = new Rehearsal(ServerConfig.read(Fields.of(told.toMap(), "")).site());
-        assertThat(rehearsal.play(Long.MAX_VALUE / 2)).isBetween(390, 400);
+        assertThat(rehearsal.play(Long.MAX_VALUE / 2, () -> false)).isBetween(390, 400);
     }
 
     /** The answers over both protocols are those, and so the same. */
--- a/server/src/test/java/wheatspread/daemon/Stage.java
+++ b/server/src/test/java/wheatspread/daemon/Stage.java
@@ -14,6 +14,7 @@
 import wheatspread.config.Fields;
 import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
+import wheatspread.logging.EventLog;
 
 /** A server with the clock of a test, and the parties round it on ephemeral ports. */
 final class Stage implements AutoCloseable {
@@ -53,7 +54,8 @@
         Thread thread = new Thread(this::hearAnnouncements, "announce stand-in");
         thread.setDaemon(true);
         thread.start();
-        server = new Server(config, front, (loop, turns) -> clock = new ManualClock(loop), logged::add);
+        server = new Server(config, front, (loop, turns) -> clock = new ManualClock(loop),
+            EventLog.lines(logged::add));
         server.start();
         uwsgi = server.bound().get(0);
         jsonrpc = server.bound().get(1);
--- a/server/src/test/java/wheatspread/sockets/ListenerTest.java
+++ b/server/src/test/java/wheatspread/sockets/ListenerTest.java
@@ -13,6 +13,7 @@
 import org.junit.jupiter.api.Test;
 import wheatspread.connections.ConnectionLimits;
 import wheatspread.core.Clock;
+import wheatspread.logging.EventLog;
 import wheatspread.turns.TurnLimits;
 
 class ListenerTest {
@@ -21,9 +22,10 @@
     private final List<Runnable> timers = new ArrayList<>();
     private final List<String> heard = new ArrayList<>();
     private long now = 100_000_000;
-    private final Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1, heard::add);
+    private final Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1,
+        EventLog.lines(heard::add));
     private final Listener listener = new Listener(null, turns, new SetClock(), new Echo(),
-        ConnectionLimits.usual(100), heard::add);
+        ConnectionLimits.usual(100), EventLog.lines(heard::add));
 
     /** Keeps its timers for the test to ring. */
     private final class SetClock implements Clock {
