--- a/server/src/main/java/wheatspread/fleet/Fleet.java
+++ b/server/src/main/java/wheatspread/fleet/Fleet.java
@@ -232,8 +232,13 @@
 
     private void watch(Member one, long now) {
         if (one.unsureUntil > 0 && now >= one.unsureUntil) {
-            // it never came about, or was gone at once
-            ended(one.name, one.generation, Member.UNKNOWN_CODE, now);
+            // it never came about, or was gone at once; that is no fault of its build, and the next one will tell
+            one.unsureUntil = 0;
+            one.enter(State.ABSENT, now);
+            if (roll != null) {
+                roll.neverStarted(one.name);
+            }
+            log.info("start_unseen", "name", one.name, "generation", one.generation);
         } else if (one.state == State.STARTING && now - one.startedAt > plan.startTimeout()) {
             kill(one, "not well in time", now);
         } else if (one.state == State.LEAVING && now - one.since > plan.stopAfter()) {
--- a/server/src/main/java/wheatspread/fleet/Rollout.java
+++ b/server/src/main/java/wheatspread/fleet/Rollout.java
@@ -194,6 +194,13 @@
         }
     }
 
+    /** A start that was written down never came about. */
+    void neverStarted(String name) {
+        if (leads(name)) {
+            steps.put(name, Step.GONE);
+        }
+    }
+
     /**
      * Looks at everybody, and returns who is to get the notice now. {@code roster} tells who is in service; a
      * successor that has yet to prove itself does not count as such.
@@ -270,8 +277,8 @@
                 continue;
             }
             Member one = roster.get(entry.getKey());
-            // one that is out anyway loses nothing by its change
-            boolean free = one.wanted && !roster.inService(one, now);
+            // one that is known to be out loses nothing by its change; one not heard lately may well serve
+            boolean free = one.wanted && one.state != State.UP;
             if (out < most || free) {
                 out += free ? 0 : 1;
                 entry.setValue(one.lives() ? Step.LEAVING : Step.GONE);
