--- a/lab/src/main/java/wheatspread/lab/Sites.java
+++ b/lab/src/main/java/wheatspread/lab/Sites.java
@@ -23,6 +23,12 @@
 
     /** The configuration of one server with so many descriptors. */
     public static JSONObject config(Parties parties, int sockets) {
+        return config(parties.kernel(), parties.records(), parties.announce(), sockets, 12);
+    }
+
+    /** The same of one of a fleet, with the addresses of the parties round it. */
+    public static JSONObject config(String kernel, String records, String announce, int sockets,
+        int servers) {
         JSONArray lanes = new JSONArray();
         for (Kind kind : KINDS) {
             JSONObject lane = new JSONObject().put("Name", kind.name).put("Aim", (double) kind.wanted)
@@ -41,14 +47,13 @@
             .put("Heeded", 1_000.0).put("KbPerKey", 4.0).put("Linger", 200.0)
             .put("MemoryKb", 60_000.0).put("NCores", 6).put("RegistryFollows", true).put("RunFactor", 8.0)
             .put("Say", "window");
-        JSONObject settings = new JSONObject().put("ReplicasOfMe", 12).put("Resolution", 4.0)
+        JSONObject settings = new JSONObject().put("ReplicasOfMe", servers).put("Resolution", 4.0)
             .put("Ceilings", new JSONObject().put("MaxRetryAfter", 4_000.0).put("RetryAfter", true))
             .put("FamilyInfo", family).put("Lanes", lanes).put("Parties", tenants)
             .put("Rules", new JSONObject().put("AnswerSlack", 60.0).put("Cold", 16_000.0).put("ColdFrom", 0.2)
                 .put("DrainGrace", 2_500.0).put("OverloadFor", 2_000.0).put("TipMultiple", 6.0));
-        return new JSONObject().put("name", "lab").put("listen", "127.0.0.1:0").put("kernel",
-            parties.kernel())
-            .put("records", parties.records()).put("announce", parties.announce()).put("seed", "1ab")
+        return new JSONObject().put("name", "lab").put("listen", "127.0.0.1:0").put("kernel", kernel)
+            .put("records", records).put("announce", announce).put("seed", "1ab")
             .put("stop_ms", 4_000).put("limits", new JSONObject().put("cores", 1.0).put("memory_mb", 512)
                 .put("sockets", sockets)).put("settings", settings);
     }
--- a/lab/src/main/java/wheatspread/lab/StartCommand.java
+++ b/lab/src/main/java/wheatspread/lab/StartCommand.java
@@ -72,7 +72,8 @@
         return 0;
     }
 
-    private static List<String> flags(Path deploy) throws IOException {
+    /** The flags of the platform's run line. */
+    static List<String> flags(Path deploy) throws IOException {
         Matcher run = Pattern.compile("run = \"exec java (.*) -jar ").matcher(Files.readString(deploy));
         if (!run.find()) {
             throw new IOException(deploy + " has no run line with java's flags");
--- a/lab/src/main/java/wheatspread/lab/report/Report.java
+++ b/lab/src/main/java/wheatspread/lab/report/Report.java
@@ -13,6 +13,9 @@
 import org.knowm.xchart.BitmapEncoder;
 import org.knowm.xchart.CategoryChart;
 import org.knowm.xchart.CategoryChartBuilder;
+import org.knowm.xchart.XYChart;
+import org.knowm.xchart.XYChartBuilder;
+import org.knowm.xchart.style.markers.SeriesMarkers;
 
 /** The figures of a measurement, with the machine they come from: as JSON, and some of them as a plot. */
 public final class Report {
@@ -76,4 +79,24 @@
         }
         BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
     }
+
+    /** Draws lines over equal steps of one, from 0, into a file; values that are no numbers are left out. */
+    public static void lines(Path file, String title, String x, String y, Map<String, double[]> series)
+        throws IOException {
+        System.setProperty("java.awt.headless", "true");
+        XYChart chart = new XYChartBuilder().width(1_000).height(500).title(title).xAxisTitle(x).yAxisTitle(y)
+            .build();
+        series.forEach((name, values) -> {
+            List<Integer> at = new ArrayList<>();
+            List<Double> told = new ArrayList<>();
+            for (int i = 0; i < values.length; i++) {
+                if (!Double.isNaN(values[i])) {
+                    at.add(i);
+                    told.add(values[i]);
+                }
+            }
+            chart.addSeries(name, at, told).setMarker(SeriesMarkers.NONE);
+        });
+        BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
+    }
 }
--- a/lab/src/main/java/wheatspread/lab/standins/Parties.java
+++ b/lab/src/main/java/wheatspread/lab/standins/Parties.java
@@ -1,26 +1,14 @@
 package wheatspread.lab.standins;
 
-import io.netty.bootstrap.ServerBootstrap;
-import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.Channel;
-import io.netty.channel.ChannelHandler;
 import io.netty.channel.ChannelHandlerContext;
-import io.netty.channel.ChannelInitializer;
-import io.netty.channel.ChannelOption;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.channel.nio.NioIoHandler;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
-import io.netty.handler.codec.ByteToMessageDecoder;
-import io.netty.handler.codec.LineBasedFrameDecoder;
-import io.netty.handler.codec.string.StringDecoder;
-import io.netty.handler.codec.string.StringEncoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
-import java.util.function.Supplier;
 import org.json.JSONObject;
 
 /**
@@ -42,21 +30,21 @@
     public Parties(long runMicros, long callMicros) {
         this.runMicros = runMicros;
         this.callMicros = callMicros;
-        kernel = listen(Kernel::new, true);
-        records = listen(Records::new, false);
-        announce = listen(Announce::new, true);
+        kernel = Listening.on(group, Kernel::new, true);
+        records = Listening.on(group, () -> new RecordsHandler(this.callMicros), false);
+        announce = Listening.on(group, Announce::new, true);
     }
 
     public String kernel() {
-        return text(kernel);
+        return Listening.text(kernel);
     }
 
     public String records() {
-        return text(records);
+        return Listening.text(records);
     }
 
     public String announce() {
-        return text(announce);
+        return Listening.text(announce);
     }
 
     /** How many runs were started. */
@@ -64,26 +52,6 @@
         return runs;
     }
 
-    private static String text(InetSocketAddress address) {
-        return "127.0.0.1:" + address.getPort();
-    }
-
-    private InetSocketAddress listen(Supplier<ChannelHandler> handler, boolean lines) {
-        Channel channel = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .childOption(ChannelOption.TCP_NODELAY, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel child) {
-                    if (lines) {
-                        child.pipeline().addLast(new LineBasedFrameDecoder(1 << 20),
-                            new StringDecoder(StandardCharsets.UTF_8));
-                    }
-                    child.pipeline().addLast(new StringEncoder(StandardCharsets.UTF_8), handler.get());
-                }
-            }).bind("127.0.0.1", 0).syncUninterruptibly().channel();
-        return (InetSocketAddress) channel.localAddress();
-    }
-
     @Override
     public void close() {
         group.shutdownGracefully(0, 100, TimeUnit.MILLISECONDS);
@@ -133,32 +101,10 @@
         }
     }
 
-    private static void after(ChannelHandlerContext ctx, long micros, Runnable task) {
+    static void after(ChannelHandlerContext ctx, long micros, Runnable task) {
         ctx.executor().schedule(task, micros, TimeUnit.MICROSECONDS);
     }
 
-    /** The records service. */
-    private final class Records extends ByteToMessageDecoder {
-        @Override
-        protected void decode(ChannelHandlerContext ctx, ByteBuf in, List<Object> out) {
-            int end = in.bytesBefore((byte) '\n');
-            if (end < 0) {
-                return;
-            }
-            String[] words = in.toString(in.readerIndex(), end - 1, StandardCharsets.US_ASCII).split(" ");
-            if (words[0].equals("UNOP")) {
-                in.skipBytes(end + 1);
-                return;
-            }
-            int body = Integer.parseInt(words[3]);
-            if (in.readableBytes() < end + 1 + body + 2) {
-                return;
-            }
-            in.skipBytes(end + 1 + body + 2);
-            after(ctx, callMicros, () -> ctx.writeAndFlush(words[1] + " DONE 5\r\nreply\r\n"));
-        }
-    }
-
     /** The announce service: a report's body has no line of its own, so it is told by the end of its head. */
     private static final class Announce extends SimpleChannelInboundHandler<String> {
         @Override
