--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test lint run adapter measure clean
+.PHONY: build test demo lint run adapter measure clean
 
 build:           ## the jars of server and lab, without tests
 	mvn -q -DskipTests package
@@ -6,6 +6,9 @@
 test:            ## tests and lint, as CI runs them
 	mvn -B verify
 
+demo: build      ## one server with everybody round it played, a few requests, and the line to ask it yourself
+	java -jar lab/target/wheatspread-lab.jar demo
+
 lint:            ## style alone; the compiler's warnings are errors in every build
 	mvn -q checkstyle:check
 
@@ -18,7 +21,9 @@
 clean:
 	mvn -q clean
 
-measure: build   ## the measurements of idle connections, some ten minutes
+measure: build   ## the measurements, some twenty minutes
 	java -jar lab/target/wheatspread-lab.jar idle
 	java -jar lab/target/wheatspread-lab.jar crowd
 	java -jar lab/target/wheatspread-lab.jar bench --name idle-structures
+	java -jar lab/target/wheatspread-lab.jar start --half
+	java -jar lab/target/wheatspread-lab.jar fleet
--- a/lab/src/main/java/wheatspread/lab/FleetCommand.java
+++ b/lab/src/main/java/wheatspread/lab/FleetCommand.java
@@ -1,7 +1,6 @@
 package wheatspread.lab;
 
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -40,7 +39,7 @@
     public Integer call() throws Exception {
         JSONObject rolling = new JSONObject().put("out_share", 0.2).put("proven_answers", 5).put("proven_ms",
             500)
-            .put("patience_ms", 4_000);
+            .put("patience_ms", 1_500);
         FleetRoll fleet = new FleetRoll(jar, StartCommand.flags(deploy), size, rate, rolling);
         Report report = new Report("fleet");
         Map<String, double[]> worth = new LinkedHashMap<>();
--- a/lab/src/main/java/wheatspread/lab/fleet/BookingKernel.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/BookingKernel.java
@@ -73,6 +73,11 @@
                 carryOut(command, command.optString("job"));
             }
         }
+
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close(); // a server that was ended outright resets its link
+        }
     }
 
     private void open(ChannelHandlerContext context, long lastRead) {
--- a/lab/src/main/java/wheatspread/lab/fleet/FleetProcess.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/FleetProcess.java
@@ -2,14 +2,19 @@
 
 import java.io.File;
 import java.io.IOException;
+import java.net.BindException;
+import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.HashSet;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
 import java.util.stream.Stream;
@@ -22,6 +27,10 @@
  * processes that it started are gone when it is closed.
  */
 public final class FleetProcess implements AutoCloseable {
+    private static final int LOWEST_PORT = 20_000;
+    private static final int HIGHEST_PORT = 32_000;
+    private static final int PORT_TRIES = 1_000;
+
     private final Path jar;
     private final Path dir;
     private final Path file;
@@ -42,8 +51,9 @@
         this.flags = flags;
         dir = Files.createTempDirectory("wheatspread-fleet");
         Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+        Set<Integer> taken = new HashSet<>();
         for (int i = 1; i <= size; i++) {
-            addresses.put("n" + i, new InetSocketAddress("127.0.0.1", freePort()));
+            addresses.put("n" + i, new InetSocketAddress("127.0.0.1", freePort(taken)));
         }
         world = new World(addresses);
         JSONArray members = new JSONArray();
@@ -66,10 +76,21 @@
             .put("restarts", new JSONObject().put("first_ms", 300)).put("roll", rolling).toString(1));
     }
 
-    private static int freePort() throws IOException {
-        try (ServerSocket socket = new ServerSocket(0)) {
-            return socket.getLocalPort();
+    /**
+     * A free port below those that the system gives to clients, or one of these could take it in a restart.
+     */
+    private static int freePort(Set<Integer> taken) throws IOException {
+        for (int i = 0; i < PORT_TRIES; i++) {
+            int port = ThreadLocalRandom.current().nextInt(LOWEST_PORT, HIGHEST_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                if (taken.add(socket.getLocalPort())) {
+                    return port;
+                }
+            } catch (BindException e) {
+                continue; // somebody else's
+            }
         }
+        throw new IOException("no port is free");
     }
 
     private List<String> command(String script) {
--- a/lab/src/main/java/wheatspread/lab/fleet/FleetRoll.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/FleetRoll.java
@@ -58,6 +58,9 @@
             fleet.await("a fleet that is up", UP_MS, status -> FleetProcess.count(status, "UP",
                 null) == size);
             TimeUnit.MILLISECONDS.sleep(SEEN_MS);
+            if (deed == Deed.BUILD_THAT_FAILS_LATER) {
+                fleet.world().expectSecondProcessesToDie();
+            }
             long began = System.nanoTime();
             fleet.world().ask(rate);
             TimeUnit.MILLISECONDS.sleep(beforeMillis);
--- a/lab/src/main/java/wheatspread/lab/fleet/Ledger.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/Ledger.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.Predicate;
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
 
@@ -68,6 +69,7 @@
     private final List<String> faults = new ArrayList<>();
     private final List<double[]> seconds = new ArrayList<>();
     private final Map<String, Long> counts = new HashMap<>();
+    private Predicate<String> doomed = server -> false;
     private long beganAt;
 
     /** What is asked from now on counts. */
@@ -152,8 +154,13 @@
         killed.add(server);
     }
 
+    /** Processes that are to die by themselves are excused like those that were ended. */
+    void excuse(Predicate<String> dying) {
+        doomed = dying;
+    }
+
     boolean isKilled(String server) {
-        return killed.contains(server);
+        return killed.contains(server) || doomed.test(server);
     }
 
     /** A process of it has come up: nothing of the one before can still be run. */
--- a/lab/src/main/java/wheatspread/lab/fleet/ServerList.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/ServerList.java
@@ -82,6 +82,11 @@
             }
         }
 
+        @Override
+        public void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
+            context.close(); // a server that was ended outright resets its connection
+        }
+
         private void body(String text) {
             if (!text.isEmpty() && name == null) {
                 throw new IllegalStateException(text);
--- a/lab/src/main/java/wheatspread/lab/fleet/World.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/World.java
@@ -106,6 +106,14 @@
         });
     }
 
+    /** The second process of each server is of a build that dies by itself: what it has in hand is lost. */
+    void expectSecondProcessesToDie() {
+        on(() -> {
+            ledger.excuse(name -> kernels.get(name).starts() == 2);
+            return null;
+        });
+    }
+
     /** How many processes of a server have linked to its kernel. */
     int starts(String name) {
         return on(() -> kernels.get(name).starts());
--- a/server/src/main/java/wheatspread/fleet/Fleet.java
+++ b/server/src/main/java/wheatspread/fleet/Fleet.java
@@ -232,7 +232,8 @@
 
     private void watch(Member one, long now) {
         if (one.unsureUntil > 0 && now >= one.unsureUntil) {
-            // it never came about, or was gone at once; that is no fault of its build, and the next one will tell
+            // it never came about, or was gone at once; that is no fault of its build, and the next one will
+            // tell
             one.unsureUntil = 0;
             one.enter(State.ABSENT, now);
             if (roll != null) {
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -280,7 +280,9 @@
     }
 
     public void stopListening() {
-        listening.close();
+        if (listening != null) { // where another listener could not be bound, this one never was
+            listening.close();
+        }
     }
 
     public void close() {
--- a/server/src/test/java/wheatspread/core/CoreTest.java
+++ b/server/src/test/java/wheatspread/core/CoreTest.java
@@ -66,6 +66,37 @@
         now = until;
     }
 
+    @Test
+    void aHurriedDrainTellsWhoRanFromWhoDidNot() {
+        decisions.add(actions -> actions.run(1));
+        submit("a", "k");
+        settle();
+        submit("b", "m");
+        settle();
+        assertThat(core.inHand()).isEqualTo(new Core.InHand(1, 1, 0, 0, 0));
+        core.answerAll();
+        assertThat(answers).containsExactly("a FAILED", "b REFUSED");
+        assertThat(core.open()).isZero();
+    }
+
+    /** Guards against a second run of a key whose first one the kernel paused and then would not take up. */
+    @Test
+    void aPausedRunThatIsNotTakenUpKeepsItsKey() {
+        decisions.add(actions -> actions.run(1));
+        submit("a", "k");
+        settle();
+        core.ended("a", Kernel.End.STOPPED, 5, null);
+        decisions.add(actions -> actions.run(1));
+        settle();
+        core.ended("a", Kernel.End.MOOT, 0, null);
+        settle();
+        decisions.add(actions -> actions.run(2));
+        submit("b", "k");
+        settle();
+        assertThat(answers).startsWith("a FAILED");
+        assertThat(kernelSaid).doesNotContain("run b").anyMatch(line -> line.startsWith("run a"));
+    }
+
     @Test
     void aFaultOfTheModuleEndsNeitherItsTicksNorTheDueTimes() {
         decisions.add(actions -> {
--- a/server/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/server/src/test/java/wheatspread/daemon/SceneTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import wheatspread.life.Life;
 import wheatspread.sockets.Transport;
 import wheatspread.uwsgi.UwsgiEncoder;
 import wheatspread.uwsgi.UwsgiPacket;
@@ -28,7 +29,8 @@
  * {@code up} break a connection or a service, and {@code quiet} says that nothing came; {@code reload} gives
  * all parties new addresses, after which old connections are called {@code old-kernel} and so on, or changes
  * one key; {@code operator} goes over the operator's file; {@code bytes} sends part of a line; {@code mute}
- * leaves reports unanswered. The parties are
+ * leaves reports unanswered; {@code drain} is SIGTERM, {@code hurry} a second SIGINT, and {@code stopped}
+ * waits for the end and its exit code. The parties are
  * the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
  */
 class SceneTest {
@@ -83,6 +85,9 @@
             } else if (words[0].equals("drain")) {
                 barrier();
                 stage.server.drain();
+            } else if (words[0].equals("hurry")) {
+                barrier();
+                stage.server.notice(Life.Event.HURRY);
             } else if (words[0].equals("reload")) {
                 barrier();
                 String[] bad = rest.split(" ", 2);
@@ -93,14 +98,17 @@
                     }
                 }
             } else if (words[0].equals("logged")) {
-                assertThat(stage.logged).contains(rest);
+                barrier();
+                assertThat(stage.logged).contains(rest.replace("$kernel", "/127.0.0.1:"
+                    + stage.kernels.getLocalPort()));
             } else if (words[0].equals("mute")) {
                 stage.mute = true;
             } else if (words[0].equals("bytes")) {
                 String[] part = rest.split(" ", 2);
                 wire(part[0]).write(part[1].getBytes(StandardCharsets.UTF_8));
             } else if (words[0].equals("stopped")) {
-                stage.server.awaitStopped();
+                assertThat(stage.server.awaitStopped()).isEqualTo(rest.isEmpty() ? 0 : Integer.parseInt(
+                    rest));
             } else if (words[0].equals("nogauges")) {
                 gauges = false;
             } else if (words[0].equals("quiet")) {
--- a/server/src/test/java/wheatspread/supervisor/SimMachine.java
+++ b/server/src/test/java/wheatspread/supervisor/SimMachine.java
@@ -16,8 +16,9 @@
 import wheatspread.fleet.Member.Health;
 
 /**
- * A machine in memory with a clock of its own. Processes start, lock, become well, leave and die as their build
- * says; the supervisor can be crashed before and after each thing it does. It notes what must never happen.
+ * A machine in memory with a clock of its own. Processes start, lock, become well, leave and die as their
+ * build says; the supervisor can be crashed before and after each thing it does. It notes what must never
+ * happen.
  */
 final class SimMachine implements Machine {
     static final long MS = 1_000;
@@ -28,7 +29,8 @@
     }
 
     /** How processes of a build behave; times in microseconds after the start, 0 for never. */
-    record Behaviour(long locksAfter, long wellAfter, long diesAfter, int code, boolean deaf, int failedPercent) {
+    record Behaviour(long locksAfter, long wellAfter, long diesAfter, int code, boolean deaf,
+        int failedPercent) {
         static final Behaviour GOOD = new Behaviour(150 * MS, 800 * MS, 0, 0, false, 0);
     }
 
@@ -76,7 +78,8 @@
     void pass(long micros) {
         now += micros;
         for (Proc one : procs.values()) {
-            long dies = one.behaviour.diesAfter == 0 ? Long.MAX_VALUE : one.startedAt + one.behaviour.diesAfter;
+            long dies = one.behaviour.diesAfter == 0 ? Long.MAX_VALUE : one.startedAt
+                + one.behaviour.diesAfter;
             if (one.alive && now >= Math.min(dies, one.leavesAt)) {
                 one.alive = false;
                 one.code = dies <= one.leavesAt ? one.behaviour.code : 0;
--- a/server/src/test/java/wheatspread/supervisor/SupervisorTest.java
+++ b/server/src/test/java/wheatspread/supervisor/SupervisorTest.java
@@ -286,9 +286,11 @@
             turn(random.nextLong(4_000 * MS), () -> false);
         }
         turn(300_000 * MS, () -> (fleet.roll() == null || fleet.roll().over())
-            && fleet.roster().all().stream().allMatch(one -> one.state() == State.UP || one.state() == State.HELD));
+            && fleet.roster().all().stream().allMatch(one -> one.state() == State.UP || one.state(
+                ) == State.HELD));
         assertThat(fleet.roll() == null || fleet.roll().over()).isTrue();
-        assertThat(fleet.roster().all()).allMatch(one -> one.state() == State.UP || one.state() == State.HELD);
+        assertThat(fleet.roster().all()).allMatch(one -> one.state() == State.UP || one.state(
+            ) == State.HELD);
         for (Member one : fleet.roster().all()) {
             assertThat(machine.serves(one.name())).isEqualTo(one.state() == State.UP);
         }
