--- a/server/src/main/java/wheatspread/commands/StatusCommand.java
+++ b/server/src/main/java/wheatspread/commands/StatusCommand.java
@@ -24,6 +24,7 @@
         "69:Some are not, or the status is stale.", "75:No supervisor has run here."})
 final class StatusCommand extends FleetCommand.OnFile {
     private static final long REFRESH_MS = 500;
+    private static final Size UNKNOWN = new Size(120, 40);
     private static final String ROW = "%-14s %-9s %-10s %4s %8s %9s %9s %8s %8s %6s";
 
     @Option(names = "--once", description = "Prints it once.")
@@ -58,7 +59,9 @@
             terminal.puts(Capability.enter_ca_mode);
             try {
                 for (int key = 0; key != 'q' && key != -1;) {
-                    Size size = terminal.getSize();
+                    Size told = terminal.getSize();
+                    Size size = told.getRows() > 0 && told.getColumns() > 0 ? told
+                        : UNKNOWN; // a pty may not say
                     display.resize(size.getRows(), size.getColumns());
                     List<AttributedString> lines = table(file.read(), System.currentTimeMillis());
                     display.update(lines.subList(0, Math.min(lines.size(), Math.max(1, size.getRows() - 1))),
