--- /dev/null
+++ b/server/src/main/java/wheatspread/store/Frames.java
@@ -0,0 +1,73 @@
+package wheatspread.store;
+
+import java.nio.ByteBuffer;
+import java.util.zip.CRC32C;
+
+/**
+ * How a record stands in a file of the store: its length (4 bytes, big endian), the CRC32C (RFC 3720,
+ * Castagnoli) of length and body (4 bytes), and the body. A frame is whole or it is not there: what a crash
+ * leaves of the last one is told apart from damage by whether the file ends within it. No I/O.
+ */
+public final class Frames {
+    /** Bytes before a body. */
+    public static final int HEAD = 8;
+    /** The longest body; a length beyond it can only be damage. */
+    public static final int LONGEST = 16 << 20;
+
+    /** What stands at a place. */
+    public enum Found { WHOLE, END, TORN, DAMAGED }
+
+    private Frames() { }
+
+    /** How many bytes a body of this length takes. */
+    public static int sizeOf(int body) {
+        return HEAD + body;
+    }
+
+    /** Writes a frame round the bytes from {@code body}'s position to its limit, which are read. */
+    public static void write(ByteBuffer body, ByteBuffer to) {
+        int length = body.remaining();
+        if (length > LONGEST) {
+            throw new IllegalArgumentException("a record of " + length + " bytes is over " + LONGEST);
+        }
+        to.putInt(length).putInt(checksum(length, body.duplicate())).put(body);
+    }
+
+    /**
+     * Looks at the position of {@code from}, which holds all that the file still has. Only where a frame is
+     * WHOLE is the position moved behind it, and {@code body} set to its body (a view, not a copy).
+     */
+    public static Found read(ByteBuffer from, ByteBuffer[] body) {
+        if (!from.hasRemaining()) {
+            return Found.END;
+        }
+        if (from.remaining() < HEAD) {
+            return Found.TORN;
+        }
+        int at = from.position();
+        int length = from.getInt(at);
+        if (length < 0 || length > LONGEST) {
+            return Found.DAMAGED;
+        }
+        if (from.remaining() - HEAD < length) {
+            return Found.TORN;
+        }
+        ByteBuffer view = from.slice(at + HEAD, length);
+        if (checksum(length, view.duplicate()) != from.getInt(at + 4)) {
+            return Found.DAMAGED;
+        }
+        from.position(at + HEAD + length);
+        body[0] = view;
+        return Found.WHOLE;
+    }
+
+    /**
+     * The length counts too, or a damaged one could frame other bytes whose checksum happens to stand there.
+     */
+    private static int checksum(int length, ByteBuffer body) {
+        CRC32C crc = new CRC32C();
+        crc.update(ByteBuffer.allocate(4).putInt(0, length));
+        crc.update(body);
+        return (int) crc.getValue();
+    }
+}
--- /dev/null
+++ b/server/src/test/java/wheatspread/store/FramesTest.java
@@ -0,0 +1,66 @@
+package wheatspread.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import wheatspread.store.Frames.Found;
+
+class FramesTest {
+    private static final List<String> BODIES = List.of("first", "", "a third one that is longer", "4");
+
+    private static ByteBuffer file() {
+        ByteBuffer file = ByteBuffer.allocate(200);
+        BODIES.forEach(body -> Frames.write(ByteBuffer.wrap(body.getBytes(StandardCharsets.UTF_8)), file));
+        return file.flip();
+    }
+
+    private static Found readAll(ByteBuffer file, List<String> read) {
+        ByteBuffer[] body = new ByteBuffer[1];
+        Found found = Frames.read(file, body);
+        while (found == Found.WHOLE) {
+            read.add(StandardCharsets.UTF_8.decode(body[0]).toString());
+            found = Frames.read(file, body);
+        }
+        return found;
+    }
+
+    @Test
+    void cutAtEveryByteWhatIsWholeIsReadAndTheRestIsTorn() {
+        ByteBuffer file = file();
+        List<Integer> ends = new ArrayList<>(List.of(0));
+        BODIES.forEach(body -> ends.add(ends.get(ends.size() - 1) + Frames.sizeOf(body.length())));
+        for (int cut = 0; cut <= file.limit(); cut++) {
+            List<String> read = new ArrayList<>();
+            Found found = readAll(file.slice(0, cut), read);
+            int length = cut;
+            int whole = (int) ends.stream().filter(end -> end > 0 && end <= length).count();
+            assertThat(read).as("cut at %d", cut).isEqualTo(BODIES.subList(0, whole));
+            assertThat(found).as("cut at %d", cut).isEqualTo(ends.contains(cut) ? Found.END : Found.TORN);
+        }
+    }
+
+    @Test
+    void aBitFlippedAnywhereIsNeverReadAsAnotherRecord() {
+        int bits = file().limit() * 8;
+        for (int bit = 0; bit < bits; bit++) {
+            ByteBuffer file = file();
+            file.put(bit / 8, (byte) (file.get(bit / 8) ^ 1 << bit % 8));
+            List<String> read = new ArrayList<>();
+            Found found = readAll(file, read);
+            assertThat(found).as("bit %d", bit).isIn(Found.TORN, Found.DAMAGED);
+            assertThat(BODIES.subList(0, read.size())).as("bit %d", bit).isEqualTo(read);
+        }
+    }
+
+    @Test
+    void aRecordThatIsTooLongIsRefused() {
+        assertThatThrownBy(() -> Frames.write(ByteBuffer.allocate(Frames.LONGEST + 1), ByteBuffer.allocate(
+            8)))
+            .hasMessageContaining("is over " + Frames.LONGEST);
+    }
+}
