Write files, orders and JSON objects by one piece of code each, and drop dead parts

Need: the change before wrote some things several times: a file renamed into place in four classes, the reading of the Unix clock, names and values into JSON, the cast of an object, the guard round a notice, five orders to a supervisor. The site was read twice at every start, and a suppressed event was built before it was dropped.

Change: WholeFile, LoopClock.unixMicros, EventLog.map, one cast in Fields, the guard inside Fleet.leave, Order and MemberOrder; the site is read again only where the file is faulty; a flag of the start is derived from the phase. Unused accessors, a clause of the proof that could not matter, and a parameter that was always false are gone. One thing behaves otherwise: a notice that came before the rehearsal made START throw, and now ends the start; tested.

--- a/lab/src/main/java/wheatspread/lab/fleet/BookingKernel.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/BookingKernel.java
@@ -24,7 +24,6 @@
 
     private final String server;
     private final Ledger ledger;
-    private final boolean callsAlways;
     private final Map<String, Run> runs = new HashMap<>();
     private final Deque<String> notices = new ArrayDeque<>();
     private ChannelHandlerContext link;
@@ -41,10 +40,9 @@
         long askedBy;
     }
 
-    BookingKernel(String server, Ledger ledger, boolean callsAlways) {
+    BookingKernel(String server, Ledger ledger) {
         this.server = server;
         this.ledger = ledger;
-        this.callsAlways = callsAlways;
     }
 
     /** How many processes have linked. */
@@ -130,7 +128,7 @@
         String[] body = new String(java.util.Base64.getDecoder().decode(data)).split(" ");
         Run run = new Run();
         run.left = Double.parseDouble(body[1]) / 2;
-        run.calls = callsAlways || !kind.equals("search");
+        run.calls = !kind.equals("search");
         runs.put(job, run);
         work(job, run, run.left);
     }
--- a/lab/src/main/java/wheatspread/lab/fleet/World.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/World.java
@@ -44,7 +44,7 @@
         addresses.putAll(servers);
         ServerList list = new ServerList(loop, ledger, PROXIES);
         for (String name : servers.keySet()) {
-            BookingKernel kernel = new BookingKernel(name, ledger, false);
+            BookingKernel kernel = new BookingKernel(name, ledger);
             kernels.put(name, kernel);
             kernelAt.put(name, Listening.on(group, () -> kernel.new Link(), true));
         }
@@ -114,11 +114,6 @@
         });
     }
 
-    /** How many processes of a server have linked to its kernel. */
-    int starts(String name) {
-        return on(() -> kernels.get(name).starts());
-    }
-
     /** How many tries wait for their answers. */
     int open() {
         return on(() -> ledger.open(System.currentTimeMillis()));
--- a/server/src/main/java/wheatspread/commands/FleetCommand.java
+++ b/server/src/main/java/wheatspread/commands/FleetCommand.java
@@ -168,64 +168,74 @@
         }
     }
 
+    /** Gives one command and waits for the answer to it, not for what comes of it. */
+    abstract static class Order extends OnFile {
+        abstract JSONObject order();
+
+        @Override
+        public final Integer call() throws InterruptedException {
+            ask(config(), order());
+            return Exit.OK;
+        }
+    }
+
+    /** One that names a member. */
+    abstract static class MemberOrder extends Order {
+        @Parameters(index = "1", paramLabel = "NAME", description = "The member.")
+        private String name;
+
+        JSONObject order(String what) {
+            return new JSONObject().put("do", what).put("name", name);
+        }
+    }
+
     /** Stops a roll. */
     @Command(name = "stop-roll", mixinStandardHelpOptions = true,
         description = "Stops a roll where it stands; members keep the build they have.")
-    static final class StopRoll extends OnFile {
+    static final class StopRoll extends Order {
         @Override
-        public Integer call() throws InterruptedException {
-            ask(config(), new JSONObject().put("do", "stop-roll"));
-            return Exit.OK;
+        JSONObject order() {
+            return new JSONObject().put("do", "stop-roll");
         }
     }
 
     /** Takes a member out. */
     @Command(name = "drain", mixinStandardHelpOptions = true,
         description = "Gives a member its notice; it leaves and stays away until it is started.")
-    static final class Drain extends OnFile {
-        @Parameters(index = "1", paramLabel = "NAME", description = "The member.")
-        private String name;
-
+    static final class Drain extends MemberOrder {
         @Override
-        public Integer call() throws InterruptedException {
-            ask(config(), new JSONObject().put("do", "drain").put("name", name));
-            return Exit.OK;
+        JSONObject order() {
+            return order("drain");
         }
     }
 
     /** Takes a member in again. */
     @Command(name = "start", mixinStandardHelpOptions = true,
         description = "Starts a member that was drained, or that is held since it ended too often.")
-    static final class Start extends OnFile {
-        @Parameters(index = "1", paramLabel = "NAME", description = "The member.")
-        private String name;
-
+    static final class Start extends MemberOrder {
         @Override
-        public Integer call() throws InterruptedException {
-            ask(config(), new JSONObject().put("do", "start").put("name", name));
-            return Exit.OK;
+        JSONObject order() {
+            return order("start");
         }
     }
 
     /** Takes the fleet down. */
     @Command(name = "down", mixinStandardHelpOptions = true,
         description = "Gives every member its notice; the supervisor ends once all have left.")
-    static final class Down extends OnFile {
+    static final class Down extends Order {
         @Override
-        public Integer call() throws InterruptedException {
-            ask(config(), new JSONObject().put("do", "down"));
-            return Exit.OK;
+        JSONObject order() {
+            return new JSONObject().put("do", "down");
         }
     }
 
     /** Ends the supervisor alone. */
     @Command(name = "detach", mixinStandardHelpOptions = true,
         description = "Ends the supervisor and leaves the members running, to replace it by another.")
-    static final class Detach extends OnFile {
+    static final class Detach extends Order {
         @Override
-        public Integer call() throws InterruptedException {
-            ask(config(), new JSONObject().put("do", "detach"));
-            return Exit.OK;
+        JSONObject order() {
+            return new JSONObject().put("do", "detach");
         }
     }
 }
--- a/server/src/main/java/wheatspread/config/Configuration.java
+++ b/server/src/main/java/wheatspread/config/Configuration.java
@@ -14,7 +14,7 @@
  */
 public record Configuration(ServerConfig server, OperatorConfig operator, List<Source> sources) {
     /** Descriptors for kernel, announce, listeners, the JVM's own files and callers about to be closed. */
-    public static final int OWN_SOCKETS = 32;
+    private static final int OWN_SOCKETS = 32;
     /** Connections to the records service, as a share of all descriptors and at most. */
     private static final int RECORDS_PART = 8;
     private static final int RECORDS_MOST = 40;
@@ -52,13 +52,15 @@
         if (file == null) {
             faults.add("GW_CONFIG is missing from the environment");
         } else {
+            Fields told = null;
             try {
-                Fields told = ServerConfig.fields(Path.of(file), environment);
+                told = ServerConfig.fields(Path.of(file), environment);
                 sources.add(told.source());
-                site = ServerConfig.siteOf(told);
                 server = ServerConfig.read(told);
+                site = server.site();
             } catch (Fields.BadValue e) {
                 faults.addAll(e.faults());
+                site = told == null ? null : ServerConfig.siteOf(told);
             }
         }
         OperatorConfig operator = OperatorConfig.NONE;
--- a/server/src/main/java/wheatspread/config/Fields.java
+++ b/server/src/main/java/wheatspread/config/Fields.java
@@ -48,12 +48,18 @@
         }
     }
 
-    @SuppressWarnings("unchecked")
     public static Fields of(Object value, String path) {
-        if (value instanceof Map<?, ?> map) {
-            return new Fields((Map<String, Object>) map, path, null);
+        Fields object = of(value, path, null);
+        if (object == null) {
+            throw new BadValue(path + " is not an object");
         }
-        throw new BadValue(path + " is not an object");
+        return object;
+    }
+
+    /** Null where the value is no object. */
+    @SuppressWarnings("unchecked")
+    private static Fields of(Object value, String path, Source source) {
+        return value instanceof Map<?, ?> map ? new Fields((Map<String, Object>) map, path, source) : null;
     }
 
     static Fields of(Map<String, Object> map, Source source) {
@@ -105,15 +111,11 @@
 
     /** The object under a key; an empty one where it may be absent and is. */
     public Fields object(String name, boolean mayBeAbsent) {
-        if (map.get(name) instanceof Map<?, ?> inner) {
-            @SuppressWarnings("unchecked")
-            Map<String, Object> typed = (Map<String, Object>) inner;
-            return new Fields(typed, key(name), source);
-        }
-        if (!mayBeAbsent || has(name)) {
+        Fields inner = of(map.get(name), key(name), source);
+        if (inner == null && (!mayBeAbsent || has(name))) {
             fault(name, "is not an object" + told(name), null);
         }
-        return new Fields(Map.of(), key(name), source);
+        return inner == null ? new Fields(Map.of(), key(name), source) : inner;
     }
 
     public boolean has(String name) {
@@ -180,7 +182,7 @@
     }
 
     public long time(String name, long absent) {
-        return has(name) ? time(name) : took(name, absent / 1000.0) >= 0 ? absent : absent;
+        return has(name) ? time(name) : Math.round(took(name, absent / 1000.0) * 1000);
     }
 
     public boolean flag(String name) {
@@ -247,12 +249,11 @@
         int index = 0;
         for (Object one : list(name)) {
             String at = name + "[" + index++ + "]";
-            if (one instanceof Map<?, ?> inner) {
-                @SuppressWarnings("unchecked")
-                Map<String, Object> typed = (Map<String, Object>) inner;
-                objects.add(new Fields(typed, key(at), source));
-            } else {
+            Fields inner = of(one, key(at), source);
+            if (inner == null) {
                 fault(at, "is not an object: " + one, null);
+            } else {
+                objects.add(inner);
             }
         }
         return objects;
--- a/server/src/main/java/wheatspread/daemon/LoopClock.java
+++ b/server/src/main/java/wheatspread/daemon/LoopClock.java
@@ -13,12 +13,17 @@
         this.turns = turns;
     }
 
-    @Override
-    public long now() {
+    /** The system's Unix clock, in microseconds. */
+    public static long unixMicros() {
         Instant now = Instant.now();
         return now.getEpochSecond() * 1_000_000 + now.getNano() / 1000;
     }
 
+    @Override
+    public long now() {
+        return unixMicros();
+    }
+
     @Override
     public Timer after(long micros, Runnable task) {
         Bell bell = new Bell(task);
--- a/server/src/main/java/wheatspread/daemon/Marks.java
+++ b/server/src/main/java/wheatspread/daemon/Marks.java
@@ -8,7 +8,6 @@
 import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.nio.file.StandardOpenOption;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
@@ -115,10 +114,8 @@
             return;
         }
         CompletableFuture.runAsync(() -> {
-            Path beside = file.resolveSibling(file.getFileName() + ".new");
             try {
-                Files.writeString(beside, text + "\n");
-                Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE);
+                WholeFile.write(file, text + "\n");
             } catch (IOException e) {
                 log.warn("mark_failed", "file", file, "error", e);
             }
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -69,7 +69,6 @@
     private Drain drain;
     private Counts atNotice;
     private Core.InHand handAtNotice;
-    private boolean rehearsing;
 
     /** {@code newClock} makes the clock of the loop. */
     public Server(ServerConfig config, OperatorConfig operator, BiFunction<EventLoop, Turns, Clock> newClock,
@@ -125,7 +124,7 @@
         switch (to) {
             case BINDING -> kernel.open();
             case WAITING -> {
-                waitForKernel();
+                waitForKernel(clock.now());
                 reportLater();
             }
             case SERVING -> {
@@ -158,10 +157,18 @@
         loop.submit(() -> on(event)).syncUninterruptibly();
     }
 
+    /** The start begins, unless it has begun or a notice to leave came before it. */
+    private void begin() {
+        loop.submit(() -> {
+            if (life.phase() == Phase.NEW) {
+                on(Event.START);
+            }
+        }).syncUninterruptibly();
+    }
+
     /** Warms the JVM before anybody can ask; a notice to leave ends it. */
     public void rehearse() {
-        ask(Event.START);
-        rehearsing = true;
+        begin();
         if (!life.leaving()) {
             long began = System.nanoTime();
             int played = new Rehearsal(config.site()).play(Rehearsal.LONGEST_NS, life::leaving);
@@ -174,12 +181,7 @@
      * whether the server listens: a notice to leave may have come first.
      */
     public boolean start() {
-        if (!rehearsing) {
-            ask(Event.START);
-        }
-        if (life.leaving()) {
-            return false;
-        }
+        begin();
         ask(Event.REHEARSED);
         if (life.leaving()) {
             return false;
@@ -208,22 +210,19 @@
     }
 
     /** Tells that the kernel is late, again and again, and gives up where the operator says so. */
-    private void waitForKernel() {
-        long began = clock.now();
+    private void waitForKernel(long began) {
         long most = operator.life().kernelWait();
-        clock.after(most > 0 ? Math.min(most, KERNEL_LATE) : KERNEL_LATE, new Runnable() {
-            @Override
-            public void run() {
-                if (life.phase() != Phase.WAITING) {
-                    return;
-                }
-                long waited = clock.now() - began;
-                log.warn("kernel_late", "waited_ms", waited / 1000, "address", config.kernel());
-                if (most > 0 && waited >= most) {
-                    on(Event.KERNEL_GIVEN_UP);
-                } else {
-                    clock.after(most > 0 ? Math.min(most - waited, KERNEL_LATE) : KERNEL_LATE, this);
-                }
+        long left = most > 0 ? began + most - clock.now() : KERNEL_LATE;
+        clock.after(Math.min(left, KERNEL_LATE), () -> {
+            if (life.phase() != Phase.WAITING) {
+                return;
+            }
+            long waited = clock.now() - began;
+            log.warn("kernel_late", "waited_ms", waited / 1000, "address", config.kernel());
+            if (most > 0 && waited >= most) {
+                on(Event.KERNEL_GIVEN_UP);
+            } else {
+                waitForKernel(began);
             }
         });
     }
@@ -287,7 +286,7 @@
         }
     }
 
-    /** The notice to leave; a second one asks to hurry where {@code again} says that it may. */
+    /** The notice to leave; a second one changes nothing. */
     public void drain() {
         notice(Event.NOTICE);
     }
@@ -338,11 +337,7 @@
         fields.addAll(List.of(core.counts().since(atNotice)));
         fields.addAll(List.of("unanswered", core.open()));
         log.info("drained", fields.toArray());
-        JSONObject report = new JSONObject();
-        for (int i = 0; i < fields.size(); i += 2) {
-            report.put((String) fields.get(i), fields.get(i + 1));
-        }
-        marks.report(report);
+        marks.report(new JSONObject(EventLog.map(fields.toArray())));
     }
 
     private void close() {
--- a/server/src/main/java/wheatspread/fleet/Fleet.java
+++ b/server/src/main/java/wheatspread/fleet/Fleet.java
@@ -40,10 +40,6 @@
         return roster;
     }
 
-    public Restarts restarts() {
-        return restarts;
-    }
-
     /** The last roll; null if there was none. */
     public Rollout roll() {
         return roll;
@@ -103,9 +99,8 @@
     public void drain(String name, long now) {
         Member one = member(name);
         one.wanted = false;
-        if (one.lives() && one.state != State.LEAVING) {
-            leave(one, now);
-        } else if (one.state == State.HELD) {
+        leave(one, now);
+        if (one.state == State.HELD) {
             one.enter(State.ABSENT, now);
         }
     }
@@ -126,11 +121,7 @@
         if (roll != null && !roll.over()) {
             roll.stop("the fleet went down", now);
         }
-        for (Member one : roster.all()) {
-            if (one.lives() && one.state != State.LEAVING) {
-                leave(one, now);
-            }
-        }
+        roster.all().forEach(one -> leave(one, now));
     }
 
     private Member member(String name) {
@@ -266,7 +257,11 @@
         }
     }
 
+    /** The notice, where there is a process that has not had it. */
     private void leave(Member one, long now) {
+        if (!one.lives() || one.state == State.LEAVING) {
+            return;
+        }
         one.enter(State.LEAVING, now);
         due.add(new Action.Notice(one.name, one.generation));
         log.info("member_leaves", "name", one.name, "build", one.build, "generation", one.generation);
@@ -353,7 +348,7 @@
             ends.notBefore = was.notBefore();
             ends.heldUntil = was.heldUntil();
             adopt(one, found, now);
-            if (stranger && one.lives() && one.state != State.LEAVING) {
+            if (stranger) {
                 leave(one, now);
             }
         }
@@ -382,7 +377,7 @@
         }
     }
 
-    /** The lock of a member whose start was in doubt showed a process. */
+    /** Whether an earlier supervisor wrote a start of it down, and nobody knows yet whether it came about. */
     public boolean isUnsure(String name) {
         Member one = roster.get(name);
         return one != null && one.unsureUntil > 0;
--- a/server/src/main/java/wheatspread/fleet/Restarts.java
+++ b/server/src/main/java/wheatspread/fleet/Restarts.java
@@ -73,12 +73,6 @@
         return of(name).heldUntil > now;
     }
 
-    /** When it may start, in Unix microseconds; {@code Long.MAX_VALUE} for never by itself. */
-    public long notBefore(String name) {
-        Ends ends = of(name);
-        return Math.max(ends.notBefore, ends.heldUntil);
-    }
-
     /** An operator started it, or it was told to run another build: its past does not count. */
     void forgive(String name) {
         members.remove(name);
--- a/server/src/main/java/wheatspread/fleet/Rollout.java
+++ b/server/src/main/java/wheatspread/fleet/Rollout.java
@@ -238,14 +238,14 @@
         return step;
     }
 
-    /** Well for long enough, and warm or with answers to show, or well for so long that nobody asks. */
+    /** Well for long enough, and with answers to show or well for so long that nobody asks. */
     private boolean proven(Member one, long now) {
         if (one.state != State.UP || one.health == null || one.wellAt == 0) {
             return false;
         }
         long well = now - one.wellAt;
         return well >= rules.provenAfter() && (one.health.served() >= rules.provenAnswers()
-            || one.health.warmIn() == 0 && rules.provenAnswers() == 0 || well >= rules.provenPatience());
+            || well >= rules.provenPatience());
     }
 
     /** Whether a successor fails more of what it is asked than is allowed, by enough answers to tell. */
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -8,6 +8,7 @@
 import org.json.JSONObject;
 import org.json.JSONParserConfiguration;
 import wheatspread.core.Answer;
+import wheatspread.logging.EventLog;
 import wheatspread.sockets.CallerHandler;
 import wheatspread.sockets.Listener;
 
@@ -216,10 +217,7 @@
     private void stats(String id) {
         JSONObject result = new JSONObject().put("well", front.core.well()).put("phase", front.phase.get())
             .put("open", front.core.open()).put("warm_in_ms", front.core.warmIn() / 1000);
-        Object[] counts = front.core.counts().fields();
-        for (int i = 0; i < counts.length; i += 2) {
-            result.put((String) counts[i], counts[i + 1]);
-        }
+        EventLog.map(front.core.counts().fields()).forEach(result::put);
         result(id, result);
     }
 
--- a/server/src/main/java/wheatspread/logging/EventLog.java
+++ b/server/src/main/java/wheatspread/logging/EventLog.java
@@ -1,5 +1,7 @@
 package wheatspread.logging;
 
+import java.util.LinkedHashMap;
+import java.util.Map;
 import java.util.function.Consumer;
 
 /**
@@ -37,6 +39,15 @@
         return (level, event, fields) -> to.accept(line(event, fields));
     }
 
+    /** The same names and values, in their order; values may be null. */
+    static Map<String, Object> map(Object... fields) {
+        Map<String, Object> map = new LinkedHashMap<>();
+        for (int i = 0; i + 1 < fields.length; i += 2) {
+            map.put(String.valueOf(fields[i]), fields[i + 1]);
+        }
+        return map;
+    }
+
     /** The event with its fields as {@code event name=value}; values with blanks stand in quotes. */
     static String line(String event, Object... fields) {
         StringBuilder text = new StringBuilder(event);
--- a/server/src/main/java/wheatspread/logging/StructuredLog.java
+++ b/server/src/main/java/wheatspread/logging/StructuredLog.java
@@ -22,7 +22,6 @@
 
     @Override
     public void log(Level level, String event, Object... fields) {
-        LoggingEventBuilder builder = logger.atLevel(org.slf4j.event.Level.valueOf(level.name()));
         long leftOut;
         synchronized (repeats) {
             leftOut = repeats.admit(event, micros.getAsLong());
@@ -30,6 +29,7 @@
         if (leftOut < 0) {
             return;
         }
+        LoggingEventBuilder builder = logger.atLevel(org.slf4j.event.Level.valueOf(level.name()));
         for (int i = 0; i + 1 < fields.length; i += 2) {
             builder = builder.addKeyValue(String.valueOf(fields[i]), fields[i + 1]);
         }
--- a/server/src/main/java/wheatspread/supervisor/FleetRunner.java
+++ b/server/src/main/java/wheatspread/supervisor/FleetRunner.java
@@ -4,7 +4,6 @@
 import java.nio.channels.FileChannel;
 import java.nio.file.Files;
 import java.nio.file.StandardOpenOption;
-import java.time.Instant;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicBoolean;
@@ -12,6 +11,7 @@
 import org.json.JSONObject;
 import wheatspread.config.Fields;
 import wheatspread.config.FleetConfig;
+import wheatspread.daemon.LoopClock;
 import wheatspread.fleet.Fleet;
 import wheatspread.logging.EventLog;
 
@@ -56,11 +56,6 @@
         askedReload.set(true);
     }
 
-    private static long now() {
-        Instant now = Instant.now();
-        return now.getEpochSecond() * 1_000_000 + now.getNano() / 1_000;
-    }
-
     /** Runs until the fleet is down, or until it is told to leave the members alone. */
     public void run() throws IOException, InterruptedException, Busy {
         Files.createDirectories(config.dir());
@@ -82,7 +77,7 @@
     private void begin() throws IOException {
         fleet = new Fleet(config.plan(), System.nanoTime(), log);
         supervisor = new Supervisor(fleet, machine, config.checkEvery(), log);
-        supervisor.begin(now());
+        supervisor.begin(LoopClock.unixMicros());
         log.info("supervisor_began", "dir", config.dir(), "members", config.members().size());
     }
 
@@ -92,7 +87,7 @@
         long nextStatus = 0;
         boolean done = false;
         while (!done && !detached.get()) {
-            long now = now();
+            long now = LoopClock.unixMicros();
             if (askedDown.getAndSet(false)) {
                 fleet.goDown(now);
             }
--- a/server/src/main/java/wheatspread/supervisor/Spool.java
+++ b/server/src/main/java/wheatspread/supervisor/Spool.java
@@ -4,12 +4,12 @@
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 import org.json.JSONException;
 import org.json.JSONObject;
+import wheatspread.daemon.WholeFile;
 
 /**
  * How commands reach a supervisor: as files in a folder, renamed into place, so that one that was given
@@ -36,11 +36,8 @@
             throw new IOException(MOST_WAITING + " commands wait; nobody reads them");
         }
         String name = String.format("%016d-%d", System.currentTimeMillis(), ProcessHandle.current().pid());
-        Path beside = folder.resolve(name + ".new");
-        Path file = folder.resolve(name + ".json");
         Path answer = folder.resolve(name + ".done");
-        Files.writeString(beside, command + "\n");
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE);
+        WholeFile.write(folder.resolve(name + ".json"), command + "\n");
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
         while (System.nanoTime() < until) {
             try {
@@ -75,9 +72,7 @@
     /** Answers a command and takes it away; the answer first, or a crash would lose it. */
     void answer(Command command, JSONObject told) throws IOException {
         String name = command.file().getFileName().toString();
-        Path beside = folder.resolve(name + ".answer");
-        Files.writeString(beside, told + "\n");
-        Files.move(beside, folder.resolve(name.replace(".json", ".done")), StandardCopyOption.ATOMIC_MOVE);
+        WholeFile.write(folder.resolve(name.replace(".json", ".done")), told + "\n");
         Files.deleteIfExists(command.file());
     }
 }
--- a/server/src/main/java/wheatspread/supervisor/StateFile.java
+++ b/server/src/main/java/wheatspread/supervisor/StateFile.java
@@ -1,13 +1,8 @@
 package wheatspread.supervisor;
 
 import java.io.IOException;
-import java.nio.ByteBuffer;
-import java.nio.channels.FileChannel;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
-import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -15,6 +10,7 @@
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
+import wheatspread.daemon.WholeFile;
 import wheatspread.fleet.FleetState;
 import wheatspread.fleet.Member;
 import wheatspread.fleet.Rollout;
@@ -49,21 +45,7 @@
     }
 
     void save(FleetState state) throws IOException {
-        Path beside = file.resolveSibling(file.getFileName() + ".new");
-        try (FileChannel out = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING)) {
-            ByteBuffer bytes = ByteBuffer.wrap((write(state).toString(1)
-                + "\n").getBytes(StandardCharsets.UTF_8));
-            while (bytes.hasRemaining()) {
-                out.write(bytes);
-            }
-            out.force(true);
-        }
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE);
-        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(),
-            StandardOpenOption.READ)) {
-            folder.force(true);
-        }
+        WholeFile.writeSynced(file, write(state).toString(1) + "\n");
     }
 
     static JSONObject write(FleetState state) {
--- a/server/src/main/java/wheatspread/supervisor/StatusFile.java
+++ b/server/src/main/java/wheatspread/supervisor/StatusFile.java
@@ -3,10 +3,10 @@
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
-import java.nio.file.StandardCopyOption;
 import org.json.JSONArray;
 import org.json.JSONException;
 import org.json.JSONObject;
+import wheatspread.daemon.WholeFile;
 import wheatspread.fleet.Fleet;
 import wheatspread.fleet.Member;
 import wheatspread.fleet.Rollout;
@@ -32,9 +32,7 @@
     }
 
     void write(JSONObject status) throws IOException {
-        Path beside = file.resolveSibling("status.new");
-        Files.writeString(beside, status + "\n");
-        Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE);
+        WholeFile.write(file, status + "\n");
     }
 
     /** Times in milliseconds; an age of -1 means never. */
--- a/server/src/test/java/wheatspread/daemon/StartTest.java
+++ b/server/src/test/java/wheatspread/daemon/StartTest.java
@@ -62,6 +62,8 @@
         server.notice(Event.RELOAD);
         server.notice(Event.NOTICE);
         await(() -> server.phase() == Phase.STOPPED);
+        server.rehearse();
+        assertThat(server.start()).isFalse();
         assertThat(server.awaitStopped()).isZero();
         Server other = server("127.0.0.1:0", LifeConfig.USUAL);
         Thread notice = new Thread(() -> {
