--- a/server/src/main/java/wheatspread/commands/Wheatspread.java
+++ b/server/src/main/java/wheatspread/commands/Wheatspread.java
@@ -15,7 +15,7 @@
         "  wheatspread check --config config.json deploy/uwsgi.json",
             "  wheatspread fleet up deploy/fleet.json"},
     subcommands = {ServeCommand.class, CheckCommand.class, ShowConfigCommand.class, ImportNginxCommand.class,
-        BenchlinkCommand.class, FleetCommand.class, CompletionCommand.class,
+        BenchlinkCommand.class, FleetCommand.class, StoreCommand.class, CompletionCommand.class,
         TrainCommand.class})
 public final class Wheatspread implements Callable<Integer> {
     @Spec
--- /dev/null
+++ b/server/src/main/java/wheatspread/disk/Disk.java
@@ -0,0 +1,58 @@
+package wheatspread.disk;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.util.List;
+
+/**
+ * One folder of a disk, and all that is done to it: a test stands in for it and fails any step. What was
+ * written lasts only behind {@link DiskFile#sync}, and a name that was made, changed or deleted only behind
+ * {@link #syncNames}; until then a crash of the machine may keep it, lose it or keep a later one alone.
+ * Everything may block. Methods may be called from any thread.
+ */
+public interface Disk {
+    /** The names of all files, in no order. */
+    List<String> list() throws IOException;
+
+    /** A new file, empty and open to be appended to; a file of this name must not be there. */
+    DiskFile create(String name) throws IOException;
+
+    /** A file that is there, to be read and synced. */
+    DiskFile open(String name) throws IOException;
+
+    /** Gives a file another name, at once; a file of that name is replaced. */
+    void rename(String from, String to) throws IOException;
+
+    /** Takes a name away; who has the file open may read on. Does nothing if there is none. */
+    void delete(String name) throws IOException;
+
+    void syncNames() throws IOException;
+
+    /** Bytes that may still be written, as far as the system tells. */
+    long free() throws IOException;
+
+    /**
+     * Keeps the folder for this process until it is closed or the process ends.
+     *
+     * @throws TakenException if another has it
+     */
+    Closeable lock() throws IOException;
+
+    /** The folder is in use. */
+    final class TakenException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        public TakenException(String message) {
+            super(message);
+        }
+    }
+
+    /** The disk is full; what was being written may stand there in part. */
+    final class NoSpaceException extends IOException {
+        private static final long serialVersionUID = 1L;
+
+        public NoSpaceException(String message, Throwable cause) {
+            super(message, cause);
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/Catalog.java
@@ -0,0 +1,187 @@
+package wheatspread.store;
+
+import com.dynatrace.hash4j.hashing.Hasher64;
+import com.dynatrace.hash4j.hashing.Hashing;
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import org.agrona.collections.LongArrayList;
+
+/**
+ * The files of the log in its order, the index over them, and what is in doubt. One thread changes it; what
+ * others may read is guarded by the lock of the index.
+ */
+final class Catalog {
+    final Index index = new Index();
+    final Doubts doubts = new Doubts();
+    final long seed;
+    private final Hasher64 hasher;
+    private final List<Segment> chain = new ArrayList<>();
+    private final Map<Integer, Segment> byId = new HashMap<>();
+    private int ids;
+
+    Catalog(long seed) {
+        this.seed = seed;
+        hasher = Hashing.polymurHash2_0(seed, seed ^ 0x9E3779B97F4A7C15L);
+    }
+
+    /** Never 0, which stands for none. */
+    long hash(byte[] key) {
+        long hash = hasher.hashBytesToLong(key);
+        return hash == 0 ? 1 : hash;
+    }
+
+    int newId() {
+        return ++ids;
+    }
+
+    /** The files in the log's order; for the one thread that changes them. */
+    List<Segment> chain() {
+        return chain;
+    }
+
+    /** The same for other threads. */
+    List<Segment> snapshot() {
+        synchronized (index) {
+            return List.copyOf(chain);
+        }
+    }
+
+    /** The file that an entry stands in; null for an id that nothing has. */
+    Segment byId(int id) {
+        return byId.get(id);
+    }
+
+    void append(Segment segment) {
+        synchronized (index) {
+            chain.add(segment);
+            byId.put(segment.id, segment);
+        }
+    }
+
+    /** Makes a file known that entries may point to, before it has its place in the chain. */
+    void announce(Segment segment) {
+        synchronized (index) {
+            byId.put(segment.id, segment);
+        }
+    }
+
+    /** Puts one file in the place of a run of others, which no entry points to any more. */
+    void replace(List<Segment> run, Segment by) {
+        synchronized (index) {
+            int place = chain.indexOf(run.get(0));
+            chain.subList(place, place + run.size()).clear();
+            chain.add(place, by);
+            run.forEach(one -> byId.remove(one.id));
+        }
+    }
+
+    void remove(Segment segment) {
+        synchronized (index) {
+            chain.remove(segment);
+            byId.remove(segment.id);
+        }
+    }
+
+    long usedBytes() {
+        long used = 0;
+        for (Segment one : chain) {
+            used += one.bytes;
+        }
+        return used;
+    }
+
+    long liveBytes() {
+        long live = 0;
+        for (Segment one : chain) {
+            live += one.liveBytes;
+        }
+        return live;
+    }
+
+    /** An entry came to stand in a file. */
+    void lives(long at, long length) {
+        Segment segment = byId.get(Index.file(at));
+        if (segment != null) {
+            segment.liveBytes += weight(length);
+        }
+    }
+
+    /** An entry is gone from a file. */
+    void died(long at, long length) {
+        Segment segment = byId.get(Index.file(at));
+        if (segment != null) {
+            segment.liveBytes -= weight(length);
+        }
+    }
+
+    /** What a record takes with its hash in the group's frame. */
+    static long weight(long length) {
+        return length + Long.BYTES;
+    }
+
+    /** Whether one place of the log is before another; both in files that are known. */
+    boolean isBefore(long at, long other) {
+        return Doubts.compare(byId.get(Index.file(at)).name.first(), Index.offset(at),
+            byId.get(Index.file(other)).name.first(), Index.offset(other)) < 0;
+    }
+
+    /**
+     * Takes away the entries of a hash that are older than a place of the log, or stand right there.
+     *
+     * @param there whether the entry at the place itself goes, too
+     */
+    void dropBefore(long hash, long at, boolean there) {
+        LongArrayList older = new LongArrayList(2, 0);
+        index.find(hash, (h, place, length, expiry) -> {
+            if (byId(Index.file(place)) == null || isBefore(place, at) || there && place == at) {
+                older.addLong(place);
+                died(place, length);
+            }
+        });
+        older.forEachOrderedLong(place -> index.remove(hash, place));
+    }
+
+    /** Whether nothing that stands before this number can come back to life. */
+    boolean isClearBefore(int number, long nowMs) {
+        return chain.stream().allMatch(one -> one.name.first() >= number || one.isClear(nowMs));
+    }
+
+    /** The record at a place, or null if it is damaged. */
+    static Format.Record read(Segment segment, int offset, int length) throws IOException {
+        ByteBuffer bytes = ByteBuffer.allocate(length);
+        segment.file.read(bytes, Integer.toUnsignedLong(offset));
+        ByteBuffer[] body = new ByteBuffer[1];
+        if (Frames.read(bytes.flip(), body) != Frames.Found.WHOLE || bytes.hasRemaining()) {
+            return null;
+        }
+        try {
+            return Format.Record.parseFrom(body[0]);
+        } catch (InvalidProtocolBufferException e) {
+            return null;
+        }
+    }
+
+    /**
+     * Whether the key of an entry is this one. A damaged record counts as such: whatever its key was, its
+     * value is gone.
+     */
+    boolean hasKey(long at, int length, byte[] key) throws IOException {
+        Format.Record there = read(byId.get(Index.file(at)), Index.offset(at), length);
+        return there == null || isKey(there, key);
+    }
+
+    static boolean isKey(Format.Record record, byte[] key) {
+        return record.getKey().size() == key.length
+            && record.getKey().asReadOnlyByteBuffer().equals(ByteBuffer.wrap(key));
+    }
+
+    /** Seconds since 1970 when something has expired for sure; 0 for never. */
+    static int expirySeconds(long expiresMs) {
+        return expiresMs == 0 ? 0 : (int) Math.min(0xFFFF_FFFFL, expiresMs / 1000 + 1);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/CheckpointJob.java
@@ -0,0 +1,164 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.List;
+import wheatspread.disk.Disk;
+import wheatspread.disk.DiskFile;
+
+/**
+ * Writes the index down, one of its tables at a time while the writer goes on: an entry may be older or newer
+ * than the place of the log that the checkpoint names, and what the log says behind that place puts it right.
+ */
+final class CheckpointJob extends Job {
+    private static final int CHUNK = 4_096;
+
+    private final Disk disk;
+    private final Catalog catalog;
+    private final String name;
+    private final int segment;
+    private final int offset;
+    private final long nowMs;
+    private final boolean waits;
+    private final Format.CheckpointEnd.Builder end = Format.CheckpointEnd.newBuilder();
+    private DiskFile out;
+    private int table = -1;
+    private long entries;
+    private long written;
+    private boolean done;
+
+    /**
+     * Begins.
+     *
+     * @param segment all of the log before this number and offset is in the index
+     * @param waits whether the writer has to sync, and then {@link #publish}
+     */
+    CheckpointJob(Disk disk, Catalog catalog, long number, int segment, int offset, long nowMs, boolean waits) {
+        this.disk = disk;
+        this.catalog = catalog;
+        this.name = Layout.checkpoint(number);
+        this.segment = segment;
+        this.offset = offset;
+        this.nowMs = nowMs;
+        this.waits = waits;
+        catalog.doubts.save(end);
+    }
+
+    @Override
+    boolean step() throws IOException {
+        moved = 0;
+        if (table < 0) {
+            disk.delete(name + SegmentName.NEW);
+            out = disk.create(name + SegmentName.NEW);
+            write(Checkpoints.preamble());
+            write(Checkpoints.frame(Format.CheckpointFrame.newBuilder().setHead(Format.CheckpointHead
+                .newBuilder().setSeed(catalog.seed).setSegment(segment).setOffset(offset)
+                .setCreatedMs(nowMs)).build(), false));
+        } else if (table < Index.TABLES) {
+            table(table);
+        } else {
+            finish();
+            return false;
+        }
+        table++;
+        return true;
+    }
+
+    private void table(int which) throws IOException {
+        Format.CheckpointEntries.Builder[] chunk = {Format.CheckpointEntries.newBuilder()};
+        IOException[] failed = new IOException[1];
+        catalog.index.copy(which, (hash, at, length, expiry) -> {
+            chunk[0].addHashes(hash).addFiles(Index.file(at)).addOffsets(Index.offset(at)).addLengths(length)
+                .addExpiries(expiry);
+            if (chunk[0].getHashesCount() == CHUNK && failed[0] == null) {
+                try {
+                    flush(chunk[0]);
+                } catch (IOException e) {
+                    failed[0] = e;
+                }
+                chunk[0] = Format.CheckpointEntries.newBuilder();
+            }
+        });
+        if (failed[0] != null) {
+            throw failed[0];
+        }
+        flush(chunk[0]);
+    }
+
+    private void flush(Format.CheckpointEntries.Builder chunk) throws IOException {
+        if (chunk.getHashesCount() > 0) {
+            entries += chunk.getHashesCount();
+            write(Checkpoints.frame(Format.CheckpointFrame.newBuilder().setEntries(chunk).build(), false));
+        }
+    }
+
+    private void finish() throws IOException {
+        for (Segment one : catalog.snapshot()) {
+            Format.CheckpointEnd.File.Builder file = Format.CheckpointEnd.File.newBuilder().setId(one.id)
+                .setName(one.name.toString()).setLatestExpiryMs(one.latestExpiryMs).setRecords(one.records);
+            if (one.cut != SegmentScan.UNCUT) {
+                file.setCut(one.cut);
+            }
+            end.addFiles(file);
+        }
+        write(Checkpoints.frame(Format.CheckpointFrame.newBuilder().setEnd(end.setEntries(entries)).build(),
+            true));
+        out.sync();
+        out.close();
+        done = true;
+        if (!waits) {
+            publish();
+        }
+    }
+
+    /**
+     * Gives the file its name. Entries may tell of writes that were acknowledged without a sync: then the
+     * writer syncs them first. Nobody else may, or a failure that the system tells once would miss the writer.
+     */
+    void publish() throws IOException {
+        disk.rename(name + SegmentName.NEW, name);
+        disk.syncNames();
+    }
+
+    boolean waits() {
+        return waits;
+    }
+
+    private void write(ByteBuffer bytes) throws IOException {
+        int size = bytes.remaining();
+        out.append(bytes);
+        written += size;
+        moved += size;
+    }
+
+    String name() {
+        return name;
+    }
+
+    @Override
+    boolean install() {
+        return false;
+    }
+
+    @Override
+    List<String> undo() {
+        try {
+            if (out != null && !done) {
+                out.close();
+            }
+        } catch (IOException e) {
+            // what it held is deleted next
+        }
+        return List.of(name + SegmentName.NEW, name);
+    }
+
+    @Override
+    String what() {
+        return "checkpoint";
+    }
+
+    @Override
+    long ownBytes() {
+        return written;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/Checkpoints.java
@@ -0,0 +1,232 @@
+package wheatspread.store;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import java.util.HashMap;
+import java.util.HashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.function.LongSupplier;
+import org.agrona.collections.LongArrayList;
+import wheatspread.disk.Disk;
+import wheatspread.disk.DiskFile;
+
+/**
+ * Files with the index as it stood at a place of the log. One that cannot be read whole is as if it were not
+ * there: the log has everything.
+ */
+final class Checkpoints {
+    static final int VERSION = 1;
+    private static final byte[] MAGIC = "wheatchk".getBytes(StandardCharsets.US_ASCII);
+    private static final int PREAMBLE = 16;
+    private static final int STALE = 1 << 30;
+
+    private Checkpoints() { }
+
+    static ByteBuffer preamble() {
+        return ByteBuffer.allocate(PREAMBLE).put(MAGIC).putInt(VERSION).putInt(0).flip();
+    }
+
+    /** One frame of a checkpoint; behind the last one stands its size in 4 bytes. */
+    static ByteBuffer frame(Format.CheckpointFrame frame, boolean last) {
+        ByteBuffer bytes = ByteBuffer.allocate(Frames.sizeOf(frame.getSerializedSize()) + (last ? 4 : 0));
+        Frames.write(ByteBuffer.wrap(frame.toByteArray()), bytes);
+        if (last) {
+            bytes.putInt(bytes.position());
+        }
+        return bytes.flip();
+    }
+
+    /** What is known of a file that is not read again. */
+    record Known(long latestExpiryMs, long records, int cut) { }
+
+    /** The seed of a checkpoint, for a store none of whose segments tells it. */
+    static long seedOf(Disk disk, String name, LongSupplier otherwise) throws IOException {
+        try (DiskFile file = disk.open(name)) {
+            Window window = new Window(file, file.size());
+            Format.CheckpointFrame head = isOurs(window) ? read(window, PREAMBLE) : null;
+            return head != null && head.hasHead() ? head.getHead().getSeed() : otherwise.getAsLong();
+        }
+    }
+
+    private static boolean isOurs(Window window) throws IOException {
+        return window.at(0, PREAMBLE).remaining() >= PREAMBLE
+            && window.at(0, PREAMBLE).slice(0, PREAMBLE).equals(preamble());
+    }
+
+    /** The frame at a place, or null. */
+    private static Format.CheckpointFrame read(Window window, long at) throws IOException {
+        ByteBuffer head = window.at(at, Frames.HEAD);
+        if (head.remaining() < Frames.HEAD || head.getInt(0) < 0 || head.getInt(0) > Frames.LONGEST) {
+            return null;
+        }
+        ByteBuffer[] body = new ByteBuffer[1];
+        if (Frames.read(window.at(at, Frames.HEAD + head.getInt(0)), body) != Frames.Found.WHOLE) {
+            return null;
+        }
+        try {
+            return Format.CheckpointFrame.parseFrom(body[0]);
+        } catch (InvalidProtocolBufferException e) {
+            return null;
+        }
+    }
+
+    /** Fills the index of a catalog, which must be empty; null if the checkpoint does not hold. */
+    static Loaded load(Disk disk, String name, Catalog into) throws IOException {
+        try (DiskFile file = disk.open(name)) {
+            long size = file.size();
+            ByteBuffer tail = ByteBuffer.allocate(4);
+            file.read(tail, Math.max(0, size - 4));
+            Window window = new Window(file, size - 4);
+            if (size < PREAMBLE + 4 || !isOurs(window)) {
+                return null;
+            }
+            long endAt = size - 4 - Integer.toUnsignedLong(tail.getInt(0));
+            Format.CheckpointFrame end = endAt >= PREAMBLE ? read(window, endAt) : null;
+            Format.CheckpointFrame head = read(window, PREAMBLE);
+            if (end == null || !end.hasEnd() || head == null || !head.hasHead()
+                || head.getHead().getSeed() != into.seed) {
+                return null;
+            }
+            Loaded loaded = new Loaded(head.getHead(), into);
+            if (!loaded.files(end.getEnd())) {
+                return null;
+            }
+            long entries = 0;
+            long at = PREAMBLE + Frames.sizeOf(head.getSerializedSize());
+            while (at < endAt) {
+                Format.CheckpointFrame some = read(window, at);
+                if (some == null || !some.hasEntries()) {
+                    return null;
+                }
+                entries += some.getEntries().getHashesCount();
+                if (!loaded.entries(some.getEntries(), into.index)) {
+                    return null;
+                }
+                at += Frames.sizeOf(some.getSerializedSize());
+            }
+            into.doubts.load(end.getEnd());
+            return at == endAt && entries == end.getEnd().getEntries() ? loaded : null;
+        }
+    }
+
+    /** A checkpoint whose entries are in the index. */
+    static final class Loaded {
+        private final int segment;
+        private final int offset;
+        private final Catalog catalog;
+        private final Map<SegmentName, Known> known = new HashMap<>();
+        private final Map<Integer, SegmentName> names = new HashMap<>();
+        private final Map<Integer, Integer> ids = new HashMap<>();
+        private final Set<Integer> stale = new HashSet<>();
+
+        private Loaded(Format.CheckpointHead head, Catalog catalog) {
+            segment = head.getSegment();
+            offset = head.getOffset();
+            this.catalog = catalog;
+        }
+
+        /** Finds today's files; false if one is gone or too short. */
+        private boolean files(Format.CheckpointEnd end) {
+            for (Format.CheckpointEnd.File file : end.getFilesList()) {
+                SegmentName name = SegmentName.parse(file.getName());
+                Segment now = null;
+                for (Segment one : catalog.chain()) {
+                    if (one.name.equals(name) || name != null && one.name.replaces(name)) {
+                        now = one;
+                    }
+                }
+                if (now == null) {
+                    return false;
+                }
+                names.put(file.getId(), name);
+                if (now.name.equals(name)) {
+                    ids.put(file.getId(), now.id);
+                    known.put(name, new Known(file.getLatestExpiryMs(), file.getRecords(),
+                        file.hasCut() ? file.getCut() : SegmentScan.UNCUT));
+                    if (name.first() == segment && now.bytes < offset) {
+                        return false;
+                    }
+                } else {
+                    ids.put(file.getId(), STALE + now.id);
+                    stale.add(now.id);
+                }
+            }
+            return true;
+        }
+
+        private boolean entries(Format.CheckpointEntries some, Index index) {
+            int count = some.getHashesCount();
+            if (some.getFilesCount() != count || some.getOffsetsCount() != count
+                || some.getLengthsCount() != count || some.getExpiriesCount() != count) {
+                return false;
+            }
+            for (int i = 0; i < count; i++) {
+                SegmentName name = names.get(some.getFiles(i));
+                if (name == null) {
+                    return false;
+                }
+                // what came behind the place is read from the log, which may have lost it
+                if (Doubts.compare(name.first(), some.getOffsets(i), segment, offset) < 0) {
+                    index.add(some.getHashes(i), Index.at(ids.get(some.getFiles(i)), some.getOffsets(i)),
+                        some.getLengths(i), some.getExpiries(i));
+                }
+            }
+            return true;
+        }
+
+        int offset() {
+            return offset;
+        }
+
+        Known known(SegmentName name) {
+            return known.get(name);
+        }
+
+        /** Whether a file need not be read. */
+        boolean covers(SegmentName name) {
+            return known.containsKey(name) && name.last() < segment;
+        }
+
+        /** Whether all that a rewritten file holds stood before the checkpoint's place. */
+        boolean wasWhole(SegmentName name) {
+            return name.last() < segment;
+        }
+
+        /** Whether entries point to files that this one was written in place of. */
+        boolean isStale(Segment one) {
+            return stale.contains(one.id);
+        }
+
+        /**
+         * Points an entry of this hash to where compaction has moved its record. Which one of several does not
+         * matter: each is moved, or taken away in the end.
+         */
+        boolean repoint(Index index, Segment now, long hash, long to, int length, int expiry) {
+            long[] from = new long[1];
+            index.find(hash, (h, at, l, e) -> from[0] = Index.file(at) == STALE + now.id ? at : from[0]);
+            return from[0] != 0 && index.move(hash, from[0], to, length, expiry);
+        }
+
+        /** Takes away what still points to a file that is gone: compaction found it dead. */
+        void dropStale(Index index) {
+            if (stale.isEmpty()) {
+                return;
+            }
+            for (int table = 0; table < Index.TABLES; table++) {
+                LongArrayList gone = new LongArrayList();
+                index.copy(table, (hash, at, length, expiry) -> {
+                    if (Index.file(at) >= STALE) {
+                        gone.addLong(hash);
+                        gone.addLong(at);
+                    }
+                });
+                for (int i = 0; i < gone.size(); i += 2) {
+                    index.remove(gone.getLong(i), gone.getLong(i + 1));
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/CompactionPolicy.java
@@ -0,0 +1,73 @@
+package wheatspread.store;
+
+import java.util.List;
+
+/**
+ * Which segments are worth rewriting. A run of neighbours is rewritten into one file; what that frees is
+ * set against what it costs, which is reading all of the run and writing what lives (the benefit and cost of M.
+ * Rosenblum and J. Ousterhout, "The Design and Implementation of a Log-Structured File System", ACM TOCS 10,
+ * 1992, without its weight for age: a record here has an expiry, which tells more). No I/O, no clock.
+ */
+final class CompactionPolicy {
+    /** Segments in one run at most. */
+    static final int LONGEST_RUN = 16;
+    /** This many small neighbours are put together even if nothing in them is dead. */
+    static final int SMALL_RUN = 8;
+    /** When the bound on space is near, less is enough. */
+    static final double LEAST_UNDER_PRESSURE = 0.05;
+
+    /** What any file takes that holds one group: its header, the group's frame and the seal. */
+    private static final long FIXED = Headers.SIZE + 96;
+
+    /** What is known of one sealed segment; {@code latestExpiryMs} is that of its last living record. */
+    record Candidate(long bytes, long liveBytes, long latestExpiryMs) { }
+
+    /** Candidates {@code from} to {@code to}, both included; null stands for none. */
+    record Run(int from, int to) { }
+
+    private final StoreSettings settings;
+
+    CompactionPolicy(StoreSettings settings) {
+        this.settings = settings;
+    }
+
+    /** Whether so much space is in use that even little dead matter is worth a rewrite. */
+    boolean isPressed(long usedBytes, long indexBytes) {
+        return usedBytes + settings.reserve(indexBytes) > settings.maxBytes() * 0.75;
+    }
+
+    /** The run to rewrite next, or null; {@code sealed} are neighbours in the log's order. */
+    Run choose(List<Candidate> sealed, long nowMs, boolean pressed) {
+        Run best = null;
+        double bestScore = 0;
+        double least = pressed ? LEAST_UNDER_PRESSURE : settings.compactDeadShare();
+        for (int from = 0; from < sealed.size(); from++) {
+            long bytes = 0;
+            long live = 0;
+            for (int to = from; to < sealed.size() && to - from < LONGEST_RUN; to++) {
+                Candidate one = sealed.get(to);
+                if (!pressed && isSoonDead(one, nowMs)) {
+                    break;
+                }
+                bytes += one.bytes();
+                live += one.latestExpiryMs() <= nowMs ? 0 : one.liveBytes();
+                if (live > settings.segmentBytes()) {
+                    break;
+                }
+                long dead = bytes - live - FIXED;
+                boolean small = to - from + 1 >= SMALL_RUN && bytes <= settings.segmentBytes() / 2;
+                double score = (double) Math.max(dead, 0) / (bytes + live);
+                if ((dead >= least * bytes || small) && (best == null || score > bestScore)) {
+                    best = new Run(from, to);
+                    bestScore = score;
+                }
+            }
+        }
+        return best;
+    }
+
+    /** One that will be free for nothing if it is left alone for a while. */
+    private boolean isSoonDead(Candidate one, long nowMs) {
+        return one.latestExpiryMs() > nowMs && one.latestExpiryMs() - nowMs <= settings.compactWaitMs();
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/DeleteJob.java
@@ -0,0 +1,68 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Collection;
+import java.util.Deque;
+import java.util.List;
+import wheatspread.disk.Disk;
+
+/** Takes away files that nothing needs, and sets damaged ones aside. */
+final class DeleteJob extends Job {
+    private final Disk disk;
+    private final Deque<String> left;
+    private final List<String> names;
+    private final Collection<String> aside;
+
+    DeleteJob(Disk disk, Collection<String> names, Collection<String> aside) {
+        this.disk = disk;
+        this.names = List.copyOf(names);
+        this.left = new ArrayDeque<>(names);
+        this.aside = List.copyOf(aside);
+    }
+
+    @Override
+    boolean step() throws IOException {
+        if (left.isEmpty()) {
+            disk.syncNames();
+            return false;
+        }
+        String name = left.peek();
+        if (!aside.contains(name)) {
+            disk.delete(name);
+        } else if (disk.list().contains(name)) {
+            disk.rename(name, name + SegmentName.ASIDE);
+        }
+        left.poll();
+        return true;
+    }
+
+    Collection<String> names() {
+        return names;
+    }
+
+    Collection<String> aside() {
+        return aside;
+    }
+
+    @Override
+    boolean install() {
+        return false;
+    }
+
+    /** To be tried again, all of it. */
+    @Override
+    List<String> undo() {
+        return names;
+    }
+
+    @Override
+    String what() {
+        return "deletion";
+    }
+
+    @Override
+    long ownBytes() {
+        return 0;
+    }
+}
--- a/server/src/main/java/wheatspread/store/Frames.java
+++ b/server/src/main/java/wheatspread/store/Frames.java
@@ -33,6 +33,12 @@
         to.putInt(length).putInt(checksum(length, body.duplicate())).put(body);
     }
 
+    /** Makes a frame of a body that stands already behind room for the head, at the buffer's position. */
+    static void close(ByteBuffer frame, int length) {
+        int at = frame.position();
+        frame.putInt(at, length).putInt(at + 4, checksum(length, frame.slice(at + HEAD, length)));
+    }
+
     /**
      * Looks at the position of {@code from}, which holds all that the file still has. Only where a frame is
      * WHOLE is the position moved behind it, and {@code body} set to its body (a view, not a copy).
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/Headers.java
@@ -0,0 +1,75 @@
+package wheatspread.store;
+
+import com.google.protobuf.InvalidProtocolBufferException;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.charset.StandardCharsets;
+import wheatspread.disk.DiskFile;
+
+/** The begin of a file: twice the same block, so that one damaged place leaves the other. No state. */
+final class Headers {
+    /** Bytes before the first group. */
+    static final int SIZE = 256;
+    static final int VERSION = 1;
+    private static final byte[] MAGIC = "wheatlog".getBytes(StandardCharsets.US_ASCII);
+    private static final int BLOCK = SIZE / 2;
+
+    private Headers() { }
+
+    static ByteBuffer write(SegmentName name, long seed, long mark, long createdMs) {
+        Format.SegmentHeader header = Format.SegmentHeader.newBuilder().setFirst(name.first())
+            .setLast(name.last()).setGeneration(name.generation()).setSeed(seed).setMark(mark)
+            .setCreatedMs(createdMs).build();
+        ByteBuffer all = ByteBuffer.allocate(SIZE);
+        for (int at = 0; at < SIZE; at += BLOCK) {
+            all.position(at).put(MAGIC).putInt(VERSION);
+            Frames.write(ByteBuffer.wrap(header.toByteArray()), all);
+        }
+        return all.clear();
+    }
+
+    /**
+     * The header, or null if neither block is whole.
+     *
+     * @throws StoreException if the file is of a version that this program does not know, or of another name
+     */
+    static Format.SegmentHeader read(DiskFile file, SegmentName name) throws IOException {
+        ByteBuffer all = ByteBuffer.allocate(SIZE);
+        file.read(all, 0);
+        all.flip();
+        int[] versions = new int[2];
+        for (int i = 0; i < 2 && all.limit() >= (i + 1) * BLOCK; i++) {
+            ByteBuffer block = all.slice(i * BLOCK, BLOCK);
+            byte[] magic = new byte[MAGIC.length];
+            block.get(magic);
+            versions[i] = java.util.Arrays.equals(magic, MAGIC) ? block.getInt() : 0;
+            ByteBuffer[] body = new ByteBuffer[1];
+            if (versions[i] == VERSION && Frames.read(block, body) == Frames.Found.WHOLE) {
+                return checked(parse(body[0]), name);
+            }
+        }
+        if (versions[0] != 0 && versions[0] == versions[1] && versions[0] != VERSION) {
+            throw new StoreException("file " + name + " is of version " + versions[0]
+                + "; this program reads version " + VERSION);
+        }
+        return null;
+    }
+
+    private static Format.SegmentHeader parse(ByteBuffer body) throws StoreException {
+        try {
+            return Format.SegmentHeader.parseFrom(body);
+        } catch (InvalidProtocolBufferException e) {
+            throw new StoreException("a header is whole, but not one of version " + VERSION + ": "
+                + e.getMessage());
+        }
+    }
+
+    private static Format.SegmentHeader checked(Format.SegmentHeader header, SegmentName name)
+        throws StoreException {
+        SegmentName own = new SegmentName(header.getFirst(), header.getLast(), header.getGeneration());
+        if (!own.equals(name)) {
+            throw new StoreException("file " + name + " says of itself that it is " + own);
+        }
+        return header;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/Index.java
@@ -0,0 +1,285 @@
+package wheatspread.store;
+
+import java.util.Arrays;
+
+/**
+ * Where each key stands in the log, by the hash of the key: several keys may have the same hash, and who looks
+ * up compares the keys themselves in the log. An ordered table with open addressing (O. Amble and D. E. Knuth,
+ * "Ordered hash tables", The Computer Journal 17, 1974): the place asked for grows with the hash, so that
+ * the entries of a table stand sorted, a search ends at the first greater one, and a deletion closes its gap.
+ * An entry is three longs in one array, and nothing else is kept for a key.
+ *
+ * <p>The table is 64 tables by the upper bits of the hash, each grown by a quarter when it is four fifths full:
+ * no moment needs much more memory than the entries, between 30 and 39 bytes each. Every method holds the
+ * lock of the object, for a time that does not grow with the number of entries but for {@link #copy}, which
+ * takes one of the 64 tables at a time.
+ */
+public final class Index {
+    /** Tables; what {@link #copy} and {@link #sweep} go by. */
+    public static final int TABLES = 64;
+    private static final int BITS = 6;
+    private static final int LONGS = 3;
+    private static final int FEWEST = 16;
+    private static final double FULLEST = 0.8;
+    private static final double GROWTH = 1.25;
+    private static final double EMPTIEST = 0.3;
+
+    private final Table[] tables = new Table[TABLES];
+    private int size;
+
+    public Index() {
+        for (int i = 0; i < TABLES; i++) {
+            tables[i] = new Table();
+        }
+    }
+
+    /** Takes entries one by one. */
+    @FunctionalInterface
+    public interface Each {
+        /**
+         * @param at the file's id in the upper 32 bits, the frame's offset in the lower ones
+         * @param length of the frame in bytes
+         * @param expiry seconds since 1970, 0 for never
+         */
+        void entry(long hash, long at, int length, int expiry);
+    }
+
+    /** The place of a frame in one long; the id of a file is 1 or more. */
+    public static long at(int file, int offset) {
+        return (long) file << 32 | offset & 0xFFFF_FFFFL;
+    }
+
+    public static int file(long at) {
+        return (int) (at >>> 32);
+    }
+
+    public static int offset(long at) {
+        return (int) at;
+    }
+
+    public synchronized int size() {
+        return size;
+    }
+
+    /** Bytes of heap that the entries take. */
+    public synchronized long bytes() {
+        long bytes = 0;
+        for (Table table : tables) {
+            bytes += 16 + 8L * table.cells.length;
+        }
+        return bytes;
+    }
+
+    /** Adds an entry, whether or not there is one with this hash. */
+    public synchronized void add(long hash, long at, int length, int expiry) {
+        table(hash).add(hash, at, pack(length, expiry));
+        size++;
+    }
+
+    /** Moves the entry of this hash and place to another place; whether there was one. */
+    public synchronized boolean move(long hash, long from, long to, int length, int expiry) {
+        Table table = table(hash);
+        int cell = table.find(hash, from);
+        if (cell < 0) {
+            return false;
+        }
+        table.cells[cell + 1] = to;
+        table.cells[cell + 2] = pack(length, expiry);
+        return true;
+    }
+
+    /** Takes the entry of this hash and place away; whether there was one. */
+    public synchronized boolean remove(long hash, long at) {
+        Table table = table(hash);
+        int cell = table.find(hash, at);
+        if (cell < 0) {
+            return false;
+        }
+        table.remove(cell);
+        size--;
+        return true;
+    }
+
+    /** Whether there is an entry of this hash at this place. */
+    public synchronized boolean has(long hash, long at) {
+        return table(hash).find(hash, at) >= 0;
+    }
+
+    /** Gives every entry of this hash, and returns how many there are. */
+    public synchronized int find(long hash, Each to) {
+        Table table = table(hash);
+        int found = 0;
+        for (int cell = table.first(hash); table.holds(cell, hash); cell += LONGS) {
+            to.entry(hash, table.cells[cell + 1], length(table.cells[cell + 2]),
+                expiry(table.cells[cell + 2]));
+            found++;
+        }
+        return found;
+    }
+
+    /** Gives every entry of one table, sorted by hash. */
+    public void copy(int table, Each to) {
+        long[] cells;
+        synchronized (this) {
+            cells = tables[table].cells.clone();
+        }
+        for (int cell = 0; cell < cells.length; cell += LONGS) {
+            if (cells[cell + 1] != 0) {
+                to.entry(cells[cell], cells[cell + 1], length(cells[cell + 2]), expiry(cells[cell + 2]));
+            }
+        }
+    }
+
+    /**
+     * Takes away what has expired among some cells of one table, and gives it.
+     *
+     * @param from the cell to begin with, as the last call returned it; 0 at first
+     * @param now seconds since 1970
+     * @return the cell to go on with, or 0 when the table has been gone through
+     */
+    public synchronized int sweep(int table, int from, int cells, int now, Each gone) {
+        Table all = tables[table];
+        int cell = from;
+        for (int left = cells; left > 0 && cell < all.cells.length; left--) {
+            int expiry = expiry(all.cells[cell + 2]);
+            if (all.cells[cell + 1] != 0 && expiry != 0 && Integer.compareUnsigned(expiry, now) <= 0) {
+                gone.entry(all.cells[cell], all.cells[cell + 1], length(all.cells[cell + 2]), expiry);
+                int capacity = all.capacity;
+                all.remove(cell); // what follows has moved up
+                size--;
+                if (all.capacity != capacity) {
+                    return 0;
+                }
+            } else {
+                cell += LONGS;
+            }
+        }
+        return cell < all.cells.length ? cell : 0;
+    }
+
+    private Table table(long hash) {
+        return tables[(int) (hash >>> 64 - BITS)];
+    }
+
+    private static long pack(int length, int expiry) {
+        return (long) length << 32 | expiry & 0xFFFF_FFFFL;
+    }
+
+    private static int length(long packed) {
+        return (int) (packed >>> 32);
+    }
+
+    private static int expiry(long packed) {
+        return (int) packed;
+    }
+
+    /** Entries sorted by their hash as an unsigned number; a cell whose place is 0 is free. */
+    private static final class Table {
+        private int capacity;
+        private int used;
+        private long[] cells;
+
+        Table() {
+            allot(FEWEST);
+        }
+
+        private void allot(int wanted) {
+            capacity = wanted;
+            cells = new long[LONGS * (wanted + 16 + wanted / 64)]; // the last ones run over the end
+        }
+
+        /** The cell that a hash asks for; it grows with the hash. */
+        private int asked(long hash) {
+            return (int) ((hash << BITS >>> 32) * capacity >>> 32) * LONGS;
+        }
+
+        private boolean holds(int cell, long hash) {
+            return cell < cells.length && cells[cell + 1] != 0 && cells[cell] == hash;
+        }
+
+        /** The first cell that is free or whose hash is not less. */
+        int first(long hash) {
+            int cell = asked(hash);
+            while (cell < cells.length && cells[cell + 1] != 0
+                && Long.compareUnsigned(cells[cell], hash) < 0) {
+                cell += LONGS;
+            }
+            return cell;
+        }
+
+        int find(long hash, long at) {
+            for (int cell = first(hash); holds(cell, hash); cell += LONGS) {
+                if (cells[cell + 1] == at) {
+                    return cell;
+                }
+            }
+            return -1;
+        }
+
+        void add(long hash, long at, long packed) {
+            if (used + 1 > capacity * FULLEST) {
+                resize((int) Math.ceil(capacity * GROWTH));
+            }
+            while (!insert(hash, at, packed)) {
+                resize((int) Math.ceil(capacity * GROWTH));
+            }
+            used++;
+        }
+
+        private boolean insert(long hash, long at, long packed) {
+            int cell = first(hash);
+            int free = cell;
+            while (free < cells.length && cells[free + 1] != 0) {
+                free += LONGS;
+            }
+            if (free >= cells.length) {
+                return false;
+            }
+            System.arraycopy(cells, cell, cells, cell + LONGS, free - cell);
+            cells[cell] = hash;
+            cells[cell + 1] = at;
+            cells[cell + 2] = packed;
+            return true;
+        }
+
+        void remove(int cell) {
+            int end = cell + LONGS;
+            // whoever stands behind its own place moves up by one
+            while (end < cells.length && cells[end + 1] != 0 && asked(cells[end]) < end) {
+                end += LONGS;
+            }
+            System.arraycopy(cells, cell + LONGS, cells, cell, end - cell - LONGS);
+            Arrays.fill(cells, end - LONGS, end, 0);
+            used--;
+            if (capacity > FEWEST && used < capacity * EMPTIEST) {
+                resize(Math.max(FEWEST, (int) Math.ceil(used / FULLEST * GROWTH)));
+            }
+        }
+
+        private void resize(int wanted) {
+            long[] old = cells;
+            for (int next = wanted;; next = (int) Math.ceil(next * GROWTH)) {
+                allot(next);
+                if (refill(old)) {
+                    return;
+                }
+            }
+        }
+
+        /** The old cells are sorted: each new one stands behind the one before. */
+        private boolean refill(long[] old) {
+            int end = 0;
+            for (int cell = 0; cell < old.length; cell += LONGS) {
+                if (old[cell + 1] != 0) {
+                    end = Math.max(end, asked(old[cell]));
+                    if (end >= cells.length) {
+                        return false;
+                    }
+                    System.arraycopy(old, cell, cells, end, LONGS);
+                    end += LONGS;
+                }
+            }
+            return true;
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/Job.java
@@ -0,0 +1,23 @@
+package wheatspread.store;
+
+import java.io.IOException;
+
+/** Work beside the writer's, done piece by piece on another thread, and ended on the writer's. */
+abstract class Job {
+    /** Bytes read and written by the last piece. */
+    long moved;
+
+    /** Does a piece; false when all is done. */
+    abstract boolean step() throws IOException;
+
+    /** Ends it on the writer's thread, a piece at a time; false when all is done. */
+    abstract boolean install();
+
+    /** Gives up what it holds, after a failure; the names that must be deleted before any other job. */
+    abstract java.util.List<String> undo();
+
+    abstract String what();
+
+    /** Bytes that it takes on the disk beside the files of the log. */
+    abstract long ownBytes();
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/Recovery.java
@@ -0,0 +1,341 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.function.LongSupplier;
+import org.agrona.collections.LongArrayList;
+import wheatspread.disk.Disk;
+import wheatspread.disk.DiskFile;
+import wheatspread.logging.EventLog;
+
+/**
+ * Brings the index back from the files: the newest checkpoint that holds, and the log behind it. What is
+ * beyond doubt stays, what was never acknowledged is cut, and what is damaged is put in doubt.
+ */
+final class Recovery {
+    private final Disk disk;
+    private final StoreSettings settings;
+    private final EventLog log;
+    private final long now;
+    private final Purpose purpose;
+
+    private Catalog catalog;
+    private final TreeMap<Integer, Integer> pendingCuts = new TreeMap<>();
+    private final List<Segment> damaged = new ArrayList<>();
+    private final Map<Integer, Integer> cuts = new HashMap<>();
+    private Layout layout;
+    private Checkpoints.Loaded checkpoint;
+    private Segment newest;
+    private int voids;
+    private long readBytes;
+    private long cutBytes;
+    private long damages;
+    private long replayed;
+
+    /** What the store is opened for. */
+    enum Purpose {
+        WORK,
+        /** To look at it: every file stays as it is. */
+        LOOK,
+        /** As LOOK, and the whole log is read whatever a checkpoint says. */
+        CHECK
+    }
+
+    Recovery(Disk disk, StoreSettings settings, EventLog log, long nowMs, Purpose purpose) {
+        this.disk = disk;
+        this.settings = settings;
+        this.log = log;
+        this.now = nowMs;
+        this.purpose = purpose;
+    }
+
+    /** @throws StoreException if the folder holds what this program must not work on */
+    void run(LongSupplier random) throws IOException {
+        layout = Layout.of(disk.list());
+        if (purpose == Purpose.WORK) {
+            for (String name : layout.leftovers()) {
+                disk.delete(name);
+            }
+        }
+        List<DiskFile> files = new ArrayList<>();
+        try {
+            open(files, random);
+        } catch (IOException | RuntimeException e) {
+            for (DiskFile file : files) {
+                file.close();
+            }
+            throw e;
+        }
+    }
+
+    private void open(List<DiskFile> files, LongSupplier random) throws IOException {
+        Long seed = null;
+        for (SegmentName name : layout.chain()) {
+            DiskFile file = disk.open(name.toString());
+            files.add(file);
+            Format.SegmentHeader header = Headers.read(file, name);
+            if (header != null && seed != null && header.getSeed() != seed) {
+                throw new StoreException("file " + name + " belongs to another store");
+            }
+            seed = header != null ? Long.valueOf(header.getSeed()) : seed;
+        }
+        for (String name : layout.checkpoints()) {
+            Catalog fresh = catalog(seed != null ? seed : Checkpoints.seedOf(disk, name, random), files);
+            checkpoint = Checkpoints.load(disk, name, fresh);
+            if (checkpoint == null) {
+                log.warn("store_checkpoint_unusable", "file", name);
+            } else if (purpose == Purpose.CHECK) {
+                checkpoint = null;
+            } else {
+                catalog = fresh;
+                break;
+            }
+        }
+        if (catalog == null) {
+            catalog = catalog(seed != null ? seed : random.getAsLong(), files);
+        }
+        replay();
+        count();
+        if (newest != null && purpose == Purpose.WORK) {
+            newest.file.sync(); // a reader may see it from now on
+        }
+    }
+
+    private Catalog catalog(long seed, List<DiskFile> files) throws IOException {
+        Catalog fresh = new Catalog(seed);
+        for (int i = 0; i < files.size(); i++) {
+            fresh.append(new Segment(fresh.newId(), layout.chain().get(i), files.get(i), files.get(i).size()));
+        }
+        return fresh;
+    }
+
+    private void replay() throws IOException {
+        List<Segment> chain = catalog.chain();
+        int last = chain.size() - 1;
+        while (last >= 0 && isUnbegun(chain.get(last))) {
+            Segment one = chain.get(last--);
+            one.cut = 0;
+            one.bytes = 0;
+            pendingCuts.put(one.name.first(), 0);
+            voids++;
+        }
+        gatherCuts(last);
+        for (int gap : layout.gaps()) {
+            log.error("store_file_lost", "before", gap);
+            damages++;
+            catalog.doubts.addAll(until(), gap, 0);
+        }
+        for (int i = 0; i <= last; i++) {
+            replay(chain.get(i), i == last);
+        }
+        if (checkpoint != null) {
+            checkpoint.dropStale(catalog.index);
+        }
+    }
+
+    /** Whether nothing in it was ever acknowledged: the file is there, and its first group is not. */
+    private boolean isUnbegun(Segment segment) throws IOException {
+        if (!segment.name.isOriginal() || checkpoint != null && checkpoint.covers(segment.name)) {
+            return false;
+        }
+        SegmentScan scan = new SegmentScan(segment.file, segment.name, 0, SegmentScan.UNCUT, true);
+        SegmentScan.Step step = scan.next();
+        while (step == SegmentScan.Step.GROUP) {
+            step = scan.next();
+        }
+        return step == SegmentScan.Step.END && !scan.sealed();
+    }
+
+    /** Where a file ends that has no seal stands in the first group behind it. */
+    private void gatherCuts(int last) throws IOException {
+        for (int i = 0; i <= last; i++) {
+            Segment segment = catalog.chain().get(i);
+            if (checkpoint != null && checkpoint.covers(segment.name)) {
+                continue;
+            }
+            SegmentScan scan = new SegmentScan(segment.file, segment.name, 0, SegmentScan.UNCUT, true);
+            SegmentScan.Step step = scan.next();
+            while (step == SegmentScan.Step.GROUP || step == SegmentScan.Step.RECORD
+                && scan.record.getKind() == Format.Record.Kind.CUT) {
+                if (step == SegmentScan.Step.RECORD) {
+                    scan.record.getCutsList().forEach(cut -> cuts.put(cut.getSegment(), cut.getLength()));
+                }
+                step = scan.next();
+            }
+        }
+    }
+
+    private void replay(Segment segment, boolean isNewest) throws IOException {
+        long from = 0;
+        boolean again = false;
+        if (checkpoint != null) {
+            Checkpoints.Known known = checkpoint.known(segment.name);
+            again = checkpoint.isStale(segment);
+            if (known != null) {
+                segment.latestExpiryMs = known.latestExpiryMs();
+                segment.records = known.records();
+                segment.cut = known.cut();
+            }
+            if (checkpoint.covers(segment.name)) {
+                segment.bytes = segment.cut == SegmentScan.UNCUT ? segment.bytes : segment.cut;
+                return;
+            }
+            from = known != null && !again ? checkpoint.offset() : 0;
+        }
+        Integer cut = segment.name.isOriginal() ? cuts.get(segment.name.first()) : null;
+        if (cut != null && !isNewest) {
+            segment.cut = cut;
+        }
+        SegmentScan scan = new SegmentScan(segment.file, segment.name, from, segment.cut, isNewest);
+        for (SegmentScan.Step step = scan.next(); step != SegmentScan.Step.END; step = scan.next()) {
+            if (step == SegmentScan.Step.RECORD) {
+                replayed++;
+                apply(segment, scan, again);
+            } else if (step == SegmentScan.Step.DAMAGE) {
+                damage(segment, scan);
+            }
+        }
+        readBytes += scan.read();
+        long size = segment.bytes;
+        if (scan.end == SegmentScan.End.TORN || scan.end == SegmentScan.End.CUT) {
+            segment.bytes = Math.min(size, scan.at);
+            cutBytes += size - segment.bytes;
+        }
+        if (isNewest && scan.end != SegmentScan.End.SEALED) {
+            newest = segment;
+            segment.cut = (int) segment.bytes;
+            pendingCuts.put(segment.name.first(), segment.cut);
+            if (size > segment.bytes) {
+                log.warn("store_torn_tail", "file", segment.name, "at", segment.bytes, "bytes",
+                    size - segment.bytes);
+            }
+        }
+    }
+
+    private long until() {
+        return settings.longestLifeMs() == 0 ? 0 : now + settings.longestLifeMs();
+    }
+
+    private void damage(Segment segment, SegmentScan scan) {
+        damages++;
+        segment.damaged = true;
+        if (!damaged.contains(segment)) {
+            damaged.add(segment);
+        }
+        log.error("store_damage", "file", segment.name, "at", scan.at, "keys",
+            scan.lostAll ? "unknown" : scan.lost.size());
+        doubt(scan.lost, scan.lostAll, until(), segment, (int) scan.at);
+    }
+
+    private void doubt(LongArrayList lost, boolean all, long until, Segment segment, int offset) {
+        long at = Index.at(segment.id, offset);
+        for (int i = 0; i < lost.size(); i++) {
+            catalog.dropBefore(lost.getLong(i), at, false);
+        }
+        catalog.doubts.take(lost, all, until, segment.name.first(), offset);
+    }
+
+    private void apply(Segment segment, SegmentScan scan, boolean again) throws IOException {
+        Format.Record record = scan.record;
+        int offset = (int) scan.at;
+        switch (record.getKind()) {
+            case PUT -> {
+                segment.saw(record.getExpiresMs());
+                byte[] key = record.getKey().toByteArray();
+                long hash = scan.hash != 0 ? scan.hash : catalog.hash(key);
+                long at = Index.at(segment.id, offset);
+                boolean living = record.getExpiresMs() == 0 || record.getExpiresMs() > now;
+                int expiry = Catalog.expirySeconds(record.getExpiresMs());
+                if (again && checkpoint.repoint(catalog.index, segment, hash, at, scan.length, expiry)) {
+                    return;
+                }
+                if (!(again && checkpoint.wasWhole(segment.name))) {
+                    put(hash, key, at, scan.length, expiry, living);
+                }
+            }
+            case DELETE -> {
+                byte[] key = record.getKey().toByteArray();
+                put(scan.hash != 0 ? scan.hash : catalog.hash(key), key, Index.at(segment.id, offset), 0, 0,
+                    false);
+            }
+            case DOUBT -> {
+                Format.Doubt doubt = record.getDoubt();
+                if (doubt.getUntilMs() == 0 || doubt.getUntilMs() > now) {
+                    LongArrayList hashes = new LongArrayList();
+                    doubt.getHashesList().forEach(hashes::addLong);
+                    doubt(hashes, doubt.getAll(), doubt.getUntilMs(), segment, offset);
+                }
+            }
+            default -> { }
+        }
+    }
+
+    /** A write of a key: it takes the place of an older one, and yields to a newer one. */
+    private void put(long hash, byte[] key, long at, int length, int expiry, boolean living)
+        throws IOException {
+        long[] there = new long[1];
+        boolean[] newer = new boolean[1];
+        List<long[]> found = new ArrayList<>(1);
+        catalog.index.find(hash, (h, place, size, e) -> found.add(new long[] {place, size}));
+        for (long[] one : found) {
+            if (catalog.byId(Index.file(one[0])) != null && catalog.hasKey(one[0], (int) one[1], key)) {
+                newer[0] |= !catalog.isBefore(one[0], at);
+                there[0] = one[0];
+            }
+        }
+        if (newer[0]) {
+            return;
+        }
+        if (there[0] != 0 && living) {
+            catalog.index.move(hash, there[0], at, length, expiry);
+        } else if (there[0] != 0) {
+            catalog.index.remove(hash, there[0]);
+        } else if (living) {
+            catalog.index.add(hash, at, length, expiry);
+        }
+    }
+
+    private void count() {
+        for (int table = 0; table < Index.TABLES; table++) {
+            catalog.index.copy(table, (hash, at, length, expiry) -> catalog.lives(at, length));
+        }
+    }
+
+    Catalog catalog() {
+        return catalog;
+    }
+
+    Layout layout() {
+        return layout;
+    }
+
+    /** What the first group to be written has to say. */
+    TreeMap<Integer, Integer> pendingCuts() {
+        return pendingCuts;
+    }
+
+    /** Files in which something is lost. */
+    List<Segment> damaged() {
+        return damaged;
+    }
+
+    /** What was done, for the log and the tools. */
+    Report report() {
+        return new Report(catalog.chain().size(), catalog.index.size(), replayed, readBytes, cutBytes, damages,
+            voids, checkpoint != null);
+    }
+
+    /**
+     * @param keys that are held now
+     * @param replayedRecords of the log, behind the checkpoint
+     * @param cutBytes that were never acknowledged
+     * @param damages places where something was lost
+     * @param voids files that were made and not begun
+     */
+    record Report(int segments, int keys, long replayedRecords, long readBytes, long cutBytes, long damages,
+        int voids, boolean fromCheckpoint) { }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/SegmentName.java
@@ -0,0 +1,53 @@
+package wheatspread.store;
+
+import java.util.Comparator;
+import java.util.regex.Matcher;
+import java.util.regex.Pattern;
+
+/**
+ * What the name of a segment's file says: which numbers of the log it holds, and how often they have been
+ * rewritten. A file as first written holds one number in generation 0.
+ */
+record SegmentName(int first, int last, int generation) {
+    static final Comparator<SegmentName> IN_ORDER = Comparator.comparingInt(SegmentName::first)
+        .thenComparingInt(SegmentName::last).thenComparingInt(SegmentName::generation);
+    /** Behind the name of what isn't whole yet. */
+    static final String NEW = ".new";
+    /** Behind the name of what was damaged and set aside. */
+    static final String ASIDE = ".damaged";
+    private static final Pattern FORM = Pattern.compile("(\\d{8,10})-(\\d{8,10})\\.(\\d{1,9})\\.log");
+
+    static SegmentName original(int number) {
+        return new SegmentName(number, number, 0);
+    }
+
+    /** Null for the name of something else. */
+    static SegmentName parse(String text) {
+        Matcher form = FORM.matcher(text);
+        if (!form.matches()) {
+            return null;
+        }
+        long first = Long.parseLong(form.group(1));
+        long last = Long.parseLong(form.group(2));
+        boolean right = first >= 1 && first <= last && last < Integer.MAX_VALUE;
+        return right ? new SegmentName((int) first, (int) last, Integer.parseInt(form.group(3))) : null;
+    }
+
+    boolean isOriginal() {
+        return generation == 0;
+    }
+
+    /** Whether this one was written in place of the other. */
+    boolean replaces(SegmentName other) {
+        return first <= other.first && last >= other.last && generation > other.generation;
+    }
+
+    boolean overlaps(SegmentName other) {
+        return first <= other.last && other.first <= last;
+    }
+
+    @Override
+    public String toString() {
+        return String.format("%08d-%08d.%d.log", first, last, generation);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/StoreSettings.java
@@ -0,0 +1,97 @@
+package wheatspread.store;
+
+/**
+ * How a store works. Sizes are bytes, times milliseconds.
+ *
+ * @param sync when what was written is made to last
+ * @param syncMs for {@link Sync#INTERVAL}: how much of what was acknowledged a crash of the machine may take
+ * @param segmentBytes a file of the log is sealed at this size
+ * @param maxBytes all files together; beyond it writes are refused until room is made
+ * @param minFreeBytes writes are refused while the disk has less to give
+ * @param recordBytes the longest key with its value
+ * @param queueRecords writes that may wait, and {@code queueBytes} for their sizes; the same number of reads
+ * @param groupRecords what is written and synced together at most, and {@code groupBytes} for the sizes
+ * @param compactBytesPerS what compaction reads and writes a second at most
+ * @param compactDeadShare a run of segments is rewritten when this share of it is dead
+ * @param compactWaitMs one that will have expired whole within this time is left alone until then
+ * @param checkpointBytes the index is written after so many bytes of log: what a start has to read at most
+ * @param longestLifeMs writes must expire within it; 0 is no bound. It tells when damage has lost its meaning
+ */
+public record StoreSettings(Sync sync, long syncMs, int segmentBytes, long maxBytes, long minFreeBytes,
+    int recordBytes, int queueRecords, long queueBytes, int groupRecords, int groupBytes, long compactBytesPerS,
+    double compactDeadShare, long compactWaitMs, long checkpointBytes, long longestLifeMs) {
+    /** When a write is acknowledged. */
+    public enum Sync {
+        /** Behind the sync of its group: nothing that was acknowledged is lost. */
+        GROUP,
+        /** Once the system has it, which syncs every so often: survives this process, not the machine. */
+        INTERVAL,
+        /** Once the system has it, which writes it back when it likes. */
+        NONE
+    }
+
+    public static final StoreSettings DEFAULT = new StoreSettings(Sync.GROUP, 10, 16 << 20, 256L << 20,
+        64L << 20, 1 << 20, 10_000, 8L << 20, 1_024, 1 << 20, 16L << 20, 0.5, 60_000, 32L << 20, 0);
+
+    /** @throws IllegalArgumentException naming the value and what is allowed */
+    public StoreSettings {
+        within("sync_ms", syncMs, 1, 60_000);
+        within("segment_bytes", segmentBytes, 1 << 10, 1 << 30);
+        within("max_bytes", maxBytes, 4L * segmentBytes, 1L << 50);
+        within("min_free_bytes", minFreeBytes, 0, 1L << 50);
+        within("record_bytes", recordBytes, 16, Math.min(segmentBytes / 4, Frames.LONGEST / 2));
+        within("queue_records", queueRecords, 1, 10_000_000);
+        within("queue_bytes", queueBytes, recordBytes, 1L << 32);
+        within("group_records", groupRecords, 1, 100_000);
+        within("group_bytes", groupBytes, recordBytes, segmentBytes);
+        within("compact_bytes_per_s", compactBytesPerS, 1 << 10, 1L << 40);
+        if (!(compactDeadShare > 0 && compactDeadShare < 1)) {
+            throw new IllegalArgumentException("compact_dead_share is " + compactDeadShare
+                + "; allowed is between 0 and 1");
+        }
+        within("compact_wait_ms", compactWaitMs, 0, 86_400_000);
+        within("checkpoint_bytes", checkpointBytes, 1 << 10, 1L << 40);
+        within("longest_life_ms", longestLifeMs, 0, Long.MAX_VALUE / 4);
+    }
+
+    private static void within(String name, long value, long least, long most) {
+        if (value < least || value > most) {
+            throw new IllegalArgumentException(name + " is " + value + "; allowed is " + least + " to " + most);
+        }
+    }
+
+    /** What is kept free under the bound, so that compaction and a checkpoint find room at any time. */
+    long reserve(long indexBytes) {
+        return segmentBytes + segmentBytes / 2 + indexBytes;
+    }
+
+    public StoreSettings withSync(Sync other, long everyMs) {
+        return new StoreSettings(other, everyMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, queueRecords,
+            queueBytes, groupRecords, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs,
+            checkpointBytes, longestLifeMs);
+    }
+
+    public StoreSettings withSizes(int segment, long max, long checkpoint) {
+        int record = Math.min(recordBytes, segment / 4);
+        return new StoreSettings(sync, syncMs, segment, max, minFreeBytes, record, queueRecords, queueBytes,
+            groupRecords, Math.max(record, Math.min(groupBytes, segment)), compactBytesPerS, compactDeadShare,
+            compactWaitMs, checkpoint, longestLifeMs);
+    }
+
+    public StoreSettings withCompaction(long bytesPerS, double deadShare, long waitMs) {
+        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, queueRecords,
+            queueBytes, groupRecords, groupBytes, bytesPerS, deadShare, waitMs, checkpointBytes, longestLifeMs);
+    }
+
+    public StoreSettings withQueue(int records, long bytes, int perGroup) {
+        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, records, bytes,
+            perGroup, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs, checkpointBytes,
+            longestLifeMs);
+    }
+
+    public StoreSettings withLongestLife(long ms) {
+        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, queueRecords,
+            queueBytes, groupRecords, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs,
+            checkpointBytes, ms);
+    }
+}
--- /dev/null
+++ b/server/src/test/java/wheatspread/store/FaultyDisk.java
@@ -0,0 +1,286 @@
+package wheatspread.store;
+
+import java.io.Closeable;
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Map;
+import java.util.Random;
+import java.util.TreeMap;
+import java.util.function.Consumer;
+import java.util.function.Supplier;
+import wheatspread.disk.Disk;
+import wheatspread.disk.DiskFile;
+
+/**
+ * A disk in memory that counts each step, and fails, tears, fills up, stalls or crashes at any of them. What
+ * was not synced when it crashes is kept, lost, or kept in part and out of order.
+ */
+final class FaultyDisk implements Disk {
+    /** What a crash does with what was not synced. */
+    enum Unsynced { KEPT, LOST, REORDERED }
+
+    /** The machine is gone. */
+    static final class Crash extends Error {
+        private static final long serialVersionUID = 1L;
+    }
+
+    private static final int SECTOR = 64;
+    private static final Runnable NOTHING = () -> { };
+
+    private static final class Node {
+        private byte[] bytes = new byte[0];
+        private int synced;
+    }
+
+    private final Map<String, Node> names = new TreeMap<>();
+    private Map<String, Node> syncedNames = new TreeMap<>();
+    /** What was done to names since they were synced: any part of it may last. */
+    private final List<Consumer<Map<String, Node>>> unsyncedNames = new ArrayList<>();
+    private final Random random;
+    private boolean locked;
+    private boolean crashed;
+
+    int steps;
+    long appended;
+    /** The step that fails, and how; 0 is none. */
+    int failAt;
+    Supplier<IOException> failure = () -> new IOException("planned");
+    /** From {@link #failAt} on every step fails. */
+    boolean failsOn;
+    int crashAt;
+    long room = Long.MAX_VALUE;
+    /** Runs before each step, and between any two bytes that are appended, with the disk as it is then. */
+    Runnable atStep = NOTHING;
+    Runnable atByte = NOTHING;
+    /** Runs before each sync of a file. */
+    Runnable beforeSync = NOTHING;
+
+    FaultyDisk(long seed) {
+        random = new Random(seed);
+    }
+
+    /** What a new process finds after a crash, or after a process that just ended where all is kept. */
+    FaultyDisk restarted(Unsynced how, long seed) {
+        FaultyDisk disk = new FaultyDisk(seed);
+        Map<String, Node> left = how == Unsynced.KEPT ? names : new TreeMap<>(syncedNames);
+        if (how == Unsynced.REORDERED) {
+            unsyncedNames.stream().filter(change -> disk.random.nextBoolean())
+                .forEach(change -> change.accept(left));
+        }
+        left.forEach((name, node) -> disk.names.put(name, disk.after(node, how)));
+        disk.syncedNames = new TreeMap<>(disk.names);
+        return disk;
+    }
+
+    private Node after(Node node, Unsynced how) {
+        Node after = new Node();
+        int length = node.bytes.length;
+        if (how == Unsynced.LOST) {
+            length = node.synced;
+        } else if (how == Unsynced.REORDERED && length > node.synced) {
+            length = node.synced + random.nextInt(length - node.synced + 1);
+        }
+        after.bytes = Arrays.copyOf(node.bytes, length);
+        if (how == Unsynced.REORDERED) {
+            for (int at = node.synced; at < length; at += SECTOR) {
+                if (random.nextBoolean()) {
+                    Arrays.fill(after.bytes, at, Math.min(length, at + SECTOR), (byte) 0);
+                }
+            }
+        }
+        after.synced = length;
+        return after;
+    }
+
+    byte[] bytes(String name) {
+        return names.get(name).bytes;
+    }
+
+    /** Puts other bytes in the place of a file's. */
+    void replace(String name, byte[] bytes) {
+        Node node = new Node();
+        node.bytes = bytes;
+        node.synced = bytes.length;
+        names.put(name, node);
+        syncedNames.put(name, node);
+    }
+
+    private void step() throws IOException {
+        living();
+        steps++;
+        atStep.run();
+        if (steps == crashAt) {
+            crashed = true;
+            throw new Crash();
+        }
+        if (failAt > 0 && (steps == failAt || failsOn && steps > failAt)) {
+            throw failure.get();
+        }
+    }
+
+    private void living() {
+        if (crashed) {
+            throw new Crash();
+        }
+    }
+
+    private void change(Consumer<Map<String, Node>> change) {
+        change.accept(names);
+        unsyncedNames.add(change);
+    }
+
+    @Override
+    public synchronized List<String> list() {
+        living();
+        return List.copyOf(names.keySet());
+    }
+
+    @Override
+    public synchronized DiskFile create(String name) throws IOException {
+        step();
+        if (names.containsKey(name)) {
+            throw new IOException(name + " is there");
+        }
+        Node node = new Node();
+        change(all -> all.put(name, node));
+        return new File(node);
+    }
+
+    @Override
+    public synchronized DiskFile open(String name) throws IOException {
+        living();
+        if (!names.containsKey(name)) {
+            throw new IOException(name + " is not there");
+        }
+        return new File(names.get(name));
+    }
+
+    @Override
+    public synchronized void rename(String from, String to) throws IOException {
+        step();
+        change(all -> {
+            if (all.containsKey(from)) {
+                all.put(to, all.remove(from));
+            }
+        });
+    }
+
+    @Override
+    public synchronized void delete(String name) throws IOException {
+        if (!names.containsKey(name)) {
+            living();
+            return;
+        }
+        step();
+        change(all -> all.remove(name));
+    }
+
+    @Override
+    public synchronized void syncNames() throws IOException {
+        step();
+        syncedNames = new TreeMap<>(names);
+        unsyncedNames.clear();
+    }
+
+    @Override
+    public synchronized long free() {
+        return room == Long.MAX_VALUE ? room : room - used();
+    }
+
+    private long used() {
+        return names.values().stream().mapToLong(node -> node.bytes.length).sum();
+    }
+
+    @Override
+    public synchronized Closeable lock() throws IOException {
+        if (locked) {
+            throw new TakenException("in use");
+        }
+        locked = true;
+        return () -> locked = false;
+    }
+
+    private final class File implements DiskFile {
+        private final Node node;
+        private boolean closed;
+
+        File(Node node) {
+            this.node = node;
+        }
+
+        @Override
+        public void append(ByteBuffer bytes) throws IOException {
+            synchronized (FaultyDisk.this) {
+                open();
+                int size = bytes.remaining();
+                try {
+                    step();
+                } catch (IOException | Crash e) {
+                    write(bytes, random.nextInt(size + 1));
+                    throw e;
+                }
+                if (size > room - used()) {
+                    write(bytes, (int) Math.max(0, room - used()));
+                    throw new NoSpaceException("planned", null);
+                }
+                byte[] before = node.bytes;
+                for (int part = 1; part < size && atByte != NOTHING; part++) {
+                    write(bytes.duplicate(), part);
+                    atByte.run();
+                    node.bytes = before;
+                }
+                write(bytes, size);
+                appended += size;
+            }
+        }
+
+        private void write(ByteBuffer bytes, int size) {
+            int at = node.bytes.length;
+            node.bytes = Arrays.copyOf(node.bytes, at + size);
+            bytes.get(node.bytes, at, size);
+        }
+
+        @Override
+        public int read(ByteBuffer to, long at) throws IOException {
+            synchronized (FaultyDisk.this) {
+                open();
+                int size = (int) Math.max(0, Math.min(to.remaining(), node.bytes.length - at));
+                to.put(node.bytes, (int) Math.min(at, node.bytes.length), size);
+                return size;
+            }
+        }
+
+        @Override
+        public void sync() throws IOException {
+            beforeSync.run();
+            synchronized (FaultyDisk.this) {
+                open();
+                step();
+                node.synced = node.bytes.length;
+            }
+        }
+
+        @Override
+        public long size() throws IOException {
+            synchronized (FaultyDisk.this) {
+                open();
+                return node.bytes.length;
+            }
+        }
+
+        private void open() throws IOException {
+            living();
+            if (closed) {
+                throw new IOException("closed");
+            }
+        }
+
+        @Override
+        public void close() {
+            closed = true;
+        }
+    }
+}
--- /dev/null
+++ b/server/src/test/java/wheatspread/store/IndexTest.java
@@ -0,0 +1,97 @@
+package wheatspread.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.TreeMap;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import net.jqwik.api.constraints.IntRange;
+import org.junit.jupiter.api.Test;
+
+/** The index beside lists in a map. */
+class IndexTest {
+    /** Hashes that meet in few places, some of them equal. */
+    private static long hash(Random random, int spread) {
+        return random.nextInt(spread) * 0x0101_0101_0101L << random.nextInt(3) * 8 | random.nextInt(3);
+    }
+
+    @Property(tries = 60)
+    void isAsAMapOfLists(@ForAll long seed, @ForAll @IntRange(min = 1, max = 4_000) int spread) {
+        Random random = new Random(seed);
+        Index index = new Index();
+        TreeMap<Long, List<Long>> model = new TreeMap<>();
+        int size = 0;
+        for (int i = 1; i <= 2_000; i++) {
+            long hash = hash(random, spread);
+            List<Long> there = model.computeIfAbsent(hash, h -> new ArrayList<>());
+            boolean growing = i < 1_200;
+            if (there.isEmpty() || random.nextInt(10) < (growing ? 7 : 1)) {
+                index.add(hash, Index.at(i, i), i, i);
+                there.add(Index.at(i, i));
+                size++;
+            } else if (random.nextBoolean()) {
+                long from = there.remove(random.nextInt(there.size()));
+                assertThat(index.move(hash, from, Index.at(i, -i), i, i)).isTrue();
+                there.add(Index.at(i, -i));
+            } else {
+                assertThat(index.remove(hash, there.remove(random.nextInt(there.size())))).isTrue();
+                size--;
+            }
+            List<Long> found = new ArrayList<>();
+            assertThat(index.find(hash, (h, at, length, expiry) -> found.add(at))).isEqualTo(there.size());
+            assertThat(found).containsExactlyInAnyOrderElementsOf(there);
+        }
+        assertThat(index.size()).isEqualTo(size);
+        List<Long> all = new ArrayList<>();
+        for (int table = 0; table < Index.TABLES; table++) {
+            index.copy(table, (hash, at, length, expiry) -> {
+                assertThat(model.get(hash)).contains(at);
+                assertThat(length).isEqualTo(Index.file(at));
+                all.add(hash);
+            });
+        }
+        assertThat(all).hasSize(size).isSortedAccordingTo(Long::compareUnsigned);
+        assertThat(index.move(1L << 60, 5, 6, 0, 0)).isFalse();
+        assertThat(index.remove(1L << 60, 5)).isFalse();
+    }
+
+    @Test
+    void takesFortyBytesAKeyAtAnySizeAndGivesThemBack() {
+        Index index = new Index();
+        Random random = new Random(3);
+        long[] hashes = new long[300_000];
+        for (int i = 0; i < hashes.length; i++) {
+            hashes[i] = random.nextLong();
+            index.add(hashes[i], Index.at(1, i), 100, 0);
+            if (i > 20_000 && i % 5_000 == 0) {
+                assertThat(index.bytes()).isLessThan(40L * (i + 1));
+            }
+        }
+        for (int i = 0; i < hashes.length; i++) {
+            assertThat(index.remove(hashes[i], Index.at(1, i))).isTrue();
+        }
+        assertThat(index.size()).isZero();
+        assertThat(index.bytes()).isLessThan(100_000);
+    }
+
+    @Test
+    void sweepsWhatHasExpiredAndNothingElse() {
+        Index index = new Index();
+        Random random = new Random(3);
+        for (int i = 0; i < 10_000; i++) {
+            index.add(random.nextLong(), Index.at(1, i), 100, i % 3 == 0 ? 0 : i);
+        }
+        List<Integer> gone = new ArrayList<>();
+        for (int table = 0; table < Index.TABLES; table++) {
+            int cell = 0;
+            do {
+                cell = index.sweep(table, cell, 7, 5_000, (hash, at, length, expiry) -> gone.add(expiry));
+            } while (cell != 0);
+        }
+        assertThat(gone).allMatch(expiry -> expiry > 0 && expiry <= 5_000).hasSizeGreaterThan(3_300);
+        assertThat(index.size()).isEqualTo(10_000 - gone.size());
+    }
+}
--- /dev/null
+++ b/server/src/test/java/wheatspread/store/StoreTest.java
@@ -0,0 +1,149 @@
+package wheatspread.store;
+
+import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.CompletableFuture;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.ExecutorService;
+import java.util.concurrent.Executors;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import wheatspread.disk.Disk;
+import wheatspread.disk.FolderDisk;
+import wheatspread.logging.EventLog;
+
+/** The store with its threads, beside one that stands for the event loop. */
+@Timeout(60)
+class StoreTest {
+    private final ExecutorService loop = Executors.newSingleThreadExecutor();
+    private final FaultyDisk disk = new FaultyDisk(1);
+    private Store store;
+
+    @AfterEach
+    void end() throws IOException {
+        if (store != null) {
+            store.close();
+        }
+        loop.shutdownNow();
+    }
+
+    private Store open(Disk on, StoreSettings settings) throws IOException {
+        store = Store.open(on, settings, Store.Time.SYSTEM, loop, EventLog.NONE);
+        return store;
+    }
+
+    private CompletableFuture<Store.Outcome> put(String key, String value) {
+        CompletableFuture<Store.Outcome> ended = new CompletableFuture<>();
+        assertThat(store.put(Bench.bytes(key), Bench.bytes(value), 0, (outcome, reason) ->
+            ended.complete(outcome))).isNull();
+        return ended;
+    }
+
+    private Store.Got get(String key) {
+        CompletableFuture<Store.Got> got = new CompletableFuture<>();
+        assertThat(store.get(Bench.bytes(key), got::complete)).isNull();
+        return got.join();
+    }
+
+    @Test
+    void keepsInAFolderWhatItAcknowledged(@TempDir Path folder) throws IOException {
+        open(FolderDisk.make(folder), Bench.small());
+        for (int i = 0; i < 200; i++) {
+            put("key " + i % 20, "value " + i);
+        }
+        assertThat(put("last", "one").join()).isEqualTo(Store.Outcome.HELD);
+        assertThatThrownBy(() -> Store.open(FolderDisk.of(folder), Bench.small(), Store.Time.SYSTEM, loop,
+            EventLog.NONE)).isInstanceOf(Disk.TakenException.class).hasMessageContaining("is in use by process "
+            + ProcessHandle.current().pid());
+        store.close();
+        open(FolderDisk.of(folder), Bench.small());
+        assertThat(get("last").value()).isEqualTo(Bench.bytes("one"));
+        assertThat(get("key 7").value()).isEqualTo(Bench.bytes("value 187"));
+        assertThat(get("no key").kind()).isEqualTo(Store.Got.Kind.ABSENT);
+    }
+
+    @Test
+    void aDiskThatStallsHoldsUpNoCallerAndNoRead() throws Exception {
+        open(disk, Bench.small().withQueue(100, 1 << 20, 100));
+        put("read", "meanwhile").join();
+        CountDownLatch stalled = new CountDownLatch(1);
+        CountDownLatch goOn = new CountDownLatch(1);
+        disk.beforeSync = () -> {
+            stalled.countDown();
+            try {
+                goOn.await();
+            } catch (InterruptedException e) {
+                throw new AssertionError(e);
+            }
+        };
+        CompletableFuture<Store.Outcome> first = put("one", "x");
+        stalled.await();
+        long syncs = store.stats().counters().syncs();
+        List<CompletableFuture<Store.Outcome>> waiting = new ArrayList<>();
+        for (int i = 0; i < 100; i++) {
+            waiting.add(put("key " + i, "x"));
+        }
+        assertThat(store.put(Bench.bytes("k"), Bench.bytes("v"), 0, (outcome, reason) -> { }))
+            .isEqualTo(Store.Refusal.QUEUE_FULL);
+        assertThat(store.waiting()).isEqualTo(new Store.Waiting(100, store.waiting().bytes(), 0, 1));
+        assertThat(get("read").value()).isEqualTo(Bench.bytes("meanwhile"));
+        assertThat(get("one").kind()).isEqualTo(Store.Got.Kind.ABSENT);
+        assertThat(first).isNotDone();
+        goOn.countDown();
+        first.join();
+        waiting.forEach(one -> assertThat(one.join()).isEqualTo(Store.Outcome.HELD));
+        assertThat(store.stats().counters().syncs() - syncs).isLessThan(10); // many share one
+    }
+
+    @Test
+    void refusesAtOnceWhatItCannotTake() throws IOException {
+        open(disk, Bench.small().withLongestLife(10_000));
+        Store.Done none = (outcome, reason) -> { };
+        long now = System.currentTimeMillis();
+        assertThat(store.put(new byte[1], new byte[300], now + 5_000, none)).isEqualTo(Store.Refusal.TOO_LONG);
+        assertThat(store.put(new byte[1], new byte[3], 0, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
+        assertThat(store.put(new byte[1], new byte[3], now + 99_000, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
+        assertThat(store.put(new byte[1], new byte[3], now - 1, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
+        store.close();
+        assertThat(store.delete(new byte[1], none)).isEqualTo(Store.Refusal.CLOSED);
+        assertThat(store.get(new byte[1], got -> { })).isEqualTo(Store.Refusal.CLOSED);
+    }
+
+    @Test
+    void aFailureIsToldAndTheStoreComesBackByItself() throws Exception {
+        open(disk, Bench.small());
+        put("key", "old").join();
+        synchronized (disk) {
+            disk.failAt = disk.steps + 2;
+        }
+        assertThat(put("key", "new").join()).isEqualTo(Store.Outcome.IN_DOUBT);
+        assertThat(get("key").value()).isEqualTo(Bench.bytes("old"));
+        Store.Refusal refusal;
+        CompletableFuture<Store.Outcome> again = new CompletableFuture<>();
+        do {
+            refusal = store.put(Bench.bytes("key"), Bench.bytes("again"), 0, (o, r) -> again.complete(o));
+            assertThat(refusal).isIn(null, Store.Refusal.FAILED);
+            Thread.onSpinWait();
+        } while (refusal != null);
+        assertThat(again.join()).isIn(Store.Outcome.HELD, Store.Outcome.REFUSED);
+    }
+
+    @Test
+    void closingEndsWhatWasTaken() throws IOException {
+        open(disk, Bench.small());
+        List<CompletableFuture<Store.Outcome>> taken = new ArrayList<>();
+        for (int i = 0; i < 500; i++) {
+            taken.add(put("key " + i, "x"));
+        }
+        store.close();
+        taken.forEach(one -> assertThat(one.join()).isEqualTo(Store.Outcome.HELD));
+        assertThat(disk.list()).anyMatch(name -> name.endsWith(".checkpoint"));
+    }
+}
