--- a/server/src/main/java/wheatspread/commands/StoreCommand.java
+++ b/server/src/main/java/wheatspread/commands/StoreCommand.java
@@ -113,8 +113,8 @@
     }
 
     @Command(name = "dump", mixinStandardHelpOptions = true,
-        description = "Prints every key that lives as a line of JSON: key, value and expires_ms; what is no text "
-            + "stands as key64 and value64.",
+        description = {"Prints every key that lives as a line of JSON: key, value and expires_ms;",
+            "what is no text stands as key64 and value64."},
         exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:All were read.", "65:Some could not be."})
     static final class Dump extends OnFolder {
         @Option(names = "--prefix", paramLabel = "TEXT", description = "Only keys that begin so.")
--- a/server/src/main/java/wheatspread/disk/DiskFile.java
+++ b/server/src/main/java/wheatspread/disk/DiskFile.java
@@ -17,9 +17,10 @@
     int read(ByteBuffer to, long at) throws IOException;
 
     /**
-     * When it returns, all that was appended before outlives a crash of the machine. After a failure nothing
-     * is known of what was not synced, and a later success does not change that: the system may have dropped
-     * it (P. Rebello et al., "Can Applications Recover from fsync Failures?", USENIX ATC 2020).
+     * When it returns, all that was appended before outlives a crash of the machine. After a failure
+     * nothing is known of what was not synced, and a later success does not change that: the system may
+     * have dropped it (P. Rebello et al., "Can Applications Recover from fsync Failures?", USENIX ATC
+     * 2020).
      */
     void sync() throws IOException;
 
--- a/server/src/main/java/wheatspread/store/CheckpointJob.java
+++ b/server/src/main/java/wheatspread/store/CheckpointJob.java
@@ -7,8 +7,9 @@
 import wheatspread.disk.DiskFile;
 
 /**
- * Writes the index down, one of its tables at a time while the writer goes on: an entry may be older or newer
- * than the place of the log that the checkpoint names, and what the log says behind that place puts it right.
+ * Writes the index down, one of its tables at a time while the writer goes on: an entry may be older or
+ * newer than the place of the log that the checkpoint names, and what the log says behind that place puts
+ * it right.
  */
 final class CheckpointJob extends Job {
     private static final int CHUNK = 4_096;
@@ -33,7 +34,8 @@
      * @param segment all of the log before this number and offset is in the index
      * @param waits whether the writer has to sync, and then {@link #publish}
      */
-    CheckpointJob(Disk disk, Catalog catalog, long number, int segment, int offset, long nowMs, boolean waits) {
+    CheckpointJob(Disk disk, Catalog catalog, long number, int segment, int offset, long nowMs,
+        boolean waits) {
         this.disk = disk;
         this.catalog = catalog;
         this.name = Layout.checkpoint(number);
@@ -113,7 +115,8 @@
 
     /**
      * Gives the file its name. Entries may tell of writes that were acknowledged without a sync: then the
-     * writer syncs them first. Nobody else may, or a failure that the system tells once would miss the writer.
+     * writer syncs them first. Nobody else may, or a failure that the system tells once would miss the
+     * writer.
      */
     void publish() throws IOException {
         disk.rename(name + SegmentName.NEW, name);
--- a/server/src/main/java/wheatspread/store/Checkpoints.java
+++ b/server/src/main/java/wheatspread/store/Checkpoints.java
@@ -14,8 +14,8 @@
 import wheatspread.disk.DiskFile;
 
 /**
- * Files with the index as it stood at a place of the log. One that cannot be read whole is as if it were not
- * there: the log has everything.
+ * Files with the index as it stood at a place of the log. One that cannot be read whole is as if it were
+ * not there: the log has everything.
  */
 final class Checkpoints {
     static final int VERSION = 1;
@@ -201,8 +201,8 @@
         }
 
         /**
-         * Points an entry of this hash to where compaction has moved its record. Which one of several does not
-         * matter: each is moved, or taken away in the end.
+         * Points an entry of this hash to where compaction has moved its record. Which one of several does
+         * not matter: each is moved, or taken away in the end.
          */
         boolean repoint(Index index, Segment now, long hash, long to, int length, int expiry) {
             long[] from = new long[1];
--- a/server/src/main/java/wheatspread/store/CompactionJob.java
+++ b/server/src/main/java/wheatspread/store/CompactionJob.java
@@ -24,7 +24,8 @@
     private static final int MOST_RECORDS = 4_096;
 
     /** What a job has to know beside its run. */
-    record Terms(SegmentName name, long mark, boolean clear, Set<Integer> cutsNeeded, long nowMs, long lossUntil) {
+    record Terms(SegmentName name, long mark, boolean clear, Set<Integer> cutsNeeded, long nowMs,
+        long lossUntil) {
     }
 
     /** A record that has been copied into the group at {@code place}. */
--- a/server/src/main/java/wheatspread/store/CompactionPolicy.java
+++ b/server/src/main/java/wheatspread/store/CompactionPolicy.java
@@ -4,9 +4,10 @@
 
 /**
  * Which segments are worth rewriting. A run of neighbours is rewritten into one file; what that frees is
- * set against what it costs, which is reading all of the run and writing what lives (the benefit and cost of M.
- * Rosenblum and J. Ousterhout, "The Design and Implementation of a Log-Structured File System", ACM TOCS 10,
- * 1992, without its weight for age: a record here has an expiry, which tells more). No I/O, no clock.
+ * set against what it costs, which is reading all of the run and writing what lives (the benefit and cost
+ * of M. Rosenblum and J. Ousterhout, "The Design and Implementation of a Log-Structured File System", ACM
+ * TOCS 10, 1992, without its weight for age: a record here has an expiry, which tells more). No I/O, no
+ * clock.
  */
 final class CompactionPolicy {
     /** Segments in one run at most. */
--- a/server/src/main/java/wheatspread/store/Doubts.java
+++ b/server/src/main/java/wheatspread/store/Doubts.java
@@ -6,8 +6,8 @@
 
 /**
  * What damage has taken: keys, by their hash, of which a newer write than any that is left may have stood
- * there. Where the keys are not known, every key is in doubt whose entry is older than the damage. A doubt ends
- * when all that could have been lost has expired. No I/O, no clock; not for several threads.
+ * there. Where the keys are not known, every key is in doubt whose entry is older than the damage. A doubt
+ * ends when all that could have been lost has expired. No I/O, no clock; not for several threads.
  */
 final class Doubts {
     /** Beyond so many keys, all are in doubt. */
--- a/server/src/main/java/wheatspread/store/Frames.java
+++ b/server/src/main/java/wheatspread/store/Frames.java
@@ -68,7 +68,8 @@
     }
 
     /**
-     * The length counts too, or a damaged one could frame other bytes whose checksum happens to stand there.
+     * The length counts too, or a damaged one could frame other bytes whose checksum happens to stand
+     * there.
      */
     private static int checksum(int length, ByteBuffer body) {
         CRC32C crc = new CRC32C();
--- a/server/src/main/java/wheatspread/store/Headers.java
+++ b/server/src/main/java/wheatspread/store/Headers.java
@@ -31,7 +31,8 @@
     /**
      * The header, or null if neither block is whole.
      *
-     * @throws StoreException if the file is of a version that this program does not know, or of another name
+     * @throws StoreException if the file is of a version that this program does not know, or of another
+     *     name
      */
     static Format.SegmentHeader read(DiskFile file, SegmentName name) throws IOException {
         ByteBuffer all = ByteBuffer.allocate(SIZE);
--- a/server/src/main/java/wheatspread/store/Index.java
+++ b/server/src/main/java/wheatspread/store/Index.java
@@ -3,16 +3,16 @@
 import java.util.Arrays;
 
 /**
- * Where each key stands in the log, by the hash of the key: several keys may have the same hash, and who looks
- * up compares the keys themselves in the log. An ordered table with open addressing (O. Amble and D. E. Knuth,
- * "Ordered hash tables", The Computer Journal 17, 1974): the place asked for grows with the hash, so that
- * the entries of a table stand sorted, a search ends at the first greater one, and a deletion closes its gap.
- * An entry is three longs in one array, and nothing else is kept for a key.
+ * Where each key stands in the log, by the hash of the key: several keys may have the same hash, and who
+ * looks up compares the keys themselves in the log. An ordered table with open addressing (O. Amble and D.
+ * E. Knuth, "Ordered hash tables", The Computer Journal 17, 1974): the place asked for grows with the hash,
+ * so that the entries of a table stand sorted, a search ends at the first greater one, and a deletion
+ * closes its gap. An entry is three longs in one array, and nothing else is kept for a key.
  *
- * <p>The table is 64 tables by the upper bits of the hash, each grown by a quarter when it is four fifths full:
- * no moment needs much more memory than the entries, between 30 and 39 bytes each. Every method holds the
- * lock of the object, for a time that does not grow with the number of entries but for {@link #copy}, which
- * takes one of the 64 tables at a time.
+ * <p>The table is 64 tables by the upper bits of the hash, each grown by a quarter when it is four fifths
+ * full: no moment needs much more memory than the entries, between 30 and 39 bytes each. Every method holds
+ * the lock of the object, for a time that does not grow with the number of entries but for {@link #copy},
+ * which takes one of the 64 tables at a time.
  */
 public final class Index {
     /** Tables; what {@link #copy} and {@link #sweep} go by. */
--- a/server/src/main/java/wheatspread/store/Layout.java
+++ b/server/src/main/java/wheatspread/store/Layout.java
@@ -12,7 +12,8 @@
  * @param chain the files of the log in its order, disjoint
  * @param gaps the numbers before which some are missing: a file was lost
  * @param checkpoints their names, the newest first
- * @param leftovers what is to be deleted: files that others were written in place of, and those not finished
+ * @param leftovers what is to be deleted: files that others were written in place of, and those not
+ *     finished
  * @param aside damaged files that are kept for the operator
  */
 record Layout(List<SegmentName> chain, List<Integer> gaps, List<String> checkpoints, List<String> leftovers,
--- a/server/src/main/java/wheatspread/store/Log.java
+++ b/server/src/main/java/wheatspread/store/Log.java
@@ -17,8 +17,8 @@
 import wheatspread.logging.EventLog;
 
 /**
- * The store without its threads: one thread calls {@link #commit}, {@link #tick} and what ends a job, another
- * one runs the job that {@link #nextJob} gave, and any may {@link #get}. Its time is told to it.
+ * The store without its threads: one thread calls {@link #commit}, {@link #tick} and what ends a job,
+ * another one runs the job that {@link #nextJob} gave, and any may {@link #get}. Its time is told to it.
  */
 final class Log implements Closeable {
     private static final int SWEEP_CELLS = 4_096;
@@ -435,7 +435,8 @@
         if (state.mayRetry(nowMs)) {
             recover(nowMs);
         }
-        if (dirty && settings.sync() == StoreSettings.Sync.INTERVAL && nowMs - syncedAt >= settings.syncMs()) {
+        if (dirty && settings.sync() == StoreSettings.Sync.INTERVAL
+            && nowMs - syncedAt >= settings.syncMs()) {
             try {
                 sync((int) active.bytes, nowMs);
             } catch (IOException e) {
@@ -804,7 +805,9 @@
         }
     }
 
-    /** Seals what is written, and closes every file; what was acknowledged is there whether or not it fails. */
+    /**
+     * Seals what is written, and closes every file; what was acknowledged is there whether or not it fails.
+     */
     @Override
     public void close() throws IOException {
         try {
--- a/server/src/main/java/wheatspread/store/Offline.java
+++ b/server/src/main/java/wheatspread/store/Offline.java
@@ -15,7 +15,8 @@
     private Offline() { }
 
     /** A file of the log. */
-    public record FileLook(String name, long bytes, long liveBytes, long records, long latestExpiryMs, int cut) {
+    public record FileLook(String name, long bytes, long liveBytes, long records, long latestExpiryMs,
+        int cut) {
     }
 
     /**
@@ -42,7 +43,8 @@
 
     private static Look look(Disk disk, long nowMs, Recovery.Purpose purpose) throws IOException {
         List<String> findings = new ArrayList<>();
-        Log log = Log.open(disk, StoreSettings.DEFAULT, EventLog.lines(findings::add), RANDOM::nextLong, nowMs,
+        Log log = Log.open(disk, StoreSettings.DEFAULT, EventLog.lines(findings::add), RANDOM::nextLong,
+            nowMs,
             purpose);
         try {
             List<FileLook> files = log.catalog().chain().stream().map(one -> new FileLook(one.name.toString(),
@@ -84,10 +86,11 @@
     /**
      * Rewrites the log without what is dead, and the index with it.
      *
-     * @param acceptLoss forgets what is in doubt: a key that damage took is then absent, and an older value of it
-     *     counts again
+     * @param acceptLoss forgets what is in doubt: a key that damage took is then absent, and an older value
+     *     of it counts again
      */
-    public static Look compact(Disk disk, StoreSettings settings, long nowMs, boolean acceptLoss, EventLog events)
+    public static Look compact(Disk disk, StoreSettings settings, long nowMs, boolean acceptLoss,
+        EventLog events)
         throws IOException {
         Log log = Log.open(disk, settings, events, RANDOM::nextLong, nowMs, Recovery.Purpose.WORK);
         boolean done = false;
--- a/server/src/main/java/wheatspread/store/Recovery.java
+++ b/server/src/main/java/wheatspread/store/Recovery.java
@@ -108,7 +108,8 @@
     private Catalog catalog(long seed, List<DiskFile> files) throws IOException {
         Catalog fresh = new Catalog(seed);
         for (int i = 0; i < files.size(); i++) {
-            fresh.append(new Segment(fresh.newId(), layout.chain().get(i), files.get(i), files.get(i).size()));
+            fresh.append(new Segment(fresh.newId(), layout.chain().get(i), files.get(i),
+                files.get(i).size()));
         }
         return fresh;
     }
@@ -325,7 +326,8 @@
 
     /** What was done, for the log and the tools. */
     Report report() {
-        return new Report(catalog.chain().size(), catalog.index.size(), replayed, readBytes, cutBytes, damages,
+        return new Report(catalog.chain().size(), catalog.index.size(), replayed, readBytes, cutBytes,
+            damages,
             voids, checkpoint != null);
     }
 
--- a/server/src/main/java/wheatspread/store/SegmentScan.java
+++ b/server/src/main/java/wheatspread/store/SegmentScan.java
@@ -7,9 +7,10 @@
 import wheatspread.disk.DiskFile;
 
 /**
- * Reads one segment from a place to its end, step by step, and tells what a crash left from what was damaged.
- * A group is written only when all before it is on the disk (or says up to where): a bad place before that
- * was written once, and so is damage; a bad place behind it is a torn write that was never acknowledged.
+ * Reads one segment from a place to its end, step by step, and tells what a crash left from what was
+ * damaged. A group is written only when all before it is on the disk (or says up to where): a bad place
+ * before that was written once, and so is damage; a bad place behind it is a torn write that was never
+ * acknowledged.
  */
 final class SegmentScan {
     /** What the next step found; the fields are set accordingly. */
@@ -86,7 +87,8 @@
         sealed = header != null && !this.cut && isSealed(size);
         long limit = sealed ? size - SEAL_SIZE : this.cut ? Math.min(cut, size) : size;
         window = new Window(file, limit);
-        durable = sealed || this.cut || !newest || !name.isOriginal(); // rewritten ones are synced, then named
+        // a rewritten file is synced before it has its name
+        durable = sealed || this.cut || !newest || !name.isOriginal();
         next = Math.max(from, Headers.SIZE);
         groupEnd = next;
         tailLost = this.cut && size < cut; // acknowledged once, and not there
--- a/server/src/main/java/wheatspread/store/Store.java
+++ b/server/src/main/java/wheatspread/store/Store.java
@@ -14,9 +14,9 @@
 import wheatspread.logging.EventLog;
 
 /**
- * Keys and values of bytes with an expiry, kept in the files of one folder. Callers never wait: a write or a
- * read is taken or refused at once, and how it ended is told later, through the executor that was given. Three
- * threads do the work: one writes, one reads, and one rewrites old files and the index.
+ * Keys and values of bytes with an expiry, kept in the files of one folder. Callers never wait: a write or
+ * a read is taken or refused at once, and how it ended is told later, through the executor that was given.
+ * Three threads do the work: one writes, one reads, and one rewrites old files and the index.
  */
 public final class Store implements Closeable {
     /** How a write ended. */
@@ -145,7 +145,8 @@
             Recovery.Purpose.WORK);
         Recovery.Report report = files.recovered();
         log.info("store_opened", "keys", report.keys(), "segments", report.segments(), "replayed",
-            report.replayedRecords(), "read_bytes", report.readBytes(), "cut_bytes", report.cutBytes(), "damages",
+            report.replayedRecords(), "read_bytes", report.readBytes(), "cut_bytes", report.cutBytes(),
+                "damages",
             report.damages(), "checkpoint", report.fromCheckpoint(), "ms",
             (time.nanos() - begun) / 1_000_000);
         return new Store(files, settings, time, callbacks, log);
@@ -416,7 +417,8 @@
      * Writes and reads what was taken, leaves a checkpoint and closes the files. Blocks; not for the event
      * loop. The callbacks of what was taken may come later than this returns.
      *
-     * @throws IOException if the last file could not be ended well; what was acknowledged is there all the same
+     * @throws IOException if the last file could not be ended well; what was acknowledged is there all the
+     *     same
      */
     @Override
     public void close() throws IOException {
--- a/server/src/main/java/wheatspread/store/StoreSettings.java
+++ b/server/src/main/java/wheatspread/store/StoreSettings.java
@@ -4,21 +4,25 @@
  * How a store works. Sizes are bytes, times milliseconds.
  *
  * @param sync when what was written is made to last
- * @param syncMs for {@link Sync#INTERVAL}: how much of what was acknowledged a crash of the machine may take
+ * @param syncMs for {@link Sync#INTERVAL}: how much of what was acknowledged a crash of the machine may
+ *     take
  * @param segmentBytes a file of the log is sealed at this size
  * @param maxBytes all files together; beyond it writes are refused until room is made
  * @param minFreeBytes writes are refused while the disk has less to give
  * @param recordBytes the longest key with its value
- * @param queueRecords writes that may wait, and {@code queueBytes} for their sizes; the same number of reads
+ * @param queueRecords writes that may wait, and {@code queueBytes} for their sizes; the same number of
+ *     reads
  * @param groupRecords what is written and synced together at most, and {@code groupBytes} for the sizes
  * @param compactBytesPerS what compaction reads and writes a second at most
  * @param compactDeadShare a run of segments is rewritten when this share of it is dead
  * @param compactWaitMs one that will have expired whole within this time is left alone until then
  * @param checkpointBytes the index is written after so many bytes of log: what a start has to read at most
- * @param longestLifeMs writes must expire within it; 0 is no bound. It tells when damage has lost its meaning
+ * @param longestLifeMs writes must expire within it; 0 is no bound. It tells when damage has lost its
+ *     meaning
  */
 public record StoreSettings(Sync sync, long syncMs, int segmentBytes, long maxBytes, long minFreeBytes,
-    int recordBytes, int queueRecords, long queueBytes, int groupRecords, int groupBytes, long compactBytesPerS,
+    int recordBytes, int queueRecords, long queueBytes, int groupRecords, int groupBytes,
+    long compactBytesPerS,
     double compactDeadShare, long compactWaitMs, long checkpointBytes, long longestLifeMs) {
     /** When a write is acknowledged. */
     public enum Sync {
@@ -56,7 +60,8 @@
 
     private static void within(String name, long value, long least, long most) {
         if (value < least || value > most) {
-            throw new IllegalArgumentException(name + " is " + value + "; allowed is " + least + " to " + most);
+            throw new IllegalArgumentException(name + " is " + value + "; allowed is " + least + " to "
+                + most);
         }
     }
 
@@ -66,7 +71,8 @@
     }
 
     public StoreSettings withSync(Sync other, long everyMs) {
-        return new StoreSettings(other, everyMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, queueRecords,
+        return new StoreSettings(other, everyMs, segmentBytes, maxBytes, minFreeBytes, recordBytes,
+            queueRecords,
             queueBytes, groupRecords, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs,
             checkpointBytes, longestLifeMs);
     }
@@ -79,18 +85,22 @@
     }
 
     public StoreSettings withCompaction(long bytesPerS, double deadShare, long waitMs) {
-        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, queueRecords,
-            queueBytes, groupRecords, groupBytes, bytesPerS, deadShare, waitMs, checkpointBytes, longestLifeMs);
+        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes,
+            queueRecords,
+            queueBytes, groupRecords, groupBytes, bytesPerS, deadShare, waitMs, checkpointBytes,
+                longestLifeMs);
     }
 
     public StoreSettings withQueue(int records, long bytes, int perGroup) {
-        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, records, bytes,
+        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, records,
+            bytes,
             perGroup, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs, checkpointBytes,
             longestLifeMs);
     }
 
     public StoreSettings withLongestLife(long ms) {
-        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, queueRecords,
+        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes,
+            queueRecords,
             queueBytes, groupRecords, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs,
             checkpointBytes, ms);
     }
--- a/server/src/test/java/wheatspread/commands/StoreCommandTest.java
+++ b/server/src/test/java/wheatspread/commands/StoreCommandTest.java
@@ -64,7 +64,8 @@
         assertThat(run("check", folder.toString())).isZero();
         assertThat(out).contains("31 keys, nothing is lost");
         assertThat(run("dump", folder.toString(), "--prefix", "key 7")).isZero();
-        assertThat(new org.json.JSONObject(out).toMap()).isEqualTo(Map.of("key", "key 7", "value", "value 277",
+        assertThat(new org.json.JSONObject(out).toMap()).isEqualTo(Map.of("key", "key 7", "value",
+            "value 277",
             "expires_ms", 0));
         assertThat(run("dump", folder.toString())).isZero();
         assertThat(out.lines()).hasSize(31).anyMatch(line -> line.contains("\"key64\":\"/w==\""));
--- a/server/src/test/java/wheatspread/store/Bench.java
+++ b/server/src/test/java/wheatspread/store/Bench.java
@@ -12,8 +12,8 @@
 import wheatspread.logging.EventLog;
 
 /**
- * A store without threads on a faulty disk, beside a map that says what it must hold: for each key the value
- * that is certain, and those that a crash may bring.
+ * A store without threads on a faulty disk, beside a map that says what it must hold: for each key the
+ * value that is certain, and those that a crash may bring.
  */
 final class Bench {
     /** No value. */
@@ -165,7 +165,8 @@
             Held must = certain.getOrDefault(key, NOTHING).at(now);
             if (got.kind() == Store.Got.Kind.VALUE) {
                 if (!lossAllowed) {
-                    assertThat(new String(got.value(), StandardCharsets.UTF_8)).as(key).isEqualTo(must.value());
+                    assertThat(new String(got.value(),
+                        StandardCharsets.UTF_8)).as(key).isEqualTo(must.value());
                 }
             } else if (got.kind() == Store.Got.Kind.ABSENT && !lossAllowed) {
                 assertThat(must).as(key).isEqualTo(NOTHING);
--- a/server/src/test/java/wheatspread/store/FaultyDisk.java
+++ b/server/src/test/java/wheatspread/store/FaultyDisk.java
@@ -15,8 +15,8 @@
 import wheatspread.disk.DiskFile;
 
 /**
- * A disk in memory that counts each step, and fails, tears, fills up, stalls or crashes at any of them. What
- * was not synced when it crashes is kept, lost, or kept in part and out of order.
+ * A disk in memory that counts each step, and fails, tears, fills up, stalls or crashes at any of them.
+ * What was not synced when it crashes is kept, lost, or kept in part and out of order.
  */
 final class FaultyDisk implements Disk {
     /** What a crash does with what was not synced. */
--- a/server/src/test/java/wheatspread/store/StoreModelTest.java
+++ b/server/src/test/java/wheatspread/store/StoreModelTest.java
@@ -37,7 +37,8 @@
         Arbitrary<Action<Bench>> put = Combinators.combine(keys, values, lives).as((key, value, life) ->
             (Happening) bench -> bench.commit(key, value, life));
         Arbitrary<Action<Bench>> several = Combinators.combine(keys, keys, values, lives).as(
-            (one, other, value, life) -> (Happening) bench -> bench.commit(one, value, life, other, "b", 0, one,
+            (one, other, value, life) -> (Happening) bench -> bench.commit(one, value, life, other, "b", 0,
+                one,
                 null, 0, other, value, life));
         Arbitrary<Action<Bench>> delete = keys.map(key -> (Happening) bench -> bench.commit(key, null, 0));
         Arbitrary<Action<Bench>> time = Arbitraries.integers().between(0, 3_000)
@@ -54,7 +55,8 @@
                 bench.pass(1_000);
             }
         });
-        Arbitrary<Action<Bench>> failure = Arbitraries.integers().between(1, 6).map(in -> (Happening) bench -> {
+        Arbitrary<Action<Bench>> failure = Arbitraries.integers().between(1,
+            6).map(in -> (Happening) bench -> {
             bench.disk.failAt = bench.disk.steps + in;
         });
         Arbitrary<Action<Bench>> crash = Combinators.combine(Arbitraries.of(FaultyDisk.Unsynced.class),
--- a/server/src/test/java/wheatspread/store/StoreTest.java
+++ b/server/src/test/java/wheatspread/store/StoreTest.java
@@ -60,8 +60,8 @@
         }
         assertThat(put("last", "one").join()).isEqualTo(Store.Outcome.HELD);
         assertThatThrownBy(() -> Store.open(FolderDisk.of(folder), Bench.small(), Store.Time.SYSTEM, loop,
-            EventLog.NONE)).isInstanceOf(Disk.TakenException.class).hasMessageContaining("is in use by process "
-            + ProcessHandle.current().pid());
+            EventLog.NONE)).isInstanceOf(Disk.TakenException.class)
+            .hasMessageContaining("is in use by process " + ProcessHandle.current().pid());
         store.close();
         open(FolderDisk.of(folder), Bench.small());
         assertThat(get("last").value()).isEqualTo(Bench.bytes("one"));
@@ -107,9 +107,11 @@
         open(disk, Bench.small().withLongestLife(10_000));
         Store.Done none = (outcome, reason) -> { };
         long now = System.currentTimeMillis();
-        assertThat(store.put(new byte[1], new byte[300], now + 5_000, none)).isEqualTo(Store.Refusal.TOO_LONG);
+        assertThat(store.put(new byte[1], new byte[300], now + 5_000,
+            none)).isEqualTo(Store.Refusal.TOO_LONG);
         assertThat(store.put(new byte[1], new byte[3], 0, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
-        assertThat(store.put(new byte[1], new byte[3], now + 99_000, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
+        assertThat(store.put(new byte[1], new byte[3], now + 99_000,
+            none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
         assertThat(store.put(new byte[1], new byte[3], now - 1, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
         store.close();
         assertThat(store.delete(new byte[1], none)).isEqualTo(Store.Refusal.CLOSED);
--- a/server/src/test/java/wheatspread/store/UpkeepTest.java
+++ b/server/src/test/java/wheatspread/store/UpkeepTest.java
@@ -153,7 +153,8 @@
 
     @Test
     void thePolicyTakesTheRunThatFreesMostForItsCost() {
-        CompactionPolicy policy = new CompactionPolicy(StoreSettings.DEFAULT.withSizes(100_000, 1 << 20, 1_024)
+        CompactionPolicy policy = new CompactionPolicy(StoreSettings.DEFAULT.withSizes(100_000, 1 << 20,
+            1_024)
             .withCompaction(1 << 20, 0.5, 1_000));
         long never = Segment.NEVER;
         CompactionPolicy.Candidate full = new CompactionPolicy.Candidate(100_000, 99_000, never);
