Sync names before a restart deletes what was rewritten, and take batches of writes

A process that dies between a compaction's new name and its sync left a start that deleted the old files while the new name might still be lost; and a start trusted a seal that was not synced yet. Both were found by ending the process alone and then the machine, which the crash tests now do at every step. The lab measures the store beside MVStore and the bare disk.

--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -7,7 +7,8 @@
 @Command(name = "wheatspread-lab", mixinStandardHelpOptions = true, version = "0.1.0",
     description = "Measures the server beside stand-ins of the parties round it.",
     synopsisSubcommandLabel = "COMMAND", subcommands = {IdleCommand.class, CrowdCommand.class,
-        BenchCommand.class, DemoCommand.class, FleetCommand.class, StartCommand.class, HoldCommand.class})
+        BenchCommand.class, DemoCommand.class, FleetCommand.class, StartCommand.class, HoldCommand.class,
+        StoreCommand.class})
 public final class Lab implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/store/StoreRuns.java
@@ -0,0 +1,96 @@
+package wheatspread.lab.store;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import org.HdrHistogram.Histogram;
+import org.json.JSONObject;
+import wheatspread.store.StoreSettings;
+
+/** Groups of one size written by each of the writers in turns, on fresh files. */
+public final class StoreRuns {
+    public static final List<String> WRITERS = List.of("bare", "store", "mvstore");
+    private static final StoreSettings SETTINGS = StoreSettings.DEFAULT.withSizes(64 << 20, 4L << 30,
+        1L << 30);
+
+    private final Path folder;
+    private final int group;
+    private final long millis;
+    private long serial;
+
+    /** @param millis of each run */
+    public StoreRuns(Path folder, int group, long millis) {
+        this.folder = folder;
+        this.group = group;
+        this.millis = millis;
+    }
+
+    /** A key of 24 bytes. */
+    public static byte[] key(long number) {
+        return ByteBuffer.allocate(24).putLong(number * 0x9E3779B97F4A7C15L).putLong(number).array();
+    }
+
+    /** Writes a second and the latency of a group, the medians of all rounds; and the ratios. */
+    public JSONObject inTurns(int rounds) throws Exception {
+        Map<String, List<JSONObject>> all = new LinkedHashMap<>();
+        for (int i = 0; i <= rounds; i++) {
+            for (String one : WRITERS) {
+                JSONObject run = run(one);
+                if (i > 0) { // the first warms up
+                    all.computeIfAbsent(one, w -> new ArrayList<>()).add(run);
+                }
+            }
+        }
+        JSONObject figures = new JSONObject();
+        all.forEach((one, runs) -> figures.put(one, medians(runs)));
+        double own = figures.getJSONObject("store").getDouble("writes_per_s");
+        return figures.put("times_mvstore", own / figures.getJSONObject("mvstore").getDouble("writes_per_s"))
+            .put("bare_over_store", figures.getJSONObject("bare").getDouble("writes_per_s") / own);
+    }
+
+    private JSONObject run(String which) throws Exception {
+        Files.createDirectories(folder);
+        Path place = folder.resolve(which + "-" + serial++);
+        Histogram latency = new Histogram(3_600_000_000L, 3);
+        byte[] value = new byte[100];
+        long writes = 0;
+        long begun;
+        try (Writers writer = open(which, place)) {
+            begun = System.nanoTime();
+            for (long now = begun; now - begun < millis * 1_000_000; now = System.nanoTime()) {
+                byte[][] keys = new byte[group][];
+                for (int i = 0; i < group; i++) {
+                    keys[i] = key(writes++ % 200_000);
+                }
+                long from = System.nanoTime();
+                writer.write(keys, value);
+                latency.recordValue((System.nanoTime() - from) / 1_000);
+            }
+            begun = System.nanoTime() - begun;
+        }
+        return new JSONObject().put("writes_per_s", writes * 1e9 / begun).put("p50_us",
+            latency.getValueAtPercentile(50)).put("p99_us", latency.getValueAtPercentile(99));
+    }
+
+    private static Writers open(String which, Path place) throws IOException {
+        return switch (which) {
+            case "bare" -> Writers.bare(place);
+            case "store" -> Writers.store(place, SETTINGS);
+            default -> Writers.mvStore(place);
+        };
+    }
+
+    private static JSONObject medians(List<JSONObject> runs) {
+        JSONObject medians = new JSONObject();
+        for (String key : runs.get(0).keySet()) {
+            medians.put(key, runs.stream().mapToDouble(run -> run.getDouble(key)).sorted().toArray()[
+                runs.size() / 2]);
+        }
+        return medians;
+    }
+}
--- a/server/src/main/java/wheatspread/store/Checkpoints.java
+++ b/server/src/main/java/wheatspread/store/Checkpoints.java
@@ -94,6 +94,8 @@
             if (!loaded.files(end.getEnd())) {
                 return null;
             }
+            // an entry takes 28 bytes here, so that no wrong number asks for more than the file has
+            into.index.reserve((int) Math.min(end.getEnd().getEntries(), size / 28));
             long entries = 0;
             long at = PREAMBLE + Frames.sizeOf(head.getSerializedSize());
             while (at < endAt) {
--- a/server/src/main/java/wheatspread/store/Index.java
+++ b/server/src/main/java/wheatspread/store/Index.java
@@ -70,6 +70,20 @@
         return bytes;
     }
 
+    /**
+     * Makes room for so many entries, of an empty index: entries that come sorted would else crowd the lower
+     * part of each table as it grows.
+     */
+    public synchronized void reserve(int entries) {
+        double mean = entries / (double) TABLES;
+        int each = (int) Math.ceil((mean + 4 * Math.sqrt(mean)) / FULLEST);
+        for (Table table : tables) {
+            if (each > table.capacity) {
+                table.allot(each);
+            }
+        }
+    }
+
     /** Adds an entry, whether or not there is one with this hash. */
     public synchronized void add(long hash, long at, int length, int expiry) {
         table(hash).add(hash, at, pack(length, expiry));
--- a/server/src/main/java/wheatspread/store/Recovery.java
+++ b/server/src/main/java/wheatspread/store/Recovery.java
@@ -57,6 +57,7 @@
     void run(LongSupplier random) throws IOException {
         layout = Layout.of(disk.list());
         if (purpose == Purpose.WORK) {
+            disk.syncNames(); // what a file was written in place of goes only when its own name lasts
             for (String name : layout.leftovers()) {
                 disk.delete(name);
             }
@@ -101,7 +102,7 @@
         replay();
         count();
         if (newest != null && purpose == Purpose.WORK) {
-            newest.file.sync(); // a reader may see it from now on
+            newest.file.sync(); // a reader may see it from now on, and its seal is trusted
         }
     }
 
@@ -206,8 +207,8 @@
             segment.bytes = Math.min(size, scan.at);
             cutBytes += size - segment.bytes;
         }
+        newest = isNewest ? segment : newest;
         if (isNewest && scan.end != SegmentScan.End.SEALED) {
-            newest = segment;
             segment.cut = (int) segment.bytes;
             pendingCuts.put(segment.name.first(), segment.cut);
             if (size > segment.bytes) {
--- a/server/src/main/java/wheatspread/store/Store.java
+++ b/server/src/main/java/wheatspread/store/Store.java
@@ -160,39 +160,78 @@
      * @return null if it is taken
      */
     public Refusal put(byte[] key, byte[] value, long expiresMs, Done done) {
-        long life = settings.longestLifeMs();
-        long now = time.nowMs();
-        if (expiresMs < 0 || expiresMs > 0 && expiresMs <= now
-            || life > 0 && (expiresMs == 0 || expiresMs > now + life)) {
-            return Refusal.BAD_EXPIRY;
-        }
-        return mode == WriteState.Mode.FULL ? Refusal.FULL : take(new Write(key, value, expiresMs, done));
+        return batch().put(key, value, expiresMs, done).send();
     }
 
     /** Takes a key away; as {@link #put}. What makes room is taken in a full store, too. */
     public Refusal delete(byte[] key, Done done) {
-        return take(new Write(key, null, 0, done));
+        return batch().delete(key, done).send();
+    }
+
+    /** An empty batch. */
+    public Batch batch() {
+        return new Batch();
     }
 
-    private Refusal take(Write write) {
-        if (write.size() > settings.recordBytes()) {
-            return Refusal.TOO_LONG;
+    /**
+     * Writes that are taken or refused together, and that share a sync as far as a group reaches: what one
+     * turn of an event loop has to write. Each of them is held or not by itself.
+     */
+    public final class Batch {
+        private final List<Write> all = new ArrayList<>(1);
+        private long bytes;
+        private boolean puts;
+        private Refusal wrong;
+
+        private Batch() { }
+
+        /** As {@link Store#put}. */
+        public Batch put(byte[] key, byte[] value, long expiresMs, Done done) {
+            long life = settings.longestLifeMs();
+            long now = expiresMs == 0 && life == 0 ? 0 : time.nowMs();
+            if (expiresMs < 0 || expiresMs > 0 && expiresMs <= now
+                || life > 0 && (expiresMs == 0 || expiresMs > now + life)) {
+                wrong = Refusal.BAD_EXPIRY;
+            }
+            puts = true;
+            return add(new Write(key, value, expiresMs, done));
         }
-        if (mode == WriteState.Mode.FAILED) {
-            return Refusal.FAILED;
+
+        /** As {@link Store#delete}. */
+        public Batch delete(byte[] key, Done done) {
+            return add(new Write(key, null, 0, done));
         }
+
+        private Batch add(Write write) {
+            if (write.size() > settings.recordBytes()) {
+                wrong = Refusal.TOO_LONG;
+            }
+            bytes += write.size();
+            all.add(write);
+            return this;
+        }
+
+        /** Hands them over; unless it returns null, none was taken and nobody is told anything. */
+        public Refusal send() {
+            return wrong != null ? wrong : mode == WriteState.Mode.FAILED ? Refusal.FAILED
+                : puts && mode == WriteState.Mode.FULL ? Refusal.FULL : take(all, bytes);
+        }
+    }
+
+    private Refusal take(List<Write> some, long bytes) {
         synchronized (writes) {
             if (closing) {
                 return Refusal.CLOSED;
             }
-            if (writes.size() >= settings.queueRecords()
-                || waitingBytes + write.size() > settings.queueBytes()) {
-                refusedFull++;
+            if (writes.size() + some.size() > settings.queueRecords()
+                || waitingBytes + bytes > settings.queueBytes()) {
+                refusedFull += some.size();
                 return Refusal.QUEUE_FULL;
             }
-            waitingBytes += write.size();
-            writes.add(write);
-            if (writes.size() == 1) {
+            waitingBytes += bytes;
+            boolean idle = writes.isEmpty();
+            writes.addAll(some);
+            if (idle) {
                 writes.notifyAll();
             }
         }
@@ -443,6 +482,28 @@
         }
     }
 
+    /** Ends the threads and lets go of the folder as a crash would: what waits is told nothing. */
+    public void abandon() {
+        synchronized (writes) {
+            closing = true;
+            writes.clear();
+            writes.notifyAll();
+        }
+        synchronized (readsLock) {
+            stopped = true;
+            reads.clear();
+            readsLock.notifyAll();
+        }
+        join(writer);
+        join(background);
+        join(reader);
+        try {
+            files.shut();
+        } catch (IOException e) {
+            log.warn("store_close_failed", "reason", e.toString());
+        }
+    }
+
     private static void join(Thread thread) {
         try {
             thread.join();
--- a/server/src/test/java/wheatspread/store/CrashTest.java
+++ b/server/src/test/java/wheatspread/store/CrashTest.java
@@ -46,6 +46,7 @@
 
     /** What was found goes on to be a store: it takes writes, and holds them after another crash. */
     private static void goesOn(Bench bench, long seed) throws IOException {
+        recovered(bench, FaultyDisk.Unsynced.REORDERED, seed); // what was read is there for good
         bench.turns(new Random(seed), 12);
         bench.check(false);
         bench.restart(FaultyDisk.Unsynced.LOST, seed);
@@ -79,7 +80,7 @@
     @EnumSource
     void aCrashAtEveryStepLeavesWhatWasAcknowledged(FaultyDisk.Unsynced how) throws IOException {
         Bench bench = new Bench(Bench.small(), 1);
-        int seeds = how == FaultyDisk.Unsynced.REORDERED ? 4 : 1;
+        int seeds = how == FaultyDisk.Unsynced.REORDERED || how == FaultyDisk.Unsynced.PROCESS ? 4 : 1;
         bench.disk.atStep = each(place -> {
             for (int seed = 0; seed < seeds; seed++) {
                 goesOn(recovered(bench, how, seed), place);
@@ -93,7 +94,8 @@
     void aCrashInTheRestartItselfChangesNothing() throws IOException {
         Bench bench = new Bench(Bench.small(), 1);
         bench.disk.atStep = each(place -> {
-            Bench again = bench.crashedHere(FaultyDisk.Unsynced.REORDERED, place);
+            Bench again = bench.crashedHere(place % 2 == 0 ? FaultyDisk.Unsynced.PROCESS
+                : FaultyDisk.Unsynced.REORDERED, place);
             again.disk.atStep = each(second -> goesOn(recovered(again, FaultyDisk.Unsynced.REORDERED, second),
                 place));
             again.open();
--- a/server/src/test/java/wheatspread/store/FaultyDisk.java
+++ b/server/src/test/java/wheatspread/store/FaultyDisk.java
@@ -5,12 +5,13 @@
 import java.nio.ByteBuffer;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.IdentityHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.TreeMap;
-import java.util.function.Consumer;
 import java.util.function.Supplier;
+import java.util.function.UnaryOperator;
 import wheatspread.disk.Disk;
 import wheatspread.disk.DiskFile;
 
@@ -19,8 +20,13 @@
  * What was not synced when it crashes is kept, lost, or kept in part and out of order.
  */
 final class FaultyDisk implements Disk {
-    /** What a crash does with what was not synced. */
-    enum Unsynced { KEPT, LOST, REORDERED }
+    /** What a crash does with what was not synced; PROCESS is that of the process alone. */
+    enum Unsynced { KEPT, LOST, REORDERED, PROCESS }
+
+    /** A change of names, on files that another disk has copies of. */
+    private interface Change {
+        void to(Map<String, Node> names, UnaryOperator<Node> copies);
+    }
 
     /** The machine is gone. */
     static final class Crash extends Error {
@@ -38,7 +44,7 @@
     private final Map<String, Node> names = new TreeMap<>();
     private Map<String, Node> syncedNames = new TreeMap<>();
     /** What was done to names since they were synced: any part of it may last. */
-    private final List<Consumer<Map<String, Node>>> unsyncedNames = new ArrayList<>();
+    private final List<Change> unsyncedNames = new ArrayList<>();
     private final Random random;
     private boolean locked;
     private boolean crashed;
@@ -65,13 +71,23 @@
     /** What a new process finds after a crash, or after a process that just ended where all is kept. */
     FaultyDisk restarted(Unsynced how, long seed) {
         FaultyDisk disk = new FaultyDisk(seed);
-        Map<String, Node> left = how == Unsynced.KEPT ? names : new TreeMap<>(syncedNames);
+        Map<Node, Node> copied = new IdentityHashMap<>();
+        UnaryOperator<Node> copies = node -> copied.computeIfAbsent(node, one -> disk.after(one, how));
+        Map<String, Node> left = new TreeMap<>();
+        boolean all = how == Unsynced.KEPT || how == Unsynced.PROCESS;
+        (all ? names : syncedNames).forEach((name, node) -> left.put(name, copies.apply(node)));
         if (how == Unsynced.REORDERED) {
             unsyncedNames.stream().filter(change -> disk.random.nextBoolean())
-                .forEach(change -> change.accept(left));
+                .forEach(change -> change.to(left, copies));
+        }
+        disk.names.putAll(left);
+        if (how == Unsynced.PROCESS) {
+            syncedNames.forEach((name, node) -> disk.syncedNames.put(name, copies.apply(node)));
+            unsyncedNames.forEach(change -> disk.unsyncedNames.add((names, further) ->
+                change.to(names, node -> further.apply(copies.apply(node)))));
+        } else {
+            disk.syncedNames = new TreeMap<>(left);
         }
-        left.forEach((name, node) -> disk.names.put(name, disk.after(node, how)));
-        disk.syncedNames = new TreeMap<>(disk.names);
         return disk;
     }
 
@@ -91,7 +107,7 @@
                 }
             }
         }
-        after.synced = length;
+        after.synced = how == Unsynced.PROCESS ? node.synced : length;
         return after;
     }
 
@@ -127,8 +143,8 @@
         }
     }
 
-    private void change(Consumer<Map<String, Node>> change) {
-        change.accept(names);
+    private void change(Change change) {
+        change.to(names, UnaryOperator.identity());
         unsyncedNames.add(change);
     }
 
@@ -145,7 +161,7 @@
             throw new IOException(name + " is there");
         }
         Node node = new Node();
-        change(all -> all.put(name, node));
+        change((all, copies) -> all.put(name, copies.apply(node)));
         return new File(node);
     }
 
@@ -161,7 +177,7 @@
     @Override
     public synchronized void rename(String from, String to) throws IOException {
         step();
-        change(all -> {
+        change((all, copies) -> {
             if (all.containsKey(from)) {
                 all.put(to, all.remove(from));
             }
@@ -175,7 +191,7 @@
             return;
         }
         step();
-        change(all -> all.remove(name));
+        change((all, copies) -> all.remove(name));
     }
 
     @Override
