--- a/Makefile
+++ b/Makefile
@@ -27,3 +27,5 @@
 	java -jar lab/target/wheatspread-lab.jar bench --name idle-structures
 	java -jar lab/target/wheatspread-lab.jar start --half
 	java -jar lab/target/wheatspread-lab.jar fleet
+	java -jar lab/target/wheatspread-lab.jar store --rounds 5
+	java -jar lab/target/wheatspread-lab.jar bench IndexBenchmark --name store-index
