Store: one piece of code each for losses, expiry, hashes, marks and failed jobs

Read again: what a lost record does stood in recovery and in compaction, the test of an expiry in six places, the hash of a scanned record in four, the end of a doubt and the drawing of a mark in two; the reserve took a size that was always 0, and the list of damaged files repeated a flag. Each stands once.

--- a/server/src/main/java/wheatspread/store/Catalog.java
+++ b/server/src/main/java/wheatspread/store/Catalog.java
@@ -35,6 +35,11 @@
         return hash == 0 ? 1 : hash;
     }
 
+    /** That of a scanned record: as its group tells it, or worked out where the group's frame is lost. */
+    long hash(SegmentScan scan) {
+        return scan.hash != 0 ? scan.hash : hash(scan.record.getKey().toByteArray());
+    }
+
     int newId() {
         return ++ids;
     }
@@ -131,14 +136,23 @@
     }
 
     /**
-     * Takes away the entries of a hash that are older than a place of the log, or stand right there.
+     * Takes it that newer writes of some keys, or of any key, stood at a place of the log.
      *
-     * @param there whether the entry at the place itself goes, too
+     * @param at up to there entries of the known keys go
+     * @param segment where the doubt stands, with {@code offset}
      */
-    void dropBefore(long hash, long at, boolean there) {
+    void lose(LongArrayList hashes, boolean all, long untilMs, long at, int segment, int offset) {
+        for (int i = 0; i < hashes.size(); i++) {
+            dropUpTo(hashes.getLong(i), at);
+        }
+        doubts.take(hashes, all, untilMs, segment, offset);
+    }
+
+    /** Takes away the entries of a hash that are older than a place of the log, or stand right there. */
+    private void dropUpTo(long hash, long at) {
         LongArrayList older = new LongArrayList(2, 0);
         index.find(hash, (h, place, length, expiry) -> {
-            if (byId(Index.file(place)) == null || isBefore(place, at) || there && place == at) {
+            if (byId(Index.file(place)) == null || isBefore(place, at) || place == at) {
                 older.addLong(place);
                 died(place, length);
             }
@@ -180,6 +194,11 @@
             && record.getKey().asReadOnlyByteBuffer().equals(ByteBuffer.wrap(key));
     }
 
+    /** Whether a time has come; 0 never does. */
+    static boolean isOver(long untilMs, long nowMs) {
+        return untilMs != 0 && untilMs <= nowMs;
+    }
+
     /** Seconds since 1970 when something has expired for sure; 0 for never. */
     static int expirySeconds(long expiresMs) {
         return expiresMs == 0 ? 0 : (int) Math.min(0xFFFF_FFFFL, expiresMs / 1000 + 1);
--- a/server/src/main/java/wheatspread/store/CompactionJob.java
+++ b/server/src/main/java/wheatspread/store/CompactionJob.java
@@ -120,14 +120,14 @@
         Format.Record record = at.record;
         switch (record.getKind()) {
             case PUT -> {
-                long hash = at.hash != 0 ? at.hash : catalog.hash(record.getKey().toByteArray());
+                long hash = catalog.hash(at);
                 long from = Index.at(run.get(input).id, (int) at.at);
                 long expires = record.getExpiresMs();
-                if (expires != 0 && expires <= terms.nowMs()) {
+                if (Catalog.isOver(expires, terms.nowMs())) {
                     // an older value must not come back, whether or not this one has been counted out
                     expired.addLong(hash);
                     expired.addLong(from);
-                    delete(hash, record);
+                    delete(at);
                 } else if (catalog.index.has(hash, from)) {
                     int place = group.add(hash, record);
                     pending.add(new Copy(hash, from, place, group.length(place),
@@ -136,7 +136,7 @@
                     latestExpiry = Math.max(latestExpiry, expires == 0 ? Segment.NEVER : expires);
                 }
             }
-            case DELETE -> delete(at.hash, record);
+            case DELETE -> delete(at);
             case CUT -> {
                 Map<Integer, Integer> kept = new TreeMap<>();
                 record.getCutsList().stream().filter(cut -> terms.cutsNeeded().contains(cut.getSegment()))
@@ -146,8 +146,7 @@
                 }
             }
             case DOUBT -> {
-                long until = record.getDoubt().getUntilMs();
-                if (!dropsDoubts && (until == 0 || until > terms.nowMs())) {
+                if (!dropsDoubts && !Catalog.isOver(record.getDoubt().getUntilMs(), terms.nowMs())) {
                     group.add(0, record);
                 }
             }
@@ -156,10 +155,9 @@
     }
 
     /** What says that a key is gone is needed while an older file may still hold it. */
-    private void delete(long hash, Format.Record record) {
+    private void delete(SegmentScan at) {
         if (!terms.clear()) {
-            group.add(hash != 0 ? hash : catalog.hash(record.getKey().toByteArray()),
-                record.getKey().toByteArray(), null, 0);
+            group.add(catalog.hash(at), at.record.getKey().toByteArray(), null, 0);
         }
     }
 
@@ -220,7 +218,8 @@
             result.latestExpiryMs = latestExpiry;
             catalog.announce(result);
             synchronized (catalog.index) {
-                losses.forEach(this::lose);
+                losses.forEach(one -> catalog.lose(one.hashes(), one.all(), terms.lossUntil(), one.from(),
+                    terms.name().first(), one.place()));
             }
             for (int i = 0; i < expired.size(); i += 2) {
                 catalog.index.remove(expired.getLong(i), expired.getLong(i + 1));
@@ -243,13 +242,6 @@
         return false;
     }
 
-    private void lose(Loss loss) {
-        for (int i = 0; i < loss.hashes().size(); i++) {
-            catalog.dropBefore(loss.hashes().getLong(i), loss.from(), true);
-        }
-        catalog.doubts.take(loss.hashes(), loss.all(), terms.lossUntil(), terms.name().first(), loss.place());
-    }
-
     /** The files it was made of: to be deleted, or kept aside where they were damaged. */
     List<Segment> run() {
         return run;
--- a/server/src/main/java/wheatspread/store/CompactionPolicy.java
+++ b/server/src/main/java/wheatspread/store/CompactionPolicy.java
@@ -33,8 +33,8 @@
     }
 
     /** Whether so much space is in use that even little dead matter is worth a rewrite. */
-    boolean isPressed(long usedBytes, long indexBytes) {
-        return usedBytes + settings.reserve(indexBytes) > settings.maxBytes() * 0.75;
+    boolean isPressed(long usedBytes) {
+        return usedBytes + settings.reserve() > settings.maxBytes() * 0.75;
     }
 
     /** The run to rewrite next, or null; {@code sealed} are neighbours in the log's order. */
--- a/server/src/main/java/wheatspread/store/Doubts.java
+++ b/server/src/main/java/wheatspread/store/Doubts.java
@@ -47,25 +47,17 @@
         return allUntil > nowMs && compare(atSegment, atOffset, segment, offset) < 0;
     }
 
-    /** Forgets what has ended, or everything at the end of time. */
+    /** Forgets what has ended. */
     void age(long nowMs) {
         keys.values().removeIf(until -> until <= nowMs);
         if (allUntil <= nowMs) {
             allUntil = 0;
-            segment = 0;
-            offset = 0;
         }
     }
 
     void clear() {
         keys.clear();
         allUntil = 0;
-        segment = 0;
-        offset = 0;
-    }
-
-    boolean isEmpty() {
-        return keys.isEmpty() && allUntil == 0;
     }
 
     int size() {
--- a/server/src/main/java/wheatspread/store/Log.java
+++ b/server/src/main/java/wheatspread/store/Log.java
@@ -105,14 +105,12 @@
     }
 
     private void settle(Recovery recovery, long nowMs, boolean mayChange) throws IOException {
-        for (String name : recovery.layout().checkpoints()) {
-            checkpointNumber = Math.max(checkpointNumber, Layout.checkpointNumber(name));
-            checkpointName = checkpointName == null ? name : checkpointName;
-        }
         for (String name : recovery.layout().aside()) {
             other(name);
         }
-        if (checkpointName != null) {
+        if (!recovery.layout().checkpoints().isEmpty()) {
+            checkpointName = recovery.layout().checkpoints().get(0); // the newest
+            checkpointNumber = Layout.checkpointNumber(checkpointName);
             other(checkpointName);
             toDelete.addAll(recovery.layout().checkpoints());
             toDelete.remove(checkpointName);
@@ -136,9 +134,7 @@
         try {
             runNow(nowMs);
         } catch (IOException e) {
-            if (job != null) {
-                jobFailed(e, nowMs);
-            }
+            return; // it is told, and nothing is lost: the next start finds what this one did
         }
     }
 
@@ -155,7 +151,7 @@
 
     /** Writes a group, and tells each of its writes how it ended. */
     void commit(List<Write> writes, long nowMs) {
-        List<Write> taken = admit(writes, nowMs);
+        List<Write> taken = admit(writes);
         if (taken.isEmpty()) {
             return;
         }
@@ -181,16 +177,16 @@
         apply(taken);
     }
 
-    private List<Write> admit(List<Write> writes, long nowMs) {
+    private List<Write> admit(List<Write> writes) {
         List<Write> taken = new ArrayList<>(writes.size());
         long used = usedBytes();
         for (Write write : writes) {
             WriteState.Mode mode = state.mode();
-            long size = write.size() + 64L;
+            long size = write.room();
             if (state.mustRecover() || mode == WriteState.Mode.FULL && write.value != null) {
                 write.end(Store.Outcome.REFUSED, mode == WriteState.Mode.FULL ? "the disk is full"
                     : "the disk fails");
-            } else if (write.value != null && used + size + settings.reserve(0) > settings.maxBytes()) {
+            } else if (write.value != null && used + size + settings.reserve() > settings.maxBytes()) {
                 state.room(false);
                 write.end(Store.Outcome.REFUSED, "the store is full");
             } else {
@@ -220,7 +216,7 @@
     private void makeRoom(List<Write> taken) throws IOException {
         long size = 0;
         for (Write write : taken) {
-            size += write.size() + 64;
+            size += write.room();
         }
         if (active != null && active.bytes > Headers.SIZE && active.bytes + size > settings.segmentBytes()) {
             seal();
@@ -247,9 +243,7 @@
         active = new Segment(catalog.newId(), name, file, Headers.SIZE);
         catalog.append(active);
         nextNumber++;
-        do {
-            mark = random.getAsLong();
-        } while (mark == 0);
+        mark = newMark();
         file.append(Headers.write(name, catalog.seed, mark, 0));
         file.sync();
         disk.syncNames();
@@ -257,6 +251,12 @@
         dirty = false;
     }
 
+    /** Begins every group of one file; 0 stands for none. */
+    private long newMark() {
+        long drawn = random.getAsLong();
+        return drawn == 0 ? 1 : drawn;
+    }
+
     /** The writes' frames, behind what has to be said first. */
     private void encode(List<Write> taken) {
         group.begin(taken.size() + 1);
@@ -422,7 +422,7 @@
         if (!Catalog.isKey(there, key)) {
             return null;
         }
-        if (there.getExpiresMs() != 0 && there.getExpiresMs() <= nowMs) {
+        if (Catalog.isOver(there.getExpiresMs(), nowMs)) {
             return place.inDoubt() ? Store.Got.DOUBTFUL : Store.Got.ABSENT;
         }
         return new Store.Got(place.inDoubt() ? Store.Got.Kind.DOUBTFUL : Store.Got.Kind.VALUE,
@@ -498,7 +498,7 @@
             }
         }
         boolean was = state.mode() == WriteState.Mode.FULL;
-        state.room(diskHasRoom && usedBytes() + settings.reserve(0) <= settings.maxBytes());
+        state.room(diskHasRoom && usedBytes() + settings.reserve() <= settings.maxBytes());
         boolean is = state.mode() == WriteState.Mode.FULL;
         if (was != is) {
             log.warn(is ? "store_full" : "store_has_room", "used", usedBytes(), "live", catalog.liveBytes(),
@@ -563,7 +563,7 @@
     }
 
     private Job compactionOrNull(long nowMs) {
-        boolean pressed = policy.isPressed(usedBytes(), 0);
+        boolean pressed = policy.isPressed(usedBytes());
         for (List<Segment> part : sealedRuns()) {
             List<CompactionPolicy.Candidate> candidates = part.stream().map(one ->
                 new CompactionPolicy.Candidate(one.bytes, one.liveBytes, one.latestExpiryMs)).toList();
@@ -602,11 +602,9 @@
                 cutsNeeded.add(one.name.first());
             }
         }
-        long until = settings.longestLifeMs() == 0 ? 0 : nowMs + settings.longestLifeMs();
-        long outMark = random.getAsLong();
         return new CompactionJob(disk, catalog, run, new CompactionJob.Terms(new SegmentName(first, last,
-            generation), outMark == 0 ? 1 : outMark, catalog.isClearBefore(first, nowMs), cutsNeeded, nowMs,
-            until));
+            generation), newMark(), catalog.isClearBefore(first, nowMs), cutsNeeded, nowMs,
+            settings.lossUntil(nowMs)));
     }
 
     /** Rewrites everything now, in runs that make a segment each; the caller waits. */
@@ -624,12 +622,7 @@
             CompactionJob compaction = compaction(run, nowMs);
             compaction.dropDoubts(acceptLoss);
             job = compaction;
-            try {
-                runNow(nowMs);
-            } catch (IOException e) {
-                jobFailed(e, nowMs);
-                throw e;
-            }
+            runNow(nowMs);
         }
     }
 
@@ -654,16 +647,23 @@
         return List.of();
     }
 
-    /** Does the job on this thread, and clears up behind it. */
+    /** Does the job on this thread, and clears up behind it; a job that failed has been given up. */
     private void runNow(long nowMs) throws IOException {
-        while (job.step()) {
-            continue;
-        }
-        jobDone();
-        while (installing) {
-            install(nowMs);
+        try {
+            while (job.step()) {
+                continue;
+            }
+            jobDone();
+            while (installing) {
+                install(nowMs);
+            }
+            clear();
+        } catch (IOException e) {
+            if (job != null) {
+                jobFailed(e, nowMs);
+            }
+            throw e;
         }
-        clear();
     }
 
     /** The job has come to its end on its thread; the writer's part of it follows. */
@@ -777,9 +777,7 @@
         try {
             runNow(nowMs);
         } catch (IOException e) {
-            if (job != null) {
-                jobFailed(e, nowMs);
-            }
+            return; // it is told, and nothing is lost: the next start finds what this one did
         }
     }
 
--- a/server/src/main/java/wheatspread/store/Offline.java
+++ b/server/src/main/java/wheatspread/store/Offline.java
@@ -71,7 +71,7 @@
                         Index.offset(place[0]), (int) place[1]);
                     if (record == null) {
                         unread[0]++;
-                    } else if (record.getExpiresMs() == 0 || record.getExpiresMs() > nowMs) {
+                    } else if (!Catalog.isOver(record.getExpiresMs(), nowMs)) {
                         to.accept(new Entry(record.getKey().toByteArray(), record.getValue().toByteArray(),
                             record.getExpiresMs()));
                     }
--- a/server/src/main/java/wheatspread/store/Recovery.java
+++ b/server/src/main/java/wheatspread/store/Recovery.java
@@ -25,7 +25,6 @@
 
     private Catalog catalog;
     private final TreeMap<Integer, Integer> pendingCuts = new TreeMap<>();
-    private final List<Segment> damaged = new ArrayList<>();
     private final Map<Integer, Integer> cuts = new HashMap<>();
     private Layout layout;
     private Checkpoints.Loaded checkpoint;
@@ -134,7 +133,7 @@
         for (int gap : layout.gaps()) {
             log.error("store_file_lost", "before", gap);
             damages++;
-            catalog.doubts.addAll(until(), gap, 0);
+            catalog.doubts.addAll(settings.lossUntil(now), gap, 0);
         }
         for (int i = 0; i <= last; i++) {
             replay(chain.get(i), i == last);
@@ -223,58 +222,40 @@
         }
     }
 
-    private long until() {
-        return settings.longestLifeMs() == 0 ? 0 : now + settings.longestLifeMs();
-    }
-
     private void damage(Segment segment, SegmentScan scan) {
         damages++;
         segment.damaged = true;
-        if (!damaged.contains(segment)) {
-            damaged.add(segment);
-        }
         log.error("store_damage", "file", segment.name, "at", scan.at, "keys",
             scan.lostAll ? "unknown" : scan.lost.size());
-        doubt(scan.lost, scan.lostAll, until(), segment, (int) scan.at);
-    }
-
-    private void doubt(LongArrayList lost, boolean all, long until, Segment segment, int offset) {
-        long at = Index.at(segment.id, offset);
-        for (int i = 0; i < lost.size(); i++) {
-            catalog.dropBefore(lost.getLong(i), at, false);
-        }
-        catalog.doubts.take(lost, all, until, segment.name.first(), offset);
+        int offset = (int) scan.at;
+        catalog.lose(scan.lost, scan.lostAll, settings.lossUntil(now), Index.at(segment.id, offset),
+            segment.name.first(), offset);
     }
 
     private void apply(Segment segment, SegmentScan scan, boolean again) throws IOException {
         Format.Record record = scan.record;
-        int offset = (int) scan.at;
+        long at = Index.at(segment.id, (int) scan.at);
         switch (record.getKind()) {
             case PUT -> {
                 segment.saw(record.getExpiresMs());
-                byte[] key = record.getKey().toByteArray();
-                long hash = scan.hash != 0 ? scan.hash : catalog.hash(key);
-                long at = Index.at(segment.id, offset);
-                boolean living = record.getExpiresMs() == 0 || record.getExpiresMs() > now;
+                long hash = catalog.hash(scan);
+                boolean living = !Catalog.isOver(record.getExpiresMs(), now);
                 int expiry = Catalog.expirySeconds(record.getExpiresMs());
                 if (again && checkpoint.repoint(catalog.index, segment, hash, at, scan.length, expiry)) {
                     return;
                 }
                 if (!(again && checkpoint.wasWhole(segment.name))) {
-                    put(hash, key, at, scan.length, expiry, living);
+                    put(hash, record.getKey().toByteArray(), at, scan.length, expiry, living);
                 }
             }
-            case DELETE -> {
-                byte[] key = record.getKey().toByteArray();
-                put(scan.hash != 0 ? scan.hash : catalog.hash(key), key, Index.at(segment.id, offset), 0, 0,
-                    false);
-            }
+            case DELETE -> put(catalog.hash(scan), record.getKey().toByteArray(), at, 0, 0, false);
             case DOUBT -> {
                 Format.Doubt doubt = record.getDoubt();
-                if (doubt.getUntilMs() == 0 || doubt.getUntilMs() > now) {
+                if (!Catalog.isOver(doubt.getUntilMs(), now)) {
                     LongArrayList hashes = new LongArrayList();
                     doubt.getHashesList().forEach(hashes::addLong);
-                    doubt(hashes, doubt.getAll(), doubt.getUntilMs(), segment, offset);
+                    catalog.lose(hashes, doubt.getAll(), doubt.getUntilMs(), at, segment.name.first(),
+                        (int) scan.at);
                 }
             }
             default -> { }
@@ -284,23 +265,21 @@
     /** A write of a key: it takes the place of an older one, and yields to a newer one. */
     private void put(long hash, byte[] key, long at, int length, int expiry, boolean living)
         throws IOException {
-        long[] there = new long[1];
-        boolean[] newer = new boolean[1];
+        long there = 0;
         List<long[]> found = new ArrayList<>(1);
         catalog.index.find(hash, (h, place, size, e) -> found.add(new long[] {place, size}));
         for (long[] one : found) {
             if (catalog.byId(Index.file(one[0])) != null && catalog.hasKey(one[0], (int) one[1], key)) {
-                newer[0] |= !catalog.isBefore(one[0], at);
-                there[0] = one[0];
+                if (!catalog.isBefore(one[0], at)) {
+                    return;
+                }
+                there = one[0];
             }
         }
-        if (newer[0]) {
-            return;
-        }
-        if (there[0] != 0 && living) {
-            catalog.index.move(hash, there[0], at, length, expiry);
-        } else if (there[0] != 0) {
-            catalog.index.remove(hash, there[0]);
+        if (there != 0 && living) {
+            catalog.index.move(hash, there, at, length, expiry);
+        } else if (there != 0) {
+            catalog.index.remove(hash, there);
         } else if (living) {
             catalog.index.add(hash, at, length, expiry);
         }
@@ -327,14 +306,13 @@
 
     /** Files in which something is lost. */
     List<Segment> damaged() {
-        return damaged;
+        return catalog.chain().stream().filter(one -> one.damaged).toList();
     }
 
     /** What was done, for the log and the tools. */
     Report report() {
         return new Report(catalog.chain().size(), catalog.index.size(), replayed, readBytes, cutBytes,
-            damages,
-            voids, checkpoint != null);
+            damages, voids, checkpoint != null);
     }
 
     /**
--- a/server/src/main/java/wheatspread/store/StoreSettings.java
+++ b/server/src/main/java/wheatspread/store/StoreSettings.java
@@ -66,8 +66,13 @@
     }
 
     /** What is kept free under the bound, so that compaction and a checkpoint find room at any time. */
-    long reserve(long indexBytes) {
-        return segmentBytes + segmentBytes / 2 + indexBytes;
+    long reserve() {
+        return segmentBytes + segmentBytes / 2;
+    }
+
+    /** When all has expired that could be lost now; 0 is never. */
+    long lossUntil(long nowMs) {
+        return longestLifeMs == 0 ? 0 : nowMs + longestLifeMs;
     }
 
     public StoreSettings withSync(Sync other, long everyMs) {
--- a/server/src/main/java/wheatspread/store/Write.java
+++ b/server/src/main/java/wheatspread/store/Write.java
@@ -26,6 +26,11 @@
         return key.length + (value == null ? 0 : value.length);
     }
 
+    /** What it takes in a file at most, with its frame and its part of the group's. */
+    int room() {
+        return size() + 64;
+    }
+
     void end(Store.Outcome how, String why) {
         outcome = how;
         reason = why;
