Accept on the handed-over socket, and answer /_ready and /_vars on the operators' door

Ruled out: the settings and the kernel's link (the log reaches BINDING, then BIND_FAILED at once).

- ServerConfig reads control (GW_CONTROL over it) and inherited_fd (GW_INHERITED_FD); the platform's front wraps the descriptor (epoll takes any, nio descriptor 0) and binds nothing.
- The door is a front of its own on the loop, with a table of its own (64 callers, a call whole in 2 s, 8 KiB of head); 404, 405, 400 and 431 for what it does not take.
- Counts keep each class's served, refused and failed; /_vars adds dispatches, concurrent, reloads.

ControlDoorTest fails without this (no door).

--- a/server/src/main/java/wheatspread/config/ServerConfig.java
+++ b/server/src/main/java/wheatspread/config/ServerConfig.java
@@ -5,12 +5,20 @@
 import java.util.Map;
 import wheatspread.core.Site;
 
-/** What a real server is told: addresses, limits, the seed, and the settings of its site. */
+/**
+ * What a real server is told: addresses, limits, the seed, and the settings of its site.
+ *
+ * @param control where the operators' door listens ({@code control}, {@code GW_CONTROL}); null for none
+ * @param inherited the descriptor of a listening socket the platform hands over for {@code listen}
+ *     ({@code GW_INHERITED_FD}); -1 where the server binds its own
+ */
 public record ServerConfig(String name, InetSocketAddress listen, InetSocketAddress kernel,
                            InetSocketAddress records, InetSocketAddress announce, long seed, long stopMicros,
-                           int sockets, Site site) {
+                           int sockets, Site site, InetSocketAddress control, int inherited) {
     private static final int DEFAULT_STOP_MS = 3_000;
     private static final int DEFAULT_SOCKETS = 1_024;
+    /** The key that {@code GW_INHERITED_FD} stands for; a file may say it too. */
+    static final String INHERITED = "inherited_fd";
 
     /** Reads the file that {@code GW_CONFIG} names; {@code GW_NAME} and {@code GW_LISTEN} go over it. */
     public static ServerConfig fromEnvironment(Map<String, String> environment) {
@@ -24,18 +32,24 @@
     /** The file's keys, with what the environment puts over them. */
     static Fields fields(Path file, Map<String, String> environment) {
         Fields told = JsonFile.read(file);
-        for (var key : Map.of("name", "GW_NAME", "listen", "GW_LISTEN").entrySet()) {
+        for (var key : Map.of("name", "GW_NAME", "listen", "GW_LISTEN", "control", "GW_CONTROL").entrySet()) {
             if (environment.get(key.getValue()) != null) {
                 told.override(key.getKey(), environment.get(key.getValue()), key.getValue());
             }
         }
+        String inherited = environment.get("GW_INHERITED_FD");
+        if (inherited != null) {
+            Object fd = inherited.strip().matches("\\d{1,9}") ? (Object) Integer.valueOf(inherited.strip())
+                : inherited;
+            told.override(INHERITED, fd, "GW_INHERITED_FD");
+        }
         return told;
     }
 
     /** This configuration with the addresses at which another one reaches the parties round the server. */
     public ServerConfig withAddressesOf(ServerConfig other) {
         return new ServerConfig(name, listen, other.kernel, other.records, other.announce, seed, stopMicros,
-            sockets, site);
+            sockets, site, control, inherited);
     }
 
     public static ServerConfig read(Fields told) {
@@ -44,7 +58,8 @@
             "kernel"),
             address(told, "records"), address(told, "announce"), seed(told),
             told.integer("stop_ms", DEFAULT_STOP_MS, 100, 600_000) * 1000L,
-            limits.integer("sockets", DEFAULT_SOCKETS, 64, 1 << 20), site(told.object("settings", false)));
+            limits.integer("sockets", DEFAULT_SOCKETS, 64, 1 << 20), site(told.object("settings", false)),
+            told.has("control") ? address(told, "control") : null, told.integer(INHERITED, -1, -1, 1 << 20));
         told.settle();
         return config;
     }
--- /dev/null
+++ b/server/src/main/java/wheatspread/control/ControlConnection.java
@@ -0,0 +1,82 @@
+package wheatspread.control;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import java.nio.charset.StandardCharsets;
+import wheatspread.sockets.CallerHandler;
+import wheatspread.sockets.Listener;
+
+/** One caller of the operators' door: reads the head of one call, answers it, and closes. */
+final class ControlConnection extends CallerHandler {
+    private final ControlFront front;
+    private boolean answered;
+
+    ControlConnection(Listener listener, ControlFront front) {
+        super(listener);
+        this.front = front;
+    }
+
+    @Override
+    protected int open() {
+        return 0;
+    }
+
+    @Override
+    protected void gone() {
+        // an answer is made at once, so nothing waits for one
+    }
+
+    @Override
+    public void lastCall() {
+        if (!midway()) {
+            leave();
+        }
+    }
+
+    @Override
+    protected int read(ByteBuf bytes) {
+        if (answered) {
+            bytes.skipBytes(bytes.readableBytes());
+            return 0;
+        }
+        int end = endOfHead(bytes);
+        if (end < 0) {
+            if (bytes.readableBytes() > ControlFront.MOST_HEAD) {
+                bytes.skipBytes(bytes.readableBytes());
+                answer(ControlFront.response("431 Request Header Fields Too Large", "head over "
+                    + ControlFront.MOST_HEAD + " bytes\n"));
+                return 1;
+            }
+            return 0; // the rest comes in later pieces
+        }
+        int length = end - bytes.readerIndex();
+        String head = bytes.readCharSequence(length, StandardCharsets.ISO_8859_1).toString();
+        bytes.skipBytes(bytes.readableBytes()); // one call a connection: a body or more calls are not read
+        answer(Calls.answer(head, front.ready.getAsBoolean(), front.vars));
+        return 1;
+    }
+
+    private void answer(byte[] response) {
+        answered = true;
+        write(Unpooled.wrappedBuffer(response));
+        answered();
+        leave();
+    }
+
+    /** Where the blank line that ends the head stands, just past it; -1 before it has come. */
+    private static int endOfHead(ByteBuf bytes) {
+        int from = bytes.readerIndex();
+        int to = bytes.writerIndex();
+        for (int i = from; i < to; i++) {
+            if (bytes.getByte(i) == '\n') {
+                if (i + 1 < to && bytes.getByte(i + 1) == '\n') {
+                    return i + 2;
+                }
+                if (i + 2 < to && bytes.getByte(i + 1) == '\r' && bytes.getByte(i + 2) == '\n') {
+                    return i + 3;
+                }
+            }
+        }
+        return -1;
+    }
+}
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -115,12 +115,12 @@
         counts.read++;
         boolean tooLate = submission.due() - DUE_MARGIN <= clock.now();
         if (!batches.begun() || tooLate || table.size() >= MOST_IN_HAND) {
-            counts.refused++;
+            counts.count(submission.kind(), Answer.Kind.REFUSED);
             reply.answer(new Answer(Answer.Kind.REFUSED, null, 0, false, feedback));
             return null;
         }
         if (table.byJob(submission.job()) != null) {
-            counts.failed++;
+            counts.count(submission.kind(), Answer.Kind.CONFLICT);
             reply.answer(new Answer(Answer.Kind.CONFLICT, null, 0, false, feedback)); // that name is in use
             return null;
         }
@@ -159,9 +159,9 @@
      * Answers a try that is not taken in: a bound of the server's front has been reached. It never runs, and
      * its caller hears after how many microseconds to come back, where the settings allow that.
      */
-    public void turnAway(Reply reply, long later) {
+    public void turnAway(int kind, Reply reply, long later) {
         counts.read++;
-        counts.refused++;
+        counts.count(kind, Answer.Kind.REFUSED);
         reply.answer(new Answer(Answer.Kind.REFUSED, null, Math.min(later, mostStayAway()), false, feedback));
     }
 
@@ -336,7 +336,7 @@
         if (reply != null) {
             one.reply = null;
             one.dueTimer.cancel();
-            counts.count(kind);
+            counts.count(one.submission.kind(), kind);
             reply.answer(new Answer(kind, body, later, last, feedback));
         }
         letGo(one);
--- a/server/src/main/java/wheatspread/core/Counts.java
+++ b/server/src/main/java/wheatspread/core/Counts.java
@@ -1,7 +1,15 @@
 package wheatspread.core;
 
-/** What became of the tries of this process, for its log and for tests. */
+import java.util.Map;
+import java.util.TreeMap;
+
+/** What became of the tries of this process, for its log, the operators' door and tests. */
 public final class Counts {
+    /**
+     * Final answers of each class: served, refused, failed, in that order. Only classes of the site come
+     * here, so it holds no more than the settings name.
+     */
+    private final Map<Integer, long[]> byClass = new TreeMap<>();
     long read;
     long served;
     long refused;
@@ -16,14 +24,37 @@
     /** Paused runs that were taken up again. */
     long resumed;
 
-    void count(Answer.Kind kind) {
-        switch (kind) {
-            case SERVED -> served++;
-            case REFUSED -> refused++;
-            default -> failed++;
+    /** A final answer to a try of class {@code kind}, by its index in the site's classes. */
+    void count(int kind, Answer.Kind answer) {
+        long[] of = byClass.computeIfAbsent(kind, k -> new long[3]);
+        switch (answer) {
+            case SERVED -> {
+                served++;
+                of[0]++;
+            }
+            case REFUSED -> {
+                refused++;
+                of[1]++;
+            }
+            default -> {
+                failed++;
+                of[2]++;
+            }
         }
     }
 
+    /** The final answers of each class that has had one, by its index: served, refused and failed. */
+    public Map<Integer, long[]> byClass() {
+        Map<Integer, long[]> copy = new TreeMap<>();
+        byClass.forEach((kind, of) -> copy.put(kind, of.clone()));
+        return copy;
+    }
+
+    /** Runs handed to the kernel, from the start of the process. */
+    public long runs() {
+        return runs;
+    }
+
     /** The counts so far, for what becomes of tries from now on. */
     Counts copy() {
         Counts copy = new Counts();
@@ -38,6 +69,7 @@
         copy.calls = calls;
         copy.skips = skips;
         copy.resumed = resumed;
+        byClass.forEach((kind, of) -> copy.byClass.put(kind, of.clone()));
         return copy;
     }
 
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -12,6 +12,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import org.json.JSONObject;
@@ -22,6 +23,8 @@
 import wheatspread.config.ServerConfig;
 import wheatspread.connections.Connection.State;
 import wheatspread.connections.ConnectionTable;
+import wheatspread.control.ControlFront;
+import wheatspread.control.Vars;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
 import wheatspread.core.Counts;
@@ -63,6 +66,14 @@
     /** The fronts with the addresses they listen on, in the order in which they are bound. */
     private final Map<Listener, InetSocketAddress> fronts = new LinkedHashMap<>();
     private final List<InetSocketAddress> bound = new ArrayList<>();
+    /** The front of the platform's proxies, which may accept on a socket it was handed. */
+    private final Listener platformFront;
+    /** The operators' door; null where the configuration names none. */
+    private final Listener door;
+    /** Files taken and turned down at SIGHUP, from the start of the process. */
+    private final AtomicLong reloadsTaken = new AtomicLong();
+    private final AtomicLong reloadsRefused = new AtomicLong();
+    private volatile InetSocketAddress doorAddress;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Life life = new Life(this::entered);
     private final Marks marks;
@@ -104,11 +115,19 @@
         if (operator.stats()) {
             platform.tellStats(() -> life.phase().name());
         }
-        fronts.put(new Listener(loop, turns, clock, platform,
-            operator.connections().with(sockets), log), config.listen());
+        platformFront = new Listener(loop, turns, clock, platform, operator.connections().with(sockets), log);
+        fronts.put(platformFront, config.listen());
+        door = config.control() == null ? null : new Listener(loop, turns, clock, new ControlFront(
+            () -> life.phase() == Phase.SERVING, this::vars), ControlFront.limits(), log);
         core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
+    /** The figures of the operators' door; on the loop's thread. */
+    private String vars() {
+        return Vars.text(core.counts(), core.site().classes(), core.open(), reloadsTaken.get(),
+            reloadsRefused.get());
+    }
+
     /** Something happened to the process; on the loop's thread only. */
     private void on(Event event) {
         if (!life.on(event) && (event == Event.NOTICE || event == Event.HURRY)) {
@@ -187,16 +206,24 @@
             return false;
         }
         try {
-            fronts.forEach((front, address) -> bound.add(bind(front, address)));
+            if (door != null) {
+                doorAddress = bind(door, config.control());
+            }
+            fronts.forEach((front, address) -> bound.add(front == platformFront && config.inherited() >= 0
+                ? front.adopt(config.inherited()) : bind(front, address)));
         } catch (RuntimeException e) {
             loop.submit(() -> {
                 fronts.keySet().forEach(Listener::close);
+                if (door != null) {
+                    door.close();
+                }
                 kernel.close();
                 on(Event.BIND_FAILED);
             }).syncUninterruptibly();
             throw e;
         }
-        log.info("listening", "addresses", bound);
+        log.info("listening", "addresses", bound, "inherited_fd", config.inherited(), "control",
+            door == null ? "none" : config.control());
         ask(Event.BOUND);
         return true;
     }
@@ -233,6 +260,11 @@
         }
     }
 
+    /** Where the operators' door listens; null where it does not. */
+    public InetSocketAddress doorAddress() {
+        return doorAddress;
+    }
+
     /** The addresses that were bound: the uwsgi front's first where it is on, then the platform's. */
     public List<InetSocketAddress> bound() {
         return List.copyOf(bound);
@@ -257,7 +289,9 @@
                 records.moveTo(next.records());
                 announcer.moveTo(next.announce());
             });
-        } catch (IllegalArgumentException e) {
+            reloadsTaken.incrementAndGet();
+        } catch (RuntimeException e) { // a file that cannot be read or checked changes nothing
+            reloadsRefused.incrementAndGet();
             log.warn("reload_refused", "reason", e.getMessage());
         }
     }
@@ -346,6 +380,9 @@
         }
         report();
         fronts.keySet().forEach(Listener::close);
+        if (door != null) {
+            door.close();
+        }
         kernel.close();
         records.close();
         announcer.close();
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -168,7 +168,7 @@
         }
         try {
             var submission = front.reader.read(method, params, front.clock.now());
-            if (turnedAway(front.core, answer -> respond(id, answer))) {
+            if (turnedAway(front.core, submission.kind(), answer -> respond(id, answer))) {
                 return;
             }
             Open one = new Open(id, submission.job(), ofCrowd());
--- a/server/src/main/java/wheatspread/sockets/CallerHandler.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandler.java
@@ -183,13 +183,13 @@
      * Whether a request that was just read may not go on to the core, since it is of a crowd that wakes at
      * once. Then it has been answered, with a time to come back.
      */
-    protected final boolean turnedAway(Core core, Reply reply) {
+    protected final boolean turnedAway(Core core, int kind, Reply reply) {
         Turns turns = listener.turns();
         if (turns.admits()) {
             return false;
         }
         connection.sleepsOn(true);
-        core.turnAway(reply, turns.gate().later(core.mostStayAway()));
+        core.turnAway(kind, reply, turns.gate().later(core.mostStayAway()));
         return true;
     }
 
--- a/server/src/main/java/wheatspread/sockets/EpollTransport.java
+++ b/server/src/main/java/wheatspread/sockets/EpollTransport.java
@@ -48,6 +48,11 @@
         return EpollServerSocketChannel.class;
     }
 
+    @Override
+    public ServerChannel adopt(int fd) {
+        return new EpollServerSocketChannel(fd);
+    }
+
     @Override
     public Class<? extends Channel> clientChannel() {
         return EpollSocketChannel.class;
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -11,7 +11,9 @@
 import io.netty.channel.EventLoop;
 import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.RecvByteBufAllocator;
+import io.netty.channel.ServerChannel;
 import io.netty.channel.WriteBufferWaterMark;
+import java.io.IOException;
 import java.net.Inet4Address;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
@@ -88,6 +90,26 @@
         return (InetSocketAddress) listening.localAddress();
     }
 
+    /**
+     * Accepts on a socket that listens already, handed over on descriptor {@code fd}; nothing is bound. Two
+     * processes that hold it share one queue, so what one leaves there the other takes. Returns the address.
+     */
+    public InetSocketAddress adopt(int fd) {
+        try {
+            ServerChannel channel = turns.transport().adopt(fd);
+            channel.pipeline().addLast(new Acceptor());
+            ChannelFuture registered = loop.register(channel).awaitUninterruptibly();
+            if (!registered.isSuccess()) {
+                throw new IllegalStateException("cannot accept on descriptor " + fd + ": "
+                    + registered.cause().getMessage());
+            }
+            listening = channel;
+            return (InetSocketAddress) channel.localAddress();
+        } catch (IOException | RuntimeException e) { // Netty throws what the system said, checked or not
+            throw new IllegalStateException("cannot accept on descriptor " + fd + ": " + e.getMessage(), e);
+        }
+    }
+
     /** Takes what the listening socket accepted. */
     private final class Acceptor extends ChannelInboundHandlerAdapter {
         @Override
--- a/server/src/main/java/wheatspread/sockets/Transport.java
+++ b/server/src/main/java/wheatspread/sockets/Transport.java
@@ -7,6 +7,8 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
+import java.io.IOException;
+import java.nio.channels.ServerSocketChannel;
 
 /** How sockets are reached: the JDK's selectors, or Linux's epoll where its native library loads. */
 public interface Transport {
@@ -16,6 +18,14 @@
 
     Class<? extends ServerChannel> serverChannel();
 
+    /**
+     * A listening socket that this process was handed on descriptor {@code fd}, as a channel that is not yet
+     * registered; thrown where it is no listening socket or the transport cannot take it.
+     */
+    default ServerChannel adopt(int fd) throws IOException {
+        throw new IOException("transport " + name() + " takes no listening socket that is handed over");
+    }
+
     /** The shortest time it can wait, in nanoseconds; asked to wait for less it does not wait at all. */
     long shortestWait();
 
@@ -58,6 +68,15 @@
             return NioServerSocketChannel.class;
         }
 
+        /** The JDK hands over descriptor 0 alone, as the channel it inherited. */
+        @Override
+        public ServerChannel adopt(int fd) throws IOException {
+            if (fd != 0 || !(System.inheritedChannel() instanceof ServerSocketChannel inherited)) {
+                throw new IOException("descriptor " + fd + " is no listening socket that nio can take");
+            }
+            return new NioServerSocketChannel(inherited);
+        }
+
         @Override
         public Class<? extends Channel> clientChannel() {
             return NioSocketChannel.class;
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -138,7 +138,7 @@
         } else {
             try {
                 Submission submission = front.reader.read(vars, request.body(), front.clock.now());
-                if (turnedAway(front.core, answer -> respond(slot, answer))) {
+                if (turnedAway(front.core, submission.kind(), answer -> respond(slot, answer))) {
                     return;
                 }
                 slot.ofCrowd = ofCrowd();
--- /dev/null
+++ b/server/src/test/java/wheatspread/daemon/ControlDoorTest.java
@@ -0,0 +1,95 @@
+package wheatspread.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.OutputStream;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The operators' door: readiness, the figures, bad calls, and callers that say nothing or come in pieces. */
+class ControlDoorTest {
+    @Test
+    @Timeout(30)
+    void saysReadyOnlyWhenServingAndCountsEachClass() throws Exception {
+        try (Stage stage = new Stage(); StandInProxy proxy = new StandInProxy(stage)) {
+            InetSocketAddress door = stage.server.doorAddress();
+            assertThat(call(door, "GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")).startsWith("HTTP/1.1 503");
+            StandInKernel kernel = new StandInKernel(stage);
+            Thread thread = new Thread(kernel, "stand-in");
+            thread.setDaemon(true);
+            thread.start();
+            assertThat(stage.nextAnnounced()).endsWith("{\"accepting\":\"true\"}");
+            assertThat(call(door, "GET /_ready HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 200");
+
+            proxy.ask("stew", "north", 5000, null, "ok-1");
+            proxy.ask("stew", "south", 5000, null, "error-2");
+            proxy.ask("stew", "north", 900, null, "hang-3");
+            stage.clock().advance(900_000);
+            Map<String, String> ends = Map.of("ok-1", "served 1-ko", "error-2", "failed", "hang-3",
+                "out of time");
+            assertThat(proxy.overJsonRpc()).isEqualTo(ends);
+            assertThat(proxy.overUwsgi()).isEqualTo(ends);
+            // each over both fronts: two served, four failed, six runs
+            String vars = call(door, "GET /_vars HTTP/1.1\r\n\r\n");
+            assertThat(vars).startsWith("HTTP/1.1 200").contains("\nedge_gw.replies.stew.success=2\n",
+                "\nedge_gw.replies.stew.error=4\n", "\nedge_gw.replies.stew.overload=0\n",
+                "\nedge_gw.replies.save.success=0\n", "\nedge_gw.dispatches=6\n", "\nedge_gw.concurrent=0\n",
+                "\nedge_gw.reload_success=0\n", "\nedge_gw.reload_failure=0\n");
+
+            stage.reload("stop_ms", "not a number");
+            assertThat(call(door, "GET /_vars HTTP/1.1\r\n\r\n")).contains("\nedge_gw.reload_failure=1\n",
+                "\nedge_gw.reload_success=0\n");
+        }
+    }
+
+    @Test
+    @Timeout(30)
+    void answersBadCallsAndStaysOpenToOthersWhileSomeSayNothing() throws Exception {
+        try (Stage stage = new Stage()) {
+            InetSocketAddress door = stage.server.doorAddress();
+            List<Socket> silent = new ArrayList<>();
+            for (int i = 0; i < 8; i++) {
+                silent.add(new Socket(door.getAddress(), door.getPort()));
+            }
+            assertThat(call(door, "GET /elsewhere HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 404");
+            assertThat(call(door, "POST /_vars HTTP/1.1\r\nContent-Length: 0\r\n\r\n"))
+                .startsWith("HTTP/1.1 405");
+            assertThat(call(door, "hello there\r\n\r\n")).startsWith("HTTP/1.1 400");
+            assertThat(call(door, "GET /_vars HTTP/1.1\r\n" + "X: y\r\n".repeat(3000) + "\r\n"))
+                .startsWith("HTTP/1.1 431");
+            try (Socket pieces = new Socket(door.getAddress(), door.getPort())) {
+                OutputStream out = pieces.getOutputStream();
+                for (byte b : "GET /_vars HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII)) {
+                    out.write(b);
+                    out.flush();
+                }
+                assertThat(read(pieces.getInputStream())).startsWith("HTTP/1.1 200")
+                    .contains("edge_gw.dispatches=0");
+            }
+            for (Socket one : silent) {
+                one.close();
+            }
+        }
+    }
+
+    /** One call on a connection of its own, and all that comes back until the server closes it. */
+    private static String call(InetSocketAddress door, String request) throws IOException {
+        try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
+            socket.setSoTimeout(5_000);
+            socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
+            return read(socket.getInputStream());
+        }
+    }
+
+    private static String read(InputStream in) throws IOException {
+        return new String(in.readAllBytes(), StandardCharsets.UTF_8);
+    }
+}
--- a/server/src/test/java/wheatspread/daemon/Stage.java
+++ b/server/src/test/java/wheatspread/daemon/Stage.java
@@ -67,7 +67,7 @@
         return new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
             .put("kernel", "127.0.0.1:" + kernels.getLocalPort())
             .put("records", "127.0.0.1:" + records.getLocalPort())
-            .put("announce", "127.0.0.1:" + announce.getLocalPort());
+            .put("announce", "127.0.0.1:" + announce.getLocalPort()).put("control", "127.0.0.1:0");
     }
 
     /** A configuration with new addresses, the old ones refusing; or one with a key changed to a value. */
