Share the claims of keyed runs between the processes of an upgrade, in $TMPDIR

The new process keeps its keys in memory alone (KeyTable), so a retry that reaches it runs. Ruled out: the window of the class (20 s) and the in-process check, which CoreTest.noSecondRunOfAKeyWhateverTheModuleSays holds. Also seen: the announce list went from ready to draining and back eight times in 5 s, from the old process's 'false' against the new one's 'true' for one name.

- Core asks Claims before the first run of a key; SharedClaims keeps one file a key, made by create-new.
- The old process of an upgrade falls silent at its notice in place of reporting false.

--- a/server/src/main/java/wheatspread/config/ServerConfig.java
+++ b/server/src/main/java/wheatspread/config/ServerConfig.java
@@ -11,10 +11,13 @@
  * @param control where the operators' door listens ({@code control}, {@code GW_CONTROL}); null for none
  * @param inherited the descriptor of a listening socket the platform hands over for {@code listen}
  *     ({@code GW_INHERITED_FD}); -1 where the server binds its own
+ * @param shared a folder that the processes of an upgrade share, for the keys that either ran
+ *     ({@code shared}; {@code $TMPDIR} where a socket is handed over); null for none
  */
 public record ServerConfig(String name, InetSocketAddress listen, InetSocketAddress kernel,
                            InetSocketAddress records, InetSocketAddress announce, long seed, long stopMicros,
-                           int sockets, Site site, InetSocketAddress control, int inherited) {
+                           int sockets, Site site, InetSocketAddress control, int inherited,
+                           Path shared) {
     private static final int DEFAULT_STOP_MS = 3_000;
     private static final int DEFAULT_SOCKETS = 1_024;
     /** The key that {@code GW_INHERITED_FD} stands for; a file may say it too. */
@@ -42,6 +45,10 @@
             Object fd = inherited.strip().matches("\\d{1,9}") ? (Object) Integer.valueOf(inherited.strip())
                 : inherited;
             told.override(INHERITED, fd, "GW_INHERITED_FD");
+            String tmp = environment.get("TMPDIR");
+            if (tmp != null && !tmp.isBlank() && !told.has("shared")) {
+                told.override("shared", Path.of(tmp, "wheatspread-shared").toString(), "TMPDIR");
+            }
         }
         return told;
     }
@@ -49,7 +56,7 @@
     /** This configuration with the addresses at which another one reaches the parties round the server. */
     public ServerConfig withAddressesOf(ServerConfig other) {
         return new ServerConfig(name, listen, other.kernel, other.records, other.announce, seed, stopMicros,
-            sockets, site, control, inherited);
+            sockets, site, control, inherited, shared);
     }
 
     public static ServerConfig read(Fields told) {
@@ -59,7 +66,8 @@
             address(told, "records"), address(told, "announce"), seed(told),
             told.integer("stop_ms", DEFAULT_STOP_MS, 100, 600_000) * 1000L,
             limits.integer("sockets", DEFAULT_SOCKETS, 64, 1 << 20), site(told.object("settings", false)),
-            told.has("control") ? address(told, "control") : null, told.integer(INHERITED, -1, -1, 1 << 20));
+            told.has("control") ? address(told, "control") : null, told.integer(INHERITED, -1, -1, 1 << 20),
+            told.has("shared") ? Path.of(told.text("shared")) : null);
         told.settle();
         return config;
     }
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -35,6 +35,7 @@
     private final EventLog log;
     private final RequestTable table = new RequestTable();
     private final KeyTable keys;
+    private Claims claims = Claims.NONE;
     private final Counts counts = new Counts();
     private final Carrier carrier = new Carrier();
     private Kernel kernel;
@@ -60,6 +61,11 @@
             .mapToLong(c -> c.effect() == Effect.KEYED ? c.window() : 0).toArray());
     }
 
+    /** Where two processes of this server share one name: the runs of keys the other one made. */
+    public void shareKeysWith(Claims shared) {
+        claims = shared;
+    }
+
     /** The kernel needs the core as its listener, so it is handed in afterwards. */
     public void attach(Kernel link) {
         kernel = link;
@@ -421,8 +427,13 @@
         private boolean mayRun(Try one) {
             boolean late = retiredAt != Long.MAX_VALUE
                 && one.submission.door() > retiredAt + site.settings().limits().drainGrace();
-            boolean second = one.submission.unique() != null && one.entry.owner != one;
-            return !late && !second;
+            Submission s = one.submission;
+            boolean second = s.unique() != null && one.entry.owner != one;
+            if (late || second || s.unique() == null) {
+                return !late && !second;
+            }
+            // the other process of an upgrade may have run a try of this key, which this one has not seen
+            return claims.claim(one.entry.key, s.door(), site.settings().classes().get(s.kind()).window());
         }
 
         @Override
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -28,6 +28,7 @@
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
 import wheatspread.core.Counts;
+import wheatspread.handover.SharedClaims;
 import wheatspread.jsonrpc.RpcFront;
 import wheatspread.kernel.KernelLink;
 import wheatspread.life.Drain;
@@ -100,9 +101,17 @@
         records = new RecordsClient(clients, config.records(), calls, clock, log);
         announcer = new AnnounceClient(clients, config.announce(), config.name(), log);
         core = new Core(config.site(), settings -> new Choice(settings, config.seed()), clock, records,
-            announcer, log);
+            this::announce, log);
         kernel = new KernelLink(clients, config.kernel(), core, log);
         core.attach(kernel);
+        if (config.shared() != null) {
+            try {
+                core.shareKeysWith(new SharedClaims(config.shared().resolve(config.name()),
+                    ProcessHandle.current().pid(), log));
+            } catch (IOException e) {
+                log.warn("claims_failed", "folder", config.shared(), "error", e.toString());
+            }
+        }
         core.whenUp(() -> on(Event.KERNEL_UP));
         marks = new Marks(operator.life(), log);
         int sockets = Configuration.platformConnections(config, operator);
@@ -122,6 +131,19 @@
         core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
+    /**
+     * Reports whether this process takes work. Where the socket was handed over, a notice to leave is an
+     * upgrade: the new process reports for the same name, and a 'false' of the old one would take the name
+     * off the list for both, so the old one falls silent instead.
+     */
+    private void announce(boolean accepting) {
+        if (config.inherited() >= 0 && life.leaving()) {
+            announcer.close();
+        } else {
+            announcer.announce(accepting);
+        }
+    }
+
     /** The figures of the operators' door; on the loop's thread. */
     private String vars() {
         return Vars.text(core.counts(), core.site().classes(), core.open(), reloadsTaken.get(),
--- a/server/src/test/java/wheatspread/core/CoreTest.java
+++ b/server/src/test/java/wheatspread/core/CoreTest.java
@@ -144,6 +144,25 @@
         assertThat(answers).as("no refusal after a run").contains("a FAILED");
     }
 
+    /** Two processes of one server during an upgrade: what the other one ran is not run here. */
+    @Test
+    void noRunOfAKeyThatTheOtherProcessRan() {
+        List<String> asked = new ArrayList<>();
+        core.shareKeysWith((key, door, window) -> {
+            asked.add(key + " " + window);
+            return !key.endsWith(" k");
+        });
+        decisions.add(actions -> actions.run(1));
+        submit("a", "k");
+        settle();
+        decisions.add(actions -> actions.run(2));
+        submit("b", "k2");
+        settle();
+        assertThat(kernelSaid).containsExactly("run b");
+        assertThat(answers).containsExactly("a REFUSED");
+        assertThat(asked).hasSize(2).allMatch(one -> one.endsWith(" 20000000"));
+    }
+
     @Test
     void aPausedRunGoesOnAndIsNotStartedAnew() {
         decisions.add(actions -> actions.run(1));
