--- a/server/src/main/java/wheatspread/admission/Admission.java
+++ b/server/src/main/java/wheatspread/admission/Admission.java
@@ -149,6 +149,12 @@
     /** This process is stopped after {@code left}. */
     void retiring(long left);
 
+    /**
+     * The settings were retuned at SIGHUP: {@code next} has the classes it had, by the same index, and new
+     * ones after them. Requests in hand keep their class.
+     */
+    void retuned(Settings next);
+
     /** A timer set by {@link Actions#wake} is due. */
     void timer(Gauges gauges);
 
--- a/server/src/main/java/wheatspread/admission/Choice.java
+++ b/server/src/main/java/wheatspread/admission/Choice.java
@@ -187,13 +187,13 @@
         }
     }
 
-    private final Settings settings;
+    private Settings settings;
     private final Limits limits;
     private final Flow[] flows;
     private final long settle;
     private final SplittableRandom random;
     private final double quotas;
-    private final long shortestAim;
+    private long shortestAim;
     private Actions actions;
 
     private long now;
@@ -213,7 +213,7 @@
     private double heldKb;
     /** Of all that is held: the sum of the times from arrival to aim, and how many of each class. */
     private double heldRoom;
-    private final int[] heldOf;
+    private int[] heldOf;
     private final Set<Job> standing = new LinkedHashSet<>();
     private final Map<Long, Long> keys = new LinkedHashMap<>();
 
@@ -221,12 +221,12 @@
     private int crowdedTicks;
     private int sameTicks;
     private Gauges lastGauges;
-    private final double[] meanRun;
-    private final double[] meanElapsed;
+    private double[] meanRun;
+    private double[] meanElapsed;
     private double meanHint;
     /** By class: the most and the mean of what first tries are given, as a share of the deadline. */
-    private final double[] firstMost;
-    private final double[] firstMean;
+    private double[] firstMost;
+    private double[] firstMean;
     private double spentMean;
     private double lost; // share of the runs lately ended that were given up
     /** Of the logarithms of hints and run times: how many, means, spread of hints, how they go together. */
@@ -290,6 +290,21 @@
 
     // ---- events ----
 
+    @Override
+    public void retuned(Settings next) {
+        int kinds = next.classes().size();
+        if (kinds < settings.classes().size()) {
+            throw new IllegalArgumentException("a retuned site keeps every class it had");
+        }
+        settings = next;
+        meanRun = Arrays.copyOf(meanRun, kinds);
+        meanElapsed = Arrays.copyOf(meanElapsed, kinds);
+        heldOf = Arrays.copyOf(heldOf, kinds);
+        firstMost = Arrays.copyOf(firstMost, kinds);
+        firstMean = Arrays.copyOf(firstMean, kinds);
+        shortestAim = next.classes().stream().mapToLong(RequestClass::aim).min().orElseThrow();
+    }
+
     @Override
     public void begin(long clock) {
         now = clock;
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -27,7 +27,9 @@
     /** Tries in hand beyond which new ones are refused unseen: a bound on memory, far over what is usual. */
     private static final int MOST_IN_HAND = 2_000;
 
-    private final Site site;
+    private Site site;
+    /** Whether the kernel started cold, as its first boot said. */
+    private boolean cold;
     private final Function<Settings, Admission> newModule;
     private final Clock clock;
     private final Calls calls;
@@ -57,8 +59,26 @@
         this.log = log;
         batches = new Batches(clock, () -> kernel.askGauges(), log);
         calls = new Calls(clock, records, batches::event, counts);
-        keys = new KeyTable(site.settings().classes().stream()
-            .mapToLong(c -> c.effect() == Effect.KEYED ? c.window() : 0).toArray());
+        keys = new KeyTable(windows(site));
+    }
+
+    private static long[] windows(Site site) {
+        return site.settings().classes().stream().mapToLong(c -> c.effect() == Effect.KEYED ? c.window() : 0)
+            .toArray();
+    }
+
+    /**
+     * Takes the classes of a site retuned at SIGHUP (see {@link Site#retunedTo}) and returns the site that now
+     * holds; the module hears of it before any request of a new class.
+     */
+    public Site retune(Site next) {
+        Site merged = site.retunedTo(next);
+        site = merged;
+        keys.retune(windows(merged));
+        if (batches.begun()) {
+            event(m -> m.retuned(merged.settings(cold)));
+        }
+        return merged;
     }
 
     /** Where two processes of this server share one name: the runs of keys the other one made. */
@@ -231,6 +251,7 @@
         if (batches.begun()) {
             return; // the link came back; the module goes on
         }
+        this.cold = cold;
         Admission module = newModule.apply(site.settings(cold));
         batches.begin(module, carrier, clock.now() - age);
         warmAt = cold ? clock.now() - age + site.settings().limits().coldFor() : 0;
--- a/server/src/main/java/wheatspread/core/KeyTable.java
+++ b/server/src/main/java/wheatspread/core/KeyTable.java
@@ -35,13 +35,18 @@
     }
 
     private final Map<String, Entry> entries = new HashMap<>();
-    private final long[] windows;
+    private long[] windows;
 
     /** {@code windows}: by class, how long after its door a try that ran forbids another; 0 if reads. */
     KeyTable(long[] windows) {
         this.windows = windows.clone();
     }
 
+    /** The windows of a retuned site, whose classes keep their index. */
+    void retune(long[] next) {
+        windows = next.clone();
+    }
+
     static String keyOf(Submission s) {
         if (s.unique() != null) {
             return "u " + s.kind() + ' ' + s.unique();
--- a/server/src/main/java/wheatspread/core/Site.java
+++ b/server/src/main/java/wheatspread/core/Site.java
@@ -1,10 +1,12 @@
 package wheatspread.core;
 
+import java.util.ArrayList;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.function.IntToDoubleFunction;
 import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.RequestClass;
 import wheatspread.admission.Admission.Settings;
 
 /** The settings with the names of their classes and tenants, by index, and the order of the gauges. */
@@ -15,6 +17,29 @@
         gauges = List.copyOf(gauges);
     }
 
+    /**
+     * This site retuned to the classes of {@code next}: a class it had keeps its index and takes the figures
+     * that {@code next} gives it; a class that {@code next} adds comes after all others; a class that
+     * {@code next} drops stays, so that requests in hand, and those that proxies send until they have heard,
+     * keep their class. All else stays as it is.
+     */
+    public Site retunedTo(Site next) {
+        List<String> names = new ArrayList<>(classes);
+        List<RequestClass> kinds = new ArrayList<>(settings.classes());
+        for (int i = 0; i < next.classes().size(); i++) {
+            int at = names.indexOf(next.classes().get(i));
+            if (at < 0) {
+                names.add(next.classes().get(i));
+                kinds.add(next.settings().classes().get(i));
+            } else {
+                kinds.set(at, next.settings().classes().get(i));
+            }
+        }
+        return new Site(new Settings(settings.cores(), settings.servers(), settings.cold(), settings.halt(),
+            settings.fresh(), settings.resolution(), settings.limits(), settings.below(), settings.callers(),
+            kinds, settings.tenants()), names, tenants, gauges);
+    }
+
     /** The settings of a process whose kernel says whether it started cold. */
     Settings settings(boolean cold) {
         return new Settings(settings.cores(), settings.servers(), cold, settings.halt(), settings.fresh(),
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -28,6 +28,7 @@
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
 import wheatspread.core.Counts;
+import wheatspread.core.Site;
 import wheatspread.handover.SharedClaims;
 import wheatspread.jsonrpc.RpcFront;
 import wheatspread.kernel.KernelLink;
@@ -67,6 +68,9 @@
     /** The fronts with the addresses they listen on, in the order in which they are bound. */
     private final Map<Listener, InetSocketAddress> fronts = new LinkedHashMap<>();
     private final List<InetSocketAddress> bound = new ArrayList<>();
+    /** The protocols of the fronts, which read the classes of the site; null where uwsgi is off. */
+    private final RpcFront platformProtocol;
+    private final UwsgiFront uwsgiProtocol;
     /** The front of the platform's proxies, which may accept on a socket it was handed. */
     private final Listener platformFront;
     /** The operators' door; null where the configuration names none. */
@@ -115,12 +119,14 @@
         core.whenUp(() -> on(Event.KERNEL_UP));
         marks = new Marks(operator.life(), log);
         int sockets = Configuration.platformConnections(config, operator);
-        if (operator.uwsgi() != null) {
-            UwsgiFront second = new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
-            fronts.put(new Listener(loop, turns, clock, second, operator.uwsgiLimits(), log),
+        uwsgiProtocol = operator.uwsgi() == null ? null
+            : new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
+        if (uwsgiProtocol != null) {
+            fronts.put(new Listener(loop, turns, clock, uwsgiProtocol, operator.uwsgiLimits(), log),
                 operator.uwsgi().listen());
         }
         RpcFront platform = new RpcFront(core, clock);
+        platformProtocol = platform;
         if (operator.stats()) {
             platform.tellStats(() -> life.phase().name());
         }
@@ -310,6 +316,12 @@
                 kernel.moveTo(next.kernel());
                 records.moveTo(next.records());
                 announcer.moveTo(next.announce());
+                Site site = core.retune(next.site());
+                platformProtocol.retune(site);
+                if (uwsgiProtocol != null) {
+                    uwsgiProtocol.retune(site);
+                }
+                log.info("retuned", "classes", site.classes());
             });
             reloadsTaken.incrementAndGet();
         } catch (RuntimeException e) { // a file that cannot be read or checked changes nothing
--- a/server/src/main/java/wheatspread/jsonrpc/RpcFront.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcFront.java
@@ -4,6 +4,7 @@
 import java.util.function.Supplier;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
+import wheatspread.core.Site;
 import wheatspread.sockets.CallerHandler;
 import wheatspread.sockets.Front;
 import wheatspread.sockets.Listener;
@@ -15,7 +16,7 @@
 
     final Core core;
     final Clock clock;
-    final RequestReader reader;
+    RequestReader reader;
     /** Tells the phase of the process for the method {@code stats}; null where that is off. */
     Supplier<String> phase;
 
@@ -44,4 +45,9 @@
             + ",\"message\":\"no room for this connection\",\"data\":{\"later\":1000}}}\n")
             .getBytes(StandardCharsets.UTF_8);
     }
+
+    /** Reads the classes of a retuned site from now on; on the loop's thread. */
+    public void retune(Site site) {
+        reader = new RequestReader(site);
+    }
 }
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
@@ -5,6 +5,7 @@
 import wheatspread.config.UwsgiConfig;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
+import wheatspread.core.Site;
 import wheatspread.sockets.CallerHandler;
 import wheatspread.sockets.Front;
 import wheatspread.sockets.Listener;
@@ -14,7 +15,7 @@
     final Core core;
     final Clock clock;
     final UwsgiConfig config;
-    final VarsReader reader;
+    VarsReader reader;
     private long lastJob;
 
     /** The seed only keeps the names of this front's jobs apart from those of another life. */
@@ -36,4 +37,9 @@
         return ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\n"
             + "Connection: close\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
     }
+
+    /** Reads the classes of a retuned site from now on; on the loop's thread. */
+    public void retune(Site site) {
+        reader = new VarsReader(site, config, () -> String.format("%016x", ++lastJob));
+    }
 }
--- a/server/src/test/java/wheatspread/core/CoreTest.java
+++ b/server/src/test/java/wheatspread/core/CoreTest.java
@@ -274,6 +274,9 @@
         @Override
         public void retiring(long left) { }
 
+        @Override
+        public void retuned(Admission.Settings next) { }
+
         @Override
         public void timer(Gauges gauges) {
             heard.add("timer");
