Make the uwsgi front's reader in one place, for the start and for a retune

Seen on reading the change again: UwsgiFront built its VarsReader with the same arguments in its constructor and in retune. Both now call readerOf(site); behaviour is the same (mvn -B verify passes).

--- a/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
@@ -24,7 +24,7 @@
         this.clock = clock;
         this.config = config;
         lastJob = new SplittableRandom(seed).nextLong();
-        reader = new VarsReader(core.site(), config, () -> String.format("%016x", ++lastJob));
+        reader = readerOf(core.site());
     }
 
     @Override
@@ -40,6 +40,11 @@
 
     /** Reads the classes of a retuned site from now on; on the loop's thread. */
     public void retune(Site site) {
-        reader = new VarsReader(site, config, () -> String.format("%016x", ++lastJob));
+        reader = readerOf(site);
+    }
+
+    /** A reader of the classes of {@code site}, whose jobs go on from the names this front gave. */
+    private VarsReader readerOf(Site site) {
+        return new VarsReader(site, config, () -> String.format("%016x", ++lastJob));
     }
 }
