--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -306,28 +306,41 @@
     public synchronized void reload(Supplier<ServerConfig> reader) {
         try {
             ServerConfig next = reader.get();
-            loop.execute(() -> {
-                on(Event.RELOAD);
-                if (life.phase().compareTo(Phase.CLOSING) >= 0) {
-                    return;
-                }
-                log.info("reload", "kernel", next.kernel(), "records", next.records(), "announce",
-                    next.announce(), "needs_start", !next.withAddressesOf(config).equals(config));
-                kernel.moveTo(next.kernel());
-                records.moveTo(next.records());
-                announcer.moveTo(next.announce());
-                Site site = core.retune(next.site());
-                platformProtocol.retune(site);
-                if (uwsgiProtocol != null) {
-                    uwsgiProtocol.retune(site);
-                }
-                log.info("retuned", "classes", site.classes());
-            });
-            reloadsTaken.incrementAndGet();
+            loop.execute(() -> takeOver(next));
         } catch (RuntimeException e) { // a file that cannot be read or checked changes nothing
-            reloadsRefused.incrementAndGet();
-            log.warn("reload_refused", "reason", e.getMessage());
+            refuseReload(e);
+        }
+    }
+
+    private void refuseReload(RuntimeException why) {
+        reloadsRefused.incrementAndGet();
+        log.warn("reload_refused", "reason", why.getMessage());
+    }
+
+    /** On the loop's thread. The classes come first: they are what may yet be refused. */
+    private void takeOver(ServerConfig next) {
+        on(Event.RELOAD);
+        if (life.phase().compareTo(Phase.CLOSING) >= 0) {
+            return;
+        }
+        Site site;
+        try {
+            site = core.retune(next.site());
+        } catch (RuntimeException e) {
+            refuseReload(e);
+            return;
+        }
+        log.info("reload", "kernel", next.kernel(), "records", next.records(), "announce",
+            next.announce(), "needs_start", !next.withAddressesOf(config).equals(config));
+        kernel.moveTo(next.kernel());
+        records.moveTo(next.records());
+        announcer.moveTo(next.announce());
+        platformProtocol.retune(site);
+        if (uwsgiProtocol != null) {
+            uwsgiProtocol.retune(site);
         }
+        reloadsTaken.incrementAndGet();
+        log.info("retuned", "classes", site.classes());
     }
 
     /** What came of the limits so far. */
--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -76,7 +76,7 @@
         if (closed) {
             return;
         }
-        Connection next = new Connection();
+        Connection next = new Connection(address);
         opening = next;
         ChannelFuture connecting = clients.clone()
             .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
@@ -87,7 +87,7 @@
                         new StringDecoder(StandardCharsets.UTF_8), new StringEncoder(StandardCharsets.UTF_8),
                         next);
                 }
-            }).connect(address);
+            }).connect(next.to);
         connecting.addListener(done -> {
             if (!done.isSuccess() && opening == next) {
                 opening = null;
@@ -117,7 +117,8 @@
 
     private void retry() {
         loop.schedule(() -> {
-            if (opening == null && current == null) {
+            // an old address's link still serves, but only until its kernel closes it
+            if (opening == null && (current == null || !current.to.equals(address))) {
                 open();
             }
         }, retryMs, TimeUnit.MILLISECONDS);
@@ -190,8 +191,13 @@
 
     /** One connection to the kernel; a later one replaces it. */
     private final class Connection extends SimpleChannelInboundHandler<String> {
+        private final InetSocketAddress to;
         private Channel channel;
 
+        Connection(InetSocketAddress to) {
+            this.to = to;
+        }
+
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
--- a/server/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/server/src/test/java/wheatspread/daemon/SceneTest.java
@@ -27,8 +27,8 @@
  * Plays recorded exchanges against the program. A line {@code party> text} is sent to it, {@code party< text}
  * must come from it; {@code clock 50} moves the clock on by milliseconds; {@code cut}, {@code down} and
  * {@code up} break a connection or a service, and {@code quiet} says that nothing came; {@code reload} gives
- * all parties new addresses, after which old connections are called {@code old-kernel} and so on, or changes
- * one key; {@code operator} goes over the operator's file; {@code bytes} sends part of a line; {@code mute}
+ * all parties new addresses, after which old connections are called {@code old-kernel} and so on ({@code late}:
+ * the new kernel's refuses until {@code up kernel}), or changes one key; {@code operator} goes over the operator's file; {@code bytes} sends part of a line; {@code mute}
  * leaves reports unanswered; {@code drain} is SIGTERM, {@code hurry} a second SIGINT, and {@code stopped}
  * waits for the end and its exit code. The parties are
  * the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
@@ -92,9 +92,11 @@
                 barrier();
                 String[] bad = rest.split(" ", 2);
                 stage.reload(bad[0], bad.length > 1 ? bad[1] : "");
-                if (rest.isEmpty()) {
+                if (rest.isEmpty() || rest.equals("late")) {
                     for (String name : List.of("kernel", "records")) {
-                        wires.put("old-" + name, wires.remove(name));
+                        if (wires.containsKey(name)) {
+                            wires.put("old-" + name, wires.remove(name));
+                        }
                     }
                 }
             } else if (words[0].equals("logged")) {
--- a/server/src/test/java/wheatspread/daemon/Stage.java
+++ b/server/src/test/java/wheatspread/daemon/Stage.java
@@ -70,10 +70,13 @@
             .put("announce", "127.0.0.1:" + announce.getLocalPort()).put("control", "127.0.0.1:0");
     }
 
-    /** A configuration with new addresses, the old ones refusing; or one with a key changed to a value. */
+    /**
+     * A configuration with new addresses, the old ones refusing (with {@code late}, the new kernel's refuses
+     * too until it is {@link #up}); or one with a key changed to a value.
+     */
     void reload(String key, String value) throws IOException {
         JSONObject told = configuration();
-        if (key.isEmpty()) {
+        if (key.isEmpty() || key.equals("late")) {
             kernels.close();
             records.close();
             announce.close();
@@ -82,6 +85,9 @@
             announce = socket(0);
             last = "";
             told = configuration();
+            if (key.equals("late")) {
+                kernels.close();
+            }
         } else {
             told.put(key, value);
         }
@@ -147,6 +153,8 @@
     void up(String service) throws IOException {
         if (service.equals("records")) {
             records = socket(records.getLocalPort());
+        } else if (service.equals("kernel")) {
+            kernels = socket(kernels.getLocalPort());
         } else {
             announce = socket(announce.getLocalPort());
         }
