--- a/server/src/test/java/wheatspread/daemon/Stage.java
+++ b/server/src/test/java/wheatspread/daemon/Stage.java
@@ -10,6 +10,7 @@
 import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Consumer;
 import org.json.JSONObject;
 import wheatspread.config.Fields;
 import wheatspread.config.OperatorConfig;
@@ -91,10 +92,36 @@
         } else {
             told.put(key, value);
         }
+        read(told);
+    }
+
+    /** The same addresses, with settings that are changed so. */
+    void retune(Consumer<JSONObject> change) throws IOException {
+        JSONObject told = configuration();
+        change.accept(told.getJSONObject("settings"));
+        read(told);
+    }
+
+    private void read(JSONObject told) {
         Fields fields = Fields.of(told.toMap(), "");
         server.reload(() -> ServerConfig.read(fields));
     }
 
+    /** Waits for a line of the log with this text, those before it dropped; 10 s at most. */
+    void awaitLogged(String text) throws InterruptedException {
+        for (String line = logged.poll(10, TimeUnit.SECONDS); line != null;
+             line = logged.poll(10, TimeUnit.SECONDS)) {
+            if (line.contains(text)) {
+                return;
+            }
+        }
+        throw new AssertionError("no log line with " + text);
+    }
+
+    boolean isClosed() {
+        return closed;
+    }
+
     /** A health check, on a connection of its own as the protocol has it. */
     private void roundTrip() {
         try {
