Accept on a handed-over socket once the kernel is up, and stop at the notice

The new process accepted from its start on (Server.start, Listener.adopt), although its kernel was not up, and refused what the old process beside it could have served; the old one went on accepting after its notice. Ruled out: the proxies' crossings (none counted) and the module's shedding, which gives a time.

A handed-over socket is held at the start, where a bad descriptor still ends it, and accepted on once the kernel is up. At the notice the process stops accepting at once and leaves the queue to the next one. It keeps the descriptor open until it ends, since the JDK closes the standard streams, and so the log, with an inherited one.

Lab: one place for tests of several processes, `lab.rig` (members, signals, ports, a socket that outlives processes) on `lab.world` (kernels that move, boot late or are cold, records, announce, proxies, ledger).

--- a/lab/src/main/java/wheatspread/lab/fleet/FleetRoll.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/FleetRoll.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
+import wheatspread.lab.world.Ledger;
 
 /**
  * One run of a fleet under load: from nothing, through what is done to it, to its end, with the ledger's
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/rig/Member.java
@@ -0,0 +1,107 @@
+package wheatspread.lab.rig;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.nio.file.StandardCopyOption;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.json.JSONObject;
+import wheatspread.lab.standins.ProcessLog;
+
+/** One server of a rig: its files, its process, and what may be done to it from outside. */
+public final class Member {
+    private static final long UP_MS = 30_000;
+    private static final long LEAVE_MS = 20_000;
+    private static final long SLICE_MS = 100;
+
+    private final String name;
+    private final List<String> command;
+    private final Path config;
+    private final Signals signals;
+    private Process process;
+    private ProcessLog log;
+
+    /** {@code command} starts the program up to {@code serve}; {@code dir} is for its files. */
+    Member(String name, List<String> command, Path dir, Signals signals) {
+        this.name = name;
+        this.command = List.copyOf(command);
+        this.signals = signals;
+        config = dir.resolve(name + ".json");
+    }
+
+    public String name() {
+        return name;
+    }
+
+    /** Its log so far; of the process that was started last. */
+    public ProcessLog log() {
+        return log;
+    }
+
+    /** Writes its configuration, whole at once. */
+    void configure(JSONObject told) throws IOException {
+        Path aside = config.resolveSibling(name + ".json.new");
+        Files.writeString(aside, told.toString());
+        Files.move(aside, config, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
+    }
+
+    /** Starts a process; {@code operator} is its operator's file, null for none. */
+    void start(Path operator) throws IOException {
+        List<String> words = new ArrayList<>(command);
+        if (operator != null) {
+            words.add(operator.toString());
+        }
+        ProcessBuilder builder = new ProcessBuilder(words).redirectErrorStream(true);
+        builder.environment().put("GW_CONFIG", config.toString());
+        process = builder.start();
+        log = new ProcessLog(process, name);
+    }
+
+    /** Waits until it serves. */
+    void awaitServing() throws IOException, InterruptedException {
+        if (log.await(line -> line.contains("to=SERVING"), UP_MS) == null) {
+            throw new IOException(name + " does not start: " + log.lines());
+        }
+    }
+
+    /** Sends a signal by its name without SIG. */
+    public void signal(String what) throws IOException {
+        signals.send(what, process.toHandle());
+    }
+
+    /** Stops the process for so long, then lets it go on. */
+    public void pause(long millis) throws IOException, InterruptedException {
+        signal("STOP");
+        try {
+            TimeUnit.MILLISECONDS.sleep(millis);
+        } finally {
+            signal("CONT");
+        }
+    }
+
+    /** Gives it only a share of the time, in slices, for so long. */
+    public void starve(double share, long millis) throws IOException, InterruptedException {
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
+        while (System.nanoTime() < until) {
+            pause(Math.round(SLICE_MS * (1 - share)));
+            TimeUnit.MICROSECONDS.sleep(Math.round(SLICE_MS * 1_000 * share));
+        }
+    }
+
+    /** Ends it outright. */
+    public void kill() throws InterruptedException {
+        process.destroyForcibly().waitFor();
+    }
+
+    /** Gives it notice and returns its exit code; -1 where it does not leave by itself. */
+    public int leave() throws IOException, InterruptedException {
+        signal("TERM");
+        return process.waitFor(LEAVE_MS, TimeUnit.MILLISECONDS) ? process.exitValue() : -1;
+    }
+
+    public boolean isAlive() {
+        return process != null && process.isAlive();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/rig/Rig.java
@@ -0,0 +1,108 @@
+package wheatspread.lab.rig;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.Comparator;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.TimeUnit;
+import java.util.stream.Stream;
+import org.json.JSONObject;
+import wheatspread.lab.Sites;
+import wheatspread.lab.standins.Listening;
+import wheatspread.lab.world.World;
+
+/**
+ * Several real processes of the program, each with its own kernel, with the world round them. Whoever tests or
+ * measures several processes starts here. All processes that it started are gone when it is closed.
+ */
+public final class Rig implements AutoCloseable {
+    /** Proxies see the list of servers late. */
+    private static final long SEEN_MS = 2_300;
+    /** After this long every request is over. */
+    private static final long LAST_ANSWERS_MS = 16_000;
+    private static final int SOCKETS = 512;
+
+    private final Path dir;
+    private final World world;
+    private final Signals signals = new Signals();
+    private final Map<String, Member> members = new LinkedHashMap<>();
+    private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
+
+    /** {@code flags} are those of the JVMs. */
+    public Rig(Path jar, List<String> flags, int size) throws IOException {
+        dir = Files.createTempDirectory("wheatspread-rig");
+        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
+            .toString()));
+        command.addAll(flags);
+        command.addAll(List.of("-jar", jar.toAbsolutePath().toString(), "serve"));
+        Ports ports = new Ports();
+        for (int i = 1; i <= size; i++) {
+            addresses.put("n" + i, ports.next());
+            members.put("n" + i, new Member("n" + i, command, dir, signals));
+        }
+        world = new World(addresses);
+    }
+
+    public World world() {
+        return world;
+    }
+
+    public List<Member> members() {
+        return List.copyOf(members.values());
+    }
+
+    /** Starts all and waits until they serve and the proxies know them. */
+    public void start() throws IOException, InterruptedException {
+        for (Member member : members.values()) {
+            configure(member);
+            member.start(null);
+        }
+        for (Member member : members.values()) {
+            member.awaitServing();
+        }
+        TimeUnit.MILLISECONDS.sleep(SEEN_MS);
+    }
+
+    /** Writes the configuration of a server with the addresses of this moment. */
+    public void configure(Member member) throws IOException {
+        JSONObject config = Sites.config(world.kernelDoor(member.name()).text(), world.recordsDoor().text(),
+            world.announceDoor().text(), SOCKETS, members.size());
+        member.configure(config.put("name", member.name()).put("listen",
+            Listening.text(addresses.get(member.name()))));
+    }
+
+    /** Ends the load and waits until every request is over; returns how many still lack an answer. */
+    public int settle() throws InterruptedException {
+        world.ask(0);
+        long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_ANSWERS_MS);
+        while (world.open() > 0 && System.nanoTime() < until) {
+            TimeUnit.MILLISECONDS.sleep(20);
+        }
+        return world.open();
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Member member : members.values()) {
+            if (member.isAlive()) {
+                try {
+                    member.kill();
+                } catch (InterruptedException e) {
+                    Thread.currentThread().interrupt();
+                }
+            }
+        }
+        signals.close();
+        world.close();
+        try (Stream<Path> files = Files.walk(dir)) {
+            for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
+                Files.deleteIfExists(path);
+            }
+        }
+    }
+}
--- a/lab/src/main/java/wheatspread/lab/fleet/Callers.java
+++ b/lab/src/main/java/wheatspread/lab/world/Callers.java
@@ -1,4 +1,4 @@
-package wheatspread.lab.fleet;
+package wheatspread.lab.world;
 
 import io.netty.bootstrap.Bootstrap;
 import io.netty.channel.Channel;
@@ -25,8 +25,8 @@
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
-import wheatspread.lab.fleet.Ledger.Asked;
-import wheatspread.lab.fleet.Ledger.Tried;
+import wheatspread.lab.world.Ledger.Asked;
+import wheatspread.lab.world.Ledger.Tried;
 
 /**
  * One proxy with its clients. It chooses in turns or by the request's subject, goes on through its list after
@@ -53,6 +53,7 @@
     private final Map<String, Double> room = new HashMap<>();
     private int turn;
     private long lastTxn;
+    private int mostPerLink = Integer.MAX_VALUE;
 
     Callers(int number, boolean bySubject, boolean heeds, EventLoop loop, Ledger ledger, ServerList list,
             Map<String, InetSocketAddress> addresses) {
@@ -111,6 +112,10 @@
         }
     }
 
+    void mostPerLink(int requests) {
+        mostPerLink = requests;
+    }
+
     /** A client asks. */
     void ask(Sites.Kind kind, double work, String subject) {
         Asked asked = new Asked(System.currentTimeMillis(), kind, work, kind.keyed() ? subject : null);
@@ -188,6 +193,7 @@
             String txn = String.format("%04x%012x", number + 1, ++lastTxn);
             Tried tried = new Tried(going.asked, server, txn, now, now + going.left());
             open.put(id, new Open(going, tried));
+            leaving |= id >= mostPerLink;
             ledger.tried(tried);
             String body = Base64.getEncoder().encodeToString(("work " + going.asked.work + " "
                 + going.subject)
@@ -238,6 +244,9 @@
             } else {
                 ledger.over(one.going.asked, "failed", now);
             }
+            if (error != null && error.getInt("code") == -32066 && !told.has("later")) {
+                ledger.refusedWithoutTime();
+            }
             closeIfDone();
         }
 
--- a/lab/src/main/java/wheatspread/lab/fleet/ServerList.java
+++ b/lab/src/main/java/wheatspread/lab/world/ServerList.java
@@ -1,4 +1,4 @@
-package wheatspread.lab.fleet;
+package wheatspread.lab.world;
 
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.EventLoop;
--- /dev/null
+++ b/lab/src/test/java/wheatspread/lab/rig/ReloadRunTest.java
@@ -0,0 +1,44 @@
+package wheatspread.lab.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import wheatspread.lab.world.Ledger;
+
+/** Six real processes whose parties move while each has its own trouble; and a fault the ledger must see. */
+class ReloadRunTest {
+    private static final Path JAR = Path.of("../server/target/wheatspread.jar");
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
+        "-Xmx48m");
+
+    @Test
+    @Timeout(180)
+    void reloadsUnderLoadKeepEveryPromise() throws Exception {
+        ReloadRun.Outcome outcome = new ReloadRun(JAR, FLAGS, 40).play(1);
+        assertThat(outcome.faults()).isEmpty();
+        assertThat(outcome.figures().getInt("left_in_order")).isEqualTo(6);
+        assertThat(outcome.figures().getLong("served")).isGreaterThan(300);
+    }
+
+    @Test
+    @Timeout(120)
+    void theLedgerSeesWhatAProcessThatDiesUntoldLeavesUnanswered() throws Exception {
+        try (Rig rig = new Rig(JAR, FLAGS, 1)) {
+            rig.start();
+            rig.world().ask(30);
+            Member member = rig.members().get(0);
+            while (rig.world().open() < 3) {
+                TimeUnit.MILLISECONDS.sleep(5);
+            }
+            member.kill();
+            rig.settle();
+            Ledger ledger = rig.world().ledger();
+            assertThat(ledger.broken()).isPositive();
+            assertThat(ledger.faults()).anyMatch(fault -> fault.startsWith("unanswered"));
+        }
+    }
+}
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -178,6 +178,9 @@
                 if (from == Phase.BINDING) {
                     reportLater();
                 }
+                if (config.inherited() >= 0) {
+                    platformFront.acceptHeld(); // until now the process before this one took what came
+                }
                 marks.ready(identity());
             }
             case DRAINING -> beginDrain();
@@ -238,7 +241,7 @@
                 doorAddress = bind(door, config.control());
             }
             fronts.forEach((front, address) -> bound.add(front == platformFront && config.inherited() >= 0
-                ? front.adopt(config.inherited()) : bind(front, address)));
+                ? front.hold(config.inherited()) : bind(front, address)));
         } catch (RuntimeException e) {
             loop.submit(() -> {
                 fronts.keySet().forEach(Listener::close);
@@ -390,6 +393,9 @@
             life.kernelUp());
         core.drain(config.stopMicros());
         fronts.keySet().forEach(Listener::lastCall);
+        if (config.inherited() >= 0) {
+            platformFront.stopListening(); // the next process takes what comes from now on
+        }
         look();
     }
 
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -57,6 +57,10 @@
     private final RecvByteBufAllocator.ExtendedHandle reading = (RecvByteBufAllocator.ExtendedHandle)
         new FixedRecvByteBufAllocator(READ).maxMessagesPerRead(1).newHandle();
     private Channel listening;
+    /** A handed-over socket on which nothing is accepted yet. */
+    private ServerChannel held;
+    private boolean handedOver;
+    private boolean stopped;
     private Clock.Timer timer;
     private long armedFor = Long.MAX_VALUE;
     private boolean watching;
@@ -91,25 +95,33 @@
     }
 
     /**
-     * Accepts on a socket that listens already, handed over on descriptor {@code fd}; nothing is bound. Two
-     * processes that hold it share one queue, so what one leaves there the other takes. Returns the address.
+     * Holds a socket that listens already, handed over on descriptor {@code fd}; nothing is bound, and nothing
+     * is accepted until {@link #acceptHeld}. Two processes that hold it share one queue, so what one leaves
+     * there the other takes. Returns the address.
      */
-    public InetSocketAddress adopt(int fd) {
+    public InetSocketAddress hold(int fd) {
         try {
             ServerChannel channel = turns.transport().adopt(fd);
             channel.pipeline().addLast(new Acceptor());
-            ChannelFuture registered = loop.register(channel).awaitUninterruptibly();
-            if (!registered.isSuccess()) {
-                throw new IllegalStateException("cannot accept on descriptor " + fd + ": "
-                    + registered.cause().getMessage());
-            }
-            listening = channel;
+            held = channel;
+            handedOver = true;
             return (InetSocketAddress) channel.localAddress();
         } catch (IOException | RuntimeException e) { // Netty throws what the system said, checked or not
             throw new IllegalStateException("cannot accept on descriptor " + fd + ": " + e.getMessage(), e);
         }
     }
 
+    /** Begins to accept on the socket that is held; on the loop's thread. */
+    public void acceptHeld() {
+        listening = held;
+        held = null;
+        loop.register(listening).addListener(done -> {
+            if (!done.isSuccess()) {
+                log.error("accept_failed", "error", done.cause());
+            }
+        });
+    }
+
     /** Takes what the listening socket accepted. */
     private final class Acceptor extends ChannelInboundHandlerAdapter {
         @Override
@@ -131,7 +143,7 @@
         private void rest(long pause) {
             if (listening != null && listening.config().isAutoRead()) {
                 listening.config().setAutoRead(false);
-                clock.after(pause, () -> listening.config().setAutoRead(true));
+                clock.after(pause, () -> listening.config().setAutoRead(!stopped));
             }
         }
     }
@@ -301,8 +313,15 @@
         table.forEach(Caller::lastCall);
     }
 
+    /**
+     * Accepts nothing from now on. A handed-over socket stays open until the process ends: the JDK takes the
+     * standard streams, and so the log, away with the descriptor that it inherited.
+     */
     public void stopListening() {
-        if (listening != null) { // where another listener could not be bound, this one never was
+        stopped = true;
+        if (listening != null && handedOver) {
+            listening.config().setAutoRead(false);
+        } else if (listening != null) { // where another listener could not be bound, this one never was
             listening.close();
         }
     }
--- a/server/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/server/src/test/java/wheatspread/daemon/SceneTest.java
@@ -27,9 +27,9 @@
  * Plays recorded exchanges against the program. A line {@code party> text} is sent to it, {@code party< text}
  * must come from it; {@code clock 50} moves the clock on by milliseconds; {@code cut}, {@code down} and
  * {@code up} break a connection or a service, and {@code quiet} says that nothing came; {@code reload} gives
- * all parties new addresses, after which old connections are called {@code old-kernel} and so on ({@code late}:
- * the new kernel's refuses until {@code up kernel}), or changes one key; {@code operator} goes over the operator's file; {@code bytes} sends part of a line; {@code mute}
- * leaves reports unanswered; {@code drain} is SIGTERM, {@code hurry} a second SIGINT, and {@code stopped}
+ * all parties new addresses, after which old connections are called {@code old-kernel} and so on (with
+ * {@code late} the new kernel's refuses until {@code up kernel}), or changes one key; {@code operator} goes
+ * over the operator's file; {@code bytes} sends part of a line; {@code mute} leaves reports unanswered; {@code drain} is SIGTERM, {@code hurry} a second SIGINT, and {@code stopped}
  * waits for the end and its exit code. The parties are
  * the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
  */
--- a/server/src/test/java/wheatspread/daemon/StandInKernel.java
+++ b/server/src/test/java/wheatspread/daemon/StandInKernel.java
@@ -13,8 +13,8 @@
 
 /**
  * A kernel that does what a body says: {@code ok} ends with the body turned round, {@code call} ends with the
- * reply to its call, {@code error} fails, and {@code hang} never ends. It notes every run. Its links follow the
- * protocol's page: a new one replaces the one before, runs and numbers go on, and the notices that its
+ * reply to its call, {@code error} fails, and {@code hang} never ends. It notes every run. Its links follow
+ * the protocol's page: a new one replaces the one before, runs and numbers go on, and the notices that its
  * {@code OPEN} says were missed come again. A stage that moves closes its socket, and the next link comes to
  * the new one.
  */
