--- a/lab/src/main/java/wheatspread/lab/StoreCommand.java
+++ b/lab/src/main/java/wheatspread/lab/StoreCommand.java
@@ -29,7 +29,7 @@
 import wheatspread.store.Store;
 import wheatspread.store.StoreSettings;
 
-/** The store beside a plain log with a map and the bare disk: durable writes, memory, recovery, compaction. */
+/** The store beside a plain log and the bare disk: durable writes, memory, recovery, compaction. */
 @Command(name = "store", mixinStandardHelpOptions = true,
     description = "Measures the store on a folder's disk, beside a plain log with a map and bare appends.")
 final class StoreCommand implements Callable<Integer> {
--- a/lab/src/main/java/wheatspread/lab/fleet/FleetProcess.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/FleetProcess.java
@@ -51,10 +51,8 @@
         world = new World(addresses);
         JSONArray members = new JSONArray();
         for (Map.Entry<String, InetSocketAddress> one : addresses.entrySet()) {
-            JSONObject config = Sites.config(world.kernelDoor(one.getKey()).text(), world.recordsDoor().text(),
-                world.announceDoor().text(),
-                512, size)
-                .put("name", one.getKey());
+            JSONObject config = Sites.config(world.kernelDoor(one.getKey()).text(),
+                world.recordsDoor().text(), world.announceDoor().text(), 512, size).put("name", one.getKey());
             Files.writeString(dir.resolve(one.getKey() + ".json"), config.toString());
             members.put(new JSONObject().put("name", one.getKey()).put("listen", "127.0.0.1:"
                 + one.getValue().getPort()).put("config", one.getKey() + ".json"));
--- a/lab/src/main/java/wheatspread/lab/rig/HandedSocket.java
+++ b/lab/src/main/java/wheatspread/lab/rig/HandedSocket.java
@@ -11,9 +11,9 @@
 import java.util.concurrent.TimeUnit;
 
 /**
- * A listening socket that outlives the processes which accept on it, as the platform holds one: each is started
- * with it as descriptor 0. The JDK hands no descriptor to a process that it starts, so a few lines of Perl hold
- * the socket and start them.
+ * A listening socket that outlives the processes which accept on it, as the platform holds one: each is
+ * started with it as descriptor 0. The JDK hands no descriptor to a process that it starts, so a few lines of
+ * Perl hold the socket and start them.
  */
 final class HandedSocket implements AutoCloseable {
     private static final String HOLDER = """
@@ -49,7 +49,8 @@
     private long lastStarted;
 
     HandedSocket() throws IOException {
-        holder = new ProcessBuilder("perl", "-e", HOLDER).redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        holder = new ProcessBuilder("perl", "-e", HOLDER).redirectError(ProcessBuilder.Redirect.INHERIT)
+            .start();
         out = holder.outputWriter(StandardCharsets.UTF_8);
         in = holder.inputReader(StandardCharsets.UTF_8);
         String line = in.readLine();
--- a/lab/src/main/java/wheatspread/lab/rig/HandoverRun.java
+++ b/lab/src/main/java/wheatspread/lab/rig/HandoverRun.java
@@ -21,8 +21,8 @@
 import wheatspread.lab.world.World;
 
 /**
- * Two processes of one server on one handed-over socket, under load: the new one comes while the old one serves,
- * and one of them leaves or dies.
+ * Two processes of one server on one handed-over socket, under load: the new one comes while the old one
+ * serves, and one of them leaves or dies.
  */
 public final class HandoverRun {
     /** What becomes of the two. */
@@ -143,7 +143,8 @@
         try (Socket call = new Socket(door.getAddress(), door.getPort())) {
             call.setSoTimeout(1_000);
             call.getOutputStream().write("GET /_ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-            return new String(call.getInputStream().readAllBytes(), StandardCharsets.US_ASCII).contains(" 200 ");
+            return new String(call.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
+                .contains(" 200 ");
         } catch (IOException e) {
             return false; // it does not listen yet
         }
--- a/lab/src/main/java/wheatspread/lab/rig/Rig.java
+++ b/lab/src/main/java/wheatspread/lab/rig/Rig.java
@@ -17,8 +17,8 @@
 import wheatspread.lab.world.World;
 
 /**
- * Several real processes of the program, each with its own kernel, with the world round them. Whoever tests or
- * measures several processes starts here. All processes that it started are gone when it is closed.
+ * Several real processes of the program, each with its own kernel, and the world round them. Whoever tests
+ * or measures several processes starts here. All processes that it started are gone when it is closed.
  */
 public final class Rig implements AutoCloseable {
     /** Proxies see the list of servers late. */
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -95,9 +95,9 @@
     }
 
     /**
-     * Holds a socket that listens already, handed over on descriptor {@code fd}; nothing is bound, and nothing
-     * is accepted until {@link #acceptHeld}. Two processes that hold it share one queue, so what one leaves
-     * there the other takes. Returns the address.
+     * Holds a socket that listens already, handed over on descriptor {@code fd}; nothing is bound, and
+     * nothing is accepted until {@link #acceptHeld}. Two processes that hold it share one queue, so what one
+     * leaves there the other takes. Returns the address.
      */
     public InetSocketAddress hold(int fd) {
         try {
--- a/server/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/server/src/test/java/wheatspread/daemon/SceneTest.java
@@ -29,9 +29,10 @@
  * {@code up} break a connection or a service, and {@code quiet} says that nothing came; {@code reload} gives
  * all parties new addresses, after which old connections are called {@code old-kernel} and so on (with
  * {@code late} the new kernel's refuses until {@code up kernel}), or changes one key; {@code operator} goes
- * over the operator's file; {@code bytes} sends part of a line; {@code mute} leaves reports unanswered; {@code drain} is SIGTERM, {@code hurry} a second SIGINT, and {@code stopped}
- * waits for the end and its exit code. The parties are
- * the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
+ * over the operator's file; {@code bytes} sends part of a line; {@code mute} leaves reports unanswered;
+ * {@code drain} is SIGTERM, {@code hurry} a second SIGINT, and {@code stopped} waits for the end and its exit
+ * code. The parties are the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers
+ * ({@code u1}).
  */
 class SceneTest {
     /** Every scene on every transport that works here. */
