Membership: watches that distrust themselves, and marks that no single watcher moves

Detection has to bear pauses, lost messages and one-sided cuts.

CutTally: reports of one view by counters that only grow (odd is down), low and high mark, unstable ones waited for, watchers that fell with their subjects counted, joiners heard by those who would watch them, a restart under a name that nobody noticed as one change.

--- a/lab/src/main/java/wheatspread/lab/standins/RecordsHandler.java
+++ b/lab/src/main/java/wheatspread/lab/standins/RecordsHandler.java
@@ -32,4 +32,9 @@
         in.skipBytes(end + 1 + body + 2);
         Parties.after(ctx, callMicros, () -> ctx.writeAndFlush(words[1] + " DONE 5\r\nreply\r\n"));
     }
+
+    @Override
+    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+        ctx.close(); // a server that was ended outright resets its connections
+    }
 }
--- a/server/src/main/java/wheatspread/membership/Agreement.java
+++ b/server/src/main/java/wheatspread/membership/Agreement.java
@@ -7,15 +7,16 @@
 import java.util.TreeMap;
 
 /**
- * Where the members of one view agree on the change that leads to the next: Fast Paxos, one decree a view (L.
- * Lamport, "Fast Paxos", 2006). Each member votes once in the fast round, for the change that it has seen
- * itself; where enough votes are equal, that is all. Where votes split or are lost, a member begins a round of its
- * own with a higher ballot, asks for what was voted, and leads to the one change that may have been decided, or to
- * its own where none can have been.
+ * Where the members of one view agree on the change that leads to the next: Fast Paxos, one decree a view
+ * (L. Lamport, "Fast Paxos", 2006). Each member votes once in the fast round, for the change that it has
+ * seen itself; where enough votes are equal, that is all. Where votes split or are lost, a member begins a
+ * round of its own with a higher ballot, asks for what was voted, and leads to the one change that may have
+ * been decided, or to its own where none can have been.
  *
- * <p>It sends nothing. What a member knows of a round only grows, whoever tells it and in whatever order: votes
- * are passed on by all, so a coordinator need not be heard by those that vote. A member that forgot its votes must
- * not vote again; that is so because a restarted one has another start number and is no member of the view.
+ * <p>It sends nothing. What a member knows of a round only grows, whoever tells it and in whatever order:
+ * votes are passed on by all, so a coordinator need not be heard by those that vote. A member that forgot
+ * its votes must not vote again; that is so because a restarted one has another start number and is no
+ * member of the view.
  */
 final class Agreement {
     /** The ballot of the fast round. */
@@ -132,7 +133,9 @@
         return accepted.cardinality() > before && advance() || news;
     }
 
-    /** Somebody knows what was decided. Who knows takes no part in rounds any more, and tells this instead. */
+    /**
+     * Somebody knows what was decided. Who knows takes no part in rounds any more, and tells this instead.
+     */
     boolean heardDecided(Change change) {
         boolean news = decided == null;
         decided = news ? change : decided;
--- a/server/src/main/java/wheatspread/membership/Change.java
+++ b/server/src/main/java/wheatspread/membership/Change.java
@@ -6,8 +6,8 @@
 import java.util.List;
 
 /**
- * What leads from one view to the next: who goes and who comes, each in order, so that the same change is equal
- * whoever made it.
+ * What leads from one view to the next: who goes and who comes, each in order, so that the same change is
+ * equal whoever made it.
  */
 public record Change(List<MemberId> out, List<Member> in) {
     public Change {
--- /dev/null
+++ b/server/src/main/java/wheatspread/membership/CutTally.java
@@ -0,0 +1,171 @@
+package wheatspread.membership;
+
+import java.util.ArrayList;
+import java.util.BitSet;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+
+/**
+ * What the watchers of one view report, and the change that follows from it (L. Suresh and others, "Stable
+ * and Consistent Membership at Scale with Rapid", 2018). Each pair of a watcher and its subject has a
+ * counter: odd is "down" for a member and "heard" for one that wants to join; the larger counter holds, so a
+ * report may be taken back and news may come in any order. One watcher's word moves nothing: somebody goes
+ * when the high mark is reached, and while anybody stands between the marks the change waits for it, so that
+ * all servers see the same one.
+ *
+ * <p>It sends nothing and reads no clock.
+ */
+final class CutTally {
+    private final View view;
+    private final int[][] counters;
+    private final BitSet leaving = new BitSet();
+    private final Map<MemberId, Joiner> joiners = new TreeMap<>();
+    private final int mostJoiners;
+
+    /** Somebody who wants to become a member, with what those who would watch it say. */
+    static final class Joiner {
+        final Member member;
+        final int[] watchers;
+        final int[] counters;
+
+        Joiner(Member member, int[] watchers) {
+            this.member = member;
+            this.watchers = watchers;
+            counters = new int[watchers.length];
+        }
+    }
+
+    /** Beyond {@code mostJoiners} nobody else is heard of until the next view. */
+    CutTally(View view, int mostJoiners) {
+        this.view = view;
+        this.mostJoiners = mostJoiners;
+        counters = new int[view.size()][];
+        for (int i = 0; i < counters.length; i++) {
+            counters[i] = new int[view.watchersOf(i).length];
+        }
+    }
+
+    /** A watcher's word on a member; returns whether it was news. */
+    boolean reported(int member, int slot, int counter) {
+        return raise(counters[member], slot, counter);
+    }
+
+    /** A member goes by itself. */
+    boolean leaves(int member) {
+        boolean news = !leaving.get(member);
+        leaving.set(member);
+        return news;
+    }
+
+    /**
+     * Somebody wants to join; returns whether it was news. One of an older start than a member or another
+     * joiner of its name is passed over.
+     */
+    boolean joins(Member member) {
+        Member old = view.named(member.id().name());
+        if (joiners.containsKey(member.id()) || joiners.size() >= mostJoiners
+            || old != null && old.id().start() >= member.id().start()) {
+            return false;
+        }
+        for (MemberId other : List.copyOf(joiners.keySet())) {
+            if (other.name().equals(member.id().name())) {
+                if (other.start() > member.id().start()) {
+                    return false;
+                }
+                joiners.remove(other);
+            }
+        }
+        joiners.put(member.id(), new Joiner(member, view.watchersOf(member.id().name(),
+            old == null ? -1 : view.indexOf(old.id()))));
+        return true;
+    }
+
+    /** The word on a joiner of one who would watch it. */
+    boolean heard(MemberId joiner, int slot, int counter) {
+        Joiner of = joiners.get(joiner);
+        return of != null && slot < of.counters.length && raise(of.counters, slot, counter);
+    }
+
+    private static boolean raise(int[] of, int slot, int counter) {
+        if (slot < 0 || slot >= of.length || counter <= of[slot]) {
+            return false;
+        }
+        of[slot] = counter;
+        return true;
+    }
+
+    int counter(int member, int slot) {
+        return counters[member][slot];
+    }
+
+    Joiner joiner(MemberId id) {
+        return joiners.get(id);
+    }
+
+    /** How many watchers say that a member is down. */
+    int down(int member) {
+        return odd(counters[member]);
+    }
+
+    private static int odd(int[] of) {
+        int odd = 0;
+        for (int one : of) {
+            odd += one & 1;
+        }
+        return odd;
+    }
+
+    /**
+     * How many watchers count against a member: those that say so, and of a member that is unstable also
+     * those who are unstable themselves, since who is gone can't report whom it watched.
+     */
+    private int against(int member, BitSet unstable) {
+        int against = down(member);
+        if (unstable.get(member)) {
+            int[] watchers = view.watchersOf(member);
+            for (int slot = 0; slot < watchers.length; slot++) {
+                if ((counters[member][slot] & 1) == 0 && unstable.get(watchers[slot])) {
+                    against++;
+                }
+            }
+        }
+        return against;
+    }
+
+    /**
+     * The change that the reports lead to; null while there is none, or while somebody stands between the
+     * marks. Who is {@code hasty} has waited for these long enough, and leaves them in.
+     */
+    Change change(boolean hasty) {
+        BitSet unstable = new BitSet();
+        for (int i = 0; i < view.size(); i++) {
+            unstable.set(i, counters[i].length > 0 && down(i) >= View.low(counters[i].length));
+        }
+        List<MemberId> out = new ArrayList<>();
+        for (int i = 0; i < view.size(); i++) {
+            boolean gone = leaving.get(i) || unstable.get(i)
+                && against(i, unstable) >= View.high(counters[i].length);
+            if (gone) {
+                out.add(view.members().get(i).id());
+            } else if (unstable.get(i) && !hasty) {
+                return null;
+            }
+        }
+        List<Member> in = new ArrayList<>();
+        for (Joiner one : joiners.values()) {
+            int heard = odd(one.counters);
+            if (heard >= View.high(one.counters.length)) {
+                in.add(one.member);
+                Member old = view.named(one.member.id().name());
+                if (old != null && !out.contains(old.id())) {
+                    out.add(old.id()); // it was restarted before anybody noticed
+                }
+            } else if (heard >= View.low(one.counters.length) && !hasty) {
+                return null;
+            }
+        }
+        Change change = Change.of(out, in);
+        return change.isEmpty() ? null : change;
+    }
+}
--- a/server/src/main/java/wheatspread/membership/MemberId.java
+++ b/server/src/main/java/wheatspread/membership/MemberId.java
@@ -2,7 +2,8 @@
 
 /**
  * One process of a server: the server's name and the number of its start, which grows from one start to the
- * next. A server that was restarted is another one than before, and what is said of the old one does not hit it.
+ * next. A server that was restarted is another one than before, and what is said of the old one does not hit
+ * it.
  */
 public record MemberId(String name, long start) implements Comparable<MemberId> {
     @Override
--- /dev/null
+++ b/server/src/main/java/wheatspread/membership/SelfHealth.java
@@ -0,0 +1,48 @@
+package wheatspread.membership;
+
+/**
+ * How far a member trusts itself to judge others (A. Dadgar and others, "Lifeguard", 2018): a member whose
+ * turns run late, whose probes fail though those it asked for help say nothing either, or who has to refute
+ * that it is gone, waits longer before it accuses. It reads no clock; times are microseconds.
+ */
+final class SelfHealth {
+    private final DetectorSettings settings;
+    private int score;
+
+    SelfHealth(DetectorSettings settings) {
+        this.settings = settings;
+    }
+
+    /** How many times as long as usual this member waits; 1 for one in good health. */
+    int times() {
+        return score + 1;
+    }
+
+    /** A turn came so much later than it was due; returns whether that was a stop, and not a turn. */
+    boolean turned(long late) {
+        if (late < settings.lateTurn()) {
+            return false;
+        }
+        worse((int) Math.min(settings.worstHealth(), 1 + late / settings.whole()));
+        return true;
+    }
+
+    /** A probe was answered in time. */
+    void answered() {
+        score = Math.max(0, score - 1);
+    }
+
+    /** A probe failed, and so many of those asked for help did not even say that it failed for them too. */
+    void missed(int silentHelpers) {
+        worse(silentHelpers);
+    }
+
+    /** Somebody took this member for gone. */
+    void accused() {
+        worse(1);
+    }
+
+    private void worse(int by) {
+        score = Math.min(settings.worstHealth(), score + by);
+    }
+}
--- a/server/src/main/java/wheatspread/membership/View.java
+++ b/server/src/main/java/wheatspread/membership/View.java
@@ -8,8 +8,8 @@
 import java.util.Set;
 
 /**
- * A numbered list of members, the same on every server that has this number. Members stand in the order of their
- * names; their place in it is their index, which votes and reports go by.
+ * A numbered list of members, the same on every server that has this number. Members stand in the order of
+ * their names; their place in it is their index, which votes and reports go by.
  */
 public final class View {
     /** Each member is watched by so many others, or by all others where they are fewer. */
@@ -80,9 +80,10 @@
     }
 
     /**
-     * Who watches somebody of that name, a member or one that wants to become one: the members that score highest
-     * for it (rendezvous hashing), so that each watches about as many as watch it, no two are watched by the same
-     * ones, and few pairs change where one comes or goes. {@code self} is left out; -1 for nobody.
+     * Who watches somebody of that name, a member or one that wants to become one: the members that score
+     * highest for it (rendezvous hashing), so that each watches about as many as watch it, no two are
+     * watched by the same ones, and few pairs change where one comes or goes. {@code self} is left out; -1
+     * for nobody.
      */
     public int[] watchersOf(String name, int self) {
         int most = Math.min(WATCHERS, members.size() - (self < 0 ? 0 : 1));
@@ -127,8 +128,8 @@
     }
 
     /**
-     * So many equal votes end the round without a coordinator: the fewest of which any two groups meet in every
-     * {@link #classicQuorum} (L. Lamport, "Fast Paxos", 2006).
+     * So many equal votes end the round without a coordinator: the fewest of which any two groups meet in
+     * every {@link #classicQuorum} (L. Lamport, "Fast Paxos", 2006).
      */
     public int fastQuorum() {
         return (2 * members.size() - classicQuorum()) / 2 + 1;
--- a/server/src/test/java/wheatspread/membership/AgreementSearchTest.java
+++ b/server/src/test/java/wheatspread/membership/AgreementSearchTest.java
@@ -17,11 +17,12 @@
 import org.junit.jupiter.api.Timeout;
 
 /**
- * Searches what may become of an agreement: every order in which proposals, rounds and messages can come, each
- * lost, late or doubled. A message that was sent may reach anybody at any later time, or never. So a crash needs
- * no step of its own: it is a member to which nothing more happens. What is looked at is what was voted, by the
- * books of the search: no two changes may ever have a quorum of votes, whoever knows of it. So the votes of the
- * fast round and of those who accepted need not be delivered; {@link AgreementTest} plays their way.
+ * Searches what may become of an agreement: every order in which proposals, rounds and messages can come,
+ * each lost, late or doubled. A message that was sent may reach anybody at any later time, or never. So a
+ * crash needs no step of its own: it is a member to which nothing more happens. What is looked at is what
+ * was voted, by the books of the search: no two changes may ever have a quorum of votes, whoever knows of
+ * it. So the votes of the fast round and of those who accepted need not be delivered; {@link AgreementTest}
+ * plays their way.
  */
 class AgreementSearchTest {
     private static final Change X = Change.of(List.of(new MemberId("x", 1)), List.of());
