--- a/server/src/main/java/wheatspread/membership/Agreement.java
+++ b/server/src/main/java/wheatspread/membership/Agreement.java
@@ -4,6 +4,7 @@
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.Map;
+import java.util.Objects;
 import java.util.TreeMap;
 
 /**
@@ -250,6 +251,12 @@
         return accepted;
     }
 
+    /** Equal where the same is known of votes and rounds, and very likely different where not. */
+    long digest() {
+        return fastVotes.hashCode() * 31L * 31 + promises.hashCode() * 31L + accepted.hashCode() + ballot
+            + Objects.hashCode(asked);
+    }
+
     /** What tells this state from any other. */
     @Override
     public String toString() {
--- a/server/src/main/java/wheatspread/membership/CutTally.java
+++ b/server/src/main/java/wheatspread/membership/CutTally.java
@@ -1,6 +1,7 @@
 package wheatspread.membership;
 
 import java.util.ArrayList;
+import java.util.Arrays;
 import java.util.BitSet;
 import java.util.List;
 import java.util.Map;
@@ -95,6 +96,24 @@
         return true;
     }
 
+    /** Who said that it goes. */
+    BitSet leaving() {
+        return leaving;
+    }
+
+    Map<MemberId, Joiner> joiners() {
+        return joiners;
+    }
+
+    /** Equal where the same is known, and very likely different where not. */
+    long digest() {
+        long digest = Arrays.deepHashCode(counters) * 31L + leaving.hashCode();
+        for (Joiner one : joiners.values()) {
+            digest = digest * 31 + one.member.hashCode() * 31L + Arrays.hashCode(one.counters);
+        }
+        return digest;
+    }
+
     int counter(int member, int slot) {
         return counters[member][slot];
     }
--- a/server/src/main/java/wheatspread/membership/SelfHealth.java
+++ b/server/src/main/java/wheatspread/membership/SelfHealth.java
@@ -2,7 +2,7 @@
 
 /**
  * How far a member trusts itself to judge others (A. Dadgar and others, "Lifeguard", 2018): a member whose
- * turns run late, whose probes fail though those it asked for help say nothing either, or who has to refute
+ * turns run late, whose probes fail while none of those asked for help says anything, or who has to refute
  * that it is gone, waits longer before it accuses. It reads no clock; times are microseconds.
  */
 final class SelfHealth {
@@ -32,9 +32,13 @@
         score = Math.max(0, score - 1);
     }
 
-    /** A probe failed, and so many of those asked for help did not even say that it failed for them too. */
-    void missed(int silentHelpers) {
-        worse(silentHelpers);
+    /**
+     * A probe failed, and of those asked for help so many said that it failed for them too. Where none said
+     * anything, it may be this member that is not heard. Lifeguard counts each silent one; a member beside a
+     * zone that is cut off then asks many who can't answer, and would wait nine times as long to say so.
+     */
+    void missed(int asked, int said) {
+        worse(asked > 0 && said == 0 ? 1 : 0);
     }
 
     /** Somebody took this member for gone. */
--- a/server/src/main/java/wheatspread/membership/Watch.java
+++ b/server/src/main/java/wheatspread/membership/Watch.java
@@ -24,6 +24,7 @@
     private boolean askedAround;
     private long suspectSince;
     private int sharedBy;
+    private int enough;
 
     /** The first probe is due at {@code first}. */
     Watch(DetectorSettings settings, SelfHealth health, long first) {
@@ -41,9 +42,10 @@
         return suspectSince;
     }
 
-    /** How many other watchers share the suspicion. */
-    void sharedBy(int others) {
+    /** How many other watchers share the suspicion, of how many that there are. */
+    void sharedBy(int others, int possible) {
         sharedBy = others;
+        enough = Math.min(settings.confirmations(), possible);
     }
 
     /** When {@link #step} has something to do next. */
@@ -57,8 +59,7 @@
     /** How long the present suspicion lasts, by how many share it. */
     long suspicion() {
         double spread = settings.mostSuspicion() - settings.leastSuspicion();
-        double share = settings.confirmations() == 0 ? 0
-            : Math.log1p(Math.min(sharedBy, settings.confirmations())) / Math.log1p(settings.confirmations());
+        double share = enough == 0 ? 0 : Math.log1p(Math.min(sharedBy, enough)) / Math.log1p(enough);
         return (long) (settings.mostSuspicion() - spread * share) * health.times();
     }
 
