Have the old kernel link vouch for its commands before a moved one takes its place

A new link says again all that nobody has vouched for (KernelLink.becomeReady). A command that the kernel read over the old link may then be said while its run ends, and the kernel starts a second one. Ruled out: missed notices (they are read before that, by the stand-in's order), and the stand-in's reset for a new process (it had read notices).

On a move the old link is asked for its gauges first, with the number of the last command, and nothing more is said there; once it answers, or after 200 ms, or when it ends, the new link opens. What is said on the new one is then what was never said before. A link that waits and breaks leaves the old one in service.

Scene 35 fails without the change (no question on the old link) and passes with it; scenes 22 and 34 and the reload tests hold as they were.

--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -37,6 +37,8 @@
     /** How long missed notices are waited for where the kernel does not say that they are through. */
     private static final long SYNC_MS = 1_000;
     private static final String SYNC = "sync";
+    /** How long the old link may take to vouch for what was said on it before a new one takes its place. */
+    private static final long VOUCH_MS = 200;
     /** Questions for gauges in a row, one a tick of the module, without a line after which a link hangs. */
     private static final int UNHEARD_MOST = 100;
 
@@ -53,6 +55,10 @@
     private Connection current;
     /** The link that is to replace it, while it is being opened. */
     private Connection opening;
+    /** The link that replaces it once it has vouched for every command that was said on it. */
+    private Connection waiting;
+    /** The last command said on the link in use. */
+    private long lastSaid;
     /** Commands may go out: the kernel is up and the notices missed have been read. */
     private boolean ready;
     private boolean booted;
@@ -103,6 +109,9 @@
     public void moveTo(InetSocketAddress next) {
         if (!next.equals(address)) {
             address = next;
+            if (waiting != null) {
+                waiting.channel.close();
+            }
             retryMs = FIRST_RETRY_MS;
             open();
         }
@@ -110,6 +119,9 @@
 
     public void close() {
         closed = true;
+        if (waiting != null) {
+            waiting.channel.close();
+        }
         if (current != null) {
             current.channel.close();
         }
@@ -167,6 +179,7 @@
         String line = fields.put("type", type).put("job", job).toString();
         unconfirmed.add(new Command(++lastCommand, type, job, line));
         if (ready) {
+            lastSaid = lastCommand;
             say(line);
         }
     }
@@ -179,12 +192,47 @@
         return Base64.getEncoder().encodeToString(bytes);
     }
 
-    /** All missed notices are read: says again what the kernel may not have heard. */
+    /** All missed notices are read: says, or says again, what the kernel may not have heard on this link. */
     private void becomeReady() {
-        if (!ready) {
+        if (!ready && waiting == null) {
             ready = true;
-            unconfirmed.forEach(command -> say(command.line()));
+            unconfirmed.stream().filter(command -> command.number() > lastSaid).forEach(command ->
+                say(command.line()));
+            lastSaid = lastCommand;
+        }
+    }
+
+    /**
+     * A new link may take the place of one that still serves. What was said on the old one is vouched for first,
+     * and nothing more is said there: a command that was read must not be said again, since its run may end at
+     * that moment, and would be a second one.
+     */
+    private void replace(Connection next) {
+        if (current == null || !ready || unconfirmed.isEmpty()) {
+            use(next);
+            return;
+        }
+        waiting = next;
+        ready = false;
+        say(new JSONObject().put("type", "SYSINFO").put("ref", Long.toString(lastCommand)).toString());
+        loop.schedule(() -> {
+            if (waiting == next) {
+                use(next);
+            }
+        }, VOUCH_MS, TimeUnit.MILLISECONDS);
+    }
+
+    private void use(Connection next) {
+        Connection old = current;
+        waiting = null;
+        current = next;
+        ready = false;
+        unheard = 0;
+        lastSaid = 0;
+        if (old != null) {
+            old.channel.close();
         }
+        say(new JSONObject().put("type", "OPEN").put("n", lastNotice).toString());
     }
 
     // ---- notices ----
@@ -205,19 +253,23 @@
                 channel.close(); // the address changed while it was being opened
                 return;
             }
-            Connection old = current;
             opening = null;
-            current = this;
-            ready = false;
-            unheard = 0;
-            if (old != null) {
-                old.channel.close();
-            }
-            say(new JSONObject().put("type", "OPEN").put("n", lastNotice).toString());
+            replace(this);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
+            if (waiting == this) {
+                waiting = null;
+                becomeReady(); // the old one goes on with what was not said there yet
+                retry();
+                return;
+            }
+            if (current == this && waiting != null && !closed) {
+                current = null;
+                use(waiting);
+                return;
+            }
             if (current != this) {
                 return; // a late close of a link that was replaced must not drop the new one
             }
@@ -297,6 +349,9 @@
                 while (!unconfirmed.isEmpty() && unconfirmed.peek().number() <= heard) {
                     unconfirmed.poll();
                 }
+                if (waiting != null && heard >= lastSaid) {
+                    use(waiting);
+                }
             }
             JSONArray row = notice.optJSONArray("gauges", new JSONArray());
             double[] gauges = new double[row.length()];
