Hold by a test that a server which was not told to loads nothing of membership or the store

Need: whatever is new ships switched off in `run`. OffTest starts the jar as a process, lets it serve and leave, and looks through the classes that its JVM loaded: none of `membership`, `store`, protobuf or hash4j. Checked: the same list holds the server's own classes, so an empty list can't pass.

--- /dev/null
+++ b/lab/src/test/java/wheatspread/lab/rig/OffTest.java
@@ -0,0 +1,35 @@
+package wheatspread.lab.rig;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import wheatspread.lab.Sites;
+import wheatspread.lab.standins.Parties;
+import wheatspread.lab.standins.ServerProcess;
+
+/** What no operator asked for costs a server nothing: it loads no class of it. */
+class OffTest {
+    @TempDir
+    private Path dir;
+
+    @Test
+    @Timeout(60)
+    void aServerThatIsNotToldToLoadsNothingOfTheFleetsOwnAffairs() throws Exception {
+        Path loaded = dir.resolve("classes.txt");
+        try (Parties parties = new Parties(1_000, 1_000);
+             ServerProcess server = new ServerProcess(Path.of("../server/target/wheatspread.jar"),
+                 Sites.config(parties, 512), null, List.of("-XX:+UseSerialGC", "-Xmx48m",
+                     "-Xlog:class+load=info:file=" + loaded), -1)) {
+            assertThat(server.leave()).isTrue();
+        }
+        String classes = Files.readString(loaded);
+        assertThat(classes).contains("wheatspread.daemon.Server ", "wheatspread.kernel.KernelLink ");
+        assertThat(classes).doesNotContain("wheatspread.membership.", "wheatspread.store.",
+            "com.google.protobuf.", "com.dynatrace.hash4j.");
+    }
+}
--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -203,9 +203,9 @@
     }
 
     /**
-     * A new link may take the place of one that still serves. What was said on the old one is vouched for first,
-     * and nothing more is said there: a command that was read must not be said again, since its run may end at
-     * that moment, and would be a second one.
+     * A new link may take the place of one that still serves. What was said on the old one is vouched for
+     * first, and nothing more is said there: a command that was read must not be said again, since its run
+     * may end at that moment, and would be a second one.
      */
     private void replace(Connection next) {
         if (current == null || !ready || unconfirmed.isEmpty()) {
