--- a/lab/src/main/java/wheatspread/lab/StoreCommand.java
+++ b/lab/src/main/java/wheatspread/lab/StoreCommand.java
@@ -1,11 +1,9 @@
 package wheatspread.lab;
 
-import java.io.File;
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
@@ -23,6 +21,7 @@
 import picocli.CommandLine.Option;
 import wheatspread.disk.FolderDisk;
 import wheatspread.lab.report.Report;
+import wheatspread.lab.standins.Folders;
 import wheatspread.lab.store.StoreRuns;
 import wheatspread.logging.EventLog;
 import wheatspread.store.Index;
@@ -71,7 +70,7 @@
             System.out.println("compaction " + report.get("compaction"));
         }
         report.write(out);
-        clear(folder);
+        Folders.delete(folder);
         return 0;
     }
 
@@ -90,20 +89,12 @@
                 bars.computeIfAbsent(one, w -> new LinkedHashMap<>()).put("group of " + group,
                     Math.log10(figures.getJSONObject(one).getDouble("writes_per_s")));
             }
-            clear(folder);
+            Folders.delete(folder);
         }
         Report.bars(out.resolve("store-writes.png"), "Durable writes a second", "log10 of writes a second",
             bars);
     }
 
-    private static void clear(Path folder) throws IOException {
-        if (Files.exists(folder)) {
-            try (Stream<Path> files = Files.walk(folder)) {
-                files.sorted(Comparator.reverseOrder()).map(Path::toFile).forEach(File::delete);
-            }
-        }
-    }
-
     private static long heap() {
         for (int i = 0; i < 4; i++) {
             System.gc();
@@ -146,7 +137,7 @@
         }
         for (int i = 1; i <= steps; i++) {
             int size = keys / steps * i;
-            clear(folder);
+            Folders.delete(folder);
             fill(size);
             JSONObject with = open(size);
             try (Stream<Path> files = Files.list(folder)) {
@@ -234,7 +225,7 @@
     }
 
     private long steady(StoreSettings settings, Histogram to) throws Exception {
-        clear(folder);
+        Folders.delete(folder);
         Random random = new Random(1);
         byte[] value = new byte[400];
         try (Store store = Store.open(FolderDisk.make(folder), settings, Store.Time.SYSTEM, Runnable::run,
--- a/lab/src/main/java/wheatspread/lab/fleet/FleetProcess.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/FleetProcess.java
@@ -16,6 +16,7 @@
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
 import wheatspread.lab.rig.Ports;
+import wheatspread.lab.standins.Folders;
 import wheatspread.lab.world.World;
 
 /**
@@ -192,10 +193,6 @@
             }
         }
         world.close();
-        try (Stream<Path> files = Files.walk(dir)) {
-            for (Path path : files.sorted(java.util.Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(path);
-            }
-        }
+        Folders.delete(dir);
     }
 }
--- a/lab/src/main/java/wheatspread/lab/rig/HandoverRun.java
+++ b/lab/src/main/java/wheatspread/lab/rig/HandoverRun.java
@@ -7,16 +7,15 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.List;
 import java.util.Map;
 import java.util.Random;
 import java.util.concurrent.TimeUnit;
 import java.util.function.BooleanSupplier;
-import java.util.stream.Stream;
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
 import wheatspread.lab.standins.Door;
+import wheatspread.lab.standins.Folders;
 import wheatspread.lab.world.Ledger;
 import wheatspread.lab.world.World;
 
@@ -108,11 +107,7 @@
             }
             return new ReloadRun.Outcome(figures, faults);
         } finally {
-            try (Stream<Path> files = Files.walk(dir)) {
-                for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
-                    Files.deleteIfExists(path);
-                }
-            }
+            Folders.delete(dir);
         }
     }
 
--- a/lab/src/main/java/wheatspread/lab/rig/Rig.java
+++ b/lab/src/main/java/wheatspread/lab/rig/Rig.java
@@ -5,14 +5,13 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
-import java.util.stream.Stream;
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
+import wheatspread.lab.standins.Folders;
 import wheatspread.lab.standins.Listening;
 import wheatspread.lab.world.World;
 
@@ -99,10 +98,6 @@
         }
         signals.close();
         world.close();
-        try (Stream<Path> files = Files.walk(dir)) {
-            for (Path path : files.sorted(Comparator.reverseOrder()).toList()) {
-                Files.deleteIfExists(path);
-            }
-        }
+        Folders.delete(dir);
     }
 }
