KernelLink: a retry does not overtake a link that waits for the old one's word

Two moves of the kernel within the wait for the old link's word close the first waiting link, whose end sets a retry (20 ms); the second link is then waiting already (opening == null, the old one still current), and the retry opens a third. That one takes the place at once, since the old link is no longer ready, so that commands not vouched for are said again, which is what the wait is there to prevent, and the second link is never closed. Checked: the other ways to open() (a refusal, a lost link) leave opening set or current null, and a retry under a live opening was skipped before. Found by reading; the test comes next. Change: a retry does nothing while a link waits. The question for gauges is written in one place.

--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -129,8 +129,9 @@
 
     private void retry() {
         loop.schedule(() -> {
-            // an old address's link still serves, but only until its kernel closes it
-            if (opening == null && (current == null || !current.to.equals(address))) {
+            // an old address's link still serves, but only until its kernel closes it;
+            // one that waits for its word must not be overtaken by another
+            if (opening == null && waiting == null && (current == null || !current.to.equals(address))) {
                 open();
             }
         }, retryMs, TimeUnit.MILLISECONDS);
@@ -171,10 +172,15 @@
             log.warn("kernel_silent", "unheard", unheard);
             current.channel.close();
         } else if (ready) {
-            say(new JSONObject().put("type", "SYSINFO").put("ref", Long.toString(lastCommand)).toString());
+            askGauges(Long.toString(lastCommand));
         }
     }
 
+    /** The answer brings {@code ref} back, and vouches for all that was said before the question. */
+    private void askGauges(String ref) {
+        say(new JSONObject().put("type", "SYSINFO").put("ref", ref).toString());
+    }
+
     private void command(String type, String job, JSONObject fields) {
         String line = fields.put("type", type).put("job", job).toString();
         unconfirmed.add(new Command(++lastCommand, type, job, line));
@@ -214,7 +220,7 @@
         }
         waiting = next;
         ready = false;
-        say(new JSONObject().put("type", "SYSINFO").put("ref", Long.toString(lastCommand)).toString());
+        askGauges(Long.toString(lastCommand));
         loop.schedule(() -> {
             if (waiting == next) {
                 use(next);
@@ -331,7 +337,7 @@
             long age = micros(notice);
             booted = true;
             retryMs = FIRST_RETRY_MS;
-            say(new JSONObject().put("type", "SYSINFO").put("ref", SYNC).toString());
+            askGauges(SYNC);
             loop.schedule(() -> {
                 if (current == this) {
                     becomeReady();
