membership: founding from nothing, epochs, the mark of an old view, damping

A fleet had to be begun with a view from outside; a side without a quorum did not know it; a flapping member changed the view with every turn. Founding: only seeds found, with the consent of more than half of them, none of which is in a view; an epoch belongs to one founder by its arithmetic, so no number is used twice. An operator may order an epoch on a seed whose view does not stand. Precedence: between fleets, who has no quorum gives way to who has it, and of two that have it the later to the earlier. Standing: three signs that a quorum hears each other. Damping: points by name. Seen on the way: (1) with 15 of 40 cut off, one of the 15 thought for good that its view stands, as only reports were counted and a side that is cut off distrusts itself; suspicions count now. (3) nextTurn of a founder in the past, found while writing, never run. What the tally says is computed once for each change of it, no longer for each message.

--- a/server/src/main/java/wheatspread/membership/CutTally.java
+++ b/server/src/main/java/wheatspread/membership/CutTally.java
@@ -20,9 +20,15 @@
 final class CutTally {
     private final View view;
     private final int[][] counters;
+    /** As the counters, with odd for "suspected": no report yet, and often none in the end. */
+    private final int[][] suspicions;
     private final BitSet leaving = new BitSet();
     private final Map<MemberId, Joiner> joiners = new TreeMap<>();
     private final int mostJoiners;
+    /** What follows from all this, until something else is heard; most messages bring nothing new. */
+    private Summary summary;
+
+    private record Summary(long digest, int missed, Change whole, Change hasty) { }
 
     /** Somebody who wants to become a member, with what those who would watch it say. */
     static final class Joiner {
@@ -42,8 +48,10 @@
         this.view = view;
         this.mostJoiners = mostJoiners;
         counters = new int[view.size()][];
+        suspicions = new int[view.size()][];
         for (int i = 0; i < counters.length; i++) {
             counters[i] = new int[view.watchersOf(i).length];
+            suspicions[i] = new int[counters[i].length];
         }
     }
 
@@ -52,10 +60,29 @@
         return raise(counters[member], slot, counter);
     }
 
+    /** A watcher's suspicion of a member, which moves nothing; returns whether it was news. */
+    boolean suspected(int member, int slot, int counter) {
+        return raise(suspicions[member], slot, counter);
+    }
+
+    int suspicion(int member, int slot) {
+        return suspicions[member][slot];
+    }
+
+    int watchers(int member) {
+        return counters[member].length;
+    }
+
+    /** How many watchers other than that one suspect a member. */
+    int othersSuspect(int member, int slot) {
+        return odd(suspicions[member]) - (suspicions[member][slot] & 1);
+    }
+
     /** A member goes by itself. */
     boolean leaves(int member) {
         boolean news = !leaving.get(member);
         leaving.set(member);
+        summary = null;
         return news;
     }
 
@@ -77,6 +104,7 @@
                 joiners.remove(other);
             }
         }
+        summary = null;
         joiners.put(member.id(), new Joiner(member, view.watchersOf(member.id().name(),
             old == null ? -1 : view.indexOf(old.id()))));
         return true;
@@ -88,11 +116,12 @@
         return of != null && slot < of.counters.length && raise(of.counters, slot, counter);
     }
 
-    private static boolean raise(int[] of, int slot, int counter) {
+    private boolean raise(int[] of, int slot, int counter) {
         if (slot < 0 || slot >= of.length || counter <= of[slot]) {
             return false;
         }
         of[slot] = counter;
+        summary = null;
         return true;
     }
 
@@ -107,6 +136,35 @@
 
     /** Equal where the same is known, and very likely different where not. */
     long digest() {
+        return summary().digest;
+    }
+
+    /**
+     * How many members are missed: they may have gone, or be behind a cut. Suspicions count here, since a
+     * side that is cut off distrusts itself and is slow to report.
+     */
+    int missed() {
+        return summary().missed;
+    }
+
+    /**
+     * The change that the reports lead to; null while there is none, or while somebody stands between the
+     * marks. Who is {@code hasty} has waited for these long enough, and leaves them in.
+     */
+    Change change(boolean hasty) {
+        return hasty ? summary().hasty : summary().whole;
+    }
+
+    private Summary summary() {
+        if (summary == null) {
+            BitSet unstable = unstable();
+            summary = new Summary(computeDigest(), countMissed(unstable), computeChange(unstable, false),
+                computeChange(unstable, true));
+        }
+        return summary;
+    }
+
+    private long computeDigest() {
         long digest = Arrays.deepHashCode(counters) * 31L + leaving.hashCode();
         for (Joiner one : joiners.values()) {
             digest = digest * 31 + one.member.hashCode() * 31L + Arrays.hashCode(one.counters);
@@ -153,14 +211,39 @@
     }
 
     /**
-     * The change that the reports lead to; null while there is none, or while somebody stands between the
-     * marks. Who is {@code hasty} has waited for these long enough, and leaves them in.
+     * Who is missed by half of the watchers that are not missed themselves is missed too: beside a cut most
+     * watchers of those behind it are there as well and say nothing.
      */
-    Change change(boolean hasty) {
+    private int countMissed(BitSet unstable) {
+        BitSet missed = (BitSet) unstable.clone();
+        int before = 0;
+        while (missed.cardinality() > before) {
+            before = missed.cardinality();
+            for (int i = 0; i < view.size(); i++) {
+                int[] watchers = view.watchersOf(i);
+                int here = 0;
+                for (int watcher : watchers) {
+                    here += missed.get(watcher) ? 0 : 1;
+                }
+                int against = 0;
+                for (int slot = 0; slot < watchers.length; slot++) {
+                    against += (counters[i][slot] | suspicions[i][slot]) & 1;
+                }
+                missed.set(i, missed.get(i) || against > 0 && 2 * against >= here);
+            }
+        }
+        return before;
+    }
+
+    private BitSet unstable() {
         BitSet unstable = new BitSet();
         for (int i = 0; i < view.size(); i++) {
             unstable.set(i, counters[i].length > 0 && down(i) >= View.low(counters[i].length));
         }
+        return unstable;
+    }
+
+    private Change computeChange(BitSet unstable, boolean hasty) {
         List<MemberId> out = new ArrayList<>();
         for (int i = 0; i < view.size(); i++) {
             boolean gone = leaving.get(i) || unstable.get(i)
--- a/server/src/main/java/wheatspread/membership/Membership.java
+++ b/server/src/main/java/wheatspread/membership/Membership.java
@@ -4,8 +4,10 @@
 import java.util.BitSet;
 import java.util.HashMap;
 import java.util.LinkedHashMap;
+import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
+import java.util.Set;
 import java.util.random.RandomGenerator;
 import wheatspread.membership.Message.Body;
 
@@ -35,6 +37,10 @@
     private static final long KNOCK = 500_000;
     /** A peer is asked for a view, or told one or all that is known, this often at most. */
     private static final long AGAIN = 300_000;
+    /** Seeds outside the view are told of it so often by all members together, and twice this by few. */
+    private static final long SEEK = 200_000;
+    private static final long LEAST_SEEK = 2_000_000;
+    private static final int MOST_KNOCKS = 3;
 
     /** What a member does to the outside. */
     public interface Actions {
@@ -42,28 +48,42 @@
 
         /** Another view holds from now on; {@code change} led to it, null where that is not known. */
         void changed(View before, View now, Change change);
+
+        /** The time by the calendar, for the numbers of epochs. */
+        long unixMillis();
     }
 
-    private final Member self;
+    /** Another start number stands here where this member came back to a fleet that it had left. */
+    private Member self;
     private final List<String> seeds;
     private final DetectorSettings settings;
     private final RandomGenerator random;
     private final Actions actions;
     private final SelfHealth health;
     private final NewsQueue queue = new NewsQueue();
+    private final Founding founding;
+    private final Damping damping = new Damping();
     private final Map<MemberId, Subject> subjects = new LinkedHashMap<>();
     private final Map<Long, Relay> relays = new LinkedHashMap<>();
     private final Map<MemberId, Long> toldAt = new HashMap<>();
     private View view;
     private int index = -1;
     private CutTally tally;
+    private Standing standing;
     private Agreement agreement;
-    private int[][] suspicions;
     private Change proposed;
     private long lastNumber;
     private long expectedTurn = Long.MAX_VALUE;
     private long gossipAt;
     private long knockAt;
+    private long seekAt;
+    /** The latest epoch in which this member was in a view, and whether it was in one under this number. */
+    private long latestEpoch;
+    private boolean wasIn;
+    /** When it was heard last that the view stands, while this member is not in it. */
+    private long stoodAt;
+    /** The time of the call that is being carried out. */
+    private long now;
     private long reportedAt;
     private long unstableSince;
     private long roundAt;
@@ -104,6 +124,12 @@
         this.random = random;
         this.actions = actions;
         health = new SelfHealth(settings);
+        founding = new Founding(seeds, self.address(), random);
+    }
+
+    /** This member as it is known now. */
+    public Member self() {
+        return self;
     }
 
     /** The view that holds here; null before the first. */
@@ -121,9 +147,37 @@
         return health.times();
     }
 
+    /** Whether this member is in its view and a quorum of that seems to hear each other. */
+    public boolean stands(long at) {
+        return isIn() && standing.stands(at);
+    }
+
+    /** Begins without a view: to join the fleet that there is, or to help found one. */
+    public void start(long at) {
+        now = at;
+        knockAt = at;
+        founding.outside(at);
+    }
+
     /** Begins with a view that was agreed elsewhere. */
-    public void begin(View first, long now) {
-        install(first, null, now);
+    public void begin(View first, long at) {
+        now = at;
+        install(first, null);
+    }
+
+    /**
+     * An operator orders a new epoch, since the quorum is gone for good: this member founds it with all that
+     * are in no view that stands. Returns why not, or null.
+     */
+    public String found(long at) {
+        if (!founding.isSeed()) {
+            return "only a seed founds";
+        }
+        if (stands(at)) {
+            return "the view " + viewId() + " stands";
+        }
+        founding.order(at);
+        return null;
     }
 
     /**
@@ -143,7 +197,8 @@
     public long nextTurn() {
         long next = !isIn() ? leaves ? Long.MAX_VALUE : knockAt
             : queue.isEmpty() && tellLeft == 0 && !agreement.underWay() && tally.change(true) == null
-                ? Long.MAX_VALUE : gossipAt;
+                ? seekAt : Math.min(seekAt, gossipAt);
+        next = leaves ? next : Math.min(next, founding.nextAt());
         for (Subject one : subjects.values()) {
             next = Math.min(next, one.watch.nextAt());
         }
@@ -155,19 +210,23 @@
     }
 
     /** Does what is due. A turn that comes far too late tells that this process was stopped. */
-    public void turn(long now) {
+    public void turn(long at) {
+        now = at;
         long late = now - expectedTurn;
         if (expectedTurn != Long.MAX_VALUE && health.turned(late)) {
             subjects.values().forEach(one -> one.watch.stoppedFor(late));
         }
         expectedTurn = Long.MAX_VALUE;
         if (!isIn() && !leaves && now >= knockAt) {
-            knock(now);
+            knock();
+        }
+        if (!leaves) {
+            found();
         }
         for (Subject one : List.copyOf(subjects.values())) {
             Watch.Step step = one.watch.step(now);
             while (step != Watch.Step.NOTHING) {
-                act(one, step, now);
+                act(one, step);
                 step = one.watch.step(now);
             }
         }
@@ -177,7 +236,10 @@
                 send(one.getValue().address, new Body.Nack(one.getValue().number));
             }
         }
-        consider(now);
+        consider();
+        if (isIn() && now >= seekAt) {
+            seek();
+        }
         if (now >= gossipAt) {
             gossipAt = now + GOSSIP;
             if (isIn() && view.size() > 1 && (!queue.isEmpty() || tellLeft > 0)) {
@@ -195,19 +257,52 @@
         return view.members().get(one < index ? one : one + 1);
     }
 
-    private void knock(long now) {
+    private void knock() {
         knockAt = now + KNOCK;
         List<String> doors = new ArrayList<>(seeds);
-        if (view != null) {
-            view.members().forEach(one -> doors.add(one.address()));
+        doors.remove(self.address());
+        while (doors.size() > MOST_KNOCKS) {
+            doors.remove(random.nextInt(doors.size()));
+        }
+        if (view != null && view.size() > 0) {
+            String member = view.members().get(random.nextInt(view.size())).address();
+            if (!doors.contains(member) && !member.equals(self.address())) {
+                doors.add(member);
+            }
+        }
+        doors.forEach(door -> send(door, new Body.Knock(self)));
+    }
+
+    /** Tells a seed that is in no view, or in another fleet's, of this one. */
+    private void seek() {
+        List<String> absent = new ArrayList<>(seeds);
+        view.members().forEach(one -> absent.remove(one.address()));
+        if (absent.isEmpty()) {
+            seekAt = Long.MAX_VALUE;
+            return;
+        }
+        seekAt = now + Math.max(LEAST_SEEK, SEEK * view.size()) * (50 + random.nextInt(100)) / 100;
+        sendBare(absent.get(random.nextInt(absent.size())), new Body.Gossip());
+    }
+
+    private void found() {
+        if (founding.isOrdered() && stands(now)) {
+            founding.inside(); // the quorum came back before the order was carried out
         }
-        doors.removeIf(self.address()::equals);
-        if (!doors.isEmpty()) {
-            send(doors.get(random.nextInt(doors.size())), new Body.Knock(self));
+        Founding.Step step = founding.step(self, now, actions.unixMillis());
+        if (step == Founding.Step.FOUND) {
+            install(founding.first(), null);
+        } else if (step == Founding.Step.ASK) {
+            Set<String> asked = new LinkedHashSet<>(seeds);
+            if (founding.isOrdered() && view != null) {
+                view.members().forEach(one -> asked.add(one.address()));
+            }
+            asked.remove(self.address());
+            asked.forEach(one -> sendBare(one, new Body.Found(founding.epoch(), founding.isOrdered())));
         }
     }
 
-    private void act(Subject one, Watch.Step step, long now) {
+    private void act(Subject one, Watch.Step step) {
         switch (step) {
             case PROBE -> {
                 one.number = ++lastNumber;
@@ -217,6 +312,9 @@
             }
             case ASK_AROUND -> askAround(one);
             case SUSPECT -> {
+                if (one.joiner) {
+                    damping.silent(one.member.id());
+                }
                 health.missed(one.asked, one.nacks);
                 suspect(one, true);
             }
@@ -240,7 +338,7 @@
     private void suspect(Subject one, boolean suspected) {
         if (!one.joiner) {
             int member = view.indexOf(one.member.id());
-            int counter = suspicions[member][one.slot];
+            int counter = tally.suspicion(member, one.slot);
             if ((counter & 1) == 1 != suspected) {
                 learn(new News.Suspicion(member, one.slot, counter + 1));
             }
@@ -266,10 +364,15 @@
     // ---- messages ----
 
     private void send(String address, Body body) {
-        actions.send(address, new Message(self.id(), viewId(), digest(), body,
+        actions.send(address, new Message(self.id(), viewId(), stands(now), digest(), body,
             isIn() ? queue.take(MOST_NEWS) : List.of()));
     }
 
+    /** To somebody who may be in no view, or in another: without the news of this one. */
+    private void sendBare(String address, Body body) {
+        actions.send(address, new Message(self.id(), viewId(), stands(now), digest(), body, List.of()));
+    }
+
     private ViewId viewId() {
         return view == null ? ViewId.NONE : view.id();
     }
@@ -279,24 +382,41 @@
     }
 
     /** A message came; {@code address} is where an answer goes. */
-    public void received(String address, Message message, long now) {
-        int order = message.view().compareTo(viewId());
-        if (order == 0 && isIn()) {
-            message.news().forEach(news -> hear(news, now));
-            if (message.digest() != digest() && view.indexOf(message.from()) >= 0
-                && mayTell(message.from(), now)) {
-                actions.send(address, new Message(self.id(), viewId(), digest(), new Body.Gossip(), all()));
+    public void received(String address, Message message, long at) {
+        now = at;
+        int sender = isIn() ? view.indexOf(message.from()) : -1;
+        if (sender >= 0) {
+            standing.heard(sender, now);
+        }
+        if (!isIn() && message.stands()) {
+            founding.heardStanding(now);
+            stoodAt = message.view().epoch() == viewId().epoch() ? now : stoodAt;
+        }
+        if (message.view().equals(viewId())) {
+            if (isIn()) {
+                message.news().forEach(this::hear);
+                if (message.digest() != digest() && sender >= 0 && mayTell(message.from())) {
+                    actions.send(address, new Message(self.id(), viewId(), stands(now), digest(),
+                        new Body.Gossip(), all()));
+                }
+            }
+        } else if (goesBefore(message)) {
+            if (!(message.body() instanceof Body.ViewIs) && mayTell(message.from())) {
+                send(address, new Body.WhichView());
             }
-        } else if (order > 0 && !(message.body() instanceof Body.ViewIs) && mayTell(message.from(), now)) {
-            send(address, new Body.WhichView());
-        } else if (order < 0 && isIn() && mayTell(message.from(), now)) {
-            send(address, new Body.ViewIs(view));
+        } else if (isIn() && mayTell(message.from())) {
+            sendBare(address, new Body.ViewIs(view));
         }
-        answer(address, message.body(), now);
-        consider(now);
+        answer(address, message);
+        consider();
+    }
+
+    private boolean goesBefore(Message message) {
+        boolean mineStands = isIn() ? stands(now) : view != null && now < stoodAt + Founding.QUIET;
+        return Precedence.goesBefore(message.view(), message.stands(), viewId(), mineStands);
     }
 
-    private boolean mayTell(MemberId whom, long now) {
+    private boolean mayTell(MemberId whom) {
         if (toldAt.size() > MOST_TOLD) {
             toldAt.clear(); // names cost nothing but a moment's repeat
         }
@@ -307,7 +427,8 @@
         return true;
     }
 
-    private void answer(String address, Body body, long now) {
+    private void answer(String address, Message message) {
+        Body body = message.body();
         if (body instanceof Body.Ping ping) {
             if (ping.to().equals(self.id())) { // else it is meant for another process that was here
                 send(address, new Body.Ack(ping.number()));
@@ -326,15 +447,29 @@
                 send(address, new Body.ViewIs(view));
             }
         } else if (body instanceof Body.ViewIs told) {
-            if (told.view().id().compareTo(viewId()) > 0) {
-                install(told.view(), null, now);
+            if (goesBefore(message) && told.view().id().equals(message.view())) {
+                install(told.view(), null);
             }
-        } else if (body instanceof Body.Knock knock && isIn()) {
-            if (view.indexOf(knock.member().id()) >= 0) {
-                send(address, new Body.ViewIs(view));
-            } else {
-                hear(new News.Joining(knock.member()), now);
+        } else if (body instanceof Body.Found asked) {
+            boolean free = !leaves && (asked.ordered() ? !stands(now) : !isIn());
+            if (founding.consents(message.from(), free, now)) {
+                sendBare(address, new Body.Consent(asked.epoch(), self));
             }
+        } else if (body instanceof Body.Consent consent) {
+            founding.consented(consent.epoch(), consent.member(), now);
+        } else if (body instanceof Body.Knock knock) {
+            knocked(address, knock.member());
+        }
+    }
+
+    private void knocked(String address, Member member) {
+        if (!isIn()) {
+            founding.knocked(member, now);
+        } else if (view.indexOf(member.id()) >= 0) {
+            sendBare(address, new Body.ViewIs(view));
+        } else {
+            hear(new News.Joining(member));
+            sendBare(address, new Body.Gossip()); // there is a fleet, so none is to be founded
         }
     }
 
@@ -347,7 +482,8 @@
         for (Subject one : subjects.values()) {
             if (one.number == number) {
                 health.answered();
-                if (one.watch.answered() || one.joiner) {
+                boolean back = one.watch.answered();
+                if (one.joiner ? damping.heard(one.member.id(), now) : back) {
                     suspect(one, false);
                     say(one, false);
                 }
@@ -365,7 +501,7 @@
         }
     }
 
-    private void hear(News news, long now) {
+    private void hear(News news) {
         if (take(news)) {
             boolean ofRound = news instanceof News.FastVotes || news instanceof News.Accepted
                 || news instanceof News.Prepare || news instanceof News.Promised;
@@ -433,18 +569,13 @@
     }
 
     private boolean suspected(News.Suspicion news) {
-        int[] of = suspicions[news.member()];
-        if (news.slot() < 0 || news.slot() >= of.length || news.counter() <= of[news.slot()]) {
+        if (!tally.suspected(news.member(), news.slot(), news.counter())) {
             return false;
         }
-        of[news.slot()] = news.counter();
         Subject watched = subjects.get(view.members().get(news.member()).id());
         if (watched != null) {
-            int others = 0;
-            for (int slot = 0; slot < of.length; slot++) {
-                others += slot != watched.slot ? of[slot] & 1 : 0;
-            }
-            watched.watch.sharedBy(others, of.length - 1);
+            watched.watch.sharedBy(tally.othersSuspect(news.member(), watched.slot),
+                tally.watchers(news.member()) - 1);
         }
         return true;
     }
@@ -468,7 +599,7 @@
     private List<News> all() {
         List<News> all = new ArrayList<>();
         for (int member = 0; member < view.size(); member++) {
-            for (int slot = 0; slot < suspicions[member].length; slot++) {
+            for (int slot = 0; slot < tally.watchers(member); slot++) {
                 if (tally.counter(member, slot) > 0) {
                     all.add(new News.Report(member, slot, tally.counter(member, slot)));
                 }
@@ -503,10 +634,12 @@
      * Votes for the change that the reports lead to, begins a round where that is due, and takes what is
      * decided.
      */
-    private void consider(long now) {
+    private void consider() {
         if (!isIn()) {
             return;
         }
+        standing.missed(tally.missed());
+        standing.agreeing(agreement.underWay(), now);
         Change whole = tally.change(false);
         Change hasty = whole == null ? tally.change(true) : null;
         if (hasty == null) {
@@ -529,12 +662,19 @@
         }
         roundSeen = agreement.ballot();
         if (agreement.decided() != null) {
-            install(view.after(agreement.decided()), agreement.decided(), now);
+            install(view.after(agreement.decided()), agreement.decided());
         }
     }
 
-    private void install(View next, Change change, long now) {
+    private void install(View next, Change change) {
         View before = view;
+        countMissed(before, next);
+        if (wasIn && next.id().epoch() != viewId().epoch() && next.id().epoch() <= latestEpoch) {
+            wasIn = false;
+            // it may have voted in views of that epoch and has forgotten it, so it comes as another one
+            self = new Member(new MemberId(self.id().name(), self.id().start() + 1), self.address(),
+                self.zone(), self.build(), self.config());
+        }
         view = next;
         index = next.indexOf(self.id());
         proposed = null;
@@ -545,27 +685,45 @@
         Map<MemberId, Subject> watched = new HashMap<>(subjects);
         subjects.clear();
         if (isIn()) {
+            wasIn = true;
+            latestEpoch = Math.max(latestEpoch, next.id().epoch());
             tellLeft = TELL_ROUNDS;
+            founding.inside();
+            seekAt = now + random.nextLong(LEAST_SEEK);
+            standing = new Standing(next, index, now);
             tally = new CutTally(next, MOST_JOINERS);
             agreement = new Agreement(next, index);
-            suspicions = new int[next.size()][];
             for (int member = 0; member < next.size(); member++) {
                 int[] watchers = next.watchersOf(member);
-                suspicions[member] = new int[watchers.length];
                 for (int slot = 0; slot < watchers.length; slot++) {
                     if (watchers[slot] == index) {
-                        watch(next.members().get(member), slot, watched, now);
+                        watch(next.members().get(member), slot, watched);
                     }
                 }
             }
         } else {
             knockAt = now + KNOCK;
+            stoodAt = now;
+            founding.outside(now);
         }
         actions.changed(before, next, change);
     }
 
+    /** Whoever was taken out of the fleet without having said that it goes is remembered. */
+    private void countMissed(View before, View next) {
+        if (before != null && before.id().epoch() == next.id().epoch()) {
+            for (int i = 0; i < before.size(); i++) {
+                boolean left = isIn() && tally.leaving().get(i);
+                Member one = before.members().get(i);
+                if (!left && next.indexOf(one.id()) < 0) {
+                    damping.missed(one.id().name(), now);
+                }
+            }
+        }
+    }
+
     /** A watch goes on from one view to the next, with what it has to say. */
-    private void watch(Member member, int slot, Map<MemberId, Subject> before, long now) {
+    private void watch(Member member, int slot, Map<MemberId, Subject> before) {
         Subject one = before.get(member.id());
         if (one == null) {
             one = new Subject(member, new Watch(settings, health, now + random.nextLong(settings.period())));
--- a/server/src/main/java/wheatspread/membership/Message.java
+++ b/server/src/main/java/wheatspread/membership/Message.java
@@ -7,10 +7,11 @@
  *
  * @param from who sends it
  * @param view the sender's view
+ * @param stands whether the sender is in it and thinks that a quorum of it is
  * @param digest of all that the sender knows about that view
  * @param news about that view
  */
-public record Message(MemberId from, ViewId view, long digest, Body body, List<News> news) {
+public record Message(MemberId from, ViewId view, boolean stands, long digest, Body body, List<News> news) {
     /** What it is about, besides the news. */
     sealed interface Body {
         /** Asks {@code to}, and no other process at its address, for an {@link Ack}. */
@@ -36,5 +37,11 @@
 
         /** Wants to join. */
         record Knock(Member member) implements Body { }
+
+        /** A seed wants to found that epoch; {@code ordered} by an operator. */
+        record Found(long epoch, boolean ordered) implements Body { }
+
+        /** The sender will go by the first view of that epoch. */
+        record Consent(long epoch, Member member) implements Body { }
     }
 }
--- a/server/src/main/java/wheatspread/membership/ViewId.java
+++ b/server/src/main/java/wheatspread/membership/ViewId.java
@@ -4,7 +4,7 @@
  * The number of a view. A fleet that was formed anew, since none was left that could agree, counts from 1
  * again in a later epoch, so that no number is ever used twice.
  *
- * @param epoch the Unix milliseconds at which the fleet was formed; 0 for no view at all
+ * @param epoch the founding of the fleet ({@link Founding}), which grows with time; 0 for no view at all
  * @param number from 1, one more with each view
  */
 public record ViewId(long epoch, long number) implements Comparable<ViewId> {
