peers: datagrams, streams and the key membership; members shows a server's view

Change: MessageCodec (protobuf behind a CRC-32C; cluster, major and minor version; every length and number bounded), Peers (UDP on the event loop, a TCP stream for what is over 1,200 bytes, 4,000 messages a second at most), the key membership (no address has a default; seeds, cluster and listen must be named), FleetView in the daemon, /_members and /_members/form on the operators' door where the key is there, the command members. Checked: a first codec had no checksum, and a datagram with a spoilt set of voters could have decided a view; the datagram's own 16 bits end at the first relay.

--- a/lab/src/test/java/wheatspread/lab/rig/OffTest.java
+++ b/lab/src/test/java/wheatspread/lab/rig/OffTest.java
@@ -29,7 +29,8 @@
         }
         String classes = Files.readString(loaded);
         assertThat(classes).contains("wheatspread.daemon.Server ", "wheatspread.kernel.KernelLink ");
-        assertThat(classes).doesNotContain("wheatspread.membership.", "wheatspread.store.",
-            "com.google.protobuf.", "com.dynatrace.hash4j.");
+        assertThat(classes).doesNotContain("wheatspread.membership.", "wheatspread.peers.",
+            "wheatspread.daemon.FleetView", "wheatspread.config.MembershipConfig", "NioDatagramChannel",
+            "wheatspread.store.", "com.google.protobuf.", "com.dynatrace.hash4j.");
     }
 }
--- a/server/src/main/java/wheatspread/commands/StatusCommand.java
+++ b/server/src/main/java/wheatspread/commands/StatusCommand.java
@@ -3,14 +3,8 @@
 import java.io.IOException;
 import java.util.ArrayList;
 import java.util.List;
-import org.jline.terminal.Size;
-import org.jline.terminal.Terminal;
-import org.jline.terminal.TerminalBuilder;
 import org.jline.utils.AttributedString;
-import org.jline.utils.AttributedStringBuilder;
 import org.jline.utils.AttributedStyle;
-import org.jline.utils.Display;
-import org.jline.utils.InfoCmp.Capability;
 import org.json.JSONObject;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -23,8 +17,6 @@
     exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:Every member is in service.",
         "69:Some are not, or the status is stale.", "75:No supervisor has run here."})
 final class StatusCommand extends FleetCommand.OnFile {
-    private static final long REFRESH_MS = 500;
-    private static final Size UNKNOWN = new Size(120, 40);
     private static final String ROW = "%-14s %-9s %-10s %4s %8s %9s %9s %8s %8s %6s";
 
     @Option(names = "--once", description = "Prints it once.")
@@ -44,40 +36,12 @@
         } else if (once || System.console() == null) {
             table(status, System.currentTimeMillis()).forEach(line -> out().println(line.toString()));
         } else {
-            refresh(file);
+            Screen.show(() -> table(file.read(), System.currentTimeMillis()));
         }
         out().flush();
         return inService(status, System.currentTimeMillis()) ? Exit.OK : Exit.UNAVAILABLE;
     }
 
-    private static void refresh(StatusFile file) throws IOException {
-        try (Terminal terminal = TerminalBuilder.builder().system(true).build()) {
-            terminal.enterRawMode();
-            Thread me = Thread.currentThread();
-            terminal.handle(Terminal.Signal.INT, signal -> me.interrupt());
-            Display display = new Display(terminal, true);
-            terminal.puts(Capability.enter_ca_mode);
-            try {
-                for (int key = 0; key != 'q' && key != -1;) {
-                    Size told = terminal.getSize();
-                    Size size = told.getRows() > 0 && told.getColumns() > 0 ? told
-                        : UNKNOWN; // a pty may not say
-                    display.resize(size.getRows(), size.getColumns());
-                    List<AttributedString> lines = table(file.read(), System.currentTimeMillis());
-                    display.update(lines.subList(0, Math.min(lines.size(), Math.max(1, size.getRows() - 1))),
-                        -1);
-                    int read = terminal.reader().read(REFRESH_MS);
-                    key = read == -2 ? 0 : read;
-                }
-            } catch (java.io.InterruptedIOException e) {
-                Thread.interrupted(); // Ctrl-C: the terminal is given back all the same
-            } finally {
-                terminal.puts(Capability.exit_ca_mode);
-                terminal.flush();
-            }
-        }
-    }
-
     private static boolean isStale(JSONObject status, long now) {
         return now - status.getLong("at") > StatusFile.STALE_MS;
     }
@@ -96,14 +60,14 @@
     static List<AttributedString> table(JSONObject status, long now) {
         List<AttributedString> lines = new ArrayList<>();
         long age = now - status.getLong("at");
-        lines.add(styled(isStale(status, now) ? AttributedStyle.RED : -1, isStale(status, now)
+        lines.add(Screen.styled(isStale(status, now) ? AttributedStyle.RED : -1, isStale(status, now)
             ? "no supervisor has written for " + age / 1_000 + " s; what follows is old"
             : "supervisor " + status.getLong("pid") + (status.getBoolean("going_down") ? ", going down"
                 : "")));
         JSONObject roll = status.optJSONObject("roll");
         if (roll != null) {
             boolean bad = !roll.getString("reason").isEmpty();
-            lines.add(styled(bad ? AttributedStyle.RED : AttributedStyle.CYAN, "roll to "
+            lines.add(Screen.styled(bad ? AttributedStyle.RED : AttributedStyle.CYAN, "roll to "
                 + roll.getString("to")
                 + ": " + roll.getString("status") + (roll.getBoolean("paused") ? ", paused" : "") + ", "
                 + roll.getJSONObject("steps").getInt("done") + " of " + roll.getInt("members") + ", "
@@ -117,7 +81,8 @@
             boolean stale = one.getBoolean("stale");
             int color = stale || state.equals("HELD") || state.equals("UNWELL") ? AttributedStyle.RED
                 : state.equals("UP") ? AttributedStyle.GREEN : AttributedStyle.YELLOW;
-            lines.add(styled(color, String.format(ROW, one.getString("name"), stale ? state + "?" : state,
+            lines.add(Screen.styled(color, String.format(ROW, one.getString("name"),
+                stale ? state + "?" : state,
                 one.getString("build"), one.getInt("generation"), one.getLong("pid") == 0 ? "-"
                     : one.get("pid"),
                 one.getLong("in_state_ms") / 1_000, one.getLong("heard_ms") < 0 ? "never"
@@ -128,9 +93,4 @@
         }
         return lines;
     }
-
-    private static AttributedString styled(int color, String text) {
-        return color < 0 ? new AttributedString(text) : new AttributedStringBuilder()
-            .styled(AttributedStyle.DEFAULT.foreground(color), text).toAttributedString();
-    }
 }
--- a/server/src/main/java/wheatspread/commands/Wheatspread.java
+++ b/server/src/main/java/wheatspread/commands/Wheatspread.java
@@ -15,8 +15,8 @@
         "  wheatspread check --config config.json deploy/uwsgi.json",
             "  wheatspread fleet up deploy/fleet.json"},
     subcommands = {ServeCommand.class, CheckCommand.class, ShowConfigCommand.class, ImportNginxCommand.class,
-        BenchlinkCommand.class, FleetCommand.class, StoreCommand.class, CompletionCommand.class,
-        TrainCommand.class})
+        BenchlinkCommand.class, FleetCommand.class, MembersCommand.class, StoreCommand.class,
+        CompletionCommand.class, TrainCommand.class})
 public final class Wheatspread implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -18,13 +18,14 @@
  * @param transport {@code nio}, {@code epoll} or {@code auto}
  * @param reportSeconds how often counters are logged; 0 for at the end only
  * @param stats whether the method {@code stats} answers on the platform's front
+ * @param membership null where this server keeps to itself
  */
 public record OperatorConfig(UwsgiConfig uwsgi, int mostConnections, ConnectionLimits connections,
                              TurnLimits turns, String transport, int reportSeconds, LogConfig log,
-                             LifeConfig life, boolean stats) {
+                             LifeConfig life, boolean stats, MembershipConfig membership) {
     /** What holds without a file, as on the platform. */
     public static final OperatorConfig NONE = new OperatorConfig(null, 0, ConnectionLimits.usual(0),
-        TurnLimits.USUAL, "nio", 0, LogConfig.USUAL, LifeConfig.USUAL, false);
+        TurnLimits.USUAL, "nio", 0, LogConfig.USUAL, LifeConfig.USUAL, false, null);
 
     private static final Map<String, Refusal> REFUSALS = Map.of("close", Refusal.CLOSE, "reset",
         Refusal.RESET,
@@ -39,14 +40,15 @@
 
     static OperatorConfig read(Fields told, Site site) {
         told.only(Set.of("uwsgi", "connections", "turns", "transport", "report_s", "log", "life",
-            "stats"));
+            "stats", "membership"));
         UwsgiConfig uwsgi = told.has("uwsgi") ? UwsgiConfig.read(told.object("uwsgi", false), site) : null;
         Fields connections = told.object("connections", true);
         OperatorConfig config = new OperatorConfig(uwsgi, connections.integer("max", 0, 0, 1 << 20),
             limits(connections),
             turns(told.object("turns", true)), told.word("transport", TRANSPORTS, "auto"),
             told.integer("report_s", 0, 0, 3_600), LogConfig.read(told.object("log", true)),
-            LifeConfig.read(told.object("life", true)), told.flag("stats", false));
+            LifeConfig.read(told.object("life", true)), told.flag("stats", false),
+            told.has("membership") ? MembershipConfig.read(told.object("membership", false)) : null);
         told.settle();
         return config;
     }
@@ -94,6 +96,6 @@
     /** This, with another life and another say on {@code stats}. */
     public OperatorConfig with(LifeConfig otherLife, boolean tellStats) {
         return new OperatorConfig(uwsgi, mostConnections, connections, turns, transport, reportSeconds, log,
-            otherLife, tellStats);
+            otherLife, tellStats, membership);
     }
 }
--- a/server/src/main/java/wheatspread/control/Calls.java
+++ b/server/src/main/java/wheatspread/control/Calls.java
@@ -7,7 +7,7 @@
     private Calls() { }
 
     /** The response to a call whose head, up to its blank line, is {@code head}. */
-    static byte[] answer(String head, boolean ready, Supplier<String> vars) {
+    static byte[] answer(String head, boolean ready, Supplier<String> vars, ControlFront.More more) {
         int lineEnd = head.indexOf('\n');
         String line = (lineEnd < 0 ? head : head.substring(0, lineEnd)).strip();
         String[] parts = line.split(" ", -1);
@@ -21,6 +21,10 @@
             path = path.substring(0, query);
         }
         if (!path.equals("/_ready") && !path.equals("/_vars")) {
+            ControlFront.Told told = more == null ? null : more.answer(parts[0], path);
+            if (told != null) {
+                return ControlFront.response(told.status(), told.body());
+            }
             return ControlFront.response("404 Not Found", "known are /_ready and /_vars\n");
         }
         if (!parts[0].equals("GET") && !parts[0].equals("HEAD")) {
--- a/server/src/main/java/wheatspread/control/ControlConnection.java
+++ b/server/src/main/java/wheatspread/control/ControlConnection.java
@@ -52,7 +52,7 @@
         int length = end - bytes.readerIndex();
         String head = bytes.readCharSequence(length, StandardCharsets.ISO_8859_1).toString();
         bytes.skipBytes(bytes.readableBytes()); // one call a connection: a body or more calls are not read
-        answer(Calls.answer(head, front.ready.getAsBoolean(), front.vars));
+        answer(Calls.answer(head, front.ready.getAsBoolean(), front.vars, front.more));
         return 1;
     }
 
--- a/server/src/main/java/wheatspread/control/ControlFront.java
+++ b/server/src/main/java/wheatspread/control/ControlFront.java
@@ -23,11 +23,26 @@
 
     final BooleanSupplier ready;
     final Supplier<String> vars;
+    /** Calls that there are besides; null for none. */
+    final More more;
 
-    /** {@code ready} says whether the process can serve; {@code vars} gives the figures as lines of text. */
-    public ControlFront(BooleanSupplier ready, Supplier<String> vars) {
+    /** Answers further calls. */
+    public interface More {
+        /** Null for a path that is not known. */
+        Told answer(String method, String path);
+    }
+
+    /** An answer, with the status as HTTP says it. */
+    public record Told(String status, String body) { }
+
+    /**
+     * {@code ready} says whether the process can serve; {@code vars} gives the figures as lines of text;
+     * {@code more} is null where there are no further calls.
+     */
+    public ControlFront(BooleanSupplier ready, Supplier<String> vars, More more) {
         this.ready = ready;
         this.vars = vars;
+        this.more = more;
     }
 
     /** The bounds of the door's own connections, apart from those of the recipe traffic. */
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -73,6 +73,8 @@
     private final UwsgiFront uwsgiProtocol;
     /** The front of the platform's proxies, which may accept on a socket it was handed. */
     private final Listener platformFront;
+    /** This server among its peers; null where the operator's file does not ask for that. */
+    private final FleetView fleet;
     /** The operators' door; null where the configuration names none. */
     private final Listener door;
     /** Files taken and turned down at SIGHUP, from the start of the process. */
@@ -132,8 +134,11 @@
         }
         platformFront = new Listener(loop, turns, clock, platform, operator.connections().with(sockets), log);
         fronts.put(platformFront, config.listen());
+        fleet = operator.membership() == null ? null
+            : new FleetView(operator.membership(), config.name(), transport, loop, clock, log);
         door = config.control() == null ? null : new Listener(loop, turns, clock, new ControlFront(
-            () -> life.phase() == Phase.SERVING, this::vars), ControlFront.limits(), log);
+            () -> life.phase() == Phase.SERVING, this::vars, fleet == null ? null : fleet::answer),
+            ControlFront.limits(), log);
         core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
@@ -152,8 +157,9 @@
 
     /** The figures of the operators' door; on the loop's thread. */
     private String vars() {
-        return Vars.text(core.counts(), core.site().classes(), core.open(), reloadsTaken.get(),
+        String own = Vars.text(core.counts(), core.site().classes(), core.open(), reloadsTaken.get(),
             reloadsRefused.get());
+        return fleet == null ? own : own + fleet.vars();
     }
 
     /** Something happened to the process; on the loop's thread only. */
@@ -242,12 +248,18 @@
             }
             fronts.forEach((front, address) -> bound.add(front == platformFront && config.inherited() >= 0
                 ? front.hold(config.inherited()) : bind(front, address)));
+            if (fleet != null) {
+                fleet.open(config.inherited() >= 0);
+            }
         } catch (RuntimeException e) {
             loop.submit(() -> {
                 fronts.keySet().forEach(Listener::close);
                 if (door != null) {
                     door.close();
                 }
+                if (fleet != null) {
+                    fleet.close();
+                }
                 kernel.close();
                 on(Event.BIND_FAILED);
             }).syncUninterruptibly();
@@ -393,6 +405,9 @@
             life.kernelUp());
         core.drain(config.stopMicros());
         fronts.keySet().forEach(Listener::lastCall);
+        if (fleet != null) {
+            fleet.leave();
+        }
         if (config.inherited() >= 0) {
             platformFront.stopListening(); // the next process takes what comes from now on
         }
@@ -436,6 +451,9 @@
         if (door != null) {
             door.close();
         }
+        if (fleet != null) {
+            fleet.close();
+        }
         kernel.close();
         records.close();
         announcer.close();
--- a/server/src/main/java/wheatspread/membership/Agreement.java
+++ b/server/src/main/java/wheatspread/membership/Agreement.java
@@ -19,11 +19,11 @@
  * its votes must not vote again; that is so because a restarted one has another start number and is no
  * member of the view.
  */
-final class Agreement {
+public final class Agreement {
     /** The ballot of the fast round. */
-    static final long FAST = 0;
+    public static final long FAST = 0;
     /** Of who has not voted. */
-    static final long NEVER = -1;
+    public static final long NEVER = -1;
     private static final int OWNER_BITS = 20;
 
     private final View view;
@@ -45,7 +45,7 @@
     private Change decided;
 
     /** What a member had voted when it promised to vote in no lower ballot. */
-    record Promise(long votedIn, Change voted) { }
+    public record Promise(long votedIn, Change voted) { }
 
     /** {@code self} is the index of this member in the view. */
     Agreement(View view, int self) {
@@ -97,6 +97,9 @@
     // ---- what it hears; each says whether that was news ----
 
     boolean heardFast(Change change, BitSet voters) {
+        if (fastVotes.size() >= view.size() && !fastVotes.containsKey(change)) {
+            return false; // each member votes once, so somebody talks nonsense
+        }
         BitSet known = fastVotes.computeIfAbsent(change, none -> new BitSet());
         int before = known.cardinality();
         known.or(voters);
--- a/server/src/main/java/wheatspread/membership/Membership.java
+++ b/server/src/main/java/wheatspread/membership/Membership.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.function.IntPredicate;
 import java.util.random.RandomGenerator;
 import wheatspread.membership.Message.Body;
 
@@ -46,8 +47,13 @@
     public interface Actions {
         void send(String address, Message message);
 
-        /** Another view holds from now on; {@code change} led to it, null where that is not known. */
-        void changed(View before, View now, Change change);
+        /**
+         * Another view holds from now on.
+         *
+         * @param before null for the first
+         * @param gone those of before who are not in it, with the reasons
+         */
+        void changed(View before, View now, List<Departure> gone);
 
         /** The time by the calendar, for the numbers of epochs. */
         long unixMillis();
@@ -668,7 +674,7 @@
 
     private void install(View next, Change change) {
         View before = view;
-        countMissed(before, next);
+        List<Departure> gone = departures(before, next, change);
         if (wasIn && next.id().epoch() != viewId().epoch() && next.id().epoch() <= latestEpoch) {
             wasIn = false;
             // it may have voted in views of that epoch and has forgotten it, so it comes as another one
@@ -706,20 +712,58 @@
             stoodAt = now;
             founding.outside(now);
         }
-        actions.changed(before, next, change);
+        actions.changed(before, next, gone);
     }
 
-    /** Whoever was taken out of the fleet without having said that it goes is remembered. */
-    private void countMissed(View before, View next) {
-        if (before != null && before.id().epoch() == next.id().epoch()) {
-            for (int i = 0; i < before.size(); i++) {
-                boolean left = isIn() && tally.leaving().get(i);
-                Member one = before.members().get(i);
-                if (!left && next.indexOf(one.id()) < 0) {
-                    damping.missed(one.id().name(), now);
-                }
+    /** Who goes and why. Whoever goes without having said so is remembered by name. */
+    private List<Departure> departures(View before, View next, Change change) {
+        List<Departure> gone = new ArrayList<>();
+        for (int i = 0; before != null && i < before.size(); i++) {
+            MemberId one = before.members().get(i).id();
+            if (next.indexOf(one) >= 0) {
+                continue;
+            }
+            boolean left = isIn() && tally.leaving().get(i);
+            boolean again = next.named(one.name()) != null;
+            List<String> witnesses = isIn() ? reportedBy(i) : List.of();
+            gone.add(new Departure(one, left ? Departure.Cause.LEFT : again ? Departure.Cause.RESTARTED
+                : change == null ? Departure.Cause.TOLD : Departure.Cause.MISSED, witnesses));
+            if (!left && before.id().epoch() == next.id().epoch()) {
+                damping.missed(one.name(), now);
+            }
+        }
+        return gone;
+    }
+
+    // ---- what is told to operators ----
+
+    /** The names of the watchers that report a member of the view to be gone. */
+    public List<String> reportedBy(int member) {
+        return watchersWhere(member, slot -> (tally.counter(member, slot) & 1) == 1);
+    }
+
+    /** The names of the watchers that suspect a member of the view. */
+    public List<String> suspectedBy(int member) {
+        return watchersWhere(member, slot -> (tally.suspicion(member, slot) & 1) == 1);
+    }
+
+    private List<String> watchersWhere(int member, IntPredicate odd) {
+        int[] watchers = view.watchersOf(member);
+        List<String> names = new ArrayList<>();
+        for (int slot = 0; slot < watchers.length; slot++) {
+            if (odd.test(slot)) {
+                names.add(view.members().get(watchers[slot]).id().name());
             }
         }
+        return names;
+    }
+
+    /** For how long this member has suspected another, in us; 0 where it does not. */
+    public long suspectedFor(MemberId other, long at) {
+        Subject one = subjects.get(other);
+        boolean does = one != null && (one.watch.state() == Watch.State.SUSPECT
+            || one.watch.state() == Watch.State.DOWN);
+        return does ? at - one.watch.suspectSince() : 0;
     }
 
     /** A watch goes on from one view to the next, with what it has to say. */
--- a/server/src/main/java/wheatspread/membership/Message.java
+++ b/server/src/main/java/wheatspread/membership/Message.java
@@ -13,7 +13,7 @@
  */
 public record Message(MemberId from, ViewId view, boolean stands, long digest, Body body, List<News> news) {
     /** What it is about, besides the news. */
-    sealed interface Body {
+    public sealed interface Body {
         /** Asks {@code to}, and no other process at its address, for an {@link Ack}. */
         record Ping(long number, MemberId to) implements Body { }
 
--- a/server/src/main/java/wheatspread/membership/News.java
+++ b/server/src/main/java/wheatspread/membership/News.java
@@ -4,7 +4,7 @@
 import java.util.List;
 
 /** What members of one view tell each other about it; each kind may come doubled, late and in any order. */
-sealed interface News {
+public sealed interface News {
     /** What a piece of news replaces when it is newer: only the latest of a subject is passed on. */
     default Object subject() {
         return this;
--- a/server/src/main/java/wheatspread/sockets/EpollTransport.java
+++ b/server/src/main/java/wheatspread/sockets/EpollTransport.java
@@ -7,12 +7,14 @@
 import io.netty.channel.IoOps;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.epoll.Epoll;
+import io.netty.channel.epoll.EpollDatagramChannel;
 import io.netty.channel.epoll.EpollIoEvent;
 import io.netty.channel.epoll.EpollIoHandle;
 import io.netty.channel.epoll.EpollIoHandler;
 import io.netty.channel.epoll.EpollIoOps;
 import io.netty.channel.epoll.EpollServerSocketChannel;
 import io.netty.channel.epoll.EpollSocketChannel;
+import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.unix.FileDescriptor;
 
 /** Linux's epoll, by Netty's native library. */
@@ -58,6 +60,11 @@
         return EpollSocketChannel.class;
     }
 
+    @Override
+    public Class<? extends DatagramChannel> datagramChannel() {
+        return EpollDatagramChannel.class;
+    }
+
     @Override
     public CallerHandle defer(IoHandle handle, Turns turns) {
         return new Deferring(handle, turns);
--- a/server/src/main/java/wheatspread/sockets/Transport.java
+++ b/server/src/main/java/wheatspread/sockets/Transport.java
@@ -5,6 +5,8 @@
 import io.netty.channel.IoHandlerFactory;
 import io.netty.channel.ServerChannel;
 import io.netty.channel.nio.NioIoHandler;
+import io.netty.channel.socket.DatagramChannel;
+import io.netty.channel.socket.nio.NioDatagramChannel;
 import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
@@ -31,6 +33,11 @@
 
     Class<? extends Channel> clientChannel();
 
+    /** Only what talks to peers asks for it. */
+    default Class<? extends DatagramChannel> datagramChannel() {
+        throw new UnsupportedOperationException("transport " + name() + " has no datagrams");
+    }
+
     /** A handle that has the reads of a caller's socket wait for their turn. */
     CallerHandle defer(IoHandle handle, Turns turns);
 
@@ -82,6 +89,11 @@
             return NioSocketChannel.class;
         }
 
+        @Override
+        public Class<? extends DatagramChannel> datagramChannel() {
+            return NioDatagramChannel.class;
+        }
+
         @Override
         public CallerHandle defer(IoHandle handle, Turns turns) {
             return new CallerHandle.Nio(handle, turns);
--- a/server/src/test/java/wheatspread/config/ConfigTest.java
+++ b/server/src/test/java/wheatspread/config/ConfigTest.java
@@ -4,8 +4,10 @@
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
+import java.util.List;
 import java.util.Map;
 import org.json.JSONObject;
 import org.json.JSONPointer;
@@ -94,7 +96,7 @@
             "{'transport': 'pigeon'}", "transport is an unknown word: pigeon",
             "{'turns': {'expiring': 0}}", "turns.expiring is 0, not from 1 to 100000",
             "{'upstream': {}}",
-                "upstream is an unknown key; known are [connections, life, log, report_s, stats");
+                "upstream is an unknown key; known are [connections, life, log, membership, report_s");
         for (var one : complaints.entrySet()) {
             Path file = Files.writeString(Files.createTempFile("operator", ".json"),
                 one.getKey().replace('\'', '"'));
@@ -103,4 +105,41 @@
             Files.delete(file);
         }
     }
+
+    @Test
+    void membershipIsOffWithoutItsKeyAndHasNoAddressOfItsOwn() throws Exception {
+        ServerConfig config = ServerConfig.read(Fields.of(new JSONObject(Files.readString(PLATFORM)).toMap(),
+            ""));
+        assertThat(OperatorConfig.NONE.membership()).isNull();
+        assertThat(readOperator("{}", config).membership()).isNull();
+        String whole = "'cluster': 'k', 'listen': '127.0.0.1:7400', 'seeds': ['127.0.0.1:7400']";
+        assertThat(readOperator("{'membership': {" + whole + "}}", config).membership()).isEqualTo(
+            new MembershipConfig("k", new InetSocketAddress("127.0.0.1", 7400), "127.0.0.1:7400",
+                List.of("127.0.0.1:7400"), ""));
+        Map<String, String> complaints = Map.of(
+            "{'membership': {}}", "membership.cluster is missing or not text",
+            "{'membership': true}", "membership is not an object: true",
+            "{'membership': {'cluster': 'k', 'seeds': ['127.0.0.1:1']}}",
+                "membership.listen is missing or not text",
+            "{'membership': {'cluster': 'k', 'listen': 'here:1', 'seeds': ['127.0.0.1:1']}}",
+                "membership.listen is no IPv4 address and port, as 10.0.0.7:7400: here:1",
+            "{'membership': {'cluster': 'k', 'listen': '0.0.0.0:1', 'seeds': ['127.0.0.1:1']}}",
+                "membership.advertise is missing; with listen on all addresses",
+            "{'membership': {'cluster': 'k', 'listen': '127.0.0.1:1'}}",
+                "membership.seeds holds 0 addresses; allowed are 1 to 32",
+            "{'membership': {" + whole + ", 'port': 5}}",
+                "membership.port is an unknown key; known are [advertise, cluster, listen, seeds, zone]");
+        for (var one : complaints.entrySet()) {
+            assertThatThrownBy(() -> readOperator(one.getKey(), config)).hasMessageContaining(one.getValue());
+        }
+    }
+
+    private static OperatorConfig readOperator(String text, ServerConfig config) throws IOException {
+        Path file = Files.writeString(Files.createTempFile("operator", ".json"), text.replace('\'', '"'));
+        try {
+            return OperatorConfig.readFile(file, config.site());
+        } finally {
+            Files.delete(file);
+        }
+    }
 }
--- a/server/src/test/java/wheatspread/membership/Net.java
+++ b/server/src/test/java/wheatspread/membership/Net.java
@@ -64,7 +64,7 @@
                 }
 
                 @Override
-                public void changed(View before, View next, Change change) {
+                public void changed(View before, View next, List<Departure> gone) {
                     View same = views.putIfAbsent(next.id(), next);
                     assertThat(same == null || same.equals(next)).as("two views %s", next.id()).isTrue();
                     seen.computeIfAbsent(name, none -> new ArrayList<>()).add(next);
