--- a/lab/src/main/java/wheatspread/lab/rig/Member.java
+++ b/lab/src/main/java/wheatspread/lab/rig/Member.java
@@ -1,6 +1,7 @@
 package wheatspread.lab.rig;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardCopyOption;
@@ -8,6 +9,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
+import wheatspread.lab.standins.Listening;
 import wheatspread.lab.standins.ProcessLog;
 
 /** One server of a rig: its files, its process, and what may be done to it from outside. */
@@ -20,6 +22,10 @@
     private final List<String> command;
     private final Path config;
     private final Signals signals;
+    /** Its operator's file; null for none. */
+    private Path operator;
+    /** Where its operators' door listens; null for none. */
+    private InetSocketAddress door;
     private Process process;
     private ProcessLog log;
 
@@ -40,8 +46,26 @@
         return log;
     }
 
+    /** From its next start on it has this operator's file and a door. */
+    public void operator(JSONObject told, InetSocketAddress at) throws IOException {
+        operator = Files.writeString(config.resolveSibling(name + "-operator.json"), told.toString());
+        door = at;
+    }
+
+    public InetSocketAddress door() {
+        return door;
+    }
+
+    /** Starts a process, which is the next one of its name where there was one before. */
+    public void start() throws IOException {
+        start(operator);
+    }
+
     /** Writes its configuration, whole at once. */
     void configure(JSONObject told) throws IOException {
+        if (door != null) {
+            told.put("control", Listening.text(door));
+        }
         Path aside = config.resolveSibling(name + ".json.new");
         Files.writeString(aside, told.toString());
         Files.move(aside, config, StandardCopyOption.ATOMIC_MOVE, StandardCopyOption.REPLACE_EXISTING);
@@ -60,7 +84,7 @@
     }
 
     /** Waits until it serves. */
-    void awaitServing() throws IOException, InterruptedException {
+    public void awaitServing() throws IOException, InterruptedException {
         if (log.await(line -> line.contains("to=SERVING"), UP_MS) == null) {
             throw new IOException(name + " does not start: " + log.lines());
         }
--- a/lab/src/main/java/wheatspread/lab/rig/Rig.java
+++ b/lab/src/main/java/wheatspread/lab/rig/Rig.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.stream.IntStream;
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
 import wheatspread.lab.standins.Folders;
@@ -26,6 +27,7 @@
     private static final long LAST_ANSWERS_MS = 16_000;
     private static final int SOCKETS = 512;
 
+    private final Ports ports = new Ports();
     private final Path dir;
     private final World world;
     private final Signals signals = new Signals();
@@ -34,15 +36,23 @@
 
     /** {@code flags} are those of the JVMs. */
     public Rig(Path jar, List<String> flags, int size) throws IOException {
+        this(jar, flags, names(size));
+    }
+
+    private static List<String> names(int size) {
+        return IntStream.rangeClosed(1, size).mapToObj(i -> "n" + i).toList();
+    }
+
+    /** Servers of these names. */
+    public Rig(Path jar, List<String> flags, List<String> names) throws IOException {
         dir = Files.createTempDirectory("wheatspread-rig");
         List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
             .toString()));
         command.addAll(flags);
         command.addAll(List.of("-jar", jar.toAbsolutePath().toString(), "serve"));
-        Ports ports = new Ports();
-        for (int i = 1; i <= size; i++) {
-            addresses.put("n" + i, ports.next());
-            members.put("n" + i, new Member("n" + i, command, dir, signals));
+        for (String name : names) {
+            addresses.put(name, ports.next());
+            members.put(name, new Member(name, command, dir, signals));
         }
         world = new World(addresses);
     }
@@ -55,11 +65,20 @@
         return List.copyOf(members.values());
     }
 
+    /** An address that nobody else of the rig uses. */
+    public InetSocketAddress address() throws IOException {
+        return ports.next();
+    }
+
+    public Member member(String name) {
+        return members.get(name);
+    }
+
     /** Starts all and waits until they serve and the proxies know them. */
     public void start() throws IOException, InterruptedException {
         for (Member member : members.values()) {
             configure(member);
-            member.start(null);
+            member.start();
         }
         for (Member member : members.values()) {
             member.awaitServing();
--- a/server/src/main/java/wheatspread/commands/MembersCommand.java
+++ b/server/src/main/java/wheatspread/commands/MembersCommand.java
@@ -119,8 +119,8 @@
         List<AttributedString> lines = new ArrayList<>();
         boolean stands = told.getBoolean("stands");
         JSONArray members = told.getJSONArray("members");
-        String state = stands ? "stands" : told.getBoolean("in") ? "OLD: no quorum is heard"
-            : "not in it: it waits to be let in";
+        String state = stands ? "stands" : told.getBoolean("in") ? "OLD: " + told.getString("why_not")
+            : "not in it";
         lines.add(Screen.styled(stands ? -1 : AttributedStyle.RED, "cluster " + told.getString("cluster")
             + ", server " + told.getString("name") + ", view " + told.getLong("epoch") + "."
             + told.getLong("number") + " of " + members.length() + " (" + state + "), distrust of itself "
--- a/server/src/main/java/wheatspread/membership/Membership.java
+++ b/server/src/main/java/wheatspread/membership/Membership.java
@@ -158,6 +158,12 @@
         return isIn() && standing.stands(at);
     }
 
+    /** Why the view does not stand, for operators; empty where it does. */
+    public String whyNot(long at) {
+        String why = isIn() ? standing.whyNot(at) : "this server is not in it";
+        return why == null ? "" : why;
+    }
+
     /** Begins without a view: to join the fleet that there is, or to help found one. */
     public void start(long at) {
         now = at;
@@ -211,6 +217,7 @@
         for (Relay one : relays.values()) {
             next = Math.min(next, one.until);
         }
+        next = Math.max(next, now); // what is due since long ago is due now, or a turn would look late
         expectedTurn = next;
         return next;
     }
--- a/server/src/main/java/wheatspread/membership/Standing.java
+++ b/server/src/main/java/wheatspread/membership/Standing.java
@@ -71,13 +71,22 @@
     }
 
     boolean stands(long now) {
-        if (size - missed < quorum || underWaySince != Long.MAX_VALUE && now - underWaySince > UNDER_WAY) {
-            return false;
+        return whyNot(now) == null;
+    }
+
+    /** Why the view does not stand, for operators; null where it does. */
+    String whyNot(long now) {
+        if (size - missed < quorum) {
+            return missed + " of " + size + " are missed";
+        }
+        if (underWaySince != Long.MAX_VALUE && now - underWaySince > UNDER_WAY) {
+            return "an agreement does not end for " + (now - underWaySince) / 1_000 + " ms";
         }
         int late = 0;
         for (long one : heard) {
             late += now - one > HEARD ? 1 : 0;
         }
-        return 2 * late <= sample.length;
+        return 2 * late <= sample.length ? null
+            : late + " of " + sample.length + " others watched or watching are not heard";
     }
 }
--- a/server/src/test/java/wheatspread/membership/MembershipTest.java
+++ b/server/src/test/java/wheatspread/membership/MembershipTest.java
@@ -118,5 +118,11 @@
         net.run(8 * SECOND);
         net.agreed(17);
         assertThat(net.views.size()).isLessThanOrEqualTo(5);
+        net.run(10 * SECOND);
+        net.members.forEach((name, one) -> assertThat(net.dead.contains(name) || one.stands(net.now))
+            .as("%s goes on watching after others joined", name).isTrue());
+        net.kill("m002");
+        net.run(5 * SECOND);
+        net.agreed(16);
     }
 }
--- a/server/src/test/java/wheatspread/membership/Net.java
+++ b/server/src/test/java/wheatspread/membership/Net.java
@@ -26,7 +26,7 @@
     final PriorityQueue<Event> events = new PriorityQueue<>();
     BiPredicate<String, String> cut = (from, to) -> false;
     double loss;
-    long now;
+    long now = 10_000_000_000L;
     long serial;
     long messages;
 
