--- a/server/src/main/java/wheatspread/daemon/FleetView.java
+++ b/server/src/main/java/wheatspread/daemon/FleetView.java
@@ -125,7 +125,8 @@
             .put("start", membership.self().id().start())
             .put("epoch", view == null ? 0 : view.id().epoch())
             .put("number", view == null ? 0 : view.id().number()).put("in", membership.isIn())
-            .put("stands", membership.stands(now)).put("why_not", membership.whyNot(now)).put("distrust", membership.distrust())
+            .put("stands", membership.stands(now))
+            .put("why_not", membership.whyNot(now)).put("distrust", membership.distrust())
             .put("members", members);
     }
 }
