--- a/lab/src/main/java/wheatspread/lab/FaultsCommand.java
+++ b/lab/src/main/java/wheatspread/lab/FaultsCommand.java
@@ -14,10 +14,10 @@
 
 /** Faults between the processes of a fleet. */
 @Command(name = "faults", mixinStandardHelpOptions = true,
-    description = "Starts a fleet of real servers with relays on every link between them, plays the faults of "
-        + "each scenario, and checks what always has to hold and what the scenario expects.",
-    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:All held.", "1:Something did not; it says what.",
-        "64:A scenario is wrong; it names the key."})
+    description = "Starts a fleet of real servers with relays on every link between them, plays the faults "
+        + "of each scenario, and checks what always has to hold and what the scenario expects.",
+    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:All held.",
+        "1:Something did not; it says what.", "64:A scenario is wrong; it names the key."})
 final class FaultsCommand implements Callable<Integer> {
     private static final int USAGE = 64;
 
--- a/lab/src/main/java/wheatspread/lab/faults/FaultsRun.java
+++ b/lab/src/main/java/wheatspread/lab/faults/FaultsRun.java
@@ -293,7 +293,8 @@
             JSONObject told = ended.contains(member.name()) ? null : Doors.members(member.door());
             states.put(member.name(), told == null ? "silent" : told.getLong("epoch") + "."
                 + told.getLong("number") + " of " + told.getJSONArray("members").length()
-                + (told.getBoolean("in") ? "" : " outside") + (told.getBoolean("stands") ? "" : " old: " + told.getString("why_not"))
+                + (told.getBoolean("in") ? "" : " outside")
+                + (told.getBoolean("stands") ? "" : " old: " + told.getString("why_not"))
                 + suspected(told));
         }
         return states.toString();
--- a/lab/src/main/java/wheatspread/lab/faults/Scenario.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Scenario.java
@@ -61,7 +61,8 @@
         faults.sort(Comparator.comparingLong(Fault::at));
         Fields expect = told.object("expect", true);
         expect.only(Set.of("views_at_most", "final_members", "converged_within_s", "gone"));
-        Scenario scenario = new Scenario(zones, told.integer("seeds", Math.min(3, size), 1, Math.min(32, size)),
+        Scenario scenario = new Scenario(zones,
+            told.integer("seeds", Math.min(3, size), 1, Math.min(32, size)),
             told.number("load_per_s", 0, 0, 10_000), seconds(told, "run_s", 60), faults,
             new Expect(expect.integer("views_at_most", -1, -1, 1_000_000),
                 expect.integer("final_members", -1, -1, 2_000), seconds(expect, "converged_within_s", 10),
--- a/lab/src/main/java/wheatspread/lab/faults/Verdict.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Verdict.java
@@ -12,7 +12,8 @@
 
 /** What the servers' own logs say of the views that they went by, and what of it must never be. */
 final class Verdict {
-    private static final Pattern VIEW = Pattern.compile("\\bview id=(\\d+)\\.(\\d+) members=(\\d+) list=(\\w+) ");
+    private static final Pattern VIEW = Pattern.compile(
+        "\\bview id=(\\d+)\\.(\\d+) members=(\\d+) list=(\\w+) ");
     private static final Pattern MISSED = Pattern.compile("(\\w+)#\\d+ MISSED");
 
     private final List<String> faults = new ArrayList<>();
--- a/lab/src/test/java/wheatspread/lab/faults/FaultsRunTest.java
+++ b/lab/src/test/java/wheatspread/lab/faults/FaultsRunTest.java
@@ -57,8 +57,10 @@
     void aWrongScenarioIsNamedWithItsKey() {
         for (String[] one : new String[][] {
             {"{'members': 3, 'faults': [{'do': 'melt'}]}", "faults[0].do is an unknown word: melt"},
-            {"{'members': 3, 'faults': [{'do': 'cut', 'on': ['m1']}]}", "faults[0].do is cut, which takes from"},
-            {"{'members': 3, 'faults': [{'do': 'kill', 'on': ['m4']}]}", "faults[0].on names m4; known are all"},
+            {"{'members': 3, 'faults': [{'do': 'cut', 'on': ['m1']}]}",
+                "faults[0].do is cut, which takes from"},
+            {"{'members': 3, 'faults': [{'do': 'kill', 'on': ['m4']}]}",
+                "faults[0].on names m4; known are all"},
             {"{'members': 3, 'zones': {'a': 2}}", "zones hold 2 members; members says 3"},
             {"{'members': 3, 'run': 5}", "run is an unknown key; known are [expect, faults"}}) {
             assertThatThrownBy(() -> scenario(one[0].replace('\'', '"'))).isInstanceOf(Fields.BadValue.class)
