Tell of signals that are ignored from the start: under nohup every reload was lost

It has SIGHUP ignored, every process started inherits that, and the JVM leaves a signal alone that was ignored when it started. Change: Signals.handle returns whether the signal will be heard; serve and fleet up log signal_ignored as an error.

--- a/server/src/main/java/wheatspread/commands/FleetCommand.java
+++ b/server/src/main/java/wheatspread/commands/FleetCommand.java
@@ -96,7 +96,10 @@
             FleetRunner runner = new FleetRunner(config, log);
             Signals.handle("TERM", runner::goDown);
             Signals.handle("INT", runner::goDown);
-            Signals.handle("HUP", runner::reload);
+            if (!Signals.handle("HUP", runner::reload)) {
+                log.error("signal_ignored", "signals", "HUP", "reason", "the supervisor and all that it starts "
+                    + "hear no reload: start it with env --default-signal=HUP, or without nohup");
+            }
             try {
                 runner.run();
                 return Exit.OK;
--- a/server/src/main/java/wheatspread/commands/ServeCommand.java
+++ b/server/src/main/java/wheatspread/commands/ServeCommand.java
@@ -83,7 +83,7 @@
         } catch (IOException e) {
             throw new Exit.Failure(Exit.CANNOT_CREATE, e.toString());
         }
-        listenToSignals(server);
+        listenToSignals(server, log);
         server.rehearse();
         try {
             if (server.start()) {
@@ -100,11 +100,16 @@
     }
 
     /** From here on a notice to leave finds somebody, in every phase. */
-    private static void listenToSignals(Server server) {
+    private static void listenToSignals(Server server, EventLog log) {
         AtomicBoolean interrupted = new AtomicBoolean();
-        Signals.handle("TERM", () -> server.notice(Event.NOTICE));
+        boolean heard = Signals.handle("TERM", () -> server.notice(Event.NOTICE));
         // at a terminal the second Ctrl-C means that somebody waits
         Signals.handle("INT", () -> server.notice(interrupted.getAndSet(true) ? Event.HURRY : Event.NOTICE));
-        Signals.handle("HUP", () -> server.reload(() -> ServerConfig.fromEnvironment(System.getenv())));
+        heard &= Signals.handle("HUP", () -> server.reload(() ->
+            ServerConfig.fromEnvironment(System.getenv())));
+        if (!heard) { // every reload, or the notice, would pass unseen
+            log.error("signal_ignored", "signals", "TERM or HUP", "reason",
+                "started by a process that ignores it, as nohup does; start it with env --default-signal=HUP");
+        }
     }
 }
--- a/server/src/main/java/wheatspread/daemon/Signals.java
+++ b/server/src/main/java/wheatspread/daemon/Signals.java
@@ -9,8 +9,12 @@
 public final class Signals {
     private Signals() { }
 
-    /** Runs a task, on a thread of the JVM's, whenever a signal such as {@code HUP} comes. */
-    public static void handle(String name, Runnable task) {
+    /**
+     * Runs a task, on a thread of the JVM's, whenever a signal such as {@code HUP} comes. Returns whether it
+     * will: a process that was started with HUP, INT or TERM ignored, as {@code nohup} does it, passes that
+     * on to all that it starts, and the JVM leaves it so.
+     */
+    public static boolean handle(String name, Runnable task) {
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
@@ -24,8 +28,9 @@
                     case "equals" -> self == arguments[0];
                     default -> "handler of SIG" + name;
                 });
-            signal.getMethod("handle", signal, handler)
+            Object before = signal.getMethod("handle", signal, handler)
                 .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+            return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("SIG" + name + " cannot be handled: " + e, e);
         }
