--- a/server/src/main/java/wheatspread/commands/FleetCommand.java
+++ b/server/src/main/java/wheatspread/commands/FleetCommand.java
@@ -97,8 +97,8 @@
             Signals.handle("TERM", runner::goDown);
             Signals.handle("INT", runner::goDown);
             if (!Signals.handle("HUP", runner::reload)) {
-                log.error("signal_ignored", "signals", "HUP", "reason", "the supervisor and all that it starts "
-                    + "hear no reload: start it with env --default-signal=HUP, or without nohup");
+                log.error("signal_ignored", "signals", "HUP", "reason", "the supervisor and all that it "
+                    + "starts hear no reload: start it with env --default-signal=HUP, or without nohup");
             }
             try {
                 runner.run();
--- a/server/src/main/java/wheatspread/commands/ServeCommand.java
+++ b/server/src/main/java/wheatspread/commands/ServeCommand.java
@@ -108,8 +108,8 @@
         heard &= Signals.handle("HUP", () -> server.reload(() ->
             ServerConfig.fromEnvironment(System.getenv())));
         if (!heard) { // every reload, or the notice, would pass unseen
-            log.error("signal_ignored", "signals", "TERM or HUP", "reason",
-                "started by a process that ignores it, as nohup does; start it with env --default-signal=HUP");
+            log.error("signal_ignored", "signals", "TERM or HUP", "reason", "started by a process that "
+                + "ignores it, as nohup does; start it with env --default-signal=HUP");
         }
     }
 }
