--- a/lab/src/main/java/wheatspread/lab/faults/Scenario.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Scenario.java
@@ -24,6 +24,8 @@
 public record Scenario(Map<String, String> zones, int seeds, double load, long run, List<Fault> faults,
                        Expect expect) {
     private static final int MOST_SECONDS = 3_600;
+    /** Two faults at once may keep somebody out for a while who came and went twice. */
+    private static final long PAIR_CONVERGED = 60_000_000;
 
     /**
      * What has to come of it, besides what always has to.
@@ -39,11 +41,38 @@
         return List.copyOf(zones.keySet());
     }
 
+    /** Whether more than half of the members end for good, so that the rest has to stand still. */
+    public boolean losesQuorum() {
+        Set<String> ended = new LinkedHashSet<>();
+        faults.stream().filter(one -> one.kind() == Fault.Kind.KILL).forEach(one -> ended.addAll(one.on()));
+        return 2 * ended.size() >= zones.size();
+    }
+
     /** When the last fault is over. */
     public long faultsEnd() {
         return faults.stream().mapToLong(Fault::end).max().orElse(0);
     }
 
+    /**
+     * Both at once, in a fleet of this one. What was expected of one alone does not hold for both: they have
+     * to come to one view of those that live.
+     */
+    public Scenario with(Scenario other) {
+        List<Fault> both = new ArrayList<>(faults);
+        Set<String> ended = new LinkedHashSet<>();
+        faults.stream().filter(one -> one.kind().isMoment()).forEach(one -> ended.addAll(one.on()));
+        for (Fault one : other.faults) { // whoever ends by one of them is left alone by the other
+            Set<String> on = new LinkedHashSet<>(one.on());
+            on.removeAll(one.kind().isMoment() ? ended : Set.of());
+            both.add(new Fault(one.kind(), one.at(), one.lasts(), one.from(), one.to(), on, one.share(),
+                one.extra()));
+        }
+        both.sort(Comparator.comparingLong(Fault::at));
+        return new Scenario(zones, seeds, Math.max(load, other.load), Math.max(run, other.run), both,
+            new Expect(-1, -1, Math.max(PAIR_CONVERGED, Math.max(expect.converged, other.expect.converged)),
+                null));
+    }
+
     /** Complaints name the file and the key. */
     public static Scenario read(Path file, long seed) {
         return read(JsonFile.read(file), seed);
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/model/ModelRun.java
@@ -0,0 +1,152 @@
+package wheatspread.lab.model;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.TreeSet;
+import org.json.JSONArray;
+import org.json.JSONObject;
+import wheatspread.lab.faults.Fault;
+import wheatspread.lab.faults.Links;
+import wheatspread.lab.faults.Scenario;
+import wheatspread.membership.DetectorSettings;
+import wheatspread.membership.Member;
+import wheatspread.membership.View;
+import wheatspread.membership.ViewId;
+
+/** Plays a scenario on virtual time, with the decision code of the program; repeatable by its seed. */
+public final class ModelRun {
+    private static final long BEGIN = 10_000_000_000L;
+    private static final long SETTLED = 5_000_000;
+    private static final long LOOK = 50_000;
+    private static final long SECOND = 1_000_000;
+    private static final long SLICE = 100_000;
+
+    private final Scenario scenario;
+    private final long seed;
+    private final VirtualTime time = new VirtualTime(BEGIN);
+    private final Links links;
+    private final ModelFleet fleet;
+    private final Set<String> ended = new TreeSet<>();
+    private final List<double[]> seconds = new ArrayList<>();
+
+    /** What came of it; {@code faults} is empty where all held. A second has messages, bytes and views. */
+    public record Outcome(JSONObject figures, List<String> faults, List<double[]> seconds) { }
+
+    public ModelRun(Scenario scenario, DetectorSettings settings, long seed) {
+        this.scenario = scenario;
+        this.seed = seed;
+        SplittableRandom random = new SplittableRandom(seed);
+        links = new Links(random.split());
+        fleet = new ModelFleet(time, links, random.split(), settings,
+            scenario.members().subList(0, scenario.seeds()));
+    }
+
+    /** Once an object. */
+    public Outcome play() {
+        long wall = System.nanoTime();
+        List<Member> members = new ArrayList<>();
+        scenario.zones().forEach((name, zone) -> members.add(ModelFleet.member(name, zone, 1)));
+        View first = new View(new ViewId(1, 1), members);
+        members.forEach(one -> fleet.start(one, first));
+        time.runUntil(BEGIN + SETTLED);
+        long begin = time.now();
+        scenario.faults().forEach(one -> befall(one, begin));
+        long messages = fleet.messages();
+        long bytes = fleet.bytes();
+        long end = begin + scenario.faultsEnd();
+        long converged = -1;
+        for (long at = begin + LOOK; at <= begin + scenario.run(); at += LOOK) {
+            time.runUntil(at);
+            if (converged < 0 && at >= end && fleet.agree(size())) {
+                converged = at - end;
+            }
+            if ((at - begin) % SECOND == 0) {
+                seconds.add(new double[] {fleet.messages(), fleet.bytes(), fleet.views()});
+            }
+        }
+        return judge(converged, messages, bytes, System.nanoTime() - wall);
+    }
+
+    private int size() {
+        return scenario.expect().members() >= 0 ? scenario.expect().members()
+            : scenario.members().size() - ended.size();
+    }
+
+    // ---- what befalls them ----
+
+    private void befall(Fault fault, long begin) {
+        if (fault.kind().isOfLinks()) {
+            time.at(begin + fault.at(), () -> links.begin(fault));
+            time.at(begin + fault.end(), () -> links.end(fault));
+            return;
+        }
+        for (String name : fault.on()) {
+            time.at(begin + fault.at(), () -> carryOut(fault, name, begin + fault.end()));
+        }
+    }
+
+    private void carryOut(Fault fault, String name, long end) {
+        switch (fault.kind()) {
+            case PAUSE -> fleet.stop(name, end);
+            case STARVE -> starve(fault, name, end);
+            case KILL -> {
+                ended.add(name);
+                fleet.kill(name);
+            }
+            case RESTART -> {
+                fleet.kill(name);
+                fleet.start(ModelFleet.member(name, scenario.zones().get(name), time.now()), null);
+            }
+            case LEAVE -> {
+                ended.add(name);
+                fleet.leave(name);
+                time.at(time.now() + 2 * SECOND, () -> fleet.kill(name));
+            }
+            default -> { } // garbage is for those who read bytes
+        }
+    }
+
+    /** Stopped for most of each slice. */
+    private void starve(Fault fault, String name, long end) {
+        if (time.now() < end) {
+            fleet.stop(name, time.now() + Math.round(SLICE * (1 - fault.share())));
+            time.at(time.now() + SLICE, () -> starve(fault, name, end));
+        }
+    }
+
+    // ---- what came of it ----
+
+    private Outcome judge(long converged, long messages, long bytes, long wall) {
+        List<String> faults = new ArrayList<>(fleet.faults());
+        if (scenario.losesQuorum()) {
+            if (fleet.standing().keySet().stream().anyMatch(one -> !one.endsWith(" old"))) {
+                faults.add("no quorum lives, and not all say so: " + fleet.standing());
+            }
+        } else if (converged < 0 || converged > scenario.expect().converged()) {
+            faults.add("one view of " + size() + (converged < 0 ? " never came: " + fleet.standing()
+                : " after " + converged / 1_000 + " ms"));
+        } else if (!fleet.agree(size())) {
+            faults.add("the view did not last until the end: " + fleet.standing());
+        }
+        int views = fleet.views() - 1;
+        if (scenario.expect().views() >= 0 && views > scenario.expect().views()) {
+            faults.add(views + " views, and " + scenario.expect().views() + " at most were expected");
+        }
+        Set<String> missed = new TreeSet<>();
+        fleet.missed().forEach(one -> missed.add(one.name()));
+        Set<String> gone = scenario.expect().gone();
+        if (gone != null && !gone.equals(missed)) {
+            faults.add("missed were " + missed + "; expected " + new TreeSet<>(gone));
+        }
+        double memberSeconds = scenario.members().size() * (scenario.run() / 1e6);
+        return new Outcome(new JSONObject().put("seed", seed).put("members", scenario.members().size())
+            .put("converged_ms", converged < 0 ? -1 : converged / 1_000).put("views", views)
+            .put("missed", new JSONArray(missed))
+            .put("missed_alive", fleet.missed().stream().filter(ModelFleet.Missed::alive).count())
+            .put("messages_per_member_s", (fleet.messages() - messages) / memberSeconds)
+            .put("bytes_per_member_s", (fleet.bytes() - bytes) / memberSeconds)
+            .put("steps_per_s", time.carriedOut() / (wall / 1e9)), faults, seconds);
+    }
+}
--- a/server/src/main/java/wheatspread/membership/CutTally.java
+++ b/server/src/main/java/wheatspread/membership/CutTally.java
@@ -28,7 +28,7 @@
     /** What follows from all this, until something else is heard; most messages bring nothing new. */
     private Summary summary;
 
-    private record Summary(long digest, int missed, Change whole, Change hasty) { }
+    private record Summary(long digest, Change whole, Change hasty) { }
 
     /** Somebody who wants to become a member, with what those who would watch it say. */
     static final class Joiner {
@@ -62,7 +62,12 @@
 
     /** A watcher's suspicion of a member, which moves nothing; returns whether it was news. */
     boolean suspected(int member, int slot, int counter) {
-        return raise(suspicions[member], slot, counter);
+        int[] of = suspicions[member];
+        boolean news = slot >= 0 && slot < of.length && counter > of[slot];
+        if (news) {
+            of[slot] = counter;
+        }
+        return news;
     }
 
     int suspicion(int member, int slot) {
@@ -141,10 +146,10 @@
 
     /**
      * How many members are missed: they may have gone, or be behind a cut. Suspicions count here, since a
-     * side that is cut off distrusts itself and is slow to report.
+     * side that is cut off distrusts itself and is slow to report. It goes through all members.
      */
     int missed() {
-        return summary().missed;
+        return countMissed(unstable());
     }
 
     /**
@@ -158,7 +163,7 @@
     private Summary summary() {
         if (summary == null) {
             BitSet unstable = unstable();
-            summary = new Summary(computeDigest(), countMissed(unstable), computeChange(unstable, false),
+            summary = new Summary(computeDigest(), computeChange(unstable, false),
                 computeChange(unstable, true));
         }
         return summary;
--- a/server/src/main/java/wheatspread/membership/Membership.java
+++ b/server/src/main/java/wheatspread/membership/Membership.java
@@ -42,6 +42,8 @@
     private static final long SEEK = 200_000;
     private static final long LEAST_SEEK = 2_000_000;
     private static final int MOST_KNOCKS = 3;
+    /** Under loss suspicions come with every message, and each would have all members counted. */
+    private static final long COUNT_MISSED = 250_000;
 
     /** What a member does to the outside. */
     public interface Actions {
@@ -83,6 +85,7 @@
     private long gossipAt;
     private long knockAt;
     private long seekAt;
+    private long missedAt;
     /** The latest epoch in which this member was in a view, and whether it was in one under this number. */
     private long latestEpoch;
     private boolean wasIn;
@@ -651,7 +654,10 @@
         if (!isIn()) {
             return;
         }
-        standing.missed(tally.missed());
+        if (now >= missedAt) {
+            missedAt = now + COUNT_MISSED;
+            standing.missed(tally.missed());
+        }
         standing.agreeing(agreement.underWay(), now);
         Change whole = tally.change(false);
         Change hasty = whole == null ? tally.change(true) : null;
