--- a/lab/src/main/java/wheatspread/lab/model/ModelSweep.java
+++ b/lab/src/main/java/wheatspread/lab/model/ModelSweep.java
@@ -64,8 +64,8 @@
                 Map.of("usual settings", detect));
             Report.bars(out.resolve("membership-bytes.png"), "Sent by each member", "bytes a second",
                 Map.of("usual settings", bytes));
-            Report.lines(out.resolve("membership-messages.png"), "Messages of each member round a crash at 5 s",
-                "s", "messages a second", messages);
+            Report.lines(out.resolve("membership-messages.png"),
+                "Messages of each member round a crash at 5 s", "s", "messages a second", messages);
             Report.bars(out.resolve("membership-wrong.png"), "Healthy members taken out, fleet of "
                 + LOSS_FLEET, "an hour", wrong);
         }
--- a/lab/src/main/java/wheatspread/lab/rig/Member.java
+++ b/lab/src/main/java/wheatspread/lab/rig/Member.java
@@ -125,6 +125,10 @@
         return process.waitFor(LEAVE_MS, TimeUnit.MILLISECONDS) ? process.exitValue() : -1;
     }
 
+    public long pid() {
+        return process.pid();
+    }
+
     public boolean isAlive() {
         return process != null && process.isAlive();
     }
--- a/lab/src/main/java/wheatspread/lab/world/Ledger.java
+++ b/lab/src/main/java/wheatspread/lab/world/Ledger.java
@@ -7,6 +7,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.function.Predicate;
+import org.HdrHistogram.Histogram;
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
 
@@ -73,6 +74,8 @@
     private final Map<String, Long> mayLose = new HashMap<>();
     private Predicate<String> doomed = server -> false;
     private long beganAt;
+    /** From the request to the answer that served it; ms. */
+    private final Histogram took = new Histogram(60_000, 3);
 
     /** What is asked from now on counts. */
     void begin(long now) {
@@ -115,6 +118,9 @@
         }
         one.over = true;
         count(how);
+        if (how.equals("served")) {
+            took.recordValue(Math.max(0, Math.min(60_000, now - one.at)));
+        }
         if (how.equals("served") && now <= one.at + one.kind.wanted()) {
             count("served_in_time");
             second(one.at)[1] += one.worth();
@@ -258,7 +264,9 @@
 
     /** Its figures. */
     public JSONObject figures() {
-        JSONObject all = new JSONObject().put("worth_served", worthServed());
+        JSONObject all = new JSONObject().put("worth_served", worthServed())
+            .put("served_p50_ms", took.getValueAtPercentile(50))
+            .put("served_p99_ms", took.getValueAtPercentile(99));
         for (String kind : List.of("asked", "tries", "runs", "served", "served_in_time", "refused", "failed",
             "timed_out", "unanswered", "answered_twice", "late", "doubled", "late_run", "unknown_run",
             "lost_on_killed", "refused_without_time")) {
