membership: what is known of a view is told at a bounded rate

Cause: with many suspicions in flight nearly every message has another digest, and each peer was told everything up to three times a second. Change: at most 1,000 pieces a second in all.

--- a/server/src/main/java/wheatspread/membership/Membership.java
+++ b/server/src/main/java/wheatspread/membership/Membership.java
@@ -42,6 +42,9 @@
     private static final long SEEK = 200_000;
     private static final long LEAST_SEEK = 2_000_000;
     private static final int MOST_KNOCKS = 3;
+    /** All that is known is told this often at most, and no more than 1,000 pieces of it a second. */
+    private static final long TELL_ALL = 20_000;
+    private static final long TELL_ALL_PIECE = 1_000;
     /** Under loss suspicions come with every message, and each would have all members counted. */
     private static final long COUNT_MISSED = 250_000;
 
@@ -86,6 +89,7 @@
     private long knockAt;
     private long seekAt;
     private long missedAt;
+    private long tellAllAt;
     /** The latest epoch in which this member was in a view, and whether it was in one under this number. */
     private long latestEpoch;
     private boolean wasIn;
@@ -411,9 +415,12 @@
         if (message.view().equals(viewId())) {
             if (isIn()) {
                 message.news().forEach(this::hear);
-                if (message.digest() != digest() && sender >= 0 && mayTell(message.from())) {
+                if (message.digest() != digest() && sender >= 0 && now >= tellAllAt
+                    && mayTell(message.from())) {
+                    List<News> all = all();
+                    tellAllAt = now + Math.max(TELL_ALL, all.size() * TELL_ALL_PIECE);
                     actions.send(address, new Message(self.id(), viewId(), stands(now), digest(),
-                        new Body.Gossip(), all()));
+                        new Body.Gossip(), all));
                 }
             }
         } else if (goesBefore(message)) {
