Read again: one place each for a round's news, raised counters, the door, most seeds

Need: the change read once more for what stands twice. Membership listed what is known of a round in queueRound and again in all(): ofRound serves both. CutTally.suspected wrote out the check of raise, since raise also dropped the summary: raise only raises now. HandoverRun asked the door in its own words beside lab.faults.Doors, which moves to lab.standins. MembershipConfig had a bound on seeds of its own beside Founding's. Relays took a begin that beginAt replaced before any fault.

--- a/lab/src/main/java/wheatspread/lab/faults/CostRun.java
+++ b/lab/src/main/java/wheatspread/lab/faults/CostRun.java
@@ -11,6 +11,7 @@
 import org.json.JSONObject;
 import wheatspread.lab.rig.Member;
 import wheatspread.lab.rig.Rig;
+import wheatspread.lab.standins.Doors;
 import wheatspread.lab.standins.Listening;
 
 /** What membership costs servers under load: answers, processor time and memory, with it and without. */
--- a/lab/src/main/java/wheatspread/lab/faults/FaultsRun.java
+++ b/lab/src/main/java/wheatspread/lab/faults/FaultsRun.java
@@ -22,6 +22,7 @@
 import org.json.JSONObject;
 import wheatspread.lab.rig.Member;
 import wheatspread.lab.rig.Rig;
+import wheatspread.lab.standins.Doors;
 import wheatspread.lab.standins.Listening;
 import wheatspread.lab.world.Ledger;
 
@@ -103,8 +104,7 @@
                 .put("advertise", Listening.text(advertised.get(name))).put("seeds", seeds)
                 .put("zone", scenario.zones().get(name))), rig.address());
         }
-        begin = Relays.micros();
-        return new Relays(links, CLUSTER, real, advertised, begin, seed);
+        return new Relays(links, CLUSTER, real, advertised, seed);
     }
 
     // ---- what befalls them ----
--- a/lab/src/main/java/wheatspread/lab/faults/Relays.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Relays.java
@@ -37,6 +37,7 @@
     private final Map<String, ServerSocket> doors = new HashMap<>();
     private final PriorityQueue<Late> late = new PriorityQueue<>();
     private final SplittableRandom random;
+    /** When the run began; {@link #micros}. */
     private long begin;
     private byte[] lastSeen = new byte[0];
     private long serial;
@@ -51,12 +52,11 @@
         }
     }
 
-    /** {@code real} and {@code advertised} by name; {@code begin} is when the run began, {@link #micros}. */
+    /** {@code real} and {@code advertised} by name. */
     Relays(Links links, String cluster, Map<String, InetSocketAddress> real,
-           Map<String, InetSocketAddress> advertised, long begin, long seed) throws IOException {
+           Map<String, InetSocketAddress> advertised, long seed) throws IOException {
         this.links = links;
         this.real = real;
-        this.begin = begin;
         random = new SplittableRandom(seed);
         codec = new MessageCodec(cluster, "0.0.0.0:1");
         selector = Selector.open();
@@ -90,7 +90,7 @@
         return links.fate(from, to, micros() - begin);
     }
 
-    /** The run begins at that time. */
+    /** The run begins at that time; no fault holds before. */
     synchronized void beginAt(long now) {
         begin = now;
     }
--- a/lab/src/main/java/wheatspread/lab/rig/HandoverRun.java
+++ b/lab/src/main/java/wheatspread/lab/rig/HandoverRun.java
@@ -2,8 +2,6 @@
 
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -15,6 +13,7 @@
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
 import wheatspread.lab.standins.Door;
+import wheatspread.lab.standins.Doors;
 import wheatspread.lab.standins.Folders;
 import wheatspread.lab.world.Ledger;
 import wheatspread.lab.world.World;
@@ -59,7 +58,7 @@
             try {
                 ProcessHandle old = start(dir, "old", socket, world, world.kernelDoor(NAME), oldDoor);
                 all.add(old);
-                await("the old one", () -> ready(oldDoor));
+                await("the old one", () -> Doors.isReady(oldDoor));
                 TimeUnit.MILLISECONDS.sleep(2_300); // proxies see the list late
                 world.mostPerLink(3);
                 world.ask(rate);
@@ -73,7 +72,7 @@
                     signals.send("KILL", next);
                     socket.awaitEnd(next, UP_MS);
                 } else {
-                    await("the new one", () -> ready(newDoor));
+                    await("the new one", () -> Doors.isReady(newDoor));
                     TimeUnit.MILLISECONDS.sleep(random.nextInt(300));
                     if (end == End.OLD_KILLED) {
                         world.mayLose(NAME, 500);
@@ -134,17 +133,6 @@
         }
     }
 
-    private static boolean ready(InetSocketAddress door) {
-        try (Socket call = new Socket(door.getAddress(), door.getPort())) {
-            call.setSoTimeout(1_000);
-            call.getOutputStream().write("GET /_ready HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII));
-            return new String(call.getInputStream().readAllBytes(), StandardCharsets.US_ASCII)
-                .contains(" 200 ");
-        } catch (IOException e) {
-            return false; // it does not listen yet
-        }
-    }
-
     private static boolean logged(Path dir, String which, String text) {
         return tail(dir, which).contains(text);
     }
--- a/lab/src/main/java/wheatspread/lab/faults/Doors.java
+++ b/lab/src/main/java/wheatspread/lab/standins/Doors.java
@@ -1,4 +1,4 @@
-package wheatspread.lab.faults;
+package wheatspread.lab.standins;
 
 import java.io.IOException;
 import java.io.OutputStream;
@@ -9,14 +9,14 @@
 import org.json.JSONObject;
 
 /** Asks a server's operators' door. */
-final class Doors {
+public final class Doors {
     private static final int PATIENCE_MS = 1_000;
 
     private Doors() {
     }
 
     /** The body of the answer; null where there is none in time. */
-    static String ask(InetSocketAddress door, String call) {
+    public static String ask(InetSocketAddress door, String call) {
         try (Socket socket = new Socket()) {
             socket.connect(door, PATIENCE_MS);
             socket.setSoTimeout(PATIENCE_MS);
@@ -30,8 +30,12 @@
         }
     }
 
+    public static boolean isReady(InetSocketAddress door) {
+        return "ready\n".equals(ask(door, "GET /_ready"));
+    }
+
     /** What a server knows of the fleet; null where it says nothing. */
-    static JSONObject members(InetSocketAddress door) {
+    public static JSONObject members(InetSocketAddress door) {
         String body = ask(door, "GET /_members");
         try {
             return body == null ? null : new JSONObject(body);
--- a/server/src/main/java/wheatspread/config/MembershipConfig.java
+++ b/server/src/main/java/wheatspread/config/MembershipConfig.java
@@ -4,6 +4,7 @@
 import java.util.HashSet;
 import java.util.List;
 import java.util.Set;
+import wheatspread.membership.Membership;
 import wheatspread.peers.PeerAddress;
 
 /**
@@ -17,7 +18,6 @@
  */
 public record MembershipConfig(String cluster, InetSocketAddress listen, String advertise,
                                List<String> seeds, String zone) {
-    private static final int MOST_SEEDS = 32;
     private static final int MOST_TEXT = 64;
 
     static MembershipConfig read(Fields told) {
@@ -35,8 +35,10 @@
         String advertise = any || told.has("advertise")
             ? address(told, "advertise", told.text("advertise", listen)) : listen;
         List<String> seeds = told.texts("seeds");
-        if (seeds.isEmpty() || seeds.size() > MOST_SEEDS || new HashSet<>(seeds).size() < seeds.size()) {
-            told.fault("seeds", "holds " + seeds.size() + " addresses; allowed are 1 to " + MOST_SEEDS
+        if (seeds.isEmpty() || seeds.size() > Membership.MOST_SEEDS
+            || new HashSet<>(seeds).size() < seeds.size()) {
+            told.fault("seeds", "holds " + seeds.size() + " addresses; allowed are 1 to "
+                + Membership.MOST_SEEDS
                 + " different ones, best 3 or 5", null);
         }
         seeds.forEach(one -> address(told, "seeds", one));
--- a/server/src/main/java/wheatspread/membership/CutTally.java
+++ b/server/src/main/java/wheatspread/membership/CutTally.java
@@ -57,17 +57,12 @@
 
     /** A watcher's word on a member; returns whether it was news. */
     boolean reported(int member, int slot, int counter) {
-        return raise(counters[member], slot, counter);
+        return changes(raise(counters[member], slot, counter));
     }
 
     /** A watcher's suspicion of a member, which moves nothing; returns whether it was news. */
     boolean suspected(int member, int slot, int counter) {
-        int[] of = suspicions[member];
-        boolean news = slot >= 0 && slot < of.length && counter > of[slot];
-        if (news) {
-            of[slot] = counter;
-        }
-        return news;
+        return raise(suspicions[member], slot, counter);
     }
 
     int suspicion(int member, int slot) {
@@ -87,8 +82,7 @@
     boolean leaves(int member) {
         boolean news = !leaving.get(member);
         leaving.set(member);
-        summary = null;
-        return news;
+        return changes(news);
     }
 
     /**
@@ -118,15 +112,22 @@
     /** The word on a joiner of one who would watch it. */
     boolean heard(MemberId joiner, int slot, int counter) {
         Joiner of = joiners.get(joiner);
-        return of != null && slot < of.counters.length && raise(of.counters, slot, counter);
+        return of != null && changes(raise(of.counters, slot, counter));
     }
 
-    private boolean raise(int[] of, int slot, int counter) {
+    /** Where something is news, what followed from all before holds no longer. */
+    private boolean changes(boolean news) {
+        if (news) {
+            summary = null;
+        }
+        return news;
+    }
+
+    private static boolean raise(int[] of, int slot, int counter) {
         if (slot < 0 || slot >= of.length || counter <= of[slot]) {
             return false;
         }
         of[slot] = counter;
-        summary = null;
         return true;
     }
 
--- a/server/src/main/java/wheatspread/membership/Membership.java
+++ b/server/src/main/java/wheatspread/membership/Membership.java
@@ -18,6 +18,8 @@
  * its own; times are microseconds. One thread at a time.
  */
 public final class Membership {
+    /** A list of seeds holds so many at most. */
+    public static final int MOST_SEEDS = Founding.MOST_SEEDS;
     /** How often news alone goes out while there is any, and to how many. */
     private static final long GOSSIP = 100_000;
     private static final int GOSSIP_TO = 3;
@@ -541,20 +543,28 @@
 
     /** What is known now of votes and rounds goes on, in the place of what was known before. */
     private void queueRound() {
+        ofRound(member -> member == index).forEach(queue::add); // others' promises go on as they are heard
+    }
+
+    /** What is known of votes and of the round, with the promises of these members. */
+    private List<News> ofRound(IntPredicate promising) {
+        List<News> known = new ArrayList<>();
         agreement.fastVotes().forEach((change, voters) ->
-            queue.add(new News.FastVotes(change, (BitSet) voters.clone())));
+            known.add(new News.FastVotes(change, (BitSet) voters.clone())));
         long ballot = agreement.ballot();
         if (ballot > Agreement.FAST) {
-            queue.add(new News.Prepare(ballot));
-            Agreement.Promise mine = agreement.promises().get(index);
-            if (mine != null) {
-                queue.add(new News.Promised(ballot, index, mine));
-            }
+            known.add(new News.Prepare(ballot));
+            agreement.promises().forEach((member, promise) -> {
+                if (promising.test(member)) {
+                    known.add(new News.Promised(ballot, member, promise));
+                }
+            });
             if (agreement.asked() != null) {
-                queue.add(new News.Accepted(ballot, agreement.asked(),
+                known.add(new News.Accepted(ballot, agreement.asked(),
                     (BitSet) agreement.accepted().clone()));
             }
         }
+        return known;
     }
 
     /** Takes a piece of news in; returns whether it was news. What names nobody of this view is none. */
@@ -637,17 +647,7 @@
                 }
             }
         });
-        agreement.fastVotes().forEach((change, voters) -> all.add(new News.FastVotes(change,
-            (BitSet) voters.clone())));
-        long ballot = agreement.ballot();
-        if (ballot > Agreement.FAST) {
-            all.add(new News.Prepare(ballot));
-            agreement.promises().forEach((member, promise) ->
-                all.add(new News.Promised(ballot, member, promise)));
-            if (agreement.asked() != null) {
-                all.add(new News.Accepted(ballot, agreement.asked(), (BitSet) agreement.accepted().clone()));
-            }
-        }
+        all.addAll(ofRound(member -> true));
         return all;
     }
 
