A deployment without records service or told limits starts and serves; second marks further tries

Cause: config.ServerConfig demanded records, which a platform does not name where no class makes calls (USER.md: "A request does not tell how long its caller waits", no dependency). Behind it two more of the kind, found by reading users/PROTOCOL.md against jsonrpc.RequestReader: limit was demanded, which no request carries there, so each would have been answered as malformed; and second was not read, so that the module never heard of a further try, while it does in the simulator. Ruled out: settings (SettingsReader reads all of the site's).

Change: records is demanded as soon as a class may call, and only then; a call without an address is one that was refused. announce may be absent: nothing is reported. Neither may vanish at a reload. Without limit a try is due at its class's deadline after its door, and the module hears no time left, as in the simulator. second reaches the module.

--- a/server/src/main/java/wheatspread/announce/AnnounceClient.java
+++ b/server/src/main/java/wheatspread/announce/AnnounceClient.java
@@ -17,6 +17,7 @@
 import io.netty.handler.codec.http.HttpVersion;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
+import java.util.Objects;
 import java.util.concurrent.TimeUnit;
 import wheatspread.core.Announcer;
 import wheatspread.logging.EventLog;
@@ -43,6 +44,7 @@
     private boolean started;
     private boolean closed;
 
+    /** {@code address} is null where nobody keeps a list: then nothing is reported. */
     public AnnounceClient(Bootstrap clients, InetSocketAddress address, String name, EventLog log) {
         loop = clients.config().group();
         this.clients = clients;
@@ -66,7 +68,7 @@
 
     /** The service is to be reached at another address from now on, and hears at once. */
     public void moveTo(InetSocketAddress next) {
-        if (!next.equals(address)) {
+        if (!Objects.equals(next, address)) {
             address = next;
             dropConnection();
             if (started) {
@@ -88,7 +90,7 @@
     }
 
     private void report() {
-        if (closed) {
+        if (closed || address == null) {
             return;
         }
         if (connection != null && !connection.waiting) {
--- a/server/src/main/java/wheatspread/config/ServerConfig.java
+++ b/server/src/main/java/wheatspread/config/ServerConfig.java
@@ -3,11 +3,16 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
+import wheatspread.admission.Admission.Dependency;
+import wheatspread.admission.Admission.RequestClass;
 import wheatspread.core.Site;
 
 /**
- * What a real server is told: addresses, limits, the seed, and the settings of its site.
+ * What a real server is told: addresses, limits, the seed, and the settings of its site. What a deployment
+ * may leave out, and what its absence means, stands in {@code docs/design/deployments.md}.
  *
+ * @param records where the records service is; null where the deployment has none, since no class calls it
+ * @param announce where the announce service is; null where nobody keeps a list
  * @param control where the operators' door listens ({@code control}, {@code GW_CONTROL}); null for none
  * @param inherited the descriptor of a listening socket the platform hands over for {@code listen}
  *     ({@code GW_INHERITED_FD}); -1 where the server binds its own
@@ -59,14 +64,29 @@
             sockets, site, control, inherited, shared);
     }
 
+    /**
+     * Guards a reload against a file that lost a part: an address that may be absent at the start is none to
+     * drop while the server goes on.
+     */
+    public void requireWhatItHad(ServerConfig next) {
+        requireStill("records", records, next.records);
+        requireStill("announce", announce, next.announce);
+    }
+
+    private static void requireStill(String key, InetSocketAddress had, InetSocketAddress has) {
+        if (had != null && has == null) {
+            throw new Fields.BadValue(key + " is missing, and this server has used " + had);
+        }
+    }
+
     public static ServerConfig read(Fields told) {
         Fields limits = told.object("limits", true);
+        Site site = site(told.object("settings", false));
         ServerConfig config = new ServerConfig(told.text("name"), address(told, "listen"), address(told,
-            "kernel"),
-            address(told, "records"), address(told, "announce"), seed(told),
+            "kernel"), records(told, site), addressOrNone(told, "announce"), seed(told),
             told.integer("stop_ms", DEFAULT_STOP_MS, 100, 600_000) * 1000L,
-            limits.integer("sockets", DEFAULT_SOCKETS, 64, 1 << 20), site(told.object("settings", false)),
-            told.has("control") ? address(told, "control") : null, told.integer(INHERITED, -1, -1, 1 << 20),
+            limits.integer("sockets", DEFAULT_SOCKETS, 64, 1 << 20), site,
+            addressOrNone(told, "control"), told.integer(INHERITED, -1, -1, 1 << 20),
             told.has("shared") ? Path.of(told.text("shared")) : null);
         told.settle();
         return config;
@@ -98,6 +118,17 @@
         }
     }
 
+    /** Where calls go: it must be there as soon as a class of the site may call, and only then. */
+    private static InetSocketAddress records(Fields told, Site site) {
+        boolean calls = site.settings().below().kind() != Dependency.NONE
+            && site.settings().classes().stream().anyMatch(RequestClass::calls);
+        return calls ? address(told, "records") : addressOrNone(told, "records");
+    }
+
+    private static InetSocketAddress addressOrNone(Fields told, String key) {
+        return told.has(key) ? address(told, key) : null;
+    }
+
     /** An address as host and port; the host stands as a number, since there is no DNS. */
     static InetSocketAddress address(Fields told, String key) {
         String text = told.text(key);
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -177,8 +177,8 @@
         }
         boolean write = site.settings().classes().get(s.kind()).effect() != Effect.IDEMPOTENT;
         to.arrived(new Admission.Request(one.number, s.tenant(), s.kind(), Math.max(0, now - s.door()),
-            Math.max(1, s.due() - now), entry == null ? 0 : entry.owner.number, false, s.item() != null,
-            write, s.heldKb(), s.hint()));
+            s.limited() ? Math.max(1, s.due() - now) : 0, entry == null ? 0 : entry.owner.number,
+            s.further(), s.item() != null, write, s.heldKb(), s.hint()));
     }
 
     /**
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -321,6 +321,7 @@
     public synchronized void reload(Supplier<ServerConfig> reader) {
         try {
             ServerConfig next = reader.get();
+            config.requireWhatItHad(next);
             loop.execute(() -> takeOver(next));
         } catch (RuntimeException e) { // a file that cannot be read or checked changes nothing
             refuseReload(e);
--- a/server/src/main/java/wheatspread/jsonrpc/RequestReader.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RequestReader.java
@@ -61,7 +61,10 @@
         // guards what the module learns of costs and times, and its tags, against figures nobody means
         double most = MOST_DEADLINES * told.deadline() / 1000;
         long door = Math.round(number(params, "door", 0, now / 1000.0 + DOOR_AHEAD)) * 1000;
-        long limit = Math.round(number(params, "limit", 0, most) * 1000);
+        // where a deployment's callers do not tell how long they wait, a try is due at its class's deadline
+        boolean limited = params.has("limit");
+        long limit = limited ? Math.round(number(params, "limit", 0, most) * 1000) : told.deadline();
+        boolean further = optional(params, "second", 1) > 0;
         double ram = number(params, "ram", 0, MOST_RAM);
         long cpu = Math.round(optional(params, "cpu", most) * 1000);
         optional(params, "lb", MOST_CALLER);
@@ -75,8 +78,8 @@
         } else if (params.has("item")) {
             item = key(params, "item");
         }
-        return new Submission(txn, kind, tenant(params), door, door + limit, ram, cpu, unique, item,
-            body(params));
+        return new Submission(txn, kind, tenant(params), door, door + limit, limited, further, ram, cpu,
+            unique, item, body(params));
     }
 
     private static double optional(JSONObject params, String name, double most) {
--- a/server/src/main/java/wheatspread/records/RecordsClient.java
+++ b/server/src/main/java/wheatspread/records/RecordsClient.java
@@ -14,6 +14,7 @@
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
 import java.util.Set;
 import wheatspread.admission.Admission.Outcome;
 import wheatspread.core.Clock;
@@ -45,7 +46,10 @@
     private InetSocketAddress address;
     private boolean sweeping;
 
-    /** Past {@code mostConnections} calls share them. */
+    /**
+     * Past {@code mostConnections} calls share them. {@code address} is null where the deployment has no
+     * records service; a call is then as one that was refused, since nobody was asked.
+     */
     public RecordsClient(Bootstrap clients, InetSocketAddress address, int mostConnections, Clock clock,
                          EventLog log) {
         this.clients = clients;
@@ -57,15 +61,23 @@
 
     @Override
     public Call call(String job, byte[] body, long patience, Listener listener) {
+        if (address == null) {
+            return nobodyThere(listener);
+        }
         Connection connection = pick(job);
         Pending pending = new Pending(connection, job, body, Math.max(1, patience / 1000), listener);
         connection.add(pending);
         return pending;
     }
 
+    private Call nobodyThere(Listener listener) {
+        Clock.Timer refusal = clock.after(0, () -> listener.ended(Outcome.CONNECT_ERROR, null));
+        return refusal::cancel;
+    }
+
     /** The service is to be reached at another address from now on; calls in hand may end at the old one. */
     public void moveTo(InetSocketAddress next) {
-        if (!next.equals(address)) {
+        if (!Objects.equals(next, address)) {
             address = next;
             new ArrayList<>(connections).forEach(Connection::leave);
         }
--- a/server/src/main/java/wheatspread/uwsgi/VarsReader.java
+++ b/server/src/main/java/wheatspread/uwsgi/VarsReader.java
@@ -49,7 +49,8 @@
             : index(vars, names.tenant(), site.tenants(), defaults.tenant());
         RequestClass told = site.settings().classes().get(kind);
         long limit = micros(vars, names.limit(), defaults.limit());
-        if (limit == 0) {
+        boolean limited = limit > 0;
+        if (!limited) {
             limit = told.deadline();
         }
         double ram = number(vars, names.ram(), defaults.ramKb());
@@ -66,7 +67,7 @@
         } else {
             item = text(vars, names.item());
         }
-        return new Submission(newJob.get(), kind, tenant, now, now + limit, ram,
+        return new Submission(newJob.get(), kind, tenant, now, now + limit, limited, false, ram,
             micros(vars, names.hint(), defaults.hint()), unique, item, body);
     }
 
--- a/server/src/test/java/wheatspread/config/ConfigTest.java
+++ b/server/src/test/java/wheatspread/config/ConfigTest.java
@@ -48,6 +48,24 @@
             .hasMessageContaining(complaint);
     }
 
+    /** Guards against a start that ends for want of an address which nothing at this site would use. */
+    @Test
+    void aSiteWithoutCallsNeedsNoRecordsServiceAndMayHaveNoList() throws IOException {
+        JSONObject told = new JSONObject(Files.readString(PLATFORM));
+        ServerConfig calling = ServerConfig.read(Fields.of(told.toMap(), ""));
+        told.remove("records");
+        told.remove("announce");
+        told.getJSONObject("settings").getJSONObject("FamilyInfo").put("DependsOn", "silent");
+        ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
+        assertThat(config.records()).isNull();
+        assertThat(config.announce()).isNull();
+        told.getJSONObject("settings").getJSONObject("FamilyInfo").put("DependsOn", "shared")
+            .put("ClassCalls", List.of(false, false));
+        assertThat(ServerConfig.read(Fields.of(told.toMap(), "")).records()).isNull();
+        assertThatThrownBy(() -> calling.requireWhatItHad(config)).isInstanceOf(Fields.BadValue.class)
+            .hasMessageContaining("records is missing, and this server has used");
+    }
+
     @ParameterizedTest
     @CsvSource(delimiter = '|', value = {
         "/uwsgi|listen|null|uwsgi.listen is missing or not text",
--- a/server/src/test/java/wheatspread/core/CoreTest.java
+++ b/server/src/test/java/wheatspread/core/CoreTest.java
@@ -27,6 +27,7 @@
     private final List<String> answers = new ArrayList<>();
     private final Deque<Consumer<Actions>> decisions = new ArrayDeque<>();
     private final List<String> heard = new ArrayList<>();
+    private final List<Admission.Request> told = new ArrayList<>();
     private Core core;
 
     @BeforeEach
@@ -46,7 +47,7 @@
     }
 
     private void submit(String job, String key) {
-        core.submit(new Submission(job, 0, 0, now, now + 8 * SECOND, 20, 0, key, null, new byte[0]),
+        core.submit(new Submission(job, 0, 0, now, now + 8 * SECOND, true, false, 20, 0, key, null, new byte[0]),
             answer -> answers.add(job + " " + answer.kind()));
     }
 
@@ -66,6 +67,18 @@
         now = until;
     }
 
+    /** Guards against a module that plans with a limit nobody told, and takes a further try for a first one. */
+    @Test
+    void theModuleHearsWhatTheCallerTellsAndNoMore() {
+        submit("a", "k");
+        core.submit(new Submission("b", 0, 0, now, now + 9 * SECOND, false, true, 20, 0, "m", null,
+            new byte[0]), answer -> { });
+        settle();
+        assertThat(told).extracting(Admission.Request::further).containsExactly(false, true);
+        assertThat(told.get(0).left()).isEqualTo(8 * SECOND);
+        assertThat(told.get(1).left()).isZero();
+    }
+
     @Test
     void aHurriedDrainTellsWhoRanFromWhoDidNot() {
         decisions.add(actions -> actions.run(1));
@@ -255,6 +268,7 @@
         @Override
         public void arrived(Request request) {
             arrived = true;
+            told.add(request);
         }
 
         @Override
