Choice: a further try that tells no limit is taken to have spent 0.7 of its aim

Callers mark further tries there and tell no limit, so spent() took each for a first try: it got a whole aim more, ran, and ended late for its client.

Change: such a try is taken to have spent 0.7 of its class's aim.

--- a/server/src/main/java/wheatspread/admission/Choice.java
+++ b/server/src/main/java/wheatspread/admission/Choice.java
@@ -50,6 +50,8 @@
     private static final double RUN_FITS = 0.7;
     /** Smoothing of what hints tell, per run; taken at their word until a tenth of 1/gain runs ended. */
     private static final double HINT_GAIN = 0.01;
+    /** What a client's first try took, as a share of its class's aim, where no try tells how long is left. */
+    private static final double TRIED_FOR = 0.7;
     /** Shares of a deadline that differ by less are the same. */
     private static final double SAME_LEFT = 0.02;
     /** Runs per core that start whatever the estimate says, or a slow server would never find out. */
@@ -343,7 +345,9 @@
     private long spent(Request request, RequestClass kind) {
         double left = (double) (request.left() + request.age()) / kind.deadline();
         int of = request.kind();
-        if (request.left() <= settle) {
+        if (request.left() <= 0 && request.further()) {
+            return (long) (TRIED_FOR * kind.aim()); // runs of a whole aim would mostly end late, for nobody
+        } else if (request.left() <= settle) {
             return 0;
         } else if (!request.further()) {
             firstMost[of] = Math.max(firstMost[of], left);
