--- a/server/src/test/java/wheatspread/PackagesTest.java
+++ b/server/src/test/java/wheatspread/PackagesTest.java
@@ -70,7 +70,8 @@
         String deploy = Files.readString(Path.of("../deploy/balancer.toml"));
         for (String name : imports().keySet()) {
             if (!Set.of("admission", "sim").contains(name.split("\\.")[0])) {
-                assertThat(deploy).contains("\"server/src/main/java/wheatspread/" + name.replace('.', '/') + "\"");
+                assertThat(deploy).contains("\"server/src/main/java/wheatspread/" + name.replace('.', '/')
+                    + "\"");
             }
         }
     }
--- a/server/src/test/java/wheatspread/admission/choice/ChoiceTest.java
+++ b/server/src/test/java/wheatspread/admission/choice/ChoiceTest.java
@@ -226,8 +226,9 @@
             Host.kind(1000, 4000, Effect.IDEMPOTENT, 0, 0)));
         host.at(1000).waits(1, 0, 0, false).waits(2, 0, 0, false).end();
         host.at(1010).waits(3, 0, 0, false).waits(4, 0, 0, true).end();
-        assertThat(host.ticks(1290, new Gauges(1, 2, 0.1, 4))).doesNotContain("refuse 3", "refuse 4");
-        assertThat(host.ticks(1400, new Gauges(1, 2, 0.1, 4))).contains("refuse 4").doesNotContain("refuse 3");
+        Gauges busy = new Gauges(1, 2, 0.1, 4);
+        assertThat(host.ticks(1290, busy)).doesNotContain("refuse 3", "refuse 4");
+        assertThat(host.ticks(1400, busy)).contains("refuse 4").doesNotContain("refuse 3");
     }
 
     @Test
