--- a/lab/src/main/java/wheatspread/lab/DemoCommand.java
+++ b/lab/src/main/java/wheatspread/lab/DemoCommand.java
@@ -15,6 +15,7 @@
 import java.util.Map;
 import java.util.concurrent.Callable;
 import java.util.concurrent.CountDownLatch;
+import org.json.JSONObject;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import wheatspread.lab.standins.Parties;
@@ -29,9 +30,15 @@
 final class DemoCommand implements Callable<Integer> {
     @Option(names = "--jar", defaultValue = "server/target/wheatspread.jar", description = "The server.")
     private Path jar;
+    @Option(names = "--site", defaultValue = "calls", description = "The kind of deployment: ${COMPLETION-"
+        + "CANDIDATES}; 'plain' makes no calls, and its callers tell no limit (${DEFAULT-VALUE}).")
+    private Kind site;
     @Option(names = "--once", description = "Ends by itself after the requests.")
     private boolean once;
 
+    /** What the server is told of its deployment. */
+    private enum Kind { calls, plain }
+
     @Override
     public Integer call() throws Exception {
         String operator = """
@@ -40,8 +47,8 @@
                          {"match": "exact", "path": "/plans", "class": "save-plan"}]}}
             """;
         CountDownLatch ended = new CountDownLatch(1);
-        try (Parties parties = new Parties(15_000, 5_000);
-             ServerProcess server = new ServerProcess(jar, Sites.config(parties, 512), operator,
+        try (Parties parties = new Parties(15_000, site == Kind.plain ? -1 : 5_000);
+             ServerProcess server = new ServerProcess(jar, config(parties), operator,
                  List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m"), -1)) {
             int uwsgi = server.port(0);
             int rpc = server.port(1);
@@ -67,6 +74,16 @@
         return 0;
     }
 
+    private JSONObject config(Parties parties) {
+        JSONObject config = Sites.config(parties, 512);
+        return site == Kind.plain ? Sites.withoutCalls(config) : config;
+    }
+
+    /** A request as the site's proxies write it. */
+    private String told(String line) {
+        return site == Kind.plain ? line.replaceAll("\"limit\":\\d+", "\"second\":1") : line;
+    }
+
     private static void end(ServerProcess server, CountDownLatch ended) {
         try {
             System.out.println("\nThe server has its notice, and answers what it has read.");
@@ -77,7 +94,7 @@
         ended.countDown();
     }
 
-    private static void askByRpc(int port) throws IOException {
+    private void askByRpc(int port) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(10_000);
             BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
@@ -90,8 +107,9 @@
                 Sites.request(4, Sites.KINDS.get(3), "main-site", "00000000000000d3",
                     System.currentTimeMillis())
                     .replace("u00000000000000d3", "u00000000000000d2"))) {
-                socket.getOutputStream().write(line.getBytes(StandardCharsets.UTF_8));
-                System.out.print("> " + line);
+                String asked = told(line);
+                socket.getOutputStream().write(asked.getBytes(StandardCharsets.UTF_8));
+                System.out.print("> " + asked);
                 System.out.println("< " + in.readLine());
             }
             System.out.println("(the second save-plan repeats the first: it got its result)\n");
--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -8,7 +8,8 @@
     description = "Measures the server beside stand-ins of the parties round it.",
     synopsisSubcommandLabel = "COMMAND", subcommands = {IdleCommand.class, CrowdCommand.class,
         BenchCommand.class, DemoCommand.class, FleetCommand.class, StartCommand.class, HoldCommand.class,
-        StoreCommand.class, ReloadCommand.class, FaultsCommand.class, ModelCommand.class, CostCommand.class})
+        StoreCommand.class, ReloadCommand.class, FaultsCommand.class, ModelCommand.class, CostCommand.class,
+        DeploymentsCommand.class})
 public final class Lab implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/lab/src/main/java/wheatspread/lab/Sites.java
+++ b/lab/src/main/java/wheatspread/lab/Sites.java
@@ -26,6 +26,18 @@
         return config(parties.kernel(), parties.records(), parties.announce(), sockets, 12);
     }
 
+    /**
+     * Of a site that calls nothing, whose callers tell no limit, mark further tries and heed a level: the
+     * other kind of deployment in service.
+     */
+    public static JSONObject withoutCalls(JSONObject config) {
+        config.remove("records");
+        JSONObject family = config.getJSONObject("settings").getJSONObject("FamilyInfo");
+        List.of("ClassCalls", "ClassSkipWorth", "CallsOut", "DepWindow", "Linger").forEach(family::remove);
+        family.put("DependsOn", "silent").put("PassesDeadline", false).put("Say", "threshold");
+        return config;
+    }
+
     /** The same of one of a fleet, with the addresses of the parties round it. */
     public static JSONObject config(String kernel, String records, String announce, int sockets,
         int servers) {
--- a/lab/src/main/java/wheatspread/lab/standins/Parties.java
+++ b/lab/src/main/java/wheatspread/lab/standins/Parties.java
@@ -26,7 +26,7 @@
     private final InetSocketAddress announce;
     private volatile long runs;
 
-    /** A run takes {@code runMicros} and a call {@code callMicros}. */
+    /** A run takes {@code runMicros} and a call {@code callMicros}, under 0 where no class makes any. */
     public Parties(long runMicros, long callMicros) {
         this.runMicros = runMicros;
         this.callMicros = callMicros;
@@ -72,7 +72,7 @@
                     .put("gauges", List.of(0.3, 1, 0.1, 10)));
                 case "SCHED" -> {
                     runs++;
-                    boolean calls = !command.getString("kind").equals("search");
+                    boolean calls = callMicros >= 0 && !command.getString("kind").equals("search");
                     after(ctx, runMicros, () -> {
                         if (calls) {
                             say(ctx, notice("IOREQ", job).put("data", "Y2FsbA=="));
