--- a/server/src/test/java/wheatspread/admission/choice/RandomEventsTest.java
+++ b/server/src/test/java/wheatspread/admission/choice/RandomEventsTest.java
@@ -2,7 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import wheatspread.admission.Admission;
 import wheatspread.admission.Admission.Advice;
 import wheatspread.admission.Admission.Callers;
 import wheatspread.admission.Admission.Effect;
--- a/server/src/test/java/wheatspread/core/CoreTest.java
+++ b/server/src/test/java/wheatspread/core/CoreTest.java
@@ -47,7 +47,8 @@
     }
 
     private void submit(String job, String key) {
-        core.submit(new Submission(job, 0, 0, now, now + 8 * SECOND, true, false, 20, 0, key, null, new byte[0]),
+        core.submit(new Submission(job, 0, 0, now, now + 8 * SECOND, true, false, 20, 0, key, null,
+            new byte[0]),
             answer -> answers.add(job + " " + answer.kind()));
     }
 
@@ -67,7 +68,7 @@
         now = until;
     }
 
-    /** Guards against a module that plans with a limit nobody told, and takes a further try for a first one. */
+    /** Guards against a module that plans with a limit nobody told, or takes a further try for a first. */
     @Test
     void theModuleHearsWhatTheCallerTellsAndNoMore() {
         submit("a", "k");
--- a/server/src/test/java/wheatspread/core/RetuneSiteTest.java
+++ b/server/src/test/java/wheatspread/core/RetuneSiteTest.java
@@ -40,7 +40,8 @@
     void triesOfOneRequestShareTheirKeyWhateverTheirClass() {
         byte[] body = {1, 2};
         Submission first = new Submission("a", 3, 0, 0, 9 * SECOND, true, false, 20, 0, "5c0f", null, body);
-        Submission again = new Submission("b", 4, 0, SECOND, 10 * SECOND, true, false, 20, 0, "5c0f", null, body);
+        Submission again = new Submission("b", 4, 0, SECOND, 10 * SECOND, true, false, 20, 0, "5c0f", null,
+            body);
         assertThat(KeyTable.keyOf(again)).isEqualTo(KeyTable.keyOf(first));
     }
 }
