Lingering close, whole backlog, grace from the notice: no owed answer is lost

Cause: CallerHandler.settle, Listener.close and the end of the process closed sockets over unread bytes, and the system resets such a connection with the answers on their way; the listening socket took its queue along; half-closure was off, so a caller's FIN dropped answers that were owed or written; the grace of a drain ran from the reading of the notice and looked at door alone; a window was 50 ms shorter than PROTOCOL has it on sockets; a connection that had written could be closed to make room; a process could leave with requests waiting for their turn to be read. Checked and ruled out: TCP_NODELAY is on by the library's default for the links on both transports (TransportTest), now also set; a list that goes quiet or answers in part is left after 600 ms (AnnounceClientTest, no fault). Change: a connection ends in named phases (open, leaving, lingering) under bounds of time, bytes and number; Transport.acceptAll before a listener closes; on the platform's front a caller that ended its stream gets its answers, what has not begun is refused; shutdown (GracefulShutdown) and reload (Reloads) apart from the wiring.

--- a/lab/src/main/java/wheatspread/lab/bench/ConnectionsBenchmark.java
+++ b/lab/src/main/java/wheatspread/lab/bench/ConnectionsBenchmark.java
@@ -61,6 +61,16 @@
         public long waitingBytes() {
             return 0;
         }
+
+        @Override
+        public boolean advances() {
+            return false;
+        }
+
+        @Override
+        public long pendingBytes() {
+            return 0;
+        }
     }
 
     /** Fills all alike: everybody rests, from a hundred sources. */
@@ -69,7 +79,7 @@
         now = 1_000_000;
         ConnectionLimits usual = ConnectionLimits.usual(size);
         table = new ConnectionTable(new ConnectionLimits(size, 0, 0, 1_000, usual.firstRequest(),
-            usual.wholeRequest(), IDLE, usual.leaving(), usual.toSpeak(), usual.mostHeld(),
+            usual.wholeRequest(), IDLE, usual.lingering(), usual.toSpeak(), usual.mostHeld(),
                 usual.mostWaiting(), usual.refusal()), now,
             () -> { });
         nodes = new Connection[size];
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -64,7 +64,7 @@
             told.integer("accept_burst", usual.acceptBurst(), 1, 1_000_000),
             told.micros("first_request_ms", usual.firstRequest(), 10),
             told.micros("whole_request_ms", usual.wholeRequest(), 10),
-            told.micros("idle_timeout_ms", usual.idle(), 0), told.micros("leaving_ms", usual.leaving(), 10),
+            told.micros("idle_timeout_ms", usual.idle(), 0), told.micros("leaving_ms", usual.lingering(), 10),
             told.micros("to_speak_ms", usual.toSpeak(), 0),
             told.integer("max_partial_kb", (int) (usual.mostHeld() >> 10), 64, 1 << 20) * 1024L,
             told.integer("max_waiting_kb", (int) (usual.mostWaiting() >> 10), 256, 1 << 20) * 1024L,
@@ -88,7 +88,7 @@
     public ConnectionLimits uwsgiLimits() {
         ConnectionLimits c = connections;
         return new ConnectionLimits(uwsgi.mostConnections(), c.mostOfSource(), c.acceptsPerSecond(),
-            c.acceptBurst(), c.firstRequest(), uwsgi.readTimeout(), uwsgi.idleTimeout(), c.leaving(),
+            c.acceptBurst(), c.firstRequest(), uwsgi.readTimeout(), uwsgi.idleTimeout(), c.lingering(),
                 c.toSpeak(),
             c.mostHeld(), c.mostWaiting(), c.refusal());
     }
--- a/server/src/main/java/wheatspread/connections/Connection.java
+++ b/server/src/main/java/wheatspread/connections/Connection.java
@@ -15,8 +15,10 @@
         ASKING,
         /** It has asked before, and everything is answered. */
         RESTING,
-        /** Nothing more is read from it; it closes once everything is answered. */
+        /** No more requests are read from it; those that are open wait for their answers. */
         LEAVING,
+        /** Everything is answered, and its output is being shut; it is there until the caller closes too. */
+        LINGERING,
         /** It is no longer in the table. */
         GONE
     }
--- a/server/src/main/java/wheatspread/connections/ConnectionCounters.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionCounters.java
@@ -6,13 +6,14 @@
     long paused;
     long refusedFull;
     long refusedSource;
+    long roomLingering;
     long roomSilent;
     long roomSpeaking;
     long roomResting;
     long closedSilent;
     long closedHalf;
     long closedIdle;
-    long closedLeaving;
+    long closedLingering;
     long closedHeld;
     long closedStalled;
 
@@ -23,16 +24,15 @@
 
     /** Connections that made room for others. */
     public long madeRoom() {
-        return roomSilent + roomSpeaking + roomResting;
+        return roomLingering + roomSilent + roomSpeaking + roomResting;
     }
 
     /** All of them, as names and values in turns. */
     public Object[] fields() {
         return new Object[] {"accepted", accepted, "accepts_paused", paused, "refused_full", refusedFull,
-            "refused_source", refusedSource, "room_silent", roomSilent, "room_speaking", roomSpeaking,
-            "room_resting", roomResting, "closed_silent", closedSilent, "closed_half", closedHalf,
-                "closed_idle",
-            closedIdle, "closed_leaving", closedLeaving, "closed_held", closedHeld, "closed_stalled",
-            closedStalled};
+            "refused_source", refusedSource, "room_lingering", roomLingering, "room_silent", roomSilent,
+            "room_speaking", roomSpeaking, "room_resting", roomResting, "closed_silent", closedSilent,
+            "closed_half", closedHalf, "closed_idle", closedIdle, "closed_lingering", closedLingering,
+            "closed_held", closedHeld, "closed_stalled", closedStalled};
     }
 }
--- a/server/src/main/java/wheatspread/connections/ConnectionLimits.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionLimits.java
@@ -10,14 +10,14 @@
  * @param firstRequest who has said nothing by then is closed
  * @param wholeRequest a message that began must be whole by then
  * @param idle who rests longer is closed; 0 for never
- * @param leaving a connection that only has to be closed is cut off after that
+ * @param lingering a connection that only has to be closed is cut off after that, unless it takes its answers
  * @param toSpeak who has said nothing for longer makes room before all others
  * @param mostHeld bytes of messages that are not whole, of all connections together
  * @param mostWaiting bytes that wait to be written to callers that do not read, of all connections together
  * @param refusal what a connection gets that can't be taken
  */
 public record ConnectionLimits(int mostConnections, int mostOfSource, int acceptsPerSecond, int acceptBurst,
-                               long firstRequest, long wholeRequest, long idle, long leaving, long toSpeak,
+                               long firstRequest, long wholeRequest, long idle, long lingering, long toSpeak,
                                long mostHeld, long mostWaiting, Refusal refusal) {
     /** What a connection gets that can't be taken: the end, a reset, or an answer and the end. */
     public enum Refusal { CLOSE, RESET, ANSWER }
@@ -31,6 +31,6 @@
     /** The same with room for so many. */
     public ConnectionLimits with(int connections) {
         return new ConnectionLimits(connections, mostOfSource, acceptsPerSecond, acceptBurst, firstRequest,
-            wholeRequest, idle, leaving, toSpeak, mostHeld, mostWaiting, refusal);
+            wholeRequest, idle, lingering, toSpeak, mostHeld, mostWaiting, refusal);
     }
 }
--- a/server/src/main/java/wheatspread/connections/ConnectionTable.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionTable.java
@@ -12,6 +12,8 @@
  */
 public final class ConnectionTable {
     private static final int LISTS = State.GONE.ordinal();
+    /** So many that have just woken are passed over in search of one that rests. */
+    private static final int MOST_WOKEN = 64;
 
     private final ConnectionLimits limits;
     private final Sources sources = new Sources();
@@ -88,11 +90,17 @@
     }
 
     /**
-     * One with an open request never makes room. Those that had the time to speak and did not come first, the
-     * ones that began a message and did not end it next, then the source with most at rest, and of these
-     * the longest at rest.
+     * One with an open request never makes room, nor one that has written something that is not read yet: it
+     * may be a request. Those that only have to be closed come first, then those that had the time to speak
+     * and did not, the ones that began a message and did not end it next, then the source with most at rest,
+     * and of these the longest at rest.
      */
     private boolean makeRoom(long now) {
+        Connection lingering = first[State.LINGERING.ordinal()];
+        if (lingering != null) {
+            counters.roomLingering++;
+            return close(lingering);
+        }
         Connection silent = first[State.NEW.ordinal()];
         if (silent != null && silent.since < now - limits.toSpeak() && !silent.unread) {
             counters.roomSilent++;
@@ -103,7 +111,7 @@
             counters.roomSpeaking++;
             return close(speaking);
         }
-        Connection resting = sources.longestOfMost();
+        Connection resting = silentFrom(sources.longestOfMost());
         if (resting != null) {
             counters.roomResting++;
             return close(resting);
@@ -117,8 +125,17 @@
         return c != null && c.since < before && c.open == 0 && !c.unread ? c : null;
     }
 
+    /** The first from this one on, of its source at rest, that has written nothing; null if none is near. */
+    private static Connection silentFrom(Connection longest) {
+        Connection c = longest;
+        for (int i = 0; c != null && c.unread && i < MOST_WOKEN; i++) {
+            c = c.nextOfSource;
+        }
+        return c == null || c.unread ? null : c;
+    }
+
     private boolean makeRoomOf(long address) {
-        Connection resting = sources.of(address).first;
+        Connection resting = silentFrom(sources.of(address).first);
         if (resting == null) {
             return false;
         }
@@ -186,7 +203,8 @@
     }
 
     private void settle(Connection c, long since) {
-        State state = c.leaving ? State.LEAVING : c.held > 0 ? State.SPEAKING : c.open > 0 ? State.ASKING
+        State state = c.leaving ? c.open > 0 ? State.LEAVING : State.LINGERING
+            : c.held > 0 ? State.SPEAKING : c.open > 0 ? State.ASKING
             : c.asked ? State.RESTING : State.NEW;
         if (state == State.NEW && c.state == State.NEW) {
             return; // empty messages say nothing
@@ -266,7 +284,7 @@
             case NEW -> idle == 0 ? limits.firstRequest() : Math.min(idle, limits.firstRequest());
             case SPEAKING -> limits.wholeRequest();
             case RESTING -> idle;
-            case LEAVING -> limits.leaving();
+            case LINGERING -> limits.lingering();
             default -> 0;
         };
     }
@@ -280,7 +298,7 @@
     /** When the first limit ends; {@link Long#MAX_VALUE} if none will. */
     public long soonest() {
         return Math.min(Math.min(endOf(State.NEW), endOf(State.SPEAKING)),
-            Math.min(endOf(State.RESTING), endOf(State.LEAVING)));
+            Math.min(endOf(State.RESTING), endOf(State.LINGERING)));
     }
 
     /**
@@ -299,22 +317,22 @@
     }
 
     private void expire(Connection c, long now) {
-        if (c.unread || c.state == State.LEAVING && c.open > 0) {
+        if (c.unread || c.state == State.LINGERING && c.caller.advances()) {
             remove(c);
-            place(c, c.state, now); // it waits for us, not we for it
+            place(c, c.state, now); // it waits for us, not we for it, or takes what it is owed
             return;
         }
         switch (c.state) {
             case NEW -> counters.closedSilent++;
             case SPEAKING -> counters.closedHalf++;
             case RESTING -> counters.closedIdle++;
-            default -> counters.closedLeaving++;
+            default -> counters.closedLingering++;
         }
-        if (c.state == State.SPEAKING) {
-            leave(c, now);
-            c.caller.leave();
-        } else {
+        if (c.state == State.LINGERING) {
             close(c);
+        } else {
+            leave(c, now);
+            c.caller.leave(); // a request may cross this end, and must not have it reset
         }
     }
 
--- a/server/src/main/java/wheatspread/control/ControlFront.java
+++ b/server/src/main/java/wheatspread/control/ControlFront.java
@@ -49,7 +49,7 @@
     public static ConnectionLimits limits() {
         ConnectionLimits usual = ConnectionLimits.usual(MOST_CALLERS);
         return new ConnectionLimits(MOST_CALLERS, 0, 0, usual.acceptBurst(), WHOLE_CALL, WHOLE_CALL,
-            WHOLE_CALL, usual.leaving(), usual.toSpeak(), MOST_CALLERS * (long) MOST_HEAD, 4L << 20,
+            WHOLE_CALL, usual.lingering(), usual.toSpeak(), MOST_CALLERS * (long) MOST_HEAD, 4L << 20,
             ConnectionLimits.Refusal.ANSWER);
     }
 
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -151,6 +151,7 @@
             return null;
         }
         Try one = table.add(submission, reply);
+        one.late = graceIsOver(clock.now()); // its last byte came now, whenever its first one did
         long left = submission.due() - DUE_MARGIN - clock.now();
         one.dueTimer = clock.after(Math.max(0, left), () -> due(one));
         event(m -> arrive(m, one));
@@ -209,6 +210,15 @@
         letGo(one);
     }
 
+    /** The caller of a try can say nothing more, but may still read: refuses the try if it never ran. */
+    public void refuseUnlessBegun(Long ticket) {
+        Try one = ticket == null ? null : table.byNumber(ticket);
+        if (one != null && !one.answered() && !one.everRan() && one.joinedAt == 0) {
+            event(m -> m.gone(one.number));
+            finish(one, Answer.Kind.REFUSED, null, 0, false);
+        }
+    }
+
     /** What health checks hear. */
     public boolean well() {
         return batches.begun() && healthy;
@@ -226,15 +236,24 @@
 
     // ---- drain ----
 
-    /** The notice to leave: the process is stopped after so many microseconds. */
-    public void drain(long left) {
-        retiredAt = clock.now();
+    /**
+     * The notice to leave, which came at {@code noticeAt} in Unix microseconds: the process is stopped
+     * {@code stopAfter} microseconds after it.
+     */
+    public void drain(long noticeAt, long stopAfter) {
+        retiredAt = noticeAt;
         healthy = false;
         announcer.announce(false);
+        long left = Math.max(0, noticeAt + stopAfter - clock.now());
         event(m -> m.retiring(left));
         clock.after(Math.max(0, left - STOP_MARGIN), () -> table.unanswered().forEach(this::due));
     }
 
+    /** Whether what is written now is written over the grace after the notice, and must not run. */
+    private boolean graceIsOver(long at) {
+        return retiredAt != Long.MAX_VALUE && at > retiredAt + site.settings().limits().drainGrace();
+    }
+
     /** Answers all that is open, now: who was not begun hears that it never ran. */
     public void answerAll() {
         for (Try one : table.unanswered()) {
@@ -446,15 +465,14 @@
 
         /** Guards rules 2 and 3 whatever the module says: no second run of a key, no run past the grace. */
         private boolean mayRun(Try one) {
-            boolean late = retiredAt != Long.MAX_VALUE
-                && one.submission.door() > retiredAt + site.settings().limits().drainGrace();
+            boolean late = one.late || graceIsOver(one.submission.door());
             Submission s = one.submission;
             boolean second = s.unique() != null && one.entry.owner != one;
             if (late || second || s.unique() == null) {
                 return !late && !second;
             }
             // the other process of an upgrade may have run a try of this key, which this one has not seen
-            return claims.claim(one.entry.key, s.door(), site.settings().classes().get(s.kind()).window());
+            return claims.claim(one.entry.key, s.door(), keys.window(s.kind()));
         }
 
         @Override
--- a/server/src/main/java/wheatspread/core/KeyTable.java
+++ b/server/src/main/java/wheatspread/core/KeyTable.java
@@ -12,6 +12,8 @@
 final class KeyTable {
     /** Repeats are found by when they were written; those still unread when the window ends get this long. */
     private static final long READ_LATE = 5_000_000;
+    /** On sockets every limit of time is longer by this (PROTOCOL, "The rules on sockets"); us. */
+    private static final long SLACK = 50_000;
 
     /** One key in the table. */
     static final class Entry {
@@ -39,7 +41,7 @@
 
     /** {@code windows}: by class, how long after its door a try that ran forbids another; 0 if reads. */
     KeyTable(long[] windows) {
-        this.windows = windows.clone();
+        retune(windows);
     }
 
     /** The windows of a retuned site, whose classes keep their index. */
@@ -47,6 +49,11 @@
         windows = next.clone();
     }
 
+    /** How long after the door of a try of this class that ran no other may run; us. */
+    long window(int kind) {
+        return windows[kind] + SLACK;
+    }
+
     static String keyOf(Submission s) {
         if (s.unique() != null) {
             // by the request alone: after a retune, its tries may come under a class of another name
@@ -71,7 +78,8 @@
     }
 
     private boolean forbids(Entry entry, Submission s) {
-        return !entry.owner.everRan() || s.door() <= entry.owner.submission.door() + windows[s.kind()];
+        return !entry.owner.everRan() || s.door() <= entry.owner.submission.door()
+            + Math.max(window(s.kind()), window(entry.owner.submission.kind()));
     }
 
     Entry put(Try owner) {
@@ -88,7 +96,7 @@
     /** Whether forgetting this entry could let a second try run. */
     private boolean mustStay(Entry entry, long now) {
         return entry.owner.submission.unique() != null && entry.owner.everRan()
-            && now <= entry.owner.submission.door() + windows[entry.owner.submission.kind()] + READ_LATE;
+            && now <= entry.owner.submission.door() + window(entry.owner.submission.kind()) + READ_LATE;
     }
 
     boolean holds(Entry entry) {
--- a/server/src/main/java/wheatspread/core/Try.java
+++ b/server/src/main/java/wheatspread/core/Try.java
@@ -12,6 +12,8 @@
     final long number;
     final Submission submission;
     Reply reply;
+    /** It was read over the grace after the notice to leave, and must not run. */
+    boolean late;
     Run run = Run.NONE;
     /** The kernel has been asked to stop its run. */
     boolean stopAsked;
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -1,6 +1,7 @@
 package wheatspread.daemon;
 
 import io.netty.bootstrap.Bootstrap;
+import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
 import java.io.IOException;
@@ -12,7 +13,6 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicLong;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
 import org.json.JSONObject;
@@ -32,7 +32,6 @@
 import wheatspread.handover.SharedClaims;
 import wheatspread.jsonrpc.RpcFront;
 import wheatspread.kernel.KernelLink;
-import wheatspread.life.Drain;
 import wheatspread.life.Life;
 import wheatspread.life.Life.Event;
 import wheatspread.life.Life.Phase;
@@ -77,16 +76,14 @@
     private final FleetView fleet;
     /** The operators' door; null where the configuration names none. */
     private final Listener door;
-    /** Files taken and turned down at SIGHUP, from the start of the process. */
-    private final AtomicLong reloadsTaken = new AtomicLong();
-    private final AtomicLong reloadsRefused = new AtomicLong();
+    private final Reloads reloads;
     private volatile InetSocketAddress doorAddress;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Life life = new Life(this::entered);
     private final Marks marks;
-    private Drain drain;
-    private Counts atNotice;
-    private Core.InHand handAtNotice;
+    private final GracefulShutdown shutdown;
+    /** When the notice to leave was heard, in Unix microseconds; the loop may come to it later. */
+    private long noticeAt;
 
     /** {@code newClock} makes the clock of the loop. */
     public Server(ServerConfig config, OperatorConfig operator, BiFunction<EventLoop, Turns, Clock> newClock,
@@ -102,7 +99,8 @@
         group.terminationFuture().addListener(ended -> stopped.countDown());
         clock = newClock.apply(loop, turns);
         turns.usedBy(clock::now);
-        Bootstrap clients = new Bootstrap().group(loop).channel(transport.clientChannel());
+        Bootstrap clients = new Bootstrap().group(loop).channel(transport.clientChannel())
+            .option(ChannelOption.TCP_NODELAY, true);
         int calls = Configuration.recordsConnections(config.sockets());
         records = new RecordsClient(clients, config.records(), calls, clock, log);
         announcer = new AnnounceClient(clients, config.announce(), config.name(), log);
@@ -120,6 +118,7 @@
         }
         core.whenUp(() -> on(Event.KERNEL_UP));
         marks = new Marks(operator.life(), log);
+        reloads = new Reloads(config, log);
         int sockets = Configuration.platformConnections(config, operator);
         uwsgiProtocol = operator.uwsgi() == null ? null
             : new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
@@ -139,6 +138,8 @@
         door = config.control() == null ? null : new Listener(loop, turns, clock, new ControlFront(
             () -> life.phase() == Phase.SERVING, this::vars, fleet == null ? null : fleet::answer),
             ControlFront.limits(), log);
+        shutdown = new GracefulShutdown(core, List.copyOf(fronts.keySet()), clock, marks, log,
+            () -> !turns.order().isEmpty(), this::on);
         core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
@@ -157,8 +158,8 @@
 
     /** The figures of the operators' door; on the loop's thread. */
     private String vars() {
-        String own = Vars.text(core.counts(), core.site().classes(), core.open(), reloadsTaken.get(),
-            reloadsRefused.get());
+        String own = Vars.text(core.counts(), core.site().classes(), core.open(),
+            reloads.takenSoFar(), reloads.refusedSoFar());
         return fleet == null ? own : own + fleet.vars();
     }
 
@@ -167,8 +168,8 @@
         if (!life.on(event) && (event == Event.NOTICE || event == Event.HURRY)) {
             log.info("notice_again", "phase", life.phase(), "hurry", event == Event.HURRY);
         }
-        if (event == Event.HURRY && drain != null && !drain.hurried()) {
-            drain.hurry(clock.now());
+        if (event == Event.HURRY) {
+            shutdown.hurry();
         }
     }
 
@@ -189,7 +190,10 @@
                 }
                 marks.ready(identity());
             }
-            case DRAINING -> beginDrain();
+            case DRAINING -> {
+                noticeAt = noticeAt == 0 ? clock.now() : noticeAt; // a kernel that was given up on sends none
+                beginDrain();
+            }
             case CLOSING -> close();
             case STOPPED -> stopped.countDown();
             default -> { }
@@ -314,23 +318,11 @@
     }
 
     /**
-     * Takes over the addresses of a new configuration while everything goes on. It is read and checked whole
-     * before anything changes; what is wrong with it is logged, and the old one stays. One at a time, or an
-     * older file might be taken over behind a newer one.
+     * Takes over the addresses and the classes of a new configuration while everything goes on; any thread
+     * may call. {@code reader} reads and checks it.
      */
-    public synchronized void reload(Supplier<ServerConfig> reader) {
-        try {
-            ServerConfig next = reader.get();
-            config.requireWhatItHad(next);
-            loop.execute(() -> takeOver(next));
-        } catch (RuntimeException e) { // a file that cannot be read or checked changes nothing
-            refuseReload(e);
-        }
-    }
-
-    private void refuseReload(RuntimeException why) {
-        reloadsRefused.incrementAndGet();
-        log.warn("reload_refused", "reason", why.getMessage());
+    public void reload(Supplier<ServerConfig> reader) {
+        reloads.read(reader, next -> loop.execute(() -> takeOver(next)));
     }
 
     /** On the loop's thread. The classes come first: they are what may yet be refused. */
@@ -343,7 +335,7 @@
         try {
             site = core.retune(next.site());
         } catch (RuntimeException e) {
-            refuseReload(e);
+            reloads.refuse(e);
             return;
         }
         log.info("reload", "kernel", next.kernel(), "records", next.records(), "announce",
@@ -355,7 +347,7 @@
         if (uwsgiProtocol != null) {
             uwsgiProtocol.retune(site);
         }
-        reloadsTaken.incrementAndGet();
+        reloads.taken();
         log.info("retuned", "classes", site.classes());
     }
 
@@ -390,7 +382,11 @@
 
     /** The notice to leave, or a second one that asks not to wait; any thread may call. */
     public void notice(Event event) {
-        loop.execute(() -> on(event));
+        long heardAt = clock.now();
+        loop.execute(() -> {
+            noticeAt = noticeAt == 0 ? heardAt : noticeAt;
+            on(event);
+        });
     }
 
     /** Where the process stands; any thread may ask. */
@@ -400,65 +396,26 @@
 
     private void beginDrain() {
         marks.notReady();
-        atNotice = core.countsNow();
-        handAtNotice = core.inHand();
-        drain = new Drain(clock.now(), config.stopMicros(), config.site().settings().limits().drainGrace(),
+        shutdown.begin(noticeAt, config.stopMicros(), config.site().settings().limits().drainGrace(),
             life.kernelUp());
-        core.drain(config.stopMicros());
-        fronts.keySet().forEach(Listener::lastCall);
         if (fleet != null) {
             fleet.leave();
         }
         if (config.inherited() >= 0) {
             platformFront.stopListening(); // the next process takes what comes from now on
         }
-        look();
-    }
-
-    /** Looks whether all is answered; new tries come until the listener is closed, so none is left before. */
-    private void look() {
-        Drain.Step step = drain.look(clock.now(), core.open());
-        if (step != Drain.Step.LISTEN) {
-            fronts.keySet().forEach(Listener::stopListening);
-        }
-        if (step == Drain.Step.ANSWER_ALL) {
-            core.answerAll();
-        }
-        if (step == Drain.Step.LEAVE_EMPTY || step == Drain.Step.LEAVE_IN_TIME) {
-            on(step == Drain.Step.LEAVE_EMPTY ? Event.EMPTY : Event.TIME_UP);
-        } else {
-            clock.after(DRAIN_LOOK, this::look);
-        }
-    }
-
-    /** What the drain answered, what it had to fail, and whether anything is left without an answer. */
-    private void tellDrain() {
-        List<Object> fields = new ArrayList<>(List.of("took_ms", drain.took(clock.now()) / 1000, "held",
-            handAtNotice.held(), "running", handAtNotice.running(), "paused", handAtNotice.paused(),
-                "calling",
-            handAtNotice.calling(), "joined", handAtNotice.joined()));
-        fields.addAll(List.of(core.counts().since(atNotice)));
-        fields.addAll(List.of("unanswered", core.open()));
-        log.info("drained", fields.toArray());
-        marks.report(new JSONObject(EventLog.map(fields.toArray())));
     }
 
     private void close() {
-        if (drain != null) {
-            tellDrain();
-        }
+        shutdown.tell();
         report();
-        fronts.keySet().forEach(Listener::close);
-        if (door != null) {
-            door.close();
-        }
         if (fleet != null) {
             fleet.close();
         }
         kernel.close();
         records.close();
         announcer.close();
-        loop.execute(() -> on(Event.CLOSED));
+        shutdown.close(door, () -> on(Event.CLOSED));
     }
 
     /** What became of the tries so far. */
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -69,6 +69,25 @@
         open = 0;
     }
 
+    /**
+     * A proxy that stops waiting sends {@code interrupt}; the end of its stream alone takes back nothing that
+     * it asked for, so what runs is answered, and what has not begun is refused at once. Whether anybody
+     * still reads shows when something is written: a caller that has closed altogether resets the connection,
+     * and the write behind that fails.
+     */
+    @Override
+    protected void inputEnded() {
+        lastCall();
+        front.clock.after(RpcFront.HALF_CLOSED_LOOK, () -> {
+            if (open > 0) {
+                lastCall();
+            }
+        });
+        for (Open one = newest; one != null; one = one.older) {
+            front.core.refuseUnlessBegun(one.ticket);
+        }
+    }
+
     @Override
     public void lastCall() {
         write("{\"jsonrpc\":\"2.0\",\"method\":\"lastCall\"}\n");
--- a/server/src/main/java/wheatspread/jsonrpc/RpcFront.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcFront.java
@@ -14,6 +14,9 @@
     /** The longest line: a body of 2 KiB in base64 and its fields take under 4 KiB. */
     static final int LONGEST_LINE = 16 * 1024;
 
+    /** A caller that ended its stream is looked after once more after this long; us. */
+    static final long HALF_CLOSED_LOOK = 50_000;
+
     final Core core;
     final Clock clock;
     RequestReader reader;
--- a/server/src/main/java/wheatspread/life/Drain.java
+++ b/server/src/main/java/wheatspread/life/Drain.java
@@ -11,11 +11,17 @@
     /** What was accepted just before the listener closed gets this long to be read. */
     public static final long LISTENER_GONE = 150_000;
 
+    /** The last connections are cut off this long before the process would be killed. */
+    public static final long CUT_MARGIN = 50_000;
+    /** A caller that has all its answers gets this long to close its side as well. */
+    public static final long LINGER = 500_000;
+
     /** What to do now. */
     public enum Step { LISTEN, STOP_LISTENING, ANSWER_ALL, LEAVE_EMPTY, LEAVE_IN_TIME }
 
     private final long noticeAt;
     private final long leaveBy;
+    private final long cutBy;
     private long listenUntil;
     private boolean hurried;
 
@@ -27,6 +33,7 @@
     public Drain(long now, long stopAfter, long grace, boolean listed) {
         noticeAt = now;
         leaveBy = now + Math.max(STOP_MARGIN, stopAfter - STOP_MARGIN);
+        cutBy = Math.max(leaveBy, now + stopAfter - CUT_MARGIN);
         listenUntil = listed ? Math.max(now, Math.min(now + grace, leaveBy - 2 * STOP_MARGIN)) : now;
     }
 
@@ -58,6 +65,14 @@
         return open == 0 ? Step.LEAVE_EMPTY : hurried ? Step.ANSWER_ALL : Step.STOP_LISTENING;
     }
 
+    /**
+     * Whether connections that were closed at {@code closingAt} may go on lingering, with so many bytes that
+     * wait to be written to their callers.
+     */
+    public boolean lingers(long now, long closingAt, long pending) {
+        return now < cutBy && (pending > 0 || now < closingAt + LINGER);
+    }
+
     /** How long ago the notice came. */
     public long took(long now) {
         return now - noticeAt;
--- a/server/src/main/java/wheatspread/sockets/CallerHandler.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandler.java
@@ -2,9 +2,12 @@
 
 import io.netty.buffer.ByteBuf;
 import io.netty.buffer.Unpooled;
-import io.netty.channel.ChannelFutureListener;
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInboundHandlerAdapter;
+import io.netty.channel.ChannelOutboundBuffer;
+import io.netty.channel.socket.ChannelInputShutdownEvent;
+import io.netty.channel.socket.DuplexChannel;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import wheatspread.connections.Caller;
 import wheatspread.connections.Connection;
@@ -16,6 +19,10 @@
  * The one handler of a caller's channel. A front's own reads messages out of the bytes and holds what is not
  * whole in {@link #held}, which is there only as long as it is needed: thousands of connections rest, and
  * what each of them keeps is kept thousands of times.
+ *
+ * <p>It ends by a lingering close: what is owed is written out, the output is shut, and what still comes is
+ * read and thrown away until the caller closes too. A close over unread bytes would have the system reset the
+ * connection (RFC 1122, 4.2.2.13), and the reset takes along the answers that the caller has not read yet.
  */
 public abstract class CallerHandler extends ChannelInboundHandlerAdapter implements Caller {
     protected final Listener listener;
@@ -23,7 +30,34 @@
     /** The beginning of a message whose end is missing; null if there is none. */
     private ByteBuf held;
     Connection connection;
-    private boolean leaving;
+    private Phase phase = Phase.OPEN;
+    /** The caller's side has ended its stream; it may still read. */
+    private boolean inputEnded;
+    /** How the end goes on; null before the last answer. */
+    private Lingering lingering;
+
+    /** How far a connection has come towards its end. */
+    private enum Phase {
+        /** Requests are read. */
+        OPEN,
+        /** No more requests are read; those that are open are answered. */
+        LEAVING,
+        /** All is answered. It is written out, the output is shut, and what comes is thrown away. */
+        LINGERING
+    }
+
+    /** What only a connection that ends has to remember. */
+    private static final class Lingering {
+        /** Bytes to throw away at the most; who sends more is cut off. */
+        static final int MOST_DISCARDED = 256 * 1024;
+        /** So often a caller that takes its answers slowly is given the time again. */
+        static final int MOST_EXTENSIONS = 4;
+
+        boolean outputShut;
+        int discarded;
+        int extensions;
+        long pendingThen = Long.MAX_VALUE;
+    }
 
     protected CallerHandler(Listener listener) {
         this.listener = listener;
@@ -51,6 +85,14 @@
         return true;
     }
 
+    /**
+     * The caller has ended its stream with requests open. A front whose callers say in another way that they
+     * have gone owes their answers all the same; elsewhere the end of the stream says it.
+     */
+    protected void inputEnded() {
+        gone();
+    }
+
     // ---- the channel ----
 
     @Override
@@ -80,8 +122,25 @@
         }
     }
 
+    @Override
+    public final void userEventTriggered(ChannelHandlerContext context, Object event) {
+        if (!(event instanceof ChannelInputShutdownEvent) || inputEnded) {
+            return;
+        }
+        inputEnded = true;
+        if (phase == Phase.LINGERING) {
+            closeIfDone();
+        } else {
+            if (open() > 0) {
+                inputEnded();
+            }
+            leave();
+        }
+    }
+
     private void take(ByteBuf bytes) {
-        if (leaving) {
+        if (phase != Phase.OPEN) {
+            discard(bytes.readableBytes());
             return;
         }
         int size = bytes.readableBytes();
@@ -91,7 +150,7 @@
         }
         int whole = read(all);
         listener.spent(size, whole);
-        if (leaving || !all.isReadable()) {
+        if (phase != Phase.OPEN || !all.isReadable()) {
             drop();
         } else if (held == null) {
             held = Unpooled.buffer(all.readableBytes()).writeBytes(all);
@@ -104,7 +163,7 @@
 
     /** Looks again at what is held, where the front left whole messages there. */
     protected final void readHeld() {
-        if (held != null && !leaving) {
+        if (held != null && phase == Phase.OPEN) {
             take(Unpooled.EMPTY_BUFFER);
         }
     }
@@ -133,32 +192,91 @@
 
     /** A caller that does not read its answers is not read from, or they would fill the memory. */
     protected final void settle() {
-        boolean reads = !leaving && ctx.channel().isWritable() && takesMore();
-        if (reads != ctx.channel().config().isAutoRead()) {
-            ctx.channel().config().setAutoRead(reads);
+        if (phase != Phase.LINGERING) {
+            boolean reads = phase == Phase.OPEN && ctx.channel().isWritable() && takesMore();
+            if (reads != ctx.channel().config().isAutoRead()) {
+                ctx.channel().config().setAutoRead(reads);
+            }
+            if (connection != null) {
+                connection.unread(!reads && phase == Phase.OPEN);
+            }
+        }
+        if (phase == Phase.LEAVING && open() == 0) {
+            linger();
+        }
+    }
+
+    // ---- the end ----
+
+    private void linger() {
+        phase = Phase.LINGERING;
+        lingering = new Lingering();
+        ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(this::writtenOut);
+        if (!inputEnded && ctx.channel().isOpen()) {
+            ctx.channel().config().setAutoRead(true);
         }
-        if (connection != null) {
-            connection.unread(!reads && !leaving);
+    }
+
+    /** All that was owed has gone to the system, or cannot. */
+    private void writtenOut(Future<?> done) {
+        if (!done.isSuccess() || !(ctx.channel() instanceof DuplexChannel channel)) {
+            ctx.close();
+            return;
         }
-        if (leaving && open() == 0) {
-            ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(ChannelFutureListener.CLOSE);
+        channel.shutdownOutput();
+        lingering.outputShut = true;
+        closeIfDone();
+    }
+
+    private void closeIfDone() {
+        if (inputEnded && lingering.outputShut) {
+            ctx.close();
+        }
+    }
+
+    private void discard(int bytes) {
+        listener.spent(bytes, 0);
+        if (lingering != null) {
+            lingering.discarded += bytes;
+            if (lingering.discarded > Lingering.MOST_DISCARDED) {
+                ctx.close();
+            }
         }
     }
 
+    @Override
+    public final boolean advances() {
+        long pending = pendingBytes();
+        boolean less = pending > 0 && pending < lingering.pendingThen
+            && lingering.extensions++ < Lingering.MOST_EXTENSIONS;
+        lingering.pendingThen = pending;
+        return less;
+    }
+
+    @Override
+    public final long pendingBytes() {
+        ChannelOutboundBuffer out = ctx.channel().unsafe().outboundBuffer();
+        return out == null ? 0 : out.totalPendingWriteBytes();
+    }
+
     @Override
     public final void exceptionCaught(ChannelHandlerContext context, Throwable cause) {
         if (!(cause instanceof IOException)) {
             listener.log().warn("caller_connection_failed", "error", cause);
         }
-        context.close();
+        if (cause instanceof IOException || phase != Phase.OPEN) {
+            context.close();
+        } else {
+            leave(); // a fault in one message must not take along the answers to others
+        }
     }
 
     // ---- what the table decides ----
 
     @Override
     public final void leave() {
-        if (!leaving) {
-            leaving = true;
+        if (phase == Phase.OPEN) {
+            phase = Phase.LEAVING;
             drop();
             listener.left(this);
             settle();
@@ -166,7 +284,7 @@
     }
 
     protected final boolean leaving() {
-        return leaving;
+        return phase != Phase.OPEN;
     }
 
     @Override
--- a/server/src/main/java/wheatspread/sockets/EpollTransport.java
+++ b/server/src/main/java/wheatspread/sockets/EpollTransport.java
@@ -16,9 +16,14 @@
 import io.netty.channel.epoll.EpollSocketChannel;
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.unix.FileDescriptor;
+import io.netty.channel.unix.Socket;
+import java.io.IOException;
 
 /** Linux's epoll, by Netty's native library. */
 final class EpollTransport implements Transport {
+    /** The length of an address and the address, as the native library writes them. */
+    private static final int ADDRESS = 1 + 26;
+
     private EpollTransport() { }
 
     /** Null where the library is not there, or does not load on this machine. */
@@ -55,6 +60,15 @@
         return new EpollServerSocketChannel(fd);
     }
 
+    @Override
+    public void acceptAll(ServerChannel listening) throws IOException {
+        Socket socket = (Socket) ((EpollServerSocketChannel) listening).fd();
+        byte[] address = new byte[ADDRESS];
+        for (int fd = socket.accept(address); fd >= 0; fd = socket.accept(address)) {
+            listening.pipeline().fireChannelRead(new EpollSocketChannel(fd));
+        }
+    }
+
     @Override
     public Class<? extends Channel> clientChannel() {
         return EpollSocketChannel.class;
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -56,7 +56,7 @@
     /** One handle reads for all callers, one after another; each has but one read a turn. */
     private final RecvByteBufAllocator.ExtendedHandle reading = (RecvByteBufAllocator.ExtendedHandle)
         new FixedRecvByteBufAllocator(READ).maxMessagesPerRead(1).newHandle();
-    private Channel listening;
+    private ServerChannel listening;
     /** A handed-over socket on which nothing is accepted yet. */
     private ServerChannel held;
     private boolean handedOver;
@@ -90,7 +90,7 @@
             throw new IllegalStateException("cannot listen on " + address + ": "
                 + binding.cause().getMessage());
         }
-        listening = binding.channel();
+        listening = (ServerChannel) binding.channel();
         return (InetSocketAddress) listening.localAddress();
     }
 
@@ -158,6 +158,7 @@
         }
         caller.connection = connection;
         channel.config().setOption(ChannelOption.TCP_NODELAY, true);
+        channel.config().setOption(ChannelOption.ALLOW_HALF_CLOSURE, true);
         channel.config().setWriteBufferWaterMark(MARKS);
         channel.config().setRecvByteBufAllocator(() -> reading);
         channel.pipeline().addLast(caller);
@@ -262,12 +263,18 @@
             if (timer != null) {
                 timer.cancel();
             }
-            timer = clock.after(Math.max(0, soonest - clock.now()), this::expire);
+            timer = clock.after(Math.max(0, soonest - clock.now()), () -> {
+                timer = null;
+                expire();
+            });
         }
     }
 
     private void expire() {
-        timer = null;
+        if (timer != null) {
+            timer.cancel(); // set by what the last round brought about
+            timer = null;
+        }
         armedFor = Long.MAX_VALUE;
         int most = turns.limits().mostExpiring();
         if (table.expire(clock.now(), most) >= most && table.soonest() <= clock.now()) {
@@ -314,20 +321,48 @@
     }
 
     /**
-     * Accepts nothing from now on. A handed-over socket stays open until the process ends: the JDK takes the
-     * standard streams, and so the log, away with the descriptor that it inherited.
+     * Accepts nothing from now on. Whom the system has accepted already is taken in first: with the socket
+     * their connections would be reset, and the requests that they have written with them. A handed-over
+     * socket stays open until the process ends: the JDK takes the standard streams, and so the log, away with
+     * the descriptor that it inherited; who waits there is the other process's to take.
      */
     public void stopListening() {
+        if (stopped) {
+            return;
+        }
         stopped = true;
         if (listening != null && handedOver) {
             listening.config().setAutoRead(false);
         } else if (listening != null) { // where another listener could not be bound, this one never was
+            try {
+                turns.transport().acceptAll(listening);
+            } catch (IOException e) {
+                log.warn("accept_failed", "error", e.getMessage());
+            }
             listening.close();
         }
     }
 
+    /** Accepts no more, and ends every connection by a lingering close; {@link #isEmpty} tells when. */
     public void close() {
         stopListening();
+        table.forEach(Caller::leave);
+    }
+
+    /** Whether no connection is left. */
+    public boolean isEmpty() {
+        return table.size() == 0;
+    }
+
+    /** Bytes that wait to be written to callers, all of them. */
+    public long pendingBytes() {
+        long[] sum = {0};
+        table.forEach(caller -> sum[0] += caller.pendingBytes());
+        return sum[0];
+    }
+
+    /** Ends what is left of the connections at once. */
+    public void cut() {
         table.forEach(Caller::close);
     }
 }
--- a/server/src/main/java/wheatspread/sockets/Transport.java
+++ b/server/src/main/java/wheatspread/sockets/Transport.java
@@ -7,7 +7,6 @@
 import io.netty.channel.nio.NioIoHandler;
 import io.netty.channel.socket.DatagramChannel;
 import io.netty.channel.socket.nio.NioDatagramChannel;
-import io.netty.channel.socket.nio.NioServerSocketChannel;
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.IOException;
 import java.nio.channels.ServerSocketChannel;
@@ -28,6 +27,14 @@
         throw new IOException("transport " + name() + " takes no listening socket that is handed over");
     }
 
+    /**
+     * Hands on every connection that the system has accepted and this process has not, as a read of the
+     * channel does; only from the loop's thread. What the system answers to the last accept is thrown.
+     */
+    default void acceptAll(ServerChannel listening) throws IOException {
+        throw new IOException("transport " + name() + " has no listening sockets");
+    }
+
     /** The shortest time it can wait, in nanoseconds; asked to wait for less it does not wait at all. */
     long shortestWait();
 
@@ -72,7 +79,7 @@
 
         @Override
         public Class<? extends ServerChannel> serverChannel() {
-            return NioServerSocketChannel.class;
+            return NioListening.class;
         }
 
         /** The JDK hands over descriptor 0 alone, as the channel it inherited. */
@@ -81,7 +88,12 @@
             if (fd != 0 || !(System.inheritedChannel() instanceof ServerSocketChannel inherited)) {
                 throw new IOException("descriptor " + fd + " is no listening socket that nio can take");
             }
-            return new NioServerSocketChannel(inherited);
+            return new NioListening(inherited);
+        }
+
+        @Override
+        public void acceptAll(ServerChannel listening) throws IOException {
+            ((NioListening) listening).acceptAll();
         }
 
         @Override
--- /dev/null
+++ b/server/src/test/java/wheatspread/daemon/GracefulShutdownTest.java
@@ -0,0 +1,100 @@
+package wheatspread.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.TreeMap;
+import org.json.JSONObject;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import wheatspread.admission.choice.Choice;
+import wheatspread.config.Fields;
+import wheatspread.config.LifeConfig;
+import wheatspread.config.ServerConfig;
+import wheatspread.core.Clock;
+import wheatspread.core.Core;
+import wheatspread.life.Life.Event;
+import wheatspread.logging.EventLog;
+
+/** When a drain ends, by what callers have written and nobody has read yet. */
+class GracefulShutdownTest {
+    private static final long MS = 1_000;
+
+    private final TreeMap<Long, List<Runnable>> timers = new TreeMap<>();
+    private final List<Event> heard = new ArrayList<>();
+    private long now = 1_700_000_000_000_000L;
+    private boolean unread;
+    private GracefulShutdown shutdown;
+
+    private final class SetClock implements Clock {
+        @Override
+        public long now() {
+            return now;
+        }
+
+        @Override
+        public Timer after(long micros, Runnable task) {
+            timers.computeIfAbsent(now + micros, at -> new ArrayList<>()).add(task);
+            return () -> timers.values().forEach(tasks -> tasks.remove(task));
+        }
+
+        @Override
+        public void soon(Runnable task) {
+            task.run();
+        }
+    }
+
+    private void advance(long micros) {
+        long until = now + micros;
+        while (!timers.isEmpty() && timers.firstKey() <= until) {
+            now = timers.firstKey();
+            timers.pollFirstEntry().getValue().forEach(Runnable::run);
+        }
+        now = until;
+    }
+
+    @BeforeEach
+    void begin() throws Exception {
+        JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
+        ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
+        Clock clock = new SetClock();
+        EventLog log = EventLog.lines(line -> { });
+        Core core = new Core(config.site(), settings -> new Choice(settings, 1), clock,
+            (job, body, patience, listener) -> () -> { }, accepting -> { }, log);
+        shutdown = new GracefulShutdown(core, List.of(), clock, new Marks(LifeConfig.USUAL, log), log,
+            () -> unread, heard::add);
+    }
+
+    /** What was written long ago and is not read yet would be lost with its connection. */
+    @Test
+    void aBusyProcessReadsWhatWasWrittenBeforeItLeaves() {
+        unread = true;
+        shutdown.begin(now, 4_000 * MS, 2_500 * MS, true);
+        advance(3_000 * MS);
+        assertThat(heard).isEmpty();
+        unread = false;
+        advance(25 * MS);
+        assertThat(heard).containsExactly(Event.EMPTY);
+    }
+
+    @Test
+    void whatIsNeverReadHoldsNobodyPastTheStop() {
+        unread = true;
+        shutdown.begin(now, 4_000 * MS, 2_500 * MS, true);
+        advance(3_900 * MS);
+        assertThat(heard).containsExactly(Event.TIME_UP);
+    }
+
+    /** The clock of the drain runs from the notice, however late the loop comes to it. */
+    @Test
+    void theDrainRunsFromTheNotice() {
+        shutdown.begin(now - 1_000 * MS, 4_000 * MS, 2_500 * MS, true);
+        advance(1_640 * MS);
+        assertThat(heard).isEmpty();
+        advance(35 * MS);
+        assertThat(heard).containsExactly(Event.EMPTY);
+    }
+}
--- a/server/src/test/java/wheatspread/daemon/ManualClock.java
+++ b/server/src/test/java/wheatspread/daemon/ManualClock.java
@@ -3,6 +3,7 @@
 import io.netty.channel.EventLoop;
 import java.util.Map;
 import java.util.TreeMap;
+import java.util.concurrent.Callable;
 import wheatspread.core.Clock;
 
 /** A clock that moves only when a test says so; its timers fire on the loop, in the order of their times. */
@@ -49,6 +50,24 @@
         }
     }
 
+    /**
+     * Moves on with the loop held: {@code between} happens after the loop last looked at its sockets and
+     * before the timers that are due ring, so it crosses what they do, every time.
+     */
+    void cross(long micros, Callable<?> between) {
+        long until = now + micros;
+        settle();
+        loop.submit(() -> {
+            between.call();
+            boolean more = true;
+            while (more) {
+                more = step(until);
+            }
+            return null;
+        }).syncUninterruptibly();
+        settle();
+    }
+
     /**
      * What was written before is read, and the tasks that follow (a batch, then a connection, then its
      * refusal) are run. The round trip stands behind all that in the order of the loopback; without it a
--- a/server/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/server/src/test/java/wheatspread/daemon/SceneTest.java
@@ -18,6 +18,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.Arguments;
 import org.junit.jupiter.params.provider.MethodSource;
+import wheatspread.life.Drain;
 import wheatspread.life.Life;
 import wheatspread.sockets.Transport;
 import wheatspread.uwsgi.UwsgiEncoder;
@@ -30,9 +31,9 @@
  * all parties new addresses, after which old connections are called {@code old-kernel} and so on (with
  * {@code late} the new kernel's refuses until {@code up kernel}), or changes one key; {@code operator} goes
  * over the operator's file; {@code bytes} sends part of a line; {@code mute} leaves reports unanswered;
- * {@code drain} is SIGTERM, {@code hurry} a second SIGINT, and {@code stopped} waits for the end and its exit
- * code. The parties are the kernel, the records service, announce, proxies ({@code p1}) and uwsgi callers
- * ({@code u1}).
+ * {@code drain} is SIGTERM, {@code hurry} a second SIGINT, and {@code stopped} gives lingering connections
+ * their time and waits for the end and its exit code. The parties are the kernel, the records service,
+ * announce, proxies ({@code p1}) and uwsgi callers ({@code u1}).
  */
 class SceneTest {
     /** Every scene on every transport that works here. */
@@ -110,6 +111,7 @@
                 String[] part = rest.split(" ", 2);
                 wire(part[0]).write(part[1].getBytes(StandardCharsets.UTF_8));
             } else if (words[0].equals("stopped")) {
+                stage.clock().advance(Drain.LINGER); // the callers of a scene don't close their side
                 assertThat(stage.server.awaitStopped()).isEqualTo(rest.isEmpty() ? 0 : Integer.parseInt(
                     rest));
             } else if (words[0].equals("nogauges")) {
--- a/server/src/test/java/wheatspread/sockets/ListenerTest.java
+++ b/server/src/test/java/wheatspread/sockets/ListenerTest.java
@@ -69,6 +69,9 @@
         @Override
         protected int read(ByteBuf bytes) {
             int whole = 0;
+            if (bytes.getByte(bytes.readerIndex()) == '!') {
+                throw new IllegalStateException("a fault of the front");
+            }
             for (; bytes.readableBytes() >= 3; whole++) {
                 heard.add(bytes.readCharSequence(3, StandardCharsets.US_ASCII).toString());
                 open++;
@@ -133,6 +136,21 @@
         assertThat(listener.table().size()).isZero();
     }
 
+    /** A fault in one message takes no answers along that are owed to others. */
+    @Test
+    void aFaultInAMessageEndsItsConnectionInOrder() {
+        EmbeddedChannel channel = open();
+        Word caller = channel.pipeline().get(Word.class);
+        say(channel, "abc");
+        say(channel, "!");
+        assertThat(channel.isOpen()).isTrue();
+        say(channel, "def");
+        caller.done();
+        assertThat(channel.isOpen()).isFalse();
+        assertThat(heard).hasSize(3).contains("abc", "gone with 0")
+            .anyMatch(line -> line.startsWith("caller_connection_failed"));
+    }
+
     /** Guards the heap against callers that ask and do not read their answers. */
     @Test
     void theCallerFurthestBehindIsClosedWhereTooMuchWaits() {
