A kernel that moves while the server rehearses no longer leaves it waiting for good

Cause: KernelLink.moveTo opened a link at once, also before the link was asked for. BOOTED then came in the phase REHEARSING, where Life knows no such event; the exception closed the link, and on the next one Core.booted had begun and told nobody, so the server stayed in WAITING. Ruled out: the reload itself (it is taken over), the new address (reached). Change: before open() a new address is only noted. Shown by StartTest, which waits in vain without the change (SIGHUP in the rehearsal, some 1 to 2 s of each start).

--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -63,6 +63,8 @@
     private boolean ready;
     private boolean booted;
     private boolean closed;
+    /** The link was asked for; before that a new address is only noted. */
+    private boolean opened;
     private int unheard;
     private long lastNotice;
     /** The last notice before a line that was not understood and asked for again; -1 if there is none. */
@@ -79,6 +81,7 @@
     }
 
     public void open() {
+        opened = true;
         if (closed) {
             return;
         }
@@ -113,7 +116,9 @@
                 waiting.channel.close();
             }
             retryMs = FIRST_RETRY_MS;
-            open();
+            if (opened) {
+                open();
+            }
         }
     }
 
--- a/server/src/test/java/wheatspread/daemon/StartTest.java
+++ b/server/src/test/java/wheatspread/daemon/StartTest.java
@@ -83,6 +83,47 @@
         assertThat(logged).noneMatch(line -> line.startsWith("listening"));
     }
 
+    /**
+     * SIGHUP with a kernel that has moved comes before the link is to be opened. A link opened then would
+     * tell that the kernel is up while the process rehearses, and nobody would hear it a second time.
+     */
+    @Test
+    void aKernelThatMovesDuringTheRehearsalIsHeardAtItsNewAddress() throws Exception {
+        try (ServerSocket moved = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            moved.setSoTimeout(10_000);
+            JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
+                .put("listen", "127.0.0.1:0").put("kernel", "127.0.0.1:" + moved.getLocalPort());
+            Server server = server("127.0.0.1:0", LifeConfig.USUAL);
+            Thread kernel = new Thread(() -> bootEveryLink(moved), "kernel");
+            kernel.setDaemon(true);
+            kernel.start();
+            Thread hangup = new Thread(() -> {
+                await(() -> server.phase() == Phase.REHEARSING);
+                server.reload(() -> ServerConfig.read(Fields.of(told.toMap(), "")));
+            });
+            hangup.start();
+            server.rehearse();
+            hangup.join();
+            await(() -> logged.stream().anyMatch(line -> line.startsWith("retuned")));
+            assertThat(server.start()).isTrue();
+            await(() -> server.phase() == Phase.SERVING);
+            assertThat(logged).noneMatch(line -> line.startsWith("kernel_link_failed"));
+            server.kill();
+        }
+    }
+
+    private static void bootEveryLink(ServerSocket kernels) {
+        try {
+            while (true) {
+                Wire link = new Wire(kernels.accept());
+                link.line();
+                link.line("{\"type\":\"BOOTED\",\"state\":\"WARM\",\"took\":5}");
+            }
+        } catch (IOException e) {
+            // the test has ended
+        }
+    }
+
     @Test
     void oneProcessOfANameGoesOnAndItsMarksComeAndGo() throws Exception {
         Path lock = dir.resolve("lock");
