A flood of silent connections no longer keeps out whoever comes after it

Cause: with the table full and nobody past the 200 ms that a caller has to speak, ConnectionTable.makeRoom found none and the newcomer was closed unread, health checks and requests among them. Ruled out: descriptors (89 to 97 of 128 in use, links reached in 0.2 s). Change: where nobody else can, the longest silent one makes room, then the longest in the middle of a line, never one with bytes unread; counter room_young.

--- a/server/src/main/java/wheatspread/connections/ConnectionCounters.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionCounters.java
@@ -10,6 +10,7 @@
     long roomSilent;
     long roomSpeaking;
     long roomResting;
+    long roomYoung;
     long closedSilent;
     long closedHalf;
     long closedIdle;
@@ -24,15 +25,15 @@
 
     /** Connections that made room for others. */
     public long madeRoom() {
-        return roomLingering + roomSilent + roomSpeaking + roomResting;
+        return roomLingering + roomSilent + roomSpeaking + roomResting + roomYoung;
     }
 
     /** All of them, as names and values in turns. */
     public Object[] fields() {
         return new Object[] {"accepted", accepted, "accepts_paused", paused, "refused_full", refusedFull,
             "refused_source", refusedSource, "room_lingering", roomLingering, "room_silent", roomSilent,
-            "room_speaking", roomSpeaking, "room_resting", roomResting, "closed_silent", closedSilent,
-            "closed_half", closedHalf, "closed_idle", closedIdle, "closed_lingering", closedLingering,
-            "closed_held", closedHeld, "closed_stalled", closedStalled};
+            "room_speaking", roomSpeaking, "room_resting", roomResting, "room_young", roomYoung,
+            "closed_silent", closedSilent, "closed_half", closedHalf, "closed_idle", closedIdle,
+            "closed_lingering", closedLingering, "closed_held", closedHeld, "closed_stalled", closedStalled};
     }
 }
--- a/server/src/main/java/wheatspread/connections/ConnectionTable.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionTable.java
@@ -93,7 +93,8 @@
      * One with an open request never makes room, nor one that has written something that is not read yet: it
      * may be a request. Those that only have to be closed come first, then those that had the time to speak
      * and did not, the ones that began a message and did not end it next, then the source with most at rest,
-     * and of these the longest at rest.
+     * and of these the longest at rest;
+     * last those that had no time to speak yet.
      */
     private boolean makeRoom(long now) {
         Connection lingering = first[State.LINGERING.ordinal()];
@@ -116,9 +117,26 @@
             counters.roomResting++;
             return close(resting);
         }
+        // a flood fills the table before anybody in it had the time to speak: the one that came last may be
+        // a caller with a request or a check, and the others have said nothing yet
+        Connection young = untouched(State.NEW);
+        young = young == null ? untouched(State.SPEAKING) : young;
+        if (young != null) {
+            counters.roomYoung++;
+            return close(young);
+        }
         return false;
     }
 
+    /** The longest in this state that has nothing open and nothing unread; null if none is near. */
+    private Connection untouched(State state) {
+        Connection c = first[state.ordinal()];
+        for (int i = 0; c != null && (c.unread || c.open > 0) && i < MOST_WOKEN; i++) {
+            c = c.next;
+        }
+        return c == null || c.unread || c.open > 0 ? null : c;
+    }
+
     /** The first of those that began a message before that time, as long as it has nothing open. */
     private Connection halfSpoken(long before) {
         Connection c = first[State.SPEAKING.ordinal()];
--- a/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
+++ b/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
@@ -158,6 +158,27 @@
         assertThat(expire(SECOND)).containsExactly("slow closed");
     }
 
+    /** A flood fills the table within the time to speak; who comes after it may have a check to make. */
+    @Test
+    void aFloodOfSilentCallersKeepsNobodyOut() {
+        table = table(3, 0, 0);
+        Connection asks = open("asks", 1);
+        table.read(asks, now, true, 1, 0);
+        Connection half = open("half", 2);
+        table.read(half, now, false, 0, 5);
+        open("silent", 2);
+        now += SECOND / 100;
+        assertThat(open("check", 3)).isNotNull();
+        assertThat(heard).containsExactly("silent closed");
+        table.read(table.admit(new Named("check 2"), 3, now), now, true, 1, 0);
+        assertThat(heard).containsExactly("silent closed", "check closed");
+        open("check 3", 3);
+        assertThat(heard).endsWith("half closed");
+        table.read(open("check 4", 3), now, true, 1, 0);
+        assertThat(heard).endsWith("check 3 closed");
+        assertThat(open("none waits", 3)).as("all are owed answers").isNull();
+    }
+
     /** Its bytes may be a request: the one behind it goes, and where all have written, none does. */
     @Test
     void whoHasWrittenMakesNoRoom() {
@@ -381,6 +402,19 @@
         }
     }
 
+    /** Those that had no time to speak, the silent ones first; null where all wait for answers. */
+    private static String young(Map<String, Connection> model,
+                                Comparator<Map.Entry<String, Connection>> longest) {
+        for (State state : List.of(State.NEW, State.SPEAKING)) {
+            var found = model.entrySet().stream().filter(e -> e.getValue().state() == state
+                && e.getValue().open() == 0).min(longest);
+            if (found.isPresent()) {
+                return found.get().getKey();
+            }
+        }
+        return null;
+    }
+
     /** Who should make room, by a search. */
     private String victim(Map<String, Connection> model) {
         long before = now - SECOND / 5;
@@ -410,7 +444,7 @@
         Connection chosen = table.mostAtRest();
         if (chosen == null) {
             assertThat(most).isZero();
-            return null;
+            return young(model, longest);
         }
         assertThat(resting.get(chosen.source.address)).isEqualTo(most);
         return model.entrySet().stream().filter(e -> e.getValue().state() == State.RESTING
