--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -1,7 +1,5 @@
 package wheatspread.core;
 
-import java.util.ArrayList;
-import java.util.List;
 import java.util.function.Consumer;
 import java.util.function.Function;
 import wheatspread.admission.Admission;
@@ -18,8 +16,6 @@
 public final class Core implements Kernel.Listener {
     /** The core fails a request this long before it is due, whatever the module does; us. */
     private static final long DUE_MARGIN = 5_000;
-    /** What the module fails this shortly before it is due, it fails for want of time; us. */
-    private static final long NEARLY_DUE = 100_000;
     /** All that is still open is failed this long before the process is stopped; us. */
     private static final long STOP_MARGIN = 200_000;
     /** How often keys whose time is over are taken out; us. */
@@ -31,20 +27,20 @@
     /** Whether the kernel started cold, as its first boot said. */
     private boolean cold;
     private final Function<Settings, Admission> newModule;
-    private final Clock clock;
-    private final Calls calls;
+    final Clock clock;
+    final Calls calls;
     private final Announcer announcer;
-    private final EventLog log;
-    private final RequestTable table = new RequestTable();
-    private final KeyTable keys;
-    private Claims claims = Claims.NONE;
-    private final Counts counts = new Counts();
-    private final Carrier carrier = new Carrier();
-    private Kernel kernel;
-    private Consumer<Long> idleCloser = after -> { };
-
-    private final Batches batches;
-    private double feedback = Double.NaN;
+    final EventLog log;
+    final RequestTable table = new RequestTable();
+    final KeyTable keys;
+    Claims claims = Claims.NONE;
+    final Counts counts = new Counts();
+    private final Carrier carrier = new Carrier(this);
+    Kernel kernel;
+    Consumer<Long> idleCloser = after -> { };
+
+    final Batches batches;
+    final FinalAnswers answers;
     private boolean healthy = true;
     private long retiredAt = Long.MAX_VALUE;
     private long warmAt;
@@ -60,6 +56,7 @@
         batches = new Batches(clock, () -> kernel.askGauges(), log);
         calls = new Calls(clock, records, batches::event, counts);
         keys = new KeyTable(windows(site));
+        answers = new FinalAnswers(table, keys, counts, batches, clock);
     }
 
     private static long[] windows(Site site) {
@@ -142,18 +139,18 @@
         boolean tooLate = submission.due() - DUE_MARGIN <= clock.now();
         if (!batches.begun() || tooLate || table.size() >= MOST_IN_HAND) {
             counts.count(submission.kind(), Answer.Kind.REFUSED);
-            reply.answer(new Answer(Answer.Kind.REFUSED, null, 0, false, feedback));
+            reply.answer(new Answer(Answer.Kind.REFUSED, null, 0, false, feedback()));
             return null;
         }
         if (table.byJob(submission.job()) != null) {
             counts.count(submission.kind(), Answer.Kind.CONFLICT);
-            reply.answer(new Answer(Answer.Kind.CONFLICT, null, 0, false, feedback)); // that name is in use
+            reply.answer(new Answer(Answer.Kind.CONFLICT, null, 0, false, feedback())); // that name is in use
             return null;
         }
         Try one = table.add(submission, reply);
         one.late = graceIsOver(clock.now()); // its last byte came now, whenever its first one did
         long left = submission.due() - DUE_MARGIN - clock.now();
-        one.dueTimer = clock.after(Math.max(0, left), () -> due(one));
+        one.dueTimer = clock.after(Math.max(0, left), () -> answers.due(one));
         event(m -> arrive(m, one));
         return one.number;
     }
@@ -168,12 +165,12 @@
             one.entry = keys.put(one);
         }
         if (one.answered()) {
-            release(one);
+            answers.release(one);
             return; // its caller went, or its time was up, before the module saw it
         }
         if (!reads && entry != null && !entry.sameBody(s)) {
             // the result of the try that has the key was made of another body, and is not for this caller
-            finish(one, Answer.Kind.CONFLICT, null, 0, false);
+            answers.finish(one, Answer.Kind.CONFLICT, null, 0, false);
             return;
         }
         boolean write = site.settings().classes().get(s.kind()).effect() != Effect.IDEMPOTENT;
@@ -189,7 +186,8 @@
     public void turnAway(int kind, Reply reply, long later) {
         counts.read++;
         counts.count(kind, Answer.Kind.REFUSED);
-        reply.answer(new Answer(Answer.Kind.REFUSED, null, Math.min(later, mostStayAway()), false, feedback));
+        long stayAway = Math.min(later, mostStayAway());
+        reply.answer(new Answer(Answer.Kind.REFUSED, null, stayAway, false, feedback()));
     }
 
     /** How long a caller may be asked to stay away; 0 where the settings don't allow it. */
@@ -207,7 +205,7 @@
         one.reply = null;
         one.dueTimer.cancel();
         event(m -> m.gone(one.number));
-        letGo(one);
+        answers.letGo(one);
     }
 
     /** The caller of a try can say nothing more, but may still read: refuses the try if it never ran. */
@@ -215,7 +213,7 @@
         Try one = ticket == null ? null : table.byNumber(ticket);
         if (one != null && !one.answered() && !one.everRan() && one.joinedAt == 0) {
             event(m -> m.gone(one.number));
-            finish(one, Answer.Kind.REFUSED, null, 0, false);
+            answers.finish(one, Answer.Kind.REFUSED, null, 0, false);
         }
     }
 
@@ -226,7 +224,7 @@
 
     /** The free value that goes with answers and checks; NaN where none is set. */
     public double feedback() {
-        return feedback;
+        return answers.feedback();
     }
 
     /** How many tries still owe an answer. */
@@ -246,11 +244,11 @@
         announcer.announce(false);
         long left = Math.max(0, noticeAt + stopAfter - clock.now());
         event(m -> m.retiring(left));
-        clock.after(Math.max(0, left - STOP_MARGIN), () -> table.unanswered().forEach(this::due));
+        clock.after(Math.max(0, left - STOP_MARGIN), () -> table.unanswered().forEach(answers::due));
     }
 
     /** Whether what is written now is written over the grace after the notice, and must not run. */
-    private boolean graceIsOver(long at) {
+    boolean graceIsOver(long at) {
         return retiredAt != Long.MAX_VALUE && at > retiredAt + site.settings().limits().drainGrace();
     }
 
@@ -259,7 +257,7 @@
         for (Try one : table.unanswered()) {
             boolean ran = one.everRan() || one.joinedAt > 0;
             event(m -> m.gone(one.number));
-            finish(one, ran ? Answer.Kind.FAILED : Answer.Kind.REFUSED, null, 0, true);
+            answers.finish(one, ran ? Answer.Kind.FAILED : Answer.Kind.REFUSED, null, 0, true);
         }
     }
 
@@ -300,12 +298,12 @@
         }
         Calls.drop(one);
         switch (end) {
-            case OK -> over(one, end, result, Outcome.OK, took);
-            case ERROR -> over(one, end, null, Outcome.FAILED, took);
+            case OK -> answers.over(one, end, result, Outcome.OK, took);
+            case ERROR -> answers.over(one, end, null, Outcome.FAILED, took);
             case STOPPED -> {
                 one.paused = true;
                 if (one.answered()) {
-                    over(one, end, null, Outcome.CANCELED, took);
+                    answers.over(one, end, null, Outcome.CANCELED, took);
                 } else {
                     one.run = Try.Run.PAUSED; // it still owes an answer, and the module decides which
                     event(m -> m.completed(one.number, Outcome.CANCELED, took));
@@ -318,7 +316,7 @@
     /** The kernel ended a try at its word: it never ran, unless it was paused before and taken up again. */
     private void notTakenUp(Try one) {
         if (one.paused) {
-            over(one, Kernel.End.STOPPED, null, Outcome.CANCELED,
+            answers.over(one, Kernel.End.STOPPED, null, Outcome.CANCELED,
                 0); // a second run is forbidden all the same
         } else {
             neverStarted(one);
@@ -329,35 +327,7 @@
     private void neverStarted(Try one) {
         one.run = Try.Run.NONE;
         event(m -> m.completed(one.number, Outcome.IGNORED, 0));
-        finish(one, Answer.Kind.FAILED, null, 0, false);
-    }
-
-    private void over(Try one, Kernel.End end, byte[] result, Outcome outcome, long took) {
-        event(m -> m.completed(one.number, outcome, took));
-        settle(one, end, result);
-    }
-
-    /** Notes how a run ended, and answers it and all that wait for its result. */
-    private void settle(Try one, Kernel.End end, byte[] result) {
-        one.run = Try.Run.ENDED;
-        boolean ok = end == Kernel.End.OK;
-        if (one.entry != null && one.entry.owner == one) {
-            one.entry.end = end;
-            one.entry.result = result;
-        }
-        finish(one, ok ? Answer.Kind.SERVED : Answer.Kind.FAILED, result, 0, false);
-        for (Try joiner : new ArrayList<>(one.joiners)) {
-            joined(joiner, end, result);
-        }
-        one.joiners.clear();
-        table.remove(one);
-    }
-
-    private void joined(Try joiner, Kernel.End end, byte[] result) {
-        boolean ok = end == Kernel.End.OK;
-        long took = clock.now() - joiner.joinedAt;
-        event(m -> m.completed(joiner.number, ok ? Outcome.OK : Outcome.FAILED, took));
-        finish(joiner, ok ? Answer.Kind.SERVED : Answer.Kind.FAILED, result, 0, false);
+        answers.finish(one, Answer.Kind.FAILED, null, 0, false);
     }
 
     @Override
@@ -374,57 +344,6 @@
         batches.read(Site.reading(site.gauges(), i -> i < row.length ? row[i] : Double.NaN));
     }
 
-    // ---- the final answer ----
-
-    /** The one place that gives a final answer, once. */
-    private void finish(Try one, Answer.Kind kind, byte[] body, long later, boolean last) {
-        Reply reply = one.reply;
-        if (reply != null) {
-            one.reply = null;
-            one.dueTimer.cancel();
-            counts.count(one.submission.kind(), kind);
-            reply.answer(new Answer(kind, body, later, last, feedback));
-        }
-        letGo(one);
-    }
-
-    /** A request is failed when it is due, even if nothing else happens. */
-    private void due(Try one) {
-        if (!one.answered()) {
-            counts.overdue++;
-            event(m -> m.gone(one.number));
-            finish(one, Answer.Kind.OUT_OF_TIME, null, 0, false);
-        }
-    }
-
-    /** Once nobody waits: its call is given up, and it leaves the table unless its run goes on. */
-    private void letGo(Try one) {
-        Calls.drop(one);
-        if (one.joinedAt > 0 && one.entry != null) {
-            one.entry.owner.joiners.remove(one);
-        }
-        if (one.run == Try.Run.PAUSED && one.answered()) {
-            settle(one, Kernel.End.STOPPED, null); // nothing will take it up again
-        } else if (one.run == Try.Run.NONE || one.run == Try.Run.ENDED) {
-            release(one);
-            table.remove(one);
-        }
-    }
-
-    /** A try that ended without a run gives its key free; none of those that wait for it ran either. */
-    private void release(Try one) {
-        if (one.everRan() || one.entry == null || one.entry.owner != one) {
-            return;
-        }
-        keys.remove(one.entry);
-        List<Try> waiting = new ArrayList<>(one.joiners);
-        one.joiners.clear();
-        for (Try joiner : waiting) {
-            event(m -> m.completed(joiner.number, Outcome.FAILED, clock.now() - joiner.joinedAt));
-            finish(joiner, Answer.Kind.REFUSED, null, 0, false);
-        }
-    }
-
     private void sweep() {
         keys.sweep(clock.now());
         clock.after(SWEEP, this::sweep);
@@ -432,157 +351,13 @@
 
     // ---- the module ----
 
-    private void event(Consumer<Admission> event) {
-        batches.event(event);
+    /** What the module has health checks hear, and the list; a server that leaves stays ill. */
+    void healthy(boolean good) {
+        healthy = good && retiredAt == Long.MAX_VALUE;
+        announcer.announce(healthy);
     }
 
-    /** Carries out the module's actions. */
-    private final class Carrier implements Admission.Actions {
-        @Override
-        public void run(long id) {
-            Try one = table.byNumber(id);
-            if (one == null || one.answered() && one.run == Try.Run.NONE) {
-                moot(id);
-            } else if (one.run == Try.Run.PAUSED) {
-                one.run = Try.Run.ACTIVE;
-                one.stopAsked = false;
-                counts.resumed++;
-                kernel.resume(one.submission.job());
-            } else if (one.run == Try.Run.NONE && !mayRun(one)) {
-                moot(id);
-                finish(one, Answer.Kind.REFUSED, null, 0, false);
-            } else if (one.run == Try.Run.NONE) {
-                one.run = Try.Run.ACTIVE;
-                counts.runs++;
-                kernel.run(one.submission.job(), site.classes().get(one.submission.kind()),
-                    one.submission.body());
-            }
-        }
-
-        private void moot(long id) {
-            event(m -> m.completed(id, Outcome.IGNORED, 0));
-        }
-
-        /** Guards rules 2 and 3 whatever the module says: no second run of a key, no run past the grace. */
-        private boolean mayRun(Try one) {
-            boolean late = one.late || graceIsOver(one.submission.door());
-            Submission s = one.submission;
-            boolean second = s.unique() != null && one.entry.owner != one;
-            if (late || second || s.unique() == null) {
-                return !late && !second;
-            }
-            // the other process of an upgrade may have run a try of this key, which this one has not seen
-            return claims.claim(one.entry.key, s.door(), keys.window(s.kind()));
-        }
-
-        @Override
-        public void refuse(long id, long stayAway, boolean dontRetry) {
-            Try one = table.byNumber(id);
-            if (one != null) {
-                Answer.Kind kind = one.everRan() ? Answer.Kind.FAILED : Answer.Kind.REFUSED;
-                finish(one, kind, null, stayAway, dontRetry);
-            }
-        }
-
-        @Override
-        public void fail(long id) {
-            Try one = table.byNumber(id);
-            if (one != null) {
-                Admission.RequestClass kind = site.settings().classes().get(one.submission.kind());
-                Submission s = one.submission;
-                long now = batches.now();
-                boolean late = now > s.door() + kind.aim() || now > s.due() - NEARLY_DUE;
-                finish(one, late ? Answer.Kind.OUT_OF_TIME : Answer.Kind.FAILED, null, 0, false);
-            }
-        }
-
-        @Override
-        public void stop(long id) {
-            Try one = table.byNumber(id);
-            // the module asks again at every tick until the stop is confirmed; the kernel is asked once
-            if (one != null && one.run == Try.Run.ACTIVE && !one.stopAsked) {
-                one.stopAsked = true;
-                kernel.pause(one.submission.job());
-            }
-        }
-
-        @Override
-        public void call(long id, long giveUpAfter) {
-            Try one = table.byNumber(id);
-            if (one == null || one.notice == 0 || one.answered()) {
-                return; // nobody waits: the kernel ends the run at its call, and tells
-            }
-            calls.make(one, giveUpAfter, kernel);
-        }
-
-        @Override
-        public void skipCall(long id) {
-            Try one = table.byNumber(id);
-            if (one != null && one.notice != 0) {
-                calls.skip(one, kernel);
-            }
-        }
-
-        @Override
-        public void pin(long id, long ttl) {
-            Try one = table.byNumber(id);
-            if (one == null) {
-                return;
-            }
-            // where the try that it repeats was let go without a run, it stands for the key itself
-            if (one.entry == null || one.entry.owner != one && !keys.holds(one.entry)) {
-                one.entry = keys.put(one);
-            }
-            one.entry.pinnedUntil = batches.now() + ttl;
-        }
-
-        @Override
-        public void unpin(long id) {
-            Try one = table.byNumber(id);
-            if (one != null && one.entry != null && one.entry.owner == one) {
-                one.entry.pinnedUntil = 0; // the sweep takes it once no second run can follow
-            }
-        }
-
-        @Override
-        public void join(long id) {
-            Try one = table.byNumber(id);
-            if (one == null || one.answered()) {
-                return;
-            }
-            counts.joins++;
-            one.joinedAt = clock.now();
-            if (one.entry.end != null) {
-                joined(one, one.entry.end, one.entry.result);
-            } else {
-                one.entry.owner.joiners.add(one);
-            }
-        }
-
-        @Override
-        public void health(boolean good, boolean stored) {
-            healthy = good && retiredAt == Long.MAX_VALUE;
-            announcer.announce(healthy);
-        }
-
-        @Override
-        public void advise(double value) {
-            feedback = value;
-        }
-
-        @Override
-        public void closeIdle(long after) {
-            idleCloser.accept(after);
-        }
-
-        @Override
-        public void wake(long after) {
-            batches.wake(after);
-        }
-
-        @Override
-        public void log(String text) {
-            log.info("module", "text", text);
-        }
+    private void event(Consumer<Admission> event) {
+        batches.event(event);
     }
 }
--- /dev/null
+++ b/server/src/main/java/wheatspread/core/FinalAnswers.java
@@ -0,0 +1,111 @@
+package wheatspread.core;
+
+import java.util.ArrayList;
+import java.util.List;
+import wheatspread.admission.Admission.Outcome;
+
+/** What ends a try: its one final answer, the end of its run, and what becomes of its key and its joiners. */
+final class FinalAnswers {
+    private final RequestTable table;
+    private final KeyTable keys;
+    private final Counts counts;
+    private final Batches batches;
+    private final Clock clock;
+    /** The free value that goes with answers and checks; NaN where none is set. */
+    private double feedback = Double.NaN;
+
+    FinalAnswers(RequestTable table, KeyTable keys, Counts counts, Batches batches, Clock clock) {
+        this.table = table;
+        this.keys = keys;
+        this.counts = counts;
+        this.batches = batches;
+        this.clock = clock;
+    }
+
+    double feedback() {
+        return feedback;
+    }
+
+    void advise(double value) {
+        feedback = value;
+    }
+
+    /** The one place that gives a final answer, once. */
+    void finish(Try one, Answer.Kind kind, byte[] body, long later, boolean last) {
+        Reply reply = one.reply;
+        if (reply != null) {
+            one.reply = null;
+            one.dueTimer.cancel();
+            counts.count(one.submission.kind(), kind);
+            reply.answer(new Answer(kind, body, later, last, feedback));
+        }
+        letGo(one);
+    }
+
+    /** A request is failed when it is due, even if nothing else happens. */
+    void due(Try one) {
+        if (!one.answered()) {
+            counts.overdue++;
+            batches.event(m -> m.gone(one.number));
+            finish(one, Answer.Kind.OUT_OF_TIME, null, 0, false);
+        }
+    }
+
+    /** Once nobody waits: its call is given up, and it leaves the table unless its run goes on. */
+    void letGo(Try one) {
+        Calls.drop(one);
+        if (one.joinedAt > 0 && one.entry != null) {
+            one.entry.owner.joiners.remove(one);
+        }
+        if (one.run == Try.Run.PAUSED && one.answered()) {
+            settle(one, Kernel.End.STOPPED, null); // nothing will take it up again
+        } else if (one.run == Try.Run.NONE || one.run == Try.Run.ENDED) {
+            release(one);
+            table.remove(one);
+        }
+    }
+
+    /** A try that ended without a run gives its key free; none of those that wait for it ran either. */
+    void release(Try one) {
+        if (one.everRan() || one.entry == null || one.entry.owner != one) {
+            return;
+        }
+        keys.remove(one.entry);
+        List<Try> waiting = new ArrayList<>(one.joiners);
+        one.joiners.clear();
+        for (Try joiner : waiting) {
+            batches.event(m -> m.completed(joiner.number, Outcome.FAILED, clock.now() - joiner.joinedAt));
+            finish(joiner, Answer.Kind.REFUSED, null, 0, false);
+        }
+    }
+
+    // ---- how a run ended ----
+
+    void over(Try one, Kernel.End end, byte[] result, Outcome outcome, long took) {
+        batches.event(m -> m.completed(one.number, outcome, took));
+        settle(one, end, result);
+    }
+
+    /** Notes how a run ended, and answers it and all that wait for its result. */
+    void settle(Try one, Kernel.End end, byte[] result) {
+        one.run = Try.Run.ENDED;
+        boolean ok = end == Kernel.End.OK;
+        if (one.entry != null && one.entry.owner == one) {
+            one.entry.end = end;
+            one.entry.result = result;
+        }
+        finish(one, ok ? Answer.Kind.SERVED : Answer.Kind.FAILED, result, 0, false);
+        for (Try joiner : new ArrayList<>(one.joiners)) {
+            joined(joiner, end, result);
+        }
+        one.joiners.clear();
+        table.remove(one);
+    }
+
+    void joined(Try joiner, Kernel.End end, byte[] result) {
+        boolean ok = end == Kernel.End.OK;
+        long took = clock.now() - joiner.joinedAt;
+        batches.event(m -> m.completed(joiner.number, ok ? Outcome.OK : Outcome.FAILED, took));
+        finish(joiner, ok ? Answer.Kind.SERVED : Answer.Kind.FAILED, result, 0, false);
+    }
+}
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -7,7 +7,6 @@
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -21,8 +20,6 @@
 import wheatspread.config.Configuration;
 import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
-import wheatspread.connections.Connection.State;
-import wheatspread.connections.ConnectionTable;
 import wheatspread.control.ControlFront;
 import wheatspread.control.Vars;
 import wheatspread.core.Clock;
@@ -50,8 +47,6 @@
     /** EX_SOFTWARE of sysexits.h. */
     public static final int LOOP_ENDED = 70;
     private static final long DRAIN_LOOK = 25_000;
-    /** How long a kernel may stay away before that is logged, first; us. */
-    private static final long KERNEL_LATE = 10_000_000;
 
     private final ServerConfig config;
     private final EventLog log;
@@ -82,6 +77,7 @@
     private final Life life = new Life(this::entered);
     private final Marks marks;
     private final GracefulShutdown shutdown;
+    private final Reports reports;
     /** When the notice to leave was heard, in Unix microseconds; the loop may come to it later. */
     private long noticeAt;
 
@@ -140,6 +136,8 @@
             ControlFront.limits(), log);
         shutdown = new GracefulShutdown(core, List.copyOf(fronts.keySet()), clock, marks, log,
             () -> !turns.order().isEmpty(), this::on);
+        reports = new Reports(core, fronts, turns, clock, operator.reportSeconds(),
+            () -> life.phase().compareTo(Phase.CLOSING) < 0, log);
         core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
@@ -178,12 +176,13 @@
         switch (to) {
             case BINDING -> kernel.open();
             case WAITING -> {
-                waitForKernel(clock.now());
-                reportLater();
+                new KernelWait(clock, operator.life().kernelWait(), config.kernel(), life,
+                    () -> on(Event.KERNEL_GIVEN_UP), log).begin();
+                reports.begin();
             }
             case SERVING -> {
                 if (from == Phase.BINDING) {
-                    reportLater();
+                    reports.begin();
                 }
                 if (config.inherited() >= 0) {
                     platformFront.acceptHeld(); // until now the process before this one took what came
@@ -283,30 +282,6 @@
         }
     }
 
-    /** Tells that the kernel is late, again and again, and gives up where the operator says so. */
-    private void waitForKernel(long began) {
-        long most = operator.life().kernelWait();
-        long left = most > 0 ? began + most - clock.now() : KERNEL_LATE;
-        clock.after(Math.min(left, KERNEL_LATE), () -> {
-            if (life.phase() != Phase.WAITING) {
-                return;
-            }
-            long waited = clock.now() - began;
-            log.warn("kernel_late", "waited_ms", waited / 1000, "address", config.kernel());
-            if (most > 0 && waited >= most) {
-                on(Event.KERNEL_GIVEN_UP);
-            } else {
-                waitForKernel(began);
-            }
-        });
-    }
-
-    private void reportLater() {
-        if (operator.reportSeconds() > 0) {
-            clock.after(operator.reportSeconds() * 1_000_000L, this::reportAgain);
-        }
-    }
-
     /** Where the operators' door listens; null where it does not. */
     public InetSocketAddress doorAddress() {
         return doorAddress;
@@ -351,30 +326,6 @@
         log.info("retuned", "classes", site.classes());
     }
 
-    /** What came of the limits so far. */
-    private void report() {
-        log.info("counts", core.counts().fields());
-        fronts.forEach((front, address) -> {
-            ConnectionTable table = front.table();
-            log.info("connections", all(new Object[] {"front", address, "now", table.size(), "resting",
-                table.sizeOf(State.RESTING)}, table.counters().fields()));
-        });
-        log.info("turns", all(turns.times().fields(), turns.gate().fields(), new Object[] {"exhausted",
-            turns.order().exhausted(), "sleepers", turns.order().sleepers(), "timers",
-                turns.wheel().size()}));
-    }
-
-    private static Object[] all(Object[]... fields) {
-        return Arrays.stream(fields).flatMap(Arrays::stream).toArray();
-    }
-
-    private void reportAgain() {
-        if (life.phase().compareTo(Phase.CLOSING) < 0) {
-            report();
-            reportLater();
-        }
-    }
-
     /** The notice to leave; a second one changes nothing. */
     public void drain() {
         notice(Event.NOTICE);
@@ -408,7 +359,7 @@
 
     private void close() {
         shutdown.tell();
-        report();
+        reports.tell();
         if (fleet != null) {
             fleet.close();
         }
--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -13,9 +13,7 @@
 import io.netty.handler.codec.string.StringEncoder;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
-import java.util.ArrayDeque;
 import java.util.Base64;
-import java.util.Deque;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONArray;
 import org.json.JSONException;
@@ -42,14 +40,11 @@
     /** Questions for gauges in a row, one a tick of the module, without a line after which a link hangs. */
     private static final int UNHEARD_MOST = 100;
 
-    /** A command not known to be read; {@code number} counts commands. */
-    private record Command(long number, String type, String job, String line) { }
-
     private final EventLoopGroup loop;
     private final Bootstrap clients;
     private final Listener listener;
     private final EventLog log;
-    private final Deque<Command> unconfirmed = new ArrayDeque<>();
+    private final Unconfirmed unconfirmed = new Unconfirmed();
     private InetSocketAddress address;
     /** The link in use; what any other one still brings is dropped. */
     private Connection current;
@@ -57,8 +52,6 @@
     private Connection opening;
     /** The link that replaces it once it has vouched for every command that was said on it. */
     private Connection waiting;
-    /** The last command said on the link in use. */
-    private long lastSaid;
     /** Commands may go out: the kernel is up and the notices missed have been read. */
     private boolean ready;
     private boolean booted;
@@ -69,7 +62,6 @@
     private long lastNotice;
     /** The last notice before a line that was not understood and asked for again; -1 if there is none. */
     private long askedAgain = -1;
-    private long lastCommand;
     private long retryMs = FIRST_RETRY_MS;
 
     public KernelLink(Bootstrap clients, InetSocketAddress address, Listener listener, EventLog log) {
@@ -177,7 +169,7 @@
             log.warn("kernel_silent", "unheard", unheard);
             current.channel.close();
         } else if (ready) {
-            askGauges(Long.toString(lastCommand));
+            askGauges(Long.toString(unconfirmed.last()));
         }
     }
 
@@ -188,10 +180,9 @@
 
     private void command(String type, String job, JSONObject fields) {
         String line = fields.put("type", type).put("job", job).toString();
-        unconfirmed.add(new Command(++lastCommand, type, job, line));
+        unconfirmed.add(type, job, line);
         if (ready) {
-            lastSaid = lastCommand;
-            say(line);
+            unconfirmed.say(this::say);
         }
     }
 
@@ -207,9 +198,7 @@
     private void becomeReady() {
         if (!ready && waiting == null) {
             ready = true;
-            unconfirmed.stream().filter(command -> command.number() > lastSaid).forEach(command ->
-                say(command.line()));
-            lastSaid = lastCommand;
+            unconfirmed.say(this::say);
         }
     }
 
@@ -225,7 +214,7 @@
         }
         waiting = next;
         ready = false;
-        askGauges(Long.toString(lastCommand));
+        askGauges(Long.toString(unconfirmed.last()));
         loop.schedule(() -> {
             if (waiting == next) {
                 use(next);
@@ -239,7 +228,7 @@
         current = next;
         ready = false;
         unheard = 0;
-        lastSaid = 0;
+        unconfirmed.sayAgain();
         if (old != null) {
             old.channel.close();
         }
@@ -356,11 +345,7 @@
             if (ref.equals(SYNC)) {
                 becomeReady();
             } else if (!ref.isEmpty()) {
-                long heard = Long.parseLong(ref);
-                while (!unconfirmed.isEmpty() && unconfirmed.peek().number() <= heard) {
-                    unconfirmed.poll();
-                }
-                if (waiting != null && heard >= lastSaid) {
+                if (unconfirmed.heard(Long.parseLong(ref)) && waiting != null) {
                     use(waiting);
                 }
             }
@@ -375,7 +360,7 @@
         private void invalid(JSONObject notice) {
             log.warn("kernel_refused", "command", notice.optString("state"), "job", notice.optString("job"));
             String job = notice.optString("job");
-            unconfirmed.removeIf(c -> c.job().equals(job) && c.type().equals(notice.optString("state")));
+            unconfirmed.refused(job, notice.optString("state"));
             if (notice.optString("state").equals("SCHED") || notice.optString("state").equals("RESCHED")) {
                 listener.notStarted(job);
             }
@@ -388,13 +373,12 @@
                 End end = End.valueOf(notice.getString("state"));
                 byte[] result = end == End.OK ? body(notice) : null;
                 lastNotice = n;
-                unconfirmed.removeIf(c -> c.job().equals(job));
+                unconfirmed.ended(job);
                 listener.ended(job, end, micros(notice), result);
             } else if (type.equals("IOREQ")) {
                 byte[] call = body(notice);
                 lastNotice = n;
-                // a pause may have crossed this notice, the rest has not
-                unconfirmed.removeIf(c -> c.job().equals(job) && !c.type().equals("PREEMPT"));
+                unconfirmed.blocked(job);
                 listener.blocked(job, n, call);
             } else {
                 lastNotice = n;
