Three tries of a key read together no longer run it twice

Cause: where the first try of a key is refused in the batch that also brings two repeats (too late to be worth a run, say, after a pause of the machine), both repeats found their owner let go, Carrier.pin put each of them in the key's place, the second over the first, and the guard in run saw each as its key's owner. Two runs of a keyed write within its window. Found by reading; shown over sockets with the real module before anything was changed: EndingsTest, kernel runs 'ok-plan' twice, on nio and on epoll. Ruled out: the module (it told both to run by what it knew, as the guard is meant to bear), the order of the batch. Change: the first of the repeats stands for the key, the others wait for its result; a try that the module would run beside its key's owner gets the owner's result too.

--- a/server/src/main/java/wheatspread/core/Carrier.java
+++ b/server/src/main/java/wheatspread/core/Carrier.java
@@ -24,6 +24,8 @@
             one.stopAsked = false;
             core.counts.resumed++;
             core.kernel.resume(one.submission.job());
+        } else if (one.run == Try.Run.NONE && repeats(one)) {
+            join(id); // no second run, whatever the module says, and no refusal after a run
         } else if (one.run == Try.Run.NONE && !mayRun(one)) {
             moot(id);
             core.answers.finish(one, Answer.Kind.REFUSED, null, 0, false);
@@ -39,16 +41,35 @@
         core.batches.event(m -> m.completed(id, Outcome.IGNORED, 0));
     }
 
-    /** Guards rules 2 and 3 whatever the module says: no second run of a key, no run past the grace. */
+    /** Whether another try stands for the key. */
+    private boolean repeats(Try one) {
+        if (one.submission.unique() == null) {
+            return false;
+        }
+        standForKey(one);
+        return one.entry.owner != one;
+    }
+
+    /**
+     * Where the try that it repeats was let go without a run, a try stands for the key itself, unless another
+     * one that repeated the same was first.
+     */
+    private void standForKey(Try one) {
+        boolean free = one.entry == null || one.entry.owner != one && !core.keys.holds(one.entry)
+            && (one.submission.unique() == null || !one.entry.owner.everRan());
+        if (free) {
+            KeyTable.Entry other = core.keys.find(one.submission, core.batches.now());
+            one.entry = other == null ? core.keys.put(one) : other;
+        }
+    }
+
+    /** Guards against a run past the grace, and one of a key that the other process of an upgrade ran. */
     private boolean mayRun(Try one) {
-        boolean late = one.late || core.graceIsOver(one.submission.door());
         Submission s = one.submission;
-        boolean second = s.unique() != null && one.entry.owner != one;
-        if (late || second || s.unique() == null) {
-            return !late && !second;
+        if (one.late || core.graceIsOver(s.door())) {
+            return false;
         }
-        // the other process of an upgrade may have run a try of this key, which this one has not seen
-        return core.claims.claim(one.entry.key, s.door(), core.keys.window(s.kind()));
+        return s.unique() == null || core.claims.claim(one.entry.key, s.door(), core.keys.window(s.kind()));
     }
 
     @Override
@@ -105,10 +126,7 @@
         if (one == null) {
             return;
         }
-        // where the try that it repeats was let go without a run, it stands for the key itself
-        if (one.entry == null || one.entry.owner != one && !core.keys.holds(one.entry)) {
-            one.entry = core.keys.put(one);
-        }
+        standForKey(one);
         one.entry.pinnedUntil = core.batches.now() + ttl;
     }
 
--- a/server/src/test/java/wheatspread/daemon/EndingsTest.java
+++ b/server/src/test/java/wheatspread/daemon/EndingsTest.java
@@ -54,6 +54,14 @@
                 .put("ram", 20).put("blob", StandInKernel.encode(body))) + "\n";
     }
 
+    /** A try of one keyed request that came to the machine so long ago. */
+    private String save(int id, int agoMs) {
+        JSONObject request = new JSONObject(ask(id, "ok-plan")).put("method", "save");
+        request.getJSONObject("params").put("unique", "key").put("limit", 8_000)
+            .put("door", stage.clock().now() / 1000 - agoMs);
+        return request + "\n";
+    }
+
     /** What became of each request, by its id; the words of notifications are left out. */
     private static List<String> outcomes(List<String> lines) {
         List<String> outcomes = new ArrayList<>();
@@ -274,6 +282,20 @@
         }
     }
 
+    /** All tries of one key in one turn, the first too late to be worth a run: the others share one. */
+    @ParameterizedTest
+    @MethodSource("transports")
+    void triesOfAKeyThatAreReadTogetherRunOnce(String transport) throws Exception {
+        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
+            peer.write(save(1, 4_000) + save(2, 0) + save(3, 0));
+            awaitAnswers(3);
+            peer.shutOutput();
+            assertThat(peer.readToEnd(4096)).isEqualTo(End.CLOSED);
+            assertThat(outcomes(peer.lines())).containsExactly("1 -32066", "2 served", "3 served");
+            assertThat(kernel.runs).hasSize(1);
+        }
+    }
+
     /** A caller that resets its connection is gone; its neighbour hears nothing of that. */
     @ParameterizedTest
     @MethodSource("transports")
