--- a/Makefile
+++ b/Makefile
@@ -1,4 +1,4 @@
-.PHONY: build test demo lint run adapter measure clean
+.PHONY: build test demo lint format run adapter measure clean
 
 build:           ## the jars of server and lab, without tests
 	mvn -q -DskipTests package
@@ -9,8 +9,11 @@
 demo: build      ## one server with everybody round it played, a few requests, and the line to ask it yourself
 	java -jar lab/target/wheatspread-lab.jar demo
 
-lint:            ## style alone; the compiler's warnings are errors in every build
-	mvn -q checkstyle:check
+lint:            ## format and style alone; the compiler's warnings are errors in every build
+	mvn -q spotless:check checkstyle:check
+
+format:          ## lays the sources out as lint wants them
+	mvn -q spotless:apply
 
 run: build       ## one server; GW_CONFIG names its configuration, FRONT an operator's file
 	$$(sed -n 's/^run = "exec \(.*\)"$$/\1/p' deploy/balancer.toml) $(FRONT)
--- a/lab/src/main/java/wheatspread/lab/CostCommand.java
+++ b/lab/src/main/java/wheatspread/lab/CostCommand.java
@@ -10,22 +10,30 @@
 import wheatspread.lab.report.Report;
 
 /** What membership costs beside the load. */
-@Command(name = "cost", mixinStandardHelpOptions = true,
-    description = "Runs servers under load without membership and with it, in turn, and compares their "
-        + "answers, processor time and memory. Wants a machine with nothing else on it.")
+@Command(
+        name = "cost",
+        mixinStandardHelpOptions = true,
+        description = "Runs servers under load without membership and with it, in turn, and compares their "
+                + "answers, processor time and memory. Wants a machine with nothing else on it.")
 final class CostCommand implements Callable<Integer> {
     @Option(names = "--jar", defaultValue = "server/target/wheatspread.jar", description = "The server.")
     private Path jar;
+
     @Option(names = "--deploy", defaultValue = "deploy/balancer.toml", description = "Where the flags stand.")
     private Path deploy;
+
     @Option(names = "--servers", defaultValue = "20", description = "How many (${DEFAULT-VALUE}).")
     private int servers;
+
     @Option(names = "--rate", defaultValue = "170", description = "Requests a second (${DEFAULT-VALUE}).")
     private double rate;
+
     @Option(names = "--seconds", defaultValue = "60", description = "How long each (${DEFAULT-VALUE}).")
     private int seconds;
+
     @Option(names = "--times", defaultValue = "3", description = "How often each (${DEFAULT-VALUE}).")
     private int times;
+
     @Option(names = "--report", paramLabel = "DIR", description = "Where a report goes; none without.")
     private Path out;
 
--- a/lab/src/main/java/wheatspread/lab/CrowdCommand.java
+++ b/lab/src/main/java/wheatspread/lab/CrowdCommand.java
@@ -9,13 +9,16 @@
 import wheatspread.turns.TurnLimits;
 
 /** More connections than a process has descriptors, on one loop in memory. */
-@Command(name = "crowd", mixinStandardHelpOptions = true,
-    description = "Measures a crowd of connections on one event loop over a transport in memory.")
+@Command(
+        name = "crowd",
+        mixinStandardHelpOptions = true,
+        description = "Measures a crowd of connections on one event loop over a transport in memory.")
 final class CrowdCommand implements Callable<Integer> {
     private static final long IDLE = 20_000_000;
 
     @Option(names = "--count", defaultValue = "100000", description = "Connections (${DEFAULT-VALUE}).")
     private int count;
+
     @Option(names = "--out", defaultValue = "docs/measurements", description = "Where the report goes.")
     private Path out;
 
--- a/lab/src/main/java/wheatspread/lab/DemoCommand.java
+++ b/lab/src/main/java/wheatspread/lab/DemoCommand.java
@@ -24,20 +24,30 @@
 import wheatspread.uwsgi.UwsgiPacket;
 
 /** A first run for a newcomer. */
-@Command(name = "demo", mixinStandardHelpOptions = true,
-    description = "Starts one server with both fronts and stand-ins round it, on free ports, and asks it "
-        + "a few requests; Ctrl-C ends it.")
+@Command(
+        name = "demo",
+        mixinStandardHelpOptions = true,
+        description = "Starts one server with both fronts and stand-ins round it, on free ports, and asks it "
+                + "a few requests; Ctrl-C ends it.")
 final class DemoCommand implements Callable<Integer> {
     @Option(names = "--jar", defaultValue = "server/target/wheatspread.jar", description = "The server.")
     private Path jar;
-    @Option(names = "--site", defaultValue = "calls", description = "The kind of deployment: ${COMPLETION-"
-        + "CANDIDATES}; 'plain' makes no calls, and its callers tell no limit (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--site",
+            defaultValue = "calls",
+            description = "The kind of deployment: ${COMPLETION-"
+                    + "CANDIDATES}; 'plain' makes no calls, and its callers tell no limit (${DEFAULT-VALUE}).")
     private Kind site;
+
     @Option(names = "--once", description = "Ends by itself after the requests.")
     private boolean once;
 
     /** What the server is told of its deployment. */
-    private enum Kind { calls, plain }
+    private enum Kind {
+        calls,
+        plain
+    }
 
     @Override
     public Integer call() throws Exception {
@@ -48,20 +58,24 @@
             """;
         CountDownLatch ended = new CountDownLatch(1);
         try (Parties parties = new Parties(15_000, site == Kind.plain ? -1 : 5_000);
-             ServerProcess server = new ServerProcess(jar, config(parties), operator,
-                 List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m"), -1)) {
+                ServerProcess server = new ServerProcess(
+                        jar,
+                        config(parties),
+                        operator,
+                        List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m"),
+                        -1)) {
             int uwsgi = server.port(0);
             int rpc = server.port(1);
             System.out.println("One server runs, with a kernel, records and announce service played for it.\n"
-                + "JSON-RPC on 127.0.0.1:" + rpc + ", uwsgi on 127.0.0.1:" + uwsgi + "\n");
+                    + "JSON-RPC on 127.0.0.1:" + rpc + ", uwsgi on 127.0.0.1:" + uwsgi + "\n");
             askByRpc(rpc);
             askByUwsgi(uwsgi, Map.of("PATH_INFO", "/recipes/leche-flan"), "");
             askByUwsgi(uwsgi, Map.of("PATH_INFO", "/plans", "RECIPE_UNIQUE", "demo-2"), "a plan");
             System.out.println("\nAsk it yourself:\n  (echo '{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":"
-                + "\"search\","
-                + "\"params\":{\"txn\":\"'$(openssl rand -hex 8)'\",\"door\":'$(date +%s%3N)',"
-                + "\"lb\":1,\"team\":\"main-site\",\"limit\":5000,\"cpu\":280,\"ram\":24.5,"
-                + "\"standing\":0.5,\"item\":\"flan\",\"blob\":\"\"}}'; sleep 1) | nc 127.0.0.1 " + rpc);
+                    + "\"search\","
+                    + "\"params\":{\"txn\":\"'$(openssl rand -hex 8)'\",\"door\":'$(date +%s%3N)',"
+                    + "\"lb\":1,\"team\":\"main-site\",\"limit\":5000,\"cpu\":280,\"ram\":24.5,"
+                    + "\"standing\":0.5,\"item\":\"flan\",\"blob\":\"\"}}'; sleep 1) | nc 127.0.0.1 " + rpc);
             if (!once) {
                 System.out.println("\nCtrl-C ends it.");
                 Runtime.getRuntime().addShutdownHook(new Thread(() -> end(server, ended)));
@@ -97,16 +111,14 @@
     private void askByRpc(int port) throws IOException {
         try (Socket socket = new Socket("127.0.0.1", port)) {
             socket.setSoTimeout(10_000);
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(),
-                StandardCharsets.UTF_8));
-            for (String line : List.of("{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n",
-                Sites.request(2, Sites.KINDS.get(0), "main-site", "00000000000000d1",
-                    System.currentTimeMillis()),
-                Sites.request(3, Sites.KINDS.get(3), "main-site", "00000000000000d2",
-                    System.currentTimeMillis()),
-                Sites.request(4, Sites.KINDS.get(3), "main-site", "00000000000000d3",
-                    System.currentTimeMillis())
-                    .replace("u00000000000000d3", "u00000000000000d2"))) {
+            BufferedReader in =
+                    new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
+            for (String line : List.of(
+                    "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n",
+                    Sites.request(2, Sites.KINDS.get(0), "main-site", "00000000000000d1", System.currentTimeMillis()),
+                    Sites.request(3, Sites.KINDS.get(3), "main-site", "00000000000000d2", System.currentTimeMillis()),
+                    Sites.request(4, Sites.KINDS.get(3), "main-site", "00000000000000d3", System.currentTimeMillis())
+                            .replace("u00000000000000d3", "u00000000000000d2"))) {
                 String asked = told(line);
                 socket.getOutputStream().write(asked.getBytes(StandardCharsets.UTF_8));
                 System.out.print("> " + asked);
@@ -128,8 +140,8 @@
             System.out.println("uwsgi> " + vars);
             byte[] answer = new byte[4_096];
             int read = new DataInputStream(socket.getInputStream()).read(answer);
-            System.out.println("uwsgi< " + new String(answer, 0, Math.max(0, read), StandardCharsets.UTF_8)
-                .split("\r\n")[0]);
+            System.out.println(
+                    "uwsgi< " + new String(answer, 0, Math.max(0, read), StandardCharsets.UTF_8).split("\r\n")[0]);
         }
     }
 }
--- a/lab/src/main/java/wheatspread/lab/FaultsCommand.java
+++ b/lab/src/main/java/wheatspread/lab/FaultsCommand.java
@@ -15,25 +15,32 @@
 import wheatspread.lab.report.Report;
 
 /** Faults between the processes of a fleet. */
-@Command(name = "faults", mixinStandardHelpOptions = true,
-    description = "Starts a fleet of real servers with relays on every link between them, plays the faults "
-        + "of each scenario, and checks what always has to hold and what the scenario expects.",
-    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:All held.",
-        "1:Something did not; it says what.", "64:A scenario is wrong; it names the key."})
+@Command(
+        name = "faults",
+        mixinStandardHelpOptions = true,
+        description = "Starts a fleet of real servers with relays on every link between them, plays the faults "
+                + "of each scenario, and checks what always has to hold and what the scenario expects.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:All held.", "1:Something did not; it says what.", "64:A scenario is wrong; it names the key."
+        })
 final class FaultsCommand implements Callable<Integer> {
     private static final int USAGE = 64;
 
     @Parameters(arity = "1..*", paramLabel = "SCENARIO", description = "JSON with comments.")
     private List<Path> scenarios;
+
     @Option(names = "--jar", defaultValue = "server/target/wheatspread.jar", description = "The server.")
     private Path jar;
+
     @Option(names = "--deploy", defaultValue = "deploy/balancer.toml", description = "Where the flags stand.")
     private Path deploy;
-    @Option(names = "--seed", defaultValue = "1", split = ",",
-        description = "Plays one run a seed (${DEFAULT-VALUE}).")
+
+    @Option(names = "--seed", defaultValue = "1", split = ",", description = "Plays one run a seed (${DEFAULT-VALUE}).")
     private List<Long> seeds;
+
     @Option(names = "--pairs", description = "Plays each two of the scenarios at once.")
     private boolean pairs;
+
     @Option(names = "--report", paramLabel = "DIR", description = "Where a report goes; none without.")
     private Path out;
 
@@ -67,8 +74,7 @@
     /** The scenarios by the names of their files; with {@code pairs} each two of them at once. */
     static Map<String, Scenario> plays(List<Path> files, boolean pairs, long seed) {
         Map<String, Scenario> alone = new LinkedHashMap<>();
-        files.forEach(file -> alone.put(file.getFileName().toString().replace(".json", ""),
-            Scenario.read(file, seed)));
+        files.forEach(file -> alone.put(file.getFileName().toString().replace(".json", ""), Scenario.read(file, seed)));
         if (!pairs) {
             return alone;
         }
--- a/lab/src/main/java/wheatspread/lab/HoldCommand.java
+++ b/lab/src/main/java/wheatspread/lab/HoldCommand.java
@@ -12,15 +12,21 @@
 /**
  * The process that holds connections: it does what its standard input says, and answers a line of JSON each.
  */
-@Command(name = "hold", hidden = true, mixinStandardHelpOptions = true,
-    description = "Holds idle connections; words on standard input: open, burst, closing.")
+@Command(
+        name = "hold",
+        hidden = true,
+        mixinStandardHelpOptions = true,
+        description = "Holds idle connections; words on standard input: open, burst, closing.")
 final class HoldCommand implements Callable<Integer> {
     @Option(names = "--port", required = true)
     private int port;
+
     @Option(names = "--count", required = true)
     private int count;
+
     @Option(names = "--uwsgi")
     private boolean uwsgi;
+
     @Option(names = "--first-source")
     private int firstSource;
 
--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -4,12 +4,27 @@
 import picocli.CommandLine.Command;
 
 /** The laboratory: load, stand-ins, experiments and their reports. */
-@Command(name = "wheatspread-lab", mixinStandardHelpOptions = true, version = "0.1.0",
-    description = "Measures the server beside stand-ins of the parties round it.",
-    synopsisSubcommandLabel = "COMMAND", subcommands = {IdleCommand.class, CrowdCommand.class,
-        BenchCommand.class, DemoCommand.class, FleetCommand.class, StartCommand.class, HoldCommand.class,
-        StoreCommand.class, ReloadCommand.class, FaultsCommand.class, ModelCommand.class, CostCommand.class,
-        DeploymentsCommand.class})
+@Command(
+        name = "wheatspread-lab",
+        mixinStandardHelpOptions = true,
+        version = "0.1.0",
+        description = "Measures the server beside stand-ins of the parties round it.",
+        synopsisSubcommandLabel = "COMMAND",
+        subcommands = {
+            IdleCommand.class,
+            CrowdCommand.class,
+            BenchCommand.class,
+            DemoCommand.class,
+            FleetCommand.class,
+            StartCommand.class,
+            HoldCommand.class,
+            StoreCommand.class,
+            ReloadCommand.class,
+            FaultsCommand.class,
+            ModelCommand.class,
+            CostCommand.class,
+            DeploymentsCommand.class
+        })
 public final class Lab implements Runnable {
     @CommandLine.Spec
     private CommandLine.Model.CommandSpec spec;
--- a/lab/src/main/java/wheatspread/lab/ModelCommand.java
+++ b/lab/src/main/java/wheatspread/lab/ModelCommand.java
@@ -16,35 +16,53 @@
 import wheatspread.membership.DetectorSettings;
 
 /** The fleet's decisions on virtual time. */
-@Command(name = "model", mixinStandardHelpOptions = true,
-    description = "Plays scenarios of faults on virtual time in one JVM, with the decision code of the "
-        + "program. A run is the same each time for its seed.",
-    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:All held.",
-        "1:Something did not; it says what.", "64:A scenario is wrong; it names the key."})
+@Command(
+        name = "model",
+        mixinStandardHelpOptions = true,
+        description = "Plays scenarios of faults on virtual time in one JVM, with the decision code of the "
+                + "program. A run is the same each time for its seed.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:All held.", "1:Something did not; it says what.", "64:A scenario is wrong; it names the key."
+        })
 final class ModelCommand implements Callable<Integer> {
     private static final int USAGE = 64;
 
     @Parameters(arity = "0..*", paramLabel = "SCENARIO", description = "JSON with comments.")
     private List<Path> scenarios = List.of();
-    @Option(names = "--sweep", paramLabel = "SIZE", split = ",",
-        description = "Fleets of these sizes with a crash, and losses of messages with three detectors; with "
-            + "--report also plots.")
+
+    @Option(
+            names = "--sweep",
+            paramLabel = "SIZE",
+            split = ",",
+            description = "Fleets of these sizes with a crash, and losses of messages with three detectors; with "
+                    + "--report also plots.")
     private List<Integer> sweep = List.of();
-    @Option(names = "--seed", defaultValue = "1", split = ",",
-        description = "Plays one run a seed (${DEFAULT-VALUE}).")
+
+    @Option(names = "--seed", defaultValue = "1", split = ",", description = "Plays one run a seed (${DEFAULT-VALUE}).")
     private List<Long> seeds;
-    @Option(names = "--detector", defaultValue = "usual",
-        description = "usual, suspicious (SWIM with suspicions of one length) or plain (SWIM without).")
+
+    @Option(
+            names = "--detector",
+            defaultValue = "usual",
+            description = "usual, suspicious (SWIM with suspicions of one length) or plain (SWIM without).")
     private String detector;
+
     @Option(names = "--pairs", description = "Plays each two of the scenarios at once.")
     private boolean pairs;
+
     @Option(names = "--report", paramLabel = "DIR", description = "Where a report goes; none without.")
     private Path out;
 
     @Override
     public Integer call() throws Exception {
-        DetectorSettings settings = Map.of("usual", DetectorSettings.USUAL, "suspicious",
-            DetectorSettings.USUAL.suspicious(), "plain", DetectorSettings.USUAL.plain()).get(detector);
+        DetectorSettings settings = Map.of(
+                        "usual",
+                        DetectorSettings.USUAL,
+                        "suspicious",
+                        DetectorSettings.USUAL.suspicious(),
+                        "plain",
+                        DetectorSettings.USUAL.plain())
+                .get(detector);
         if (settings == null) {
             System.err.println("--detector is " + detector + "; allowed are usual, suspicious and plain");
             return USAGE;
--- a/lab/src/main/java/wheatspread/lab/Sites.java
+++ b/lab/src/main/java/wheatspread/lab/Sites.java
@@ -9,17 +9,18 @@
 /** A made-up site of the size of the one in service: its configuration, and what its callers ask. */
 public final class Sites {
     /** A class of requests, with its share, and its times in milliseconds. */
-    public record Kind(String name, double share, int wanted, int deadline, double worth, boolean keyed) { }
+    public record Kind(String name, double share, int wanted, int deadline, double worth, boolean keyed) {}
 
-    public static final List<Kind> KINDS = List.of(new Kind("recipe-page", 0.36, 3_600, 11_000, 1, false),
-        new Kind("search", 0.29, 2_700, 8_900, 2, false), new Kind("ingredients", 0.23, 2_800, 7_100, 2,
-            false),
-        new Kind("save-plan", 0.12, 4_300, 14_000, 5, true));
+    public static final List<Kind> KINDS = List.of(
+            new Kind("recipe-page", 0.36, 3_600, 11_000, 1, false),
+            new Kind("search", 0.29, 2_700, 8_900, 2, false),
+            new Kind("ingredients", 0.23, 2_800, 7_100, 2, false),
+            new Kind("save-plan", 0.12, 4_300, 14_000, 5, true));
     public static final List<String> TENANTS = List.of("main-site", "barangay-kitchens", "school-feeding");
     private static final double[] SHARES = {0.51, 0.35, 0.14};
     private static final double QUOTA = 400;
 
-    private Sites() { }
+    private Sites() {}
 
     /** The configuration of one server with so many descriptors. */
     public static JSONObject config(Parties parties, int sockets) {
@@ -33,41 +34,76 @@
     public static JSONObject withoutCalls(JSONObject config) {
         config.remove("records");
         JSONObject family = config.getJSONObject("settings").getJSONObject("FamilyInfo");
-        List.of("ClassCalls", "ClassSkipWorth", "CallsOut", "DepWindow", "Linger").forEach(family::remove);
+        List.of("ClassCalls", "ClassSkipWorth", "CallsOut", "DepWindow", "Linger")
+                .forEach(family::remove);
         family.put("DependsOn", "silent").put("PassesDeadline", false).put("Say", "threshold");
         return config;
     }
 
     /** The same of one of a fleet, with the addresses of the parties round it. */
-    public static JSONObject config(String kernel, String records, String announce, int sockets,
-        int servers) {
+    public static JSONObject config(String kernel, String records, String announce, int sockets, int servers) {
         JSONArray lanes = new JSONArray();
         for (Kind kind : KINDS) {
-            JSONObject lane = new JSONObject().put("Name", kind.name).put("Aim", (double) kind.wanted)
-                .put("Deadline", (double) kind.deadline).put("LateWorth", 0.1).put("Worth", kind.worth)
-                .put("Effect", kind.keyed ? "deduplicated" : "idempotent");
+            JSONObject lane = new JSONObject()
+                    .put("Name", kind.name)
+                    .put("Aim", (double) kind.wanted)
+                    .put("Deadline", (double) kind.deadline)
+                    .put("LateWorth", 0.1)
+                    .put("Worth", kind.worth)
+                    .put("Effect", kind.keyed ? "deduplicated" : "idempotent");
             lanes.put(kind.keyed ? lane.put("Window", 42_633.0) : lane);
         }
         JSONArray tenants = new JSONArray();
         for (int i = 0; i < SHARES.length; i++) {
             tenants.put(new JSONObject().put("Name", TENANTS.get(i)).put("QuotaPerS", QUOTA * SHARES[i]));
         }
-        JSONObject family = new JSONObject().put("Callers", 5).put("CallsOut", 40.0).put("Cold", false)
-            .put("ClassCalls", List.of(true, false, true, true)).put("DepWindow", 5_000.0)
-            .put("ClassSkipWorth", List.of(0.3, 0.0, 0.5, 0.0)).put("DependsOn", "shared").put("Fresh", 0.0)
-            .put("Gauges", List.of("core_use", "on_cores", "heap_share", "links")).put("Halt", "suspend")
-            .put("Heeded", 1_000.0).put("KbPerKey", 4.0).put("Linger", 200.0)
-            .put("MemoryKb", 60_000.0).put("NCores", 6).put("RegistryFollows", true).put("RunFactor", 8.0)
-            .put("Say", "window");
-        JSONObject settings = new JSONObject().put("ReplicasOfMe", servers).put("Resolution", 4.0)
-            .put("Ceilings", new JSONObject().put("MaxRetryAfter", 4_000.0).put("RetryAfter", true))
-            .put("FamilyInfo", family).put("Lanes", lanes).put("Parties", tenants)
-            .put("Rules", new JSONObject().put("AnswerSlack", 60.0).put("Cold", 16_000.0).put("ColdFrom", 0.2)
-                .put("DrainGrace", 2_500.0).put("OverloadFor", 2_000.0).put("TipMultiple", 6.0));
-        return new JSONObject().put("name", "lab").put("listen", "127.0.0.1:0").put("kernel", kernel)
-            .put("records", records).put("announce", announce).put("seed", "1ab")
-            .put("stop_ms", 4_000).put("limits", new JSONObject().put("cores", 1.0).put("memory_mb", 512)
-                .put("sockets", sockets)).put("settings", settings);
+        JSONObject family = new JSONObject()
+                .put("Callers", 5)
+                .put("CallsOut", 40.0)
+                .put("Cold", false)
+                .put("ClassCalls", List.of(true, false, true, true))
+                .put("DepWindow", 5_000.0)
+                .put("ClassSkipWorth", List.of(0.3, 0.0, 0.5, 0.0))
+                .put("DependsOn", "shared")
+                .put("Fresh", 0.0)
+                .put("Gauges", List.of("core_use", "on_cores", "heap_share", "links"))
+                .put("Halt", "suspend")
+                .put("Heeded", 1_000.0)
+                .put("KbPerKey", 4.0)
+                .put("Linger", 200.0)
+                .put("MemoryKb", 60_000.0)
+                .put("NCores", 6)
+                .put("RegistryFollows", true)
+                .put("RunFactor", 8.0)
+                .put("Say", "window");
+        JSONObject settings = new JSONObject()
+                .put("ReplicasOfMe", servers)
+                .put("Resolution", 4.0)
+                .put("Ceilings", new JSONObject().put("MaxRetryAfter", 4_000.0).put("RetryAfter", true))
+                .put("FamilyInfo", family)
+                .put("Lanes", lanes)
+                .put("Parties", tenants)
+                .put(
+                        "Rules",
+                        new JSONObject()
+                                .put("AnswerSlack", 60.0)
+                                .put("Cold", 16_000.0)
+                                .put("ColdFrom", 0.2)
+                                .put("DrainGrace", 2_500.0)
+                                .put("OverloadFor", 2_000.0)
+                                .put("TipMultiple", 6.0));
+        return new JSONObject()
+                .put("name", "lab")
+                .put("listen", "127.0.0.1:0")
+                .put("kernel", kernel)
+                .put("records", records)
+                .put("announce", announce)
+                .put("seed", "1ab")
+                .put("stop_ms", 4_000)
+                .put(
+                        "limits",
+                        new JSONObject().put("cores", 1.0).put("memory_mb", 512).put("sockets", sockets))
+                .put("settings", settings);
     }
 
     public static Kind kind(Random random) {
@@ -89,9 +125,9 @@
     /** One try as a proxy writes it. */
     public static String request(long id, Kind kind, String tenant, String txn, long doorMillis) {
         return "{\"jsonrpc\":\"2.0\",\"id\":" + id
-            + ",\"method\":\"" + kind.name + "\",\"params\":{\"txn\":\"" + txn
-            + "\",\"door\":" + doorMillis + ",\"lb\":1,\"team\":\"" + tenant + "\",\"limit\":" + kind.deadline
-            + ",\"cpu\":15.0,\"ram\":24.5,\"standing\":0.5," + (kind.keyed ? "\"unique\":\"u" + txn
-            : "\"item\":\"i" + txn) + "\",\"blob\":\"cmVxdWVzdA==\"}}\n";
+                + ",\"method\":\"" + kind.name + "\",\"params\":{\"txn\":\"" + txn
+                + "\",\"door\":" + doorMillis + ",\"lb\":1,\"team\":\"" + tenant + "\",\"limit\":" + kind.deadline
+                + ",\"cpu\":15.0,\"ram\":24.5,\"standing\":0.5,"
+                + (kind.keyed ? "\"unique\":\"u" + txn : "\"item\":\"i" + txn) + "\",\"blob\":\"cmVxdWVzdA==\"}}\n";
     }
 }
--- a/lab/src/main/java/wheatspread/lab/StoreCommand.java
+++ b/lab/src/main/java/wheatspread/lab/StoreCommand.java
@@ -29,28 +29,38 @@
 import wheatspread.store.StoreSettings;
 
 /** The store beside a plain log and the bare disk: durable writes, memory, recovery, compaction. */
-@Command(name = "store", mixinStandardHelpOptions = true,
-    description = "Measures the store on a folder's disk, beside a plain log with a map and bare appends.")
+@Command(
+        name = "store",
+        mixinStandardHelpOptions = true,
+        description = "Measures the store on a folder's disk, beside a plain log with a map and bare appends.")
 final class StoreCommand implements Callable<Integer> {
-    private static final StoreSettings LARGE = StoreSettings.DEFAULT.withSizes(32 << 20, 8L << 30, 1L << 34)
-        .withCompaction(1L << 30, 0.999, 0).withQueue(100_000, 256L << 20, 4_096);
+    private static final StoreSettings LARGE = StoreSettings.DEFAULT
+            .withSizes(32 << 20, 8L << 30, 1L << 34)
+            .withCompaction(1L << 30, 0.999, 0)
+            .withQueue(100_000, 256L << 20, 4_096);
 
     @Option(names = "--folder", defaultValue = "lab/target/store", description = "On the disk to measure.")
     private Path folder;
+
     @Option(names = "--seconds", defaultValue = "2", description = "Of each run (${DEFAULT-VALUE}).")
     private int seconds;
-    @Option(names = "--rounds", defaultValue = "3",
-        description = "Of the writers in turns (${DEFAULT-VALUE}).")
+
+    @Option(names = "--rounds", defaultValue = "3", description = "Of the writers in turns (${DEFAULT-VALUE}).")
     private int rounds;
+
     @Option(names = "--keys", defaultValue = "1000000", description = "The largest store (${DEFAULT-VALUE}).")
     private int keys;
-    @Option(names = "--part", defaultValue = "all",
-        description = "all, writes, memory, recovery or compaction (${DEFAULT-VALUE}).")
+
+    @Option(
+            names = "--part",
+            defaultValue = "all",
+            description = "all, writes, memory, recovery or compaction (${DEFAULT-VALUE}).")
     private String part;
+
     @Option(names = "--out", defaultValue = "docs/measurements", description = "Where the report goes.")
     private Path out;
 
-    private record Place(int file, int offset, int length, int expiry) { }
+    private record Place(int file, int offset, int length, int expiry) {}
 
     @Override
     public Integer call() throws Exception {
@@ -86,13 +96,14 @@
             report.put("group of " + group, figures);
             System.out.println("group of " + group + " " + figures);
             for (String one : StoreRuns.WRITERS) {
-                bars.computeIfAbsent(one, w -> new LinkedHashMap<>()).put("group of " + group,
-                    Math.log10(figures.getJSONObject(one).getDouble("writes_per_s")));
+                bars.computeIfAbsent(one, w -> new LinkedHashMap<>())
+                        .put(
+                                "group of " + group,
+                                Math.log10(figures.getJSONObject(one).getDouble("writes_per_s")));
             }
             Folders.delete(folder);
         }
-        Report.bars(out.resolve("store-writes.png"), "Durable writes a second", "log10 of writes a second",
-            bars);
+        Report.bars(out.resolve("store-writes.png"), "Durable writes a second", "log10 of writes a second", bars);
     }
 
     private static long heap() {
@@ -141,27 +152,34 @@
             fill(size);
             JSONObject with = open(size);
             try (Stream<Path> files = Files.list(folder)) {
-                for (Path file : files.filter(f -> f.toString().endsWith(".checkpoint")).toList()) {
+                for (Path file :
+                        files.filter(f -> f.toString().endsWith(".checkpoint")).toList()) {
                     Files.delete(file);
                 }
             }
             JSONObject without = open(size);
-            JSONObject figures = new JSONObject().put("keys", size).put("with_checkpoint_ms", with.get("ms"))
-                .put("without_ms", without.get("ms")).put("heap_bytes_per_key",
-                    with.get("heap_bytes_per_key"));
+            JSONObject figures = new JSONObject()
+                    .put("keys", size)
+                    .put("with_checkpoint_ms", with.get("ms"))
+                    .put("without_ms", without.get("ms"))
+                    .put("heap_bytes_per_key", with.get("heap_bytes_per_key"));
             report.put("recovery of " + size, figures);
             System.out.println("recovery " + figures);
             lines.get("with a checkpoint, ms")[i] = with.getDouble("ms");
             lines.get("without, ms")[i] = without.getDouble("ms");
             lines.get("heap, MB")[i] = with.getDouble("heap_bytes_per_key") * size / 1e6;
         }
-        Report.lines(out.resolve("store-recovery.png"), "Opening a store", "keys, in tenths of " + keys,
-            "ms, MB", lines);
+        Report.lines(
+                out.resolve("store-recovery.png"), "Opening a store", "keys, in tenths of " + keys, "ms, MB", lines);
     }
 
     private void fill(int size) throws Exception {
-        try (Store store = Store.open(FolderDisk.make(folder), LARGE.withSync(StoreSettings.Sync.NONE, 1_000),
-            Store.Time.SYSTEM, Runnable::run, EventLog.NONE)) {
+        try (Store store = Store.open(
+                FolderDisk.make(folder),
+                LARGE.withSync(StoreSettings.Sync.NONE, 1_000),
+                Store.Time.SYSTEM,
+                Runnable::run,
+                EventLog.NONE)) {
             byte[] value = new byte[100];
             for (int from = 0; from < size; from += 10_000) {
                 CountDownLatch held = new CountDownLatch(10_000);
@@ -197,8 +215,12 @@
         private final Store store;
 
         FolderStore(Path folder) throws IOException {
-            store = Store.open(FolderDisk.make(folder), LARGE.withSizes(32 << 20, 8L << 30, 1L << 40),
-                Store.Time.SYSTEM, Runnable::run, EventLog.NONE);
+            store = Store.open(
+                    FolderDisk.make(folder),
+                    LARGE.withSizes(32 << 20, 8L << 30, 1L << 40),
+                    Store.Time.SYSTEM,
+                    Runnable::run,
+                    EventLog.NONE);
         }
 
         @Override
@@ -214,29 +236,36 @@
         long compactions = 0;
         for (int i = 0; i < rounds; i++) {
             steady(LARGE, without);
-            compactions += steady(StoreSettings.DEFAULT.withSizes(4 << 20, 64L << 20, 8 << 20)
-                .withCompaction(16L << 20, 0.3, 0), with);
-        }
-        return new JSONObject().put("compactions", compactions).put("writes", with.getTotalCount())
-            .put("p50_us", with.getValueAtPercentile(50)).put("p99_us", with.getValueAtPercentile(99))
-            .put("without_p50_us", without.getValueAtPercentile(50))
-            .put("without_p99_us", without.getValueAtPercentile(99))
-            .put("p99_ratio", (double) with.getValueAtPercentile(99) / without.getValueAtPercentile(99));
+            compactions += steady(
+                    StoreSettings.DEFAULT.withSizes(4 << 20, 64L << 20, 8 << 20).withCompaction(16L << 20, 0.3, 0),
+                    with);
+        }
+        return new JSONObject()
+                .put("compactions", compactions)
+                .put("writes", with.getTotalCount())
+                .put("p50_us", with.getValueAtPercentile(50))
+                .put("p99_us", with.getValueAtPercentile(99))
+                .put("without_p50_us", without.getValueAtPercentile(50))
+                .put("without_p99_us", without.getValueAtPercentile(99))
+                .put("p99_ratio", (double) with.getValueAtPercentile(99) / without.getValueAtPercentile(99));
     }
 
     private long steady(StoreSettings settings, Histogram to) throws Exception {
         Folders.delete(folder);
         Random random = new Random(1);
         byte[] value = new byte[400];
-        try (Store store = Store.open(FolderDisk.make(folder), settings, Store.Time.SYSTEM, Runnable::run,
-            EventLog.NONE)) {
+        try (Store store =
+                Store.open(FolderDisk.make(folder), settings, Store.Time.SYSTEM, Runnable::run, EventLog.NONE)) {
             long begun = System.nanoTime();
             long next = begun;
             while (next - begun < 4_000_000_000L * seconds) {
                 for (int i = 0; i < 10; i++) {
                     long due = next;
-                    store.put(StoreRuns.key(random.nextInt(20_000)), value, 0, (outcome, reason) ->
-                        to.recordValue(Math.max(0, (System.nanoTime() - due) / 1_000)));
+                    store.put(
+                            StoreRuns.key(random.nextInt(20_000)),
+                            value,
+                            0,
+                            (outcome, reason) -> to.recordValue(Math.max(0, (System.nanoTime() - due) / 1_000)));
                 }
                 next += 1_000_000; // 10,000 writes a second
                 LockSupport.parkNanos(next - System.nanoTime());
--- a/lab/src/main/java/wheatspread/lab/bench/ConnectionsBenchmark.java
+++ b/lab/src/main/java/wheatspread/lab/bench/ConnectionsBenchmark.java
@@ -49,13 +49,13 @@
 
     private static final class Nobody implements Caller {
         @Override
-        public void lastCall() { }
+        public void lastCall() {}
 
         @Override
-        public void leave() { }
+        public void leave() {}
 
         @Override
-        public void close() { }
+        public void close() {}
 
         @Override
         public long waitingBytes() {
@@ -78,10 +78,22 @@
     public void fill() {
         now = 1_000_000;
         ConnectionLimits usual = ConnectionLimits.usual(size);
-        table = new ConnectionTable(new ConnectionLimits(size, 0, 0, 1_000, usual.firstRequest(),
-            usual.wholeRequest(), IDLE, usual.lingering(), usual.toSpeak(), usual.mostHeld(),
-                usual.mostWaiting(), usual.refusal()), now,
-            () -> { });
+        table = new ConnectionTable(
+                new ConnectionLimits(
+                        size,
+                        0,
+                        0,
+                        1_000,
+                        usual.firstRequest(),
+                        usual.wholeRequest(),
+                        IDLE,
+                        usual.lingering(),
+                        usual.toSpeak(),
+                        usual.mostHeld(),
+                        usual.mostWaiting(),
+                        usual.refusal()),
+                now,
+                () -> {});
         nodes = new Connection[size];
         plain = new Plain[size];
         set = new LinkedHashSet<>();
@@ -153,7 +165,9 @@
     @Benchmark
     public Object makeRoomWithAScan() {
         now += 100;
-        Plain least = set.stream().min(Comparator.comparingLong((Plain p) -> p.usedAt)).orElseThrow();
+        Plain least = set.stream()
+                .min(Comparator.comparingLong((Plain p) -> p.usedAt))
+                .orElseThrow();
         set.remove(least);
         Plain more = new Plain();
         more.usedAt = now;
--- a/lab/src/main/java/wheatspread/lab/bench/IndexBenchmark.java
+++ b/lab/src/main/java/wheatspread/lab/bench/IndexBenchmark.java
@@ -23,7 +23,7 @@
     @Param({"10000", "1000000"})
     private int size;
 
-    private record Place(long at, int length, int expiry) { }
+    private record Place(long at, int length, int expiry) {}
 
     private final Random random = new Random(1);
     private long[] hashes;
--- a/lab/src/main/java/wheatspread/lab/bench/TimersBenchmark.java
+++ b/lab/src/main/java/wheatspread/lab/bench/TimersBenchmark.java
@@ -103,10 +103,13 @@
         tasks[i] = new Task();
         numbers[i] = agrona.scheduleTimer(now + ahead[i & 0xFFFF]);
         byNumber.put(numbers[i], tasks[i]);
-        agrona.poll(now, (unit, time, number) -> {
-            byNumber.remove(number).ring();
-            return true;
-        }, 32);
+        agrona.poll(
+                now,
+                (unit, time, number) -> {
+                    byNumber.remove(number).ring();
+                    return true;
+                },
+                32);
         return agrona.currentTickTime();
     }
 
--- a/lab/src/main/java/wheatspread/lab/deployments/Deployment.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/Deployment.java
@@ -16,16 +16,30 @@
     public static final int CHOICES = 40;
     /** The choices' numbers are under this. */
     public static final int MOST = 60;
-    private static final List<String> MAY_BE_ABSENT = List.of("Callers", "ClassSkipWorth", "DepWindow",
-        "Fresh", "Heeded", "Idle", "KbPerKey", "Linger", "RegistryFollows", "DeepChecks", "HangupSeen");
+
+    private static final List<String> MAY_BE_ABSENT = List.of(
+            "Callers",
+            "ClassSkipWorth",
+            "DepWindow",
+            "Fresh",
+            "Heeded",
+            "Idle",
+            "KbPerKey",
+            "Linger",
+            "RegistryFollows",
+            "DeepChecks",
+            "HangupSeen");
     private static final int FIRST_ABSENT = 26;
 
     /** What may take effect how often. */
-    enum Effect { SAFE, KEYED, ONCE }
+    enum Effect {
+        SAFE,
+        KEYED,
+        ONCE
+    }
 
     /** One class of requests; times in milliseconds. */
-    record Kind(String name, Effect effect, long aim, long deadline, long window, boolean calls,
-                double skipWorth) { }
+    record Kind(String name, Effect effect, long aim, long deadline, long window, boolean calls, double skipWorth) {}
 
     final List<Kind> kinds = new ArrayList<>();
     final List<String> tenants = new ArrayList<>();
@@ -56,16 +70,25 @@
         cores = pick(0, 4, 1, 2, 16);
         calls = pick(1, true, false);
         int classes = pick(2, 3, 1, 2, 30);
-        Effect[] effects = pick(3, new Effect[] {Effect.SAFE, Effect.KEYED}, new Effect[] {Effect.SAFE},
-            new Effect[] {Effect.KEYED}, new Effect[] {Effect.ONCE},
-            new Effect[] {Effect.SAFE, Effect.ONCE, Effect.KEYED});
+        Effect[] effects = pick(
+                3,
+                new Effect[] {Effect.SAFE, Effect.KEYED},
+                new Effect[] {Effect.SAFE},
+                new Effect[] {Effect.KEYED},
+                new Effect[] {Effect.ONCE},
+                new Effect[] {Effect.SAFE, Effect.ONCE, Effect.KEYED});
         double skip = absent("ClassSkipWorth") ? 0 : pick(5, 0.4, 0.0);
         for (int i = 0; i < classes; i++) {
             long deadline = pick(4, 3_000, 1_500, 8_000) + 100 * (i % 5);
             Effect effect = effects[i % effects.length];
-            kinds.add(new Kind("kind-" + i, effect, pick(6, deadline / 2, deadline), deadline,
-                pick(7, 10_000, 2_000, 40_000), calls && i % 2 == 0,
-                effect == Effect.SAFE && i % 3 == 0 ? skip : 0));
+            kinds.add(new Kind(
+                    "kind-" + i,
+                    effect,
+                    pick(6, deadline / 2, deadline),
+                    deadline,
+                    pick(7, 10_000, 2_000, 40_000),
+                    calls && i % 2 == 0,
+                    effect == Effect.SAFE && i % 3 == 0 ? skip : 0));
         }
         int parties = pick(8, 2, 0, 1, 12);
         for (int i = 0; i < parties; i++) {
@@ -88,8 +111,12 @@
         fresh = absent("Fresh") ? 0 : pick(23, 0, 3_000);
         grace = pick(24, 2_000, 0, 2_500);
         mostStayAway = pick(25, 1_000, 0);
-        gauges = pick(37, List.of("core_use", "on_cores", "heap_share", "links"), List.of("links", "on_cores",
-            "later_gauge", "heap_share", "core_use"), List.of("heap_share"), List.<String>of());
+        gauges = pick(
+                37,
+                List.of("core_use", "on_cores", "heap_share", "links"),
+                List.of("links", "on_cores", "later_gauge", "heap_share", "core_use"),
+                List.of("heap_share"),
+                List.<String>of());
     }
 
     /** Drawn from a seed. */
@@ -110,8 +137,12 @@
 
     /** What a server of it is told. */
     JSONObject config(String kernel, String records, String announce) {
-        JSONObject config = new JSONObject().put("name", "d1").put("listen", "127.0.0.1:0")
-            .put("kernel", kernel).put("settings", settings()).put("a_later_key", Map.of("x", 1));
+        JSONObject config = new JSONObject()
+                .put("name", "d1")
+                .put("listen", "127.0.0.1:0")
+                .put("kernel", kernel)
+                .put("settings", settings())
+                .put("a_later_key", Map.of("x", 1));
         if (calls) {
             config.put("records", records);
         }
@@ -119,8 +150,14 @@
             config.put("announce", announce);
         }
         if (pick(39, true, false)) {
-            config.put("seed", "5eed").put("stop_ms", 4_000)
-                .put("limits", new JSONObject().put("cores", 1.0).put("memory_mb", 192).put("sockets", 256));
+            config.put("seed", "5eed")
+                    .put("stop_ms", 4_000)
+                    .put(
+                            "limits",
+                            new JSONObject()
+                                    .put("cores", 1.0)
+                                    .put("memory_mb", 192)
+                                    .put("sockets", 256));
         }
         return config;
     }
@@ -130,9 +167,14 @@
         JSONArray may = new JSONArray();
         JSONArray skips = new JSONArray();
         for (Kind kind : kinds) {
-            JSONObject lane = new JSONObject().put("Name", kind.name).put("Deadline", (double) kind.deadline)
-                .put("Effect", kind.effect == Effect.SAFE ? "idempotent"
-                    : kind.effect == Effect.KEYED ? "deduplicated" : "at_most_once");
+            JSONObject lane = new JSONObject()
+                    .put("Name", kind.name)
+                    .put("Deadline", (double) kind.deadline)
+                    .put(
+                            "Effect",
+                            kind.effect == Effect.SAFE
+                                    ? "idempotent"
+                                    : kind.effect == Effect.KEYED ? "deduplicated" : "at_most_once");
             if (kind.aim < kind.deadline) {
                 lane.put("Aim", (double) kind.aim).put("Worth", 2.0).put("LateWorth", 0.0);
             }
@@ -143,12 +185,25 @@
             may.put(kind.calls);
             skips.put(kind.skipWorth);
         }
-        JSONObject family = new JSONObject().put("NCores", cores).put("MemoryKb", memoryKb)
-            .put("RunFactor", runFactor).put("Cold", cold).put("Gauges", gauges).put("Callers", 3)
-            .put("DepWindow", 5_000.0).put("Heeded", 1_000.0).put("Idle", 30_000.0).put("KbPerKey", 4.0)
-            .put("Linger", 200.0).put("RegistryFollows", true).put("DeepChecks", false)
-            .put("HangupSeen", tellsGone).put("Fresh", (double) fresh).put("ClassSkipWorth", skips)
-            .put("PassesDeadline", limited).put("ALaterKey", List.of(1));
+        JSONObject family = new JSONObject()
+                .put("NCores", cores)
+                .put("MemoryKb", memoryKb)
+                .put("RunFactor", runFactor)
+                .put("Cold", cold)
+                .put("Gauges", gauges)
+                .put("Callers", 3)
+                .put("DepWindow", 5_000.0)
+                .put("Heeded", 1_000.0)
+                .put("Idle", 30_000.0)
+                .put("KbPerKey", 4.0)
+                .put("Linger", 200.0)
+                .put("RegistryFollows", true)
+                .put("DeepChecks", false)
+                .put("HangupSeen", tellsGone)
+                .put("Fresh", (double) fresh)
+                .put("ClassSkipWorth", skips)
+                .put("PassesDeadline", limited)
+                .put("ALaterKey", List.of(1));
         family.putOpt("Halt", halt).putOpt("Say", say);
         if (calls) {
             family.put("DependsOn", "shared").put("CallsOut", 8.0).put("ClassCalls", may);
@@ -156,23 +211,32 @@
             family.put("DependsOn", "silent").put("CallsOut", 0.0).put("ClassCalls", may);
         }
         MAY_BE_ABSENT.stream().filter(this::absent).forEach(family::remove);
-        JSONObject settings = new JSONObject().put("FamilyInfo", family).put("Lanes", lanes)
-            .put("Rules", new JSONObject().put("AnswerSlack", 60.0).put("Cold", (double) coldFor)
-                .put("ColdFrom", coldFrom).put("DrainGrace", (double) grace).put("OverloadFor", 2_000.0)
-                .put("TipMultiple", tip));
+        JSONObject settings = new JSONObject()
+                .put("FamilyInfo", family)
+                .put("Lanes", lanes)
+                .put(
+                        "Rules",
+                        new JSONObject()
+                                .put("AnswerSlack", 60.0)
+                                .put("Cold", (double) coldFor)
+                                .put("ColdFrom", coldFrom)
+                                .put("DrainGrace", (double) grace)
+                                .put("OverloadFor", 2_000.0)
+                                .put("TipMultiple", tip));
         if (!tenants.isEmpty()) {
             JSONArray parties = new JSONArray();
-            tenants.forEach(name -> parties.put(new JSONObject().put("Name", name)
-                .putOpt("QuotaPerS", named ? 40.0 : null)));
+            tenants.forEach(
+                    name -> parties.put(new JSONObject().put("Name", name).putOpt("QuotaPerS", named ? 40.0 : null)));
             settings.put("Parties", parties);
         }
         if (mostStayAway > 0) {
-            settings.put("Ceilings", new JSONObject().put("RetryAfter", true)
-                .put("MaxRetryAfter", (double) mostStayAway));
+            settings.put(
+                    "Ceilings", new JSONObject().put("RetryAfter", true).put("MaxRetryAfter", (double) mostStayAway));
         }
         if (named) {
-            settings.put("ReplicasOfMe", 3).put("Resolution", 4.0)
-                .put("Tariffs", new JSONObject().put("Handshake", 0.1).put("Connection", 0.1));
+            settings.put("ReplicasOfMe", 3)
+                    .put("Resolution", 4.0)
+                    .put("Tariffs", new JSONObject().put("Handshake", 0.1).put("Connection", 0.1));
         }
         return settings;
     }
@@ -184,12 +248,13 @@
 
     @Override
     public String toString() {
-        return "cores " + cores + ", kinds " + kinds.size() + " as " + kinds.stream().limit(3).toList()
-            + ", tenants " + tenants.size() + ", halt " + halt + ", say " + say + ", calls " + calls
-            + ", limit " + limited + ", hint " + hinted + ", item " + items + ", second " + marked
-            + ", gone " + tellsGone + ", cold " + cold + " from " + coldFrom + " for " + coldFor + ", tip "
-            + tip + ", memory " + memoryKb + ", fresh " + fresh + ", grace " + grace + ", stay away "
-            + mostStayAway + ", gauges " + gauges + ", absent "
-            + MAY_BE_ABSENT.stream().filter(this::absent).toList();
+        return "cores " + cores + ", kinds " + kinds.size() + " as "
+                + kinds.stream().limit(3).toList()
+                + ", tenants " + tenants.size() + ", halt " + halt + ", say " + say + ", calls " + calls
+                + ", limit " + limited + ", hint " + hinted + ", item " + items + ", second " + marked
+                + ", gone " + tellsGone + ", cold " + cold + " from " + coldFrom + " for " + coldFor + ", tip "
+                + tip + ", memory " + memoryKb + ", fresh " + fresh + ", grace " + grace + ", stay away "
+                + mostStayAway + ", gauges " + gauges + ", absent "
+                + MAY_BE_ABSENT.stream().filter(this::absent).toList();
     }
 }
--- a/lab/src/main/java/wheatspread/lab/deployments/DeploymentRun.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/DeploymentRun.java
@@ -9,9 +9,9 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.Comparator;
 import java.util.HashMap;
@@ -52,7 +52,7 @@
         public static final Planted NONE = new Planted(told -> told, told -> told);
     }
 
-    private record Event(long at, long number, Runnable what) { }
+    private record Event(long at, long number, Runnable what) {}
 
     private final Deployment site;
     private final Planted planted;
@@ -60,7 +60,7 @@
     private final Judge judge;
     private final Kernel kernel;
     private final PriorityQueue<Event> events =
-        new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
+            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
     private final List<Link> links = new ArrayList<>();
     private final List<Socket> recordsCalls = new ArrayList<>();
     private final Map<Socket, StringBuilder> read = new HashMap<>();
@@ -91,8 +91,7 @@
         this.planted = planted;
         random = new SplittableRandom(seed);
         judge = new Judge(site);
-        kernel = new Kernel(site, judge, START + LIGHT_UNTIL, (micros, what) -> at(now + micros, what),
-            this::toKernel);
+        kernel = new Kernel(site, judge, START + LIGHT_UNTIL, (micros, what) -> at(now + micros, what), this::toKernel);
     }
 
     /** Plays it and returns the rules that were broken; empty where all held. */
@@ -100,12 +99,17 @@
         try (ServerSocket kernels = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             records = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
             records.configureBlocking(false);
-            JSONObject told = planted.config.apply(site.config("127.0.0.1:" + kernels.getLocalPort(),
-                "127.0.0.1:" + records.socket().getLocalPort(), "127.0.0.1:9"));
+            JSONObject told = planted.config.apply(site.config(
+                    "127.0.0.1:" + kernels.getLocalPort(),
+                    "127.0.0.1:" + records.socket().getLocalPort(),
+                    "127.0.0.1:9"));
             try {
                 ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
-                server = new Server(config, OperatorConfig.NONE,
-                    (loop, turns) -> clock = new SteppedClock(loop, START), EventLog.NONE);
+                server = new Server(
+                        config,
+                        OperatorConfig.NONE,
+                        (loop, turns) -> clock = new SteppedClock(loop, START),
+                        EventLog.NONE);
             } catch (IllegalArgumentException e) {
                 judge.broken("no start: " + e.getMessage());
                 return judge.broken;
@@ -147,8 +151,9 @@
         Try first = repeats ? keyed.get(random.nextInt(keyed.size())) : null;
         String txn = String.format("%016x", random.nextLong());
         boolean mayShare = kind.effect() == Effect.SAFE && site.items && site.fresh > 0;
-        String key = kind.effect() == Effect.KEYED ? first == null ? "unique-" + txn : first.key
-            : mayShare ? "item-" + random.nextInt(20) + kind.name() : null;
+        String key = kind.effect() == Effect.KEYED
+                ? first == null ? "unique-" + txn : first.key
+                : mayShare ? "item-" + random.nextInt(20) + kind.name() : null;
         Kind asked = first == null ? kind : first.kind;
         long limit = asked.deadline() - (site.limited ? random.nextLong(asked.deadline() / 4) : 0);
         Try one = new Try(txn, asked, key, now, now + limit * 1_000, 20 + random.nextInt(10), light);
@@ -160,8 +165,11 @@
             keyed.add(one);
         }
         int id = ++link.lastId;
-        JSONObject params = new JSONObject().put("txn", txn).put("door", now / 1_000).put("ram", one.ram)
-            .put("blob", Kernel.encode(one.body()));
+        JSONObject params = new JSONObject()
+                .put("txn", txn)
+                .put("door", now / 1_000)
+                .put("ram", one.ram)
+                .put("blob", Kernel.encode(one.body()));
         if (site.limited) {
             params.put("limit", limit);
         }
@@ -184,8 +192,14 @@
         }
         judge.written(one);
         link.open.put(id, txn);
-        write(link.socket, new JSONObject().put("jsonrpc", "2.0").put("id", id).put("method", asked.name())
-            .put("params", planted.params.apply(params)) + "\n");
+        write(
+                link.socket,
+                new JSONObject()
+                                .put("jsonrpc", "2.0")
+                                .put("id", id)
+                                .put("method", asked.name())
+                                .put("params", planted.params.apply(params))
+                        + "\n");
         if (site.tellsGone && !light && random.nextInt(8) == 0) {
             at(now + 10_000 + random.nextLong(asked.deadline() * 500), () -> interrupt(link, id, one));
         }
@@ -194,8 +208,7 @@
     private void interrupt(Link link, int id, Try one) {
         if (one.answer == null) {
             one.gone = true;
-            write(link.socket, "{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{\"id\":" + id
-                + "}}\n");
+            write(link.socket, "{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{\"id\":" + id + "}}\n");
             kernel.gone(one.txn);
         }
     }
@@ -209,7 +222,7 @@
         try {
             InetSocketAddress to = server.bound().get(0);
             Link link = new Link(SocketChannel.open(new InetSocketAddress(to.getAddress(), to.getPort()))
-                .socket());
+                    .socket());
             links.add(link);
             return link;
         } catch (IOException e) {
@@ -259,11 +272,10 @@
                 InetSocketAddress to = server.bound().get(0);
                 asking = new Socket(to.getAddress(), to.getPort());
                 asking.setSoTimeout(PATIENCE_MS);
-                askingIn = new BufferedReader(new InputStreamReader(asking.getInputStream(),
-                    StandardCharsets.UTF_8));
+                askingIn = new BufferedReader(new InputStreamReader(asking.getInputStream(), StandardCharsets.UTF_8));
             }
             write(asking, "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n");
-            for (String line = askingIn.readLine(); line != null && line.contains("lastCall");) {
+            for (String line = askingIn.readLine(); line != null && line.contains("lastCall"); ) {
                 line = askingIn.readLine();
             }
         } catch (IOException e) {
--- a/lab/src/main/java/wheatspread/lab/deployments/Judge.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/Judge.java
@@ -13,6 +13,7 @@
 final class Judge {
     /** How much later than due an answer may come: the settings' slack and the 50 ms of sockets. */
     private static final long SLACK = 110_000;
+
     private static final long CROSSED = 50_000;
     private static final int REFUSED = -32066;
     private static final List<Integer> MALFORMED = List.of(-32700, -32600, -32601, -32602, -32002);
@@ -78,8 +79,9 @@
     /** The kernel is told to run a try; false where it is none, or was begun already and may not run anew. */
     boolean begins(String txn, String kind, String data) {
         Try one = tries.get(txn);
-        if (one == null || !one.kind.name().equals(kind)
-            || !new String(Base64.getDecoder().decode(data)).equals(one.body())) {
+        if (one == null
+                || !one.kind.name().equals(kind)
+                || !new String(Base64.getDecoder().decode(data)).equals(one.body())) {
             broken("changed: run of " + txn + " as " + kind);
             return false;
         }
@@ -103,7 +105,8 @@
 
     /** A run made this result, for its try and for those that may share it. */
     void made(Try one, String result) {
-        results.computeIfAbsent(one.key == null ? one.txn : one.key, key -> new ArrayList<>()).add(result);
+        results.computeIfAbsent(one.key == null ? one.txn : one.key, key -> new ArrayList<>())
+                .add(result);
     }
 
     void answered(String txn, JSONObject answer, long now) {
@@ -118,9 +121,10 @@
             broken("lost: " + txn + " answered " + (now - one.due) / 1_000 + " ms after it was due");
         }
         if (error == null) {
-            String result = new String(Base64.getDecoder().decode(answer.getJSONObject("result")
-                .getString("blob")));
-            if (!results.getOrDefault(one.key == null ? one.txn : one.key, List.of()).contains(result)) {
+            String result = new String(
+                    Base64.getDecoder().decode(answer.getJSONObject("result").getString("blob")));
+            if (!results.getOrDefault(one.key == null ? one.txn : one.key, List.of())
+                    .contains(result)) {
                 broken("lost: " + txn + " served with what no run made");
             }
             lightServed += one.light ? 1 : 0;
@@ -129,8 +133,7 @@
         } else if (MALFORMED.contains(error.getInt("code"))) {
             broken("not taken: " + txn + ": " + error.getString("message"));
         }
-        if (fields != null && fields.has("feedback")
-            && (!site.advises() || fields.getDouble("feedback") < 0)) {
+        if (fields != null && fields.has("feedback") && (!site.advises() || fields.getDouble("feedback") < 0)) {
             broken("advice: a free value " + fields.get("feedback") + " where none is used");
         }
         if (fields != null && fields.optDouble("later", 0) > site.mostStayAway) {
@@ -166,13 +169,17 @@
      * served. What crossed its close is sent again, on a connection that is refused.
      */
     void end(long leftAt) {
-        tries.values().stream().filter(one -> one.answer == null && !one.gone)
-            .filter(one -> one.ran || one.door < leftAt - CROSSED)
-            .forEach(one -> broken("lost: " + one.txn + " has no answer, came " + (leftAt - one.door) / 1_000
-                + " ms before the server left, " + (one.ran ? "ran" : "never ran")));
+        tries.values().stream()
+                .filter(one -> one.answer == null && !one.gone)
+                .filter(one -> one.ran || one.door < leftAt - CROSSED)
+                .forEach(one -> broken("lost: " + one.txn + " has no answer, came " + (leftAt - one.door) / 1_000
+                        + " ms before the server left, " + (one.ran ? "ran" : "never ran")));
         if (lightServed < light * (site.cold ? 0.2 : 0.6)) {
             broken("not served: " + lightServed + " of " + light + " under a light load: "
-                + tries.values().stream().filter(one -> one.light).map(one -> one.answer).toList());
+                    + tries.values().stream()
+                            .filter(one -> one.light)
+                            .map(one -> one.answer)
+                            .toList());
         }
     }
 }
--- a/lab/src/main/java/wheatspread/lab/deployments/Kernel.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/Kernel.java
@@ -63,7 +63,8 @@
     /** The speed a cold process has at least, of 1. */
     double speed(long start) {
         double warmed = site.cold && site.coldFor > 0 && now < start + site.coldFor * 1_000
-            ? (double) (now - start) / (site.coldFor * 1_000) : 1;
+                ? (double) (now - start) / (site.coldFor * 1_000)
+                : 1;
         return site.coldFrom + (1 - site.coldFrom) * warmed;
     }
 
@@ -76,15 +77,22 @@
         if (crowd > site.cores * (1 + (site.tip - 1) * speed(start)) + 0.5) {
             judge.broken("fall-over: " + crowd + " on " + site.cores + " cores");
         }
-        judge.memory(runs.values().stream().mapToDouble(run -> run.of.ram * site.runFactor).sum(), now);
+        judge.memory(
+                runs.values().stream()
+                        .mapToDouble(run -> run.of.ram * site.runFactor)
+                        .sum(),
+                now);
     }
 
     void command(JSONObject command) {
         String job = command.optString("job");
         Run run = runs.get(job);
         switch (command.getString("type")) {
-            case "OPEN" -> send(new JSONObject().put("type", "BOOTED")
-                .put("state", site.cold ? "COLD" : "WARM").put("took", site.cold ? 1 : 60_000));
+            case "OPEN" ->
+                send(new JSONObject()
+                        .put("type", "BOOTED")
+                        .put("state", site.cold ? "COLD" : "WARM")
+                        .put("took", site.cold ? 1 : 60_000));
             case "SYSINFO" -> info(command.getString("ref"));
             case "SCHED" -> {
                 if (run == null && judge.begins(job, command.getString("kind"), command.getString("data"))) {
@@ -106,12 +114,14 @@
     }
 
     private void info(String ref) {
-        List<Object> row = site.gauges.stream().map(name -> switch (name) {
-            case "core_use" -> (Object) Math.min(1, (double) onCores() / site.cores);
-            case "on_cores" -> onCores();
-            case "links" -> 4;
-            default -> 0.1;
-        }).toList();
+        List<Object> row = site.gauges.stream()
+                .map(name -> switch (name) {
+                    case "core_use" -> (Object) Math.min(1, (double) onCores() / site.cores);
+                    case "on_cores" -> onCores();
+                    case "links" -> 4;
+                    default -> 0.1;
+                })
+                .toList();
         send(new JSONObject().put("type", "INFO").put("ref", ref).put("gauges", row));
     }
 
@@ -191,8 +201,12 @@
         lastCall.put(job, word);
         String body = "reply to " + job;
         if (!word.equals("nothing")) {
-            later.after(CALL, () -> reply.line(word.equals("DONE")
-                ? job + " DONE " + body.length() + "\r\n" + body + "\r\n" : job + " " + word + "\r\n"));
+            later.after(
+                    CALL,
+                    () -> reply.line(
+                            word.equals("DONE")
+                                    ? job + " DONE " + body.length() + "\r\n" + body + "\r\n"
+                                    : job + " " + word + "\r\n"));
         }
     }
 
--- a/lab/src/main/java/wheatspread/lab/faults/CostRun.java
+++ b/lab/src/main/java/wheatspread/lab/faults/CostRun.java
@@ -18,6 +18,7 @@
 public final class CostRun {
     /** The JVM compiles and the fleet forms meanwhile. */
     private static final long WARM_MS = 20_000;
+
     private static final double TICKS_PER_S = 100;
     private static final int SEEDS = 3;
 
@@ -38,7 +39,8 @@
 
     /** One run; a server's figures are means. */
     public JSONObject play(boolean membership) throws Exception {
-        List<String> names = IntStream.rangeClosed(1, servers).mapToObj(i -> "m" + i).toList();
+        List<String> names =
+                IntStream.rangeClosed(1, servers).mapToObj(i -> "m" + i).toList();
         try (Rig rig = new Rig(jar, flags, names)) {
             if (membership) {
                 turnOn(rig);
@@ -53,14 +55,18 @@
             double seconds = (System.nanoTime() - began) / 1e9;
             double used = processorSeconds(rig) - cpu;
             long[] peersAfter = peers(rig, membership);
-            JSONObject figures = new JSONObject().put("membership", membership).put("servers", servers)
-                .put("rate", rate).put("cpu_percent_of_a_core", 100 * used / seconds / servers)
-                .put("rss_kb", resident(rig)).put("live_heap_kb", liveHeap(rig))
-                .put("peer_messages_per_s", (peersAfter[0] - peers[0]) / seconds / servers)
-                .put("peer_bytes_per_s", (peersAfter[1] - peers[1]) / seconds / servers)
-                .put("open_at_end", rig.settle());
+            JSONObject figures = new JSONObject()
+                    .put("membership", membership)
+                    .put("servers", servers)
+                    .put("rate", rate)
+                    .put("cpu_percent_of_a_core", 100 * used / seconds / servers)
+                    .put("rss_kb", resident(rig))
+                    .put("live_heap_kb", liveHeap(rig))
+                    .put("peer_messages_per_s", (peersAfter[0] - peers[0]) / seconds / servers)
+                    .put("peer_bytes_per_s", (peersAfter[1] - peers[1]) / seconds / servers)
+                    .put("open_at_end", rig.settle());
             return figures.put("load", rig.world().ledger().figures())
-                .put("broken", rig.world().ledger().broken());
+                    .put("broken", rig.world().ledger().broken());
         }
     }
 
@@ -69,7 +75,10 @@
         JSONObject[] told = new JSONObject[rig.members().size()];
         for (int i = 0; i < told.length; i++) {
             String listen = Listening.text(rig.address());
-            told[i] = new JSONObject().put("cluster", "cost").put("listen", listen).put("seeds", seeds);
+            told[i] = new JSONObject()
+                    .put("cluster", "cost")
+                    .put("listen", listen)
+                    .put("seeds", seeds);
             if (i < SEEDS) {
                 seeds.put(listen);
             }
@@ -108,7 +117,8 @@
         for (Member one : rig.members()) {
             Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
             Process tool = new ProcessBuilder(jcmd.toString(), one.pid() + "", "GC.class_histogram")
-                .redirectErrorStream(true).start();
+                    .redirectErrorStream(true)
+                    .start();
             String told = new String(tool.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
             tool.waitFor();
             for (String line : told.split("\n")) {
--- a/lab/src/main/java/wheatspread/lab/faults/Fault.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Fault.java
@@ -13,11 +13,22 @@
  * @param share how much of what it hits; of {@code starve} how much time is left to the process
  * @param extra the delay, the longest detour of {@code reorder}, or the period of {@code flap}
  */
-public record Fault(Kind kind, long at, long lasts, Set<String> from, Set<String> to, Set<String> on,
-                    double share, long extra) {
+public record Fault(
+        Kind kind, long at, long lasts, Set<String> from, Set<String> to, Set<String> on, double share, long extra) {
     /** What is done. */
     public enum Kind {
-        CUT, LOSS, DELAY, DUPLICATE, REORDER, FLAP, PAUSE, STARVE, KILL, RESTART, LEAVE, GARBAGE;
+        CUT,
+        LOSS,
+        DELAY,
+        DUPLICATE,
+        REORDER,
+        FLAP,
+        PAUSE,
+        STARVE,
+        KILL,
+        RESTART,
+        LEAVE,
+        GARBAGE;
 
         /** Whether it hits links rather than processes. */
         public boolean isOfLinks() {
--- a/lab/src/main/java/wheatspread/lab/faults/FaultsRun.java
+++ b/lab/src/main/java/wheatspread/lab/faults/FaultsRun.java
@@ -47,12 +47,13 @@
     private final Set<String> ended = new HashSet<>();
     /** Whoever ends by itself has crashed, but for these. */
     private final Set<String> left = new HashSet<>();
+
     private Rig rig;
     private Relays relays;
     private long begin;
 
     /** What came of it; {@code faults} is empty where all held. */
-    public record Outcome(JSONObject figures, List<String> faults) { }
+    public record Outcome(JSONObject figures, List<String> faults) {}
 
     /** {@code flags} are those of the servers' JVMs. */
     public FaultsRun(Path jar, List<String> flags, Scenario scenario, long seed) {
@@ -71,8 +72,9 @@
                 relays = between;
                 long formed = System.nanoTime();
                 rig.start();
-                JSONObject figures = new JSONObject().put("seed", seed).put("members",
-                    scenario.members().size());
+                JSONObject figures = new JSONObject()
+                        .put("seed", seed)
+                        .put("members", scenario.members().size());
                 if (converge(scenario.members().size(), FORM_MS) < 0) {
                     faults.add("no fleet was formed within " + FORM_MS + " ms: " + states());
                     return new Outcome(figures, faults);
@@ -96,13 +98,22 @@
             advertised.put(name, rig.address());
         }
         JSONArray seeds = new JSONArray();
-        scenario.members().subList(0, scenario.seeds()).forEach(one ->
-            seeds.put(Listening.text(advertised.get(one))));
+        scenario.members().subList(0, scenario.seeds()).forEach(one -> seeds.put(Listening.text(advertised.get(one))));
         for (String name : scenario.members()) {
-            rig.member(name).operator(new JSONObject().put("membership", new JSONObject()
-                .put("cluster", CLUSTER).put("listen", Listening.text(real.get(name)))
-                .put("advertise", Listening.text(advertised.get(name))).put("seeds", seeds)
-                .put("zone", scenario.zones().get(name))), rig.address());
+            rig.member(name)
+                    .operator(
+                            new JSONObject()
+                                    .put(
+                                            "membership",
+                                            new JSONObject()
+                                                    .put("cluster", CLUSTER)
+                                                    .put("listen", Listening.text(real.get(name)))
+                                                    .put("advertise", Listening.text(advertised.get(name)))
+                                                    .put("seeds", seeds)
+                                                    .put(
+                                                            "zone",
+                                                            scenario.zones().get(name))),
+                            rig.address());
         }
         return new Relays(links, CLUSTER, real, advertised, seed);
     }
@@ -211,14 +222,14 @@
     // ---- what came of it ----
 
     private void judge(Set<String> before, JSONObject figures) throws Exception {
-        int size = scenario.expect().members() >= 0 ? scenario.expect().members()
-            : scenario.members().size() - ended.size();
+        int size = scenario.expect().members() >= 0
+                ? scenario.expect().members()
+                : scenario.members().size() - ended.size();
         long within = scenario.expect().converged() / 1_000;
         long took = scenario.losesQuorum() ? standStill(within) : converge(size, within);
         figures.put("converged_ms", took);
         if (took < 0) {
-            faults.add("no view of " + size + " on all within " + within + " ms of the last fault's end: "
-                + states());
+            faults.add("no view of " + size + " on all within " + within + " ms of the last fault's end: " + states());
         }
         sleepUntil(scenario.run());
         if (scenario.load() > 0) {
@@ -240,8 +251,8 @@
         int views = verdict.viewsBesides(before);
         figures.put("views", views).put("missed", new JSONArray(verdict.missed()));
         if (scenario.expect().views() >= 0 && views > scenario.expect().views()) {
-            faults.add(views + " views, and " + scenario.expect().views() + " at most were expected: "
-                + verdict.views());
+            faults.add(
+                    views + " views, and " + scenario.expect().views() + " at most were expected: " + verdict.views());
         }
         Set<String> gone = scenario.expect().gone();
         if (gone != null && !gone.equals(verdict.missed())) {
@@ -267,9 +278,12 @@
 
     /** The same until all that live say that their view does not stand. */
     private long standStill(long millis) throws InterruptedException {
-        return await(() -> rig.members().stream().filter(one -> !ended.contains(one.name()))
-            .map(one -> Doors.members(one.door())).allMatch(told -> told != null && told.getBoolean("in")
-                && !told.getBoolean("stands")), millis);
+        return await(
+                () -> rig.members().stream()
+                        .filter(one -> !ended.contains(one.name()))
+                        .map(one -> Doors.members(one.door()))
+                        .allMatch(told -> told != null && told.getBoolean("in") && !told.getBoolean("stands")),
+                millis);
     }
 
     private static long await(BooleanSupplier wanted, long millis) throws InterruptedException {
@@ -290,7 +304,9 @@
                 continue;
             }
             JSONObject told = Doors.members(member.door());
-            if (told == null || !told.getBoolean("stands") || told.getJSONArray("members").length() != size) {
+            if (told == null
+                    || !told.getBoolean("stands")
+                    || told.getJSONArray("members").length() != size) {
                 return false;
             }
             views.add(told.getLong("epoch") + "." + told.getLong("number"));
@@ -303,11 +319,16 @@
         Map<String, String> states = new HashMap<>();
         for (Member member : rig.members()) {
             JSONObject told = ended.contains(member.name()) ? null : Doors.members(member.door());
-            states.put(member.name(), told == null ? "silent" : told.getLong("epoch") + "."
-                + told.getLong("number") + " of " + told.getJSONArray("members").length()
-                + (told.getBoolean("in") ? "" : " outside")
-                + (told.getBoolean("stands") ? "" : " old: " + told.getString("why_not"))
-                + suspected(told));
+            states.put(
+                    member.name(),
+                    told == null
+                            ? "silent"
+                            : told.getLong("epoch") + "."
+                                    + told.getLong("number") + " of "
+                                    + told.getJSONArray("members").length()
+                                    + (told.getBoolean("in") ? "" : " outside")
+                                    + (told.getBoolean("stands") ? "" : " old: " + told.getString("why_not"))
+                                    + suspected(told));
         }
         return states.toString();
     }
@@ -316,10 +337,14 @@
         StringBuilder text = new StringBuilder();
         for (Object each : told.getJSONArray("members")) {
             JSONObject one = (JSONObject) each;
-            if (!one.getJSONArray("suspected_by").isEmpty() || !one.getJSONArray("missed_by").isEmpty()) {
-                text.append(" ").append(one.getString("name")).append(" suspected by ")
-                    .append(one.getJSONArray("suspected_by")).append(" missed by ")
-                    .append(one.getJSONArray("missed_by"));
+            if (!one.getJSONArray("suspected_by").isEmpty()
+                    || !one.getJSONArray("missed_by").isEmpty()) {
+                text.append(" ")
+                        .append(one.getString("name"))
+                        .append(" suspected by ")
+                        .append(one.getJSONArray("suspected_by"))
+                        .append(" missed by ")
+                        .append(one.getJSONArray("missed_by"));
             }
         }
         return text.toString();
--- a/lab/src/main/java/wheatspread/lab/faults/Links.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Links.java
@@ -49,7 +49,7 @@
                 case DELAY -> delay += one.extra();
                 case DUPLICATE -> copies += random.nextDouble() < one.share() ? 1 : 0;
                 case REORDER -> delay += random.nextDouble() < one.share() ? random.nextLong(one.extra()) : 0;
-                default -> { }
+                default -> {}
             }
         }
         List<Long> delays = new ArrayList<>();
--- a/lab/src/main/java/wheatspread/lab/faults/Relays.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Relays.java
@@ -39,13 +39,13 @@
     private final SplittableRandom random;
     /** When the run began; {@link #micros}. */
     private long begin;
+
     private byte[] lastSeen = new byte[0];
     private long serial;
     private volatile boolean closed;
 
     /** A datagram on a longer way. */
-    private record Late(long at, long serial, String from, String to, byte[] bytes)
-        implements Comparable<Late> {
+    private record Late(long at, long serial, String from, String to, byte[] bytes) implements Comparable<Late> {
         @Override
         public int compareTo(Late other) {
             return at != other.at ? Long.compare(at, other.at) : Long.compare(serial, other.serial);
@@ -53,8 +53,13 @@
     }
 
     /** {@code real} and {@code advertised} by name. */
-    Relays(Links links, String cluster, Map<String, InetSocketAddress> real,
-           Map<String, InetSocketAddress> advertised, long seed) throws IOException {
+    Relays(
+            Links links,
+            String cluster,
+            Map<String, InetSocketAddress> real,
+            Map<String, InetSocketAddress> advertised,
+            long seed)
+            throws IOException {
         this.links = links;
         this.real = real;
         random = new SplittableRandom(seed);
@@ -126,8 +131,9 @@
         try {
             DatagramChannel channel = (DatagramChannel) key.channel();
             buffer.clear();
-            for (InetSocketAddress source = (InetSocketAddress) channel.receive(buffer); source != null;
-                 source = (InetSocketAddress) channel.receive(buffer)) {
+            for (InetSocketAddress source = (InetSocketAddress) channel.receive(buffer);
+                    source != null;
+                    source = (InetSocketAddress) channel.receive(buffer)) {
                 byte[] bytes = new byte[buffer.flip().remaining()];
                 buffer.get(bytes);
                 buffer.clear();
@@ -180,7 +186,8 @@
     }
 
     private void passStream(String to, Socket incoming) {
-        try (incoming; DataInputStream in = new DataInputStream(incoming.getInputStream())) {
+        try (incoming;
+                DataInputStream in = new DataInputStream(incoming.getInputStream())) {
             incoming.setSoTimeout(3_000);
             int length = in.readInt();
             if (length < 0 || length > LARGEST_STREAM) {
--- a/lab/src/main/java/wheatspread/lab/faults/Scenario.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Scenario.java
@@ -21,8 +21,7 @@
  * @param seeds how many of the members, from the first on, are seeds
  * @param load requests a second for all
  */
-public record Scenario(Map<String, String> zones, int seeds, double load, long run, List<Fault> faults,
-                       Expect expect) {
+public record Scenario(Map<String, String> zones, int seeds, double load, long run, List<Fault> faults, Expect expect) {
     private static final int MOST_SECONDS = 3_600;
     /** Two faults at once may keep somebody out for a while who came and went twice. */
     private static final long PAIR_CONVERGED = 60_000_000;
@@ -35,7 +34,7 @@
      * @param converged within so long after the end of the last fault
      * @param gone who was missed by its watchers at any time; null for any
      */
-    public record Expect(int views, int members, long converged, Set<String> gone) { }
+    public record Expect(int views, int members, long converged, Set<String> gone) {}
 
     public List<String> members() {
         return List.copyOf(zones.keySet());
@@ -64,13 +63,16 @@
         for (Fault one : other.faults) { // whoever ends by one of them is left alone by the other
             Set<String> on = new LinkedHashSet<>(one.on());
             on.removeAll(one.kind().isMoment() ? ended : Set.of());
-            both.add(new Fault(one.kind(), one.at(), one.lasts(), one.from(), one.to(), on, one.share(),
-                one.extra()));
+            both.add(new Fault(one.kind(), one.at(), one.lasts(), one.from(), one.to(), on, one.share(), one.extra()));
         }
         both.sort(Comparator.comparingLong(Fault::at));
-        return new Scenario(zones, seeds, Math.max(load, other.load), Math.max(run, other.run), both,
-            new Expect(-1, -1, Math.max(PAIR_CONVERGED, Math.max(expect.converged, other.expect.converged)),
-                null));
+        return new Scenario(
+                zones,
+                seeds,
+                Math.max(load, other.load),
+                Math.max(run, other.run),
+                both,
+                new Expect(-1, -1, Math.max(PAIR_CONVERGED, Math.max(expect.converged, other.expect.converged)), null));
     }
 
     /** Complaints name the file and the key. */
@@ -90,12 +92,17 @@
         faults.sort(Comparator.comparingLong(Fault::at));
         Fields expect = told.object("expect", true);
         expect.only(Set.of("views_at_most", "final_members", "converged_within_s", "gone"));
-        Scenario scenario = new Scenario(zones,
-            told.integer("seeds", Math.min(3, size), 1, Math.min(32, size)),
-            told.number("load_per_s", 0, 0, 10_000), seconds(told, "run_s", 60), faults,
-            new Expect(expect.integer("views_at_most", -1, -1, 1_000_000),
-                expect.integer("final_members", -1, -1, 2_000), seconds(expect, "converged_within_s", 10),
-                expect.has("gone") ? targets(expect, "gone", zones, random) : null));
+        Scenario scenario = new Scenario(
+                zones,
+                told.integer("seeds", Math.min(3, size), 1, Math.min(32, size)),
+                told.number("load_per_s", 0, 0, 10_000),
+                seconds(told, "run_s", 60),
+                faults,
+                new Expect(
+                        expect.integer("views_at_most", -1, -1, 1_000_000),
+                        expect.integer("final_members", -1, -1, 2_000),
+                        seconds(expect, "converged_within_s", 10),
+                        expect.has("gone") ? targets(expect, "gone", zones, random) : null));
         told.settle();
         return scenario;
     }
@@ -122,14 +129,20 @@
         told.only(Set.of("at_s", "for_s", "do", "from", "to", "on", "share", "ms", "period_ms"));
         Set<String> on = targets(told, "on", zones, random);
         if (kind.isOfLinks() ? told.has("on") : !told.has("on") || told.has("from") || told.has("to")) {
-            throw told.bad("do", "is " + kind.name().toLowerCase() + ", which takes "
-                + (kind.isOfLinks() ? "from and to" : "on"));
+            throw told.bad(
+                    "do",
+                    "is " + kind.name().toLowerCase() + ", which takes " + (kind.isOfLinks() ? "from and to" : "on"));
         }
-        long extra = kind == Fault.Kind.FLAP ? told.micros("period_ms", 1_000_000, 1)
-            : told.micros("ms", 100_000, 1);
-        return new Fault(kind, seconds(told, "at_s", 0), kind.isMoment() ? 0 : seconds(told, "for_s", 5),
-            targets(told, "from", zones, random), targets(told, "to", zones, random), on,
-            told.number("share", kind == Fault.Kind.STARVE ? 0.1 : 0.3, 0, 1), extra);
+        long extra = kind == Fault.Kind.FLAP ? told.micros("period_ms", 1_000_000, 1) : told.micros("ms", 100_000, 1);
+        return new Fault(
+                kind,
+                seconds(told, "at_s", 0),
+                kind.isMoment() ? 0 : seconds(told, "for_s", 5),
+                targets(told, "from", zones, random),
+                targets(told, "to", zones, random),
+                on,
+                told.number("share", kind == Fault.Kind.STARVE ? 0.1 : 0.3, 0, 1),
+                extra);
     }
 
     private static long seconds(Fields told, String key, double absent) {
@@ -154,13 +167,12 @@
             } else if (one.matches("share:(0(\\.\\d+)?|1(\\.0+)?)")) {
                 List<String> all = new ArrayList<>(zones.keySet());
                 Collections.shuffle(all, random);
-                chosen.addAll(all.subList(0, (int) Math.round(all.size()
-                    * Double.parseDouble(one.substring(6)))));
+                chosen.addAll(all.subList(0, (int) Math.round(all.size() * Double.parseDouble(one.substring(6)))));
             } else if (zones.containsKey(one)) {
                 chosen.add(one);
             } else {
-                throw told.bad(key, "names " + one + "; known are all, zone:X, share:0.25 and the members "
-                    + zones.keySet());
+                throw told.bad(
+                        key, "names " + one + "; known are all, zone:X, share:0.25 and the members " + zones.keySet());
             }
         }
         return chosen;
--- a/lab/src/main/java/wheatspread/lab/faults/Verdict.java
+++ b/lab/src/main/java/wheatspread/lab/faults/Verdict.java
@@ -12,8 +12,7 @@
 
 /** What the servers' own logs say of the views that they went by, and what of it must never be. */
 final class Verdict {
-    private static final Pattern VIEW = Pattern.compile(
-        "\\bview id=(\\d+)\\.(\\d+) members=(\\d+) list=(\\w+) ");
+    private static final Pattern VIEW = Pattern.compile("\\bview id=(\\d+)\\.(\\d+) members=(\\d+) list=(\\w+) ");
     private static final Pattern MISSED = Pattern.compile("(\\w+)#\\d+ MISSED");
 
     private final List<String> faults = new ArrayList<>();
@@ -35,8 +34,8 @@
             String other = lists.putIfAbsent(id, list);
             toldBy.putIfAbsent(id, process);
             if (other != null && !other.equals(list)) {
-                faults.add("two views " + id + ": " + other + " on " + toldBy.get(id) + ", " + list + " on "
-                    + process + ": " + line);
+                faults.add("two views " + id + ": " + other + " on " + toldBy.get(id) + ", " + list + " on " + process
+                        + ": " + line);
             }
             long nextEpoch = Long.parseLong(view.group(1));
             long next = Long.parseLong(view.group(2));
--- a/lab/src/main/java/wheatspread/lab/fleet/FleetProcess.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/FleetProcess.java
@@ -38,9 +38,8 @@
      *     an empty text is the program itself
      * @param rolling the object {@code roll} of the fleet's file
      */
-    public FleetProcess(Path jar, List<String> flags, int size, Map<String, String> builds,
-        JSONObject rolling)
-        throws IOException {
+    public FleetProcess(Path jar, List<String> flags, int size, Map<String, String> builds, JSONObject rolling)
+            throws IOException {
         this.jar = jar.toAbsolutePath();
         this.flags = flags;
         dir = Files.createTempDirectory("wheatspread-fleet");
@@ -52,21 +51,39 @@
         world = new World(addresses);
         JSONArray members = new JSONArray();
         for (Map.Entry<String, InetSocketAddress> one : addresses.entrySet()) {
-            JSONObject config = Sites.config(world.kernelDoor(one.getKey()).text(),
-                world.recordsDoor().text(), world.announceDoor().text(), 512, size).put("name", one.getKey());
+            JSONObject config = Sites.config(
+                            world.kernelDoor(one.getKey()).text(),
+                            world.recordsDoor().text(),
+                            world.announceDoor().text(),
+                            512,
+                            size)
+                    .put("name", one.getKey());
             Files.writeString(dir.resolve(one.getKey() + ".json"), config.toString());
-            members.put(new JSONObject().put("name", one.getKey()).put("listen", "127.0.0.1:"
-                + one.getValue().getPort()).put("config", one.getKey() + ".json"));
+            members.put(new JSONObject()
+                    .put("name", one.getKey())
+                    .put("listen", "127.0.0.1:" + one.getValue().getPort())
+                    .put("config", one.getKey() + ".json"));
         }
         JSONObject told = new JSONObject();
         builds.forEach((label, script) -> told.put(label, new JSONObject().put("command", command(script))));
-        file = Files.writeString(dir.resolve("fleet.json"), new JSONObject().put("dir", "run").put("build",
-            builds.keySet().iterator().next()).put("builds", told).put("members", members).put("stop_ms",
-                4_800)
-            .put("checks", new JSONObject().put("every_ms", 250).put("timeout_ms", 1_000).put("stale_ms",
-                4_000))
-            .put("start", new JSONObject().put("at_once", 10).put("timeout_ms", 30_000))
-            .put("restarts", new JSONObject().put("first_ms", 300)).put("roll", rolling).toString(1));
+        file = Files.writeString(
+                dir.resolve("fleet.json"),
+                new JSONObject()
+                        .put("dir", "run")
+                        .put("build", builds.keySet().iterator().next())
+                        .put("builds", told)
+                        .put("members", members)
+                        .put("stop_ms", 4_800)
+                        .put(
+                                "checks",
+                                new JSONObject()
+                                        .put("every_ms", 250)
+                                        .put("timeout_ms", 1_000)
+                                        .put("stale_ms", 4_000))
+                        .put("start", new JSONObject().put("at_once", 10).put("timeout_ms", 30_000))
+                        .put("restarts", new JSONObject().put("first_ms", 300))
+                        .put("roll", rolling)
+                        .toString(1));
     }
 
     private List<String> command(String script) {
@@ -100,25 +117,41 @@
     }
 
     private Process start(String... words) throws IOException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-            .toString(), "-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx64m", "-jar", jar.toString()));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:+UseSerialGC",
+                "-XX:TieredStopAtLevel=1",
+                "-Xmx64m",
+                "-jar",
+                jar.toString()));
         command.addAll(List.of(words));
         File log = dir.resolve("supervisor.log").toFile();
-        return new ProcessBuilder(command).redirectErrorStream(true)
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(log)).start();
+        return new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(ProcessBuilder.Redirect.appendTo(log))
+                .start();
     }
 
     /** A command of the fleet, run to its end; its exit code and what it printed. */
-    public record Ended(int code, String text) { }
+    public record Ended(int code, String text) {}
 
     /** Runs {@code fleet WORD FILE ...}. */
     public Ended fleet(String word, String... more) throws IOException, InterruptedException {
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-            .toString(), "-XX:TieredStopAtLevel=1", "-jar", jar.toString(), "fleet", word, file.toString()));
+        List<String> command = new ArrayList<>(List.of(
+                Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                "-XX:TieredStopAtLevel=1",
+                "-jar",
+                jar.toString(),
+                "fleet",
+                word,
+                file.toString()));
         command.addAll(List.of(more));
         Path out = Files.createTempFile(dir, "command", ".txt");
-        int code = new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(out.toFile()).start()
-            .waitFor();
+        int code = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(out.toFile())
+                .start()
+                .waitFor();
         return new Ended(code, Files.readString(out));
     }
 
@@ -130,7 +163,7 @@
 
     /** Waits until the status is as wanted, and returns it. */
     public JSONObject await(String what, long millis, Predicate<JSONObject> wanted)
-        throws IOException, InterruptedException {
+            throws IOException, InterruptedException {
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(millis);
         while (System.nanoTime() < until) {
             JSONObject status = status();
@@ -155,9 +188,10 @@
         int count = 0;
         for (Object told : status.getJSONArray("members")) {
             JSONObject one = (JSONObject) told;
-            count += one.getString("state").equals(state) && (build == null || one.getString("build").equals(
-                build))
-                ? 1 : 0;
+            count += one.getString("state").equals(state)
+                            && (build == null || one.getString("build").equals(build))
+                    ? 1
+                    : 0;
         }
         return count;
     }
@@ -187,9 +221,9 @@
             for (Object told : status.getJSONArray("members")) {
                 long pid = ((JSONObject) told).getLong("pid");
                 // a number may have been given away since; only what runs this jar was started here
-                ProcessHandle.of(pid).filter(one -> one.info().commandLine().orElse("").contains(jar.toString(
-                    )))
-                    .ifPresent(ProcessHandle::destroyForcibly);
+                ProcessHandle.of(pid)
+                        .filter(one -> one.info().commandLine().orElse("").contains(jar.toString()))
+                        .ifPresent(ProcessHandle::destroyForcibly);
             }
         }
         world.close();
--- a/lab/src/main/java/wheatspread/lab/fleet/FleetRoll.java
+++ b/lab/src/main/java/wheatspread/lab/fleet/FleetRoll.java
@@ -15,18 +15,28 @@
  */
 public final class FleetRoll {
     /** What is done to a fleet while it serves. */
-    public enum Deed { NOTHING, ROLL, ROLL_AND_KILL, BUILD_THAT_FAILS_ITS_START, BUILD_THAT_FAILS_LATER,
-        SUPERVISOR_KILLED }
+    public enum Deed {
+        NOTHING,
+        ROLL,
+        ROLL_AND_KILL,
+        BUILD_THAT_FAILS_ITS_START,
+        BUILD_THAT_FAILS_LATER,
+        SUPERVISOR_KILLED
+    }
 
     private static final long UP_MS = 90_000;
     /** Proxies see the list of servers late. */
     private static final long SEEN_MS = 2_300;
+
     private static final long DOWN_MS = 15_000;
     /** After this long every request is over. */
     private static final long LAST_ANSWERS_MS = 15_000;
-    private static final Map<Deed, String> SCRIPTS = Map.of(Deed.BUILD_THAT_FAILS_ITS_START,
-        "echo a build that fails its start; exit 78", Deed.BUILD_THAT_FAILS_LATER,
-        "exec timeout -s KILL 5 {serve} \"$@\"");
+
+    private static final Map<Deed, String> SCRIPTS = Map.of(
+            Deed.BUILD_THAT_FAILS_ITS_START,
+            "echo a build that fails its start; exit 78",
+            Deed.BUILD_THAT_FAILS_LATER,
+            "exec timeout -s KILL 5 {serve} \"$@\"");
 
     private final Path jar;
     private final List<String> flags;
@@ -47,17 +57,16 @@
     }
 
     /** What came of one run. */
-    public record Outcome(JSONObject figures, double[] worthBySecond, List<String> faults) { }
+    public record Outcome(JSONObject figures, double[] worthBySecond, List<String> faults) {}
 
     /** Serves for so long before and, all in all, so long; {@code share} of the fleet is rolled. */
     public Outcome play(Deed deed, double share, long beforeMillis, long millis)
-        throws IOException, InterruptedException {
+            throws IOException, InterruptedException {
         Map<String, String> builds = new LinkedHashMap<>(Map.of("v1", ""));
         builds.put("v2", SCRIPTS.getOrDefault(deed, ""));
         try (FleetProcess fleet = new FleetProcess(jar, flags, size, builds, rolling)) {
             fleet.supervise();
-            fleet.await("a fleet that is up", UP_MS, status -> FleetProcess.count(status, "UP",
-                null) == size);
+            fleet.await("a fleet that is up", UP_MS, status -> FleetProcess.count(status, "UP", null) == size);
             TimeUnit.MILLISECONDS.sleep(SEEN_MS);
             if (deed == Deed.BUILD_THAT_FAILS_LATER) {
                 fleet.world().expectSecondProcessesToDie();
@@ -73,8 +82,8 @@
             TimeUnit.MILLISECONDS.sleep(Math.max(0, left));
             fleet.world().ask(0);
             if (deed != Deed.NOTHING) {
-                fleet.await("a fleet that is up again", UP_MS,
-                    status -> FleetProcess.count(status, "UP", null) == size);
+                fleet.await(
+                        "a fleet that is up again", UP_MS, status -> FleetProcess.count(status, "UP", null) == size);
                 figures.put("on_v2", FleetProcess.count(fleet.status(), "UP", "v2"));
             }
             long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(LAST_ANSWERS_MS);
@@ -84,13 +93,12 @@
             figures.put("went_down", fleet.down(DOWN_MS));
             Ledger ledger = fleet.world().ledger();
             ledger.figures().toMap().forEach(figures::put);
-            return new Outcome(figures.put("broken_promises", ledger.broken()), ledger.bySecond(),
-                ledger.faults());
+            return new Outcome(figures.put("broken_promises", ledger.broken()), ledger.bySecond(), ledger.faults());
         }
     }
 
     private void roll(FleetProcess fleet, Deed deed, double share, JSONObject figures)
-        throws IOException, InterruptedException {
+            throws IOException, InterruptedException {
         List<String> words = List.of("--to", "v2", "--share", Double.toString(share));
         if (deed == Deed.ROLL_AND_KILL || deed == Deed.SUPERVISOR_KILLED) {
             List<String> unwaited = new java.util.ArrayList<>(words);
@@ -104,8 +112,14 @@
                 for (int i = 0; i < Math.max(1, size / 5); i++) {
                     fleet.kill("n" + (size - i));
                 }
-                figures.put("paused", fleet.await("a pause", 5_000, status -> status.getJSONObject("roll")
-                    .getBoolean("paused")).getJSONObject("roll").getBoolean("paused"));
+                figures.put(
+                        "paused",
+                        fleet.await(
+                                        "a pause",
+                                        5_000,
+                                        status -> status.getJSONObject("roll").getBoolean("paused"))
+                                .getJSONObject("roll")
+                                .getBoolean("paused"));
             } else {
                 for (int i = 0; i < 4; i++) {
                     TimeUnit.MILLISECONDS.sleep(1_300);
@@ -114,15 +128,20 @@
                     fleet.supervise();
                 }
             }
-            JSONObject roll = fleet.await("the end of the roll", UP_MS, status -> List.of("DONE", "STOPPED",
-                "ROLLED_BACK").contains(status.getJSONObject("roll").getString("status"))).getJSONObject(
-                    "roll");
+            JSONObject roll = fleet.await(
+                            "the end of the roll",
+                            UP_MS,
+                            status -> List.of("DONE", "STOPPED", "ROLLED_BACK")
+                                    .contains(status.getJSONObject("roll").getString("status")))
+                    .getJSONObject("roll");
             figures.put("roll", roll);
             return;
         }
         long began = System.nanoTime();
         FleetProcess.Ended ended = fleet.fleet("roll", words.toArray(String[]::new));
-        figures.put("command_took_ms", (System.nanoTime() - began) / 1_000_000).put("exit_code", ended.code())
-            .put("said", ended.text().strip()).put("roll", fleet.status().getJSONObject("roll"));
+        figures.put("command_took_ms", (System.nanoTime() - began) / 1_000_000)
+                .put("exit_code", ended.code())
+                .put("said", ended.text().strip())
+                .put("roll", fleet.status().getJSONObject("roll"));
     }
 }
--- a/lab/src/main/java/wheatspread/lab/load/Holder.java
+++ b/lab/src/main/java/wheatspread/lab/load/Holder.java
@@ -29,8 +29,7 @@
     private static final int CONNECTING = 400;
     private static final int OF_SOURCE = 100;
 
-    private final MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final InetSocketAddress to;
     private final boolean uwsgi;
@@ -93,8 +92,12 @@
         long began = System.nanoTime();
         loop.execute(() -> connect(count));
         await(() -> all.size() + failed >= count && answers + closed >= all.size(), 60);
-        return new JSONObject().put("open", all.size()).put("answered", answers).put("closed",
-            closed).put("failed", failed).put("took_ms", since(began));
+        return new JSONObject()
+                .put("open", all.size())
+                .put("answered", answers)
+                .put("closed", closed)
+                .put("failed", failed)
+                .put("took_ms", since(began));
     }
 
     private void connect(int count) {
@@ -103,26 +106,29 @@
             int source = firstSource + begun++ / OF_SOURCE;
             Held held = new Held();
             InetSocketAddress from = new InetSocketAddress(address(source), 0);
-            new Bootstrap().group(group).channel(NioSocketChannel.class).handler(held).connect(to, from)
-                .addListener(done -> {
-                connecting--;
-                if (done.isSuccess()) {
-                    all.add(held);
-                    held.channel = ((ChannelFuture) done).channel();
-                    held.owed = true;
-                    held.channel.writeAndFlush(check()); // as an app does that has come up
-                } else {
-                    failed++;
-                }
-                connect(count);
-            });
+            new Bootstrap()
+                    .group(group)
+                    .channel(NioSocketChannel.class)
+                    .handler(held)
+                    .connect(to, from)
+                    .addListener(done -> {
+                        connecting--;
+                        if (done.isSuccess()) {
+                            all.add(held);
+                            held.channel = ((ChannelFuture) done).channel();
+                            held.owed = true;
+                            held.channel.writeAndFlush(check()); // as an app does that has come up
+                        } else {
+                            failed++;
+                        }
+                        connect(count);
+                    });
         }
     }
 
     private static InetAddress address(int source) {
         try {
-            return InetAddress.getByAddress(new byte[] {127, 1, (byte) (source / 250), (byte) (1
-                + source % 250)});
+            return InetAddress.getByAddress(new byte[] {127, 1, (byte) (source / 250), (byte) (1 + source % 250)});
         } catch (java.net.UnknownHostException e) {
             throw new IllegalStateException(e);
         }
@@ -136,9 +142,14 @@
     public JSONObject burst() throws InterruptedException {
         long door = System.currentTimeMillis();
         Sites.Kind search = Sites.KINDS.get(1);
-        return ask(i -> uwsgi ? packet("/search", "i" + i)
-            : text(Sites.request(2, search, "barangay-kitchens", String.format("%016x", 0x5EEDL << 40
-            | (long) firstSource << 20 | i), door)));
+        return ask(i -> uwsgi
+                ? packet("/search", "i" + i)
+                : text(Sites.request(
+                        2,
+                        search,
+                        "barangay-kitchens",
+                        String.format("%016x", 0x5EEDL << 40 | (long) firstSource << 20 | i),
+                        door)));
     }
 
     private interface Message {
@@ -152,31 +163,40 @@
         }
         long[] began = new long[2];
         loop.submit(() -> {
-            answers = 0;
-            served = 0;
-            refused = 0;
-            told = 0;
-            twice = 0;
-            began[0] = System.nanoTime();
-            for (int i = 0; i < all.size(); i++) {
-                all.get(i).owed = true;
-                all.get(i).channel.writeAndFlush(messages.get(i));
-            }
-            began[1] = System.nanoTime();
-        }).syncUninterruptibly();
+                    answers = 0;
+                    served = 0;
+                    refused = 0;
+                    told = 0;
+                    twice = 0;
+                    began[0] = System.nanoTime();
+                    for (int i = 0; i < all.size(); i++) {
+                        all.get(i).owed = true;
+                        all.get(i).channel.writeAndFlush(messages.get(i));
+                    }
+                    began[1] = System.nanoTime();
+                })
+                .syncUninterruptibly();
         await(() -> answers + closed >= all.size(), 20);
         TimeUnit.MILLISECONDS.sleep(300); // second answers would come now
-        return new JSONObject().put("asked", all.size()).put("answered", answers).put("served", served)
-            .put("refused", refused).put("told_when_to_come_back", told).put("answered_twice", twice)
-            .put("closed", closed).put("sending_took_ms", (began[1] - began[0]) / 1_000_000)
-            .put("all_answered_ms", (lastAnswer - began[0]) / 1_000_000);
+        return new JSONObject()
+                .put("asked", all.size())
+                .put("answered", answers)
+                .put("served", served)
+                .put("refused", refused)
+                .put("told_when_to_come_back", told)
+                .put("answered_twice", twice)
+                .put("closed", closed)
+                .put("sending_took_ms", (began[1] - began[0]) / 1_000_000)
+                .put("all_answered_ms", (lastAnswer - began[0]) / 1_000_000);
     }
 
     /** Waits until the server has closed all. */
     public JSONObject closing(int seconds) throws InterruptedException {
         await(() -> closed >= all.size(), seconds);
-        return new JSONObject().put("closed", closed).put("of", all.size())
-            .put("from_first_to_last_ms", (lastClosed - firstClosed) / 1_000_000);
+        return new JSONObject()
+                .put("closed", closed)
+                .put("of", all.size())
+                .put("from_first_to_last_ms", (lastClosed - firstClosed) / 1_000_000);
     }
 
     private static ByteBuf text(String line) {
--- a/lab/src/main/java/wheatspread/lab/load/HolderProcess.java
+++ b/lab/src/main/java/wheatspread/lab/load/HolderProcess.java
@@ -18,12 +18,22 @@
 
     public HolderProcess(int port, int count, boolean uwsgi, int firstSource) throws IOException {
         Path java = Path.of(System.getProperty("java.home"), "bin", "java");
-        process = new ProcessBuilder(List.of(java.toString(), "-Xmx1g", "-cp",
-            System.getProperty("java.class.path"),
-            "wheatspread.lab.Lab", "hold", "--port", Integer.toString(port), "--count",
-                Integer.toString(count),
-            "--first-source", Integer.toString(firstSource), uwsgi ? "--uwsgi" : "--uwsgi=false"))
-            .redirectError(ProcessBuilder.Redirect.INHERIT).start();
+        process = new ProcessBuilder(List.of(
+                        java.toString(),
+                        "-Xmx1g",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "wheatspread.lab.Lab",
+                        "hold",
+                        "--port",
+                        Integer.toString(port),
+                        "--count",
+                        Integer.toString(count),
+                        "--first-source",
+                        Integer.toString(firstSource),
+                        uwsgi ? "--uwsgi" : "--uwsgi=false"))
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         in = new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8));
         out = process.outputWriter(StandardCharsets.UTF_8);
     }
--- a/lab/src/main/java/wheatspread/lab/load/Load.java
+++ b/lab/src/main/java/wheatspread/lab/load/Load.java
@@ -32,8 +32,7 @@
 public final class Load implements AutoCloseable {
     private static final long TICK_MICROS = 500;
 
-    private final MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final List<Channel> proxies = new ArrayList<>();
     private final Map<Long, Sent> sent = new HashMap<>();
@@ -44,7 +43,7 @@
     private long next;
     private long lastId;
 
-    private record Sent(long at, Sites.Kind kind, Stretch stretch) { }
+    private record Sent(long at, Sites.Kind kind, Stretch stretch) {}
 
     /** What became of the requests of one stretch of time. */
     public static final class Stretch {
@@ -57,13 +56,17 @@
 
         /** Its figures; times are milliseconds, of served requests. */
         public JSONObject figures() {
-            return new JSONObject().put("asked", asked).put("served", served).put("refused", refused)
-                .put("failed", failed).put("unanswered", asked - served - refused - failed)
-                .put("in_wanted_time", asked == 0 ? 0 : (double) wanted / asked)
-                .put("p50_ms", times.getValueAtPercentile(50) / 1e3)
-                .put("p99_ms", times.getValueAtPercentile(99) / 1e3)
-                .put("p999_ms", times.getValueAtPercentile(99.9) / 1e3)
-                .put("longest_ms", times.getMaxValue() / 1e3);
+            return new JSONObject()
+                    .put("asked", asked)
+                    .put("served", served)
+                    .put("refused", refused)
+                    .put("failed", failed)
+                    .put("unanswered", asked - served - refused - failed)
+                    .put("in_wanted_time", asked == 0 ? 0 : (double) wanted / asked)
+                    .put("p50_ms", times.getValueAtPercentile(50) / 1e3)
+                    .put("p99_ms", times.getValueAtPercentile(99) / 1e3)
+                    .put("p999_ms", times.getValueAtPercentile(99.9) / 1e3)
+                    .put("longest_ms", times.getMaxValue() / 1e3);
         }
 
         /** Where a percentile of the times lies, in milliseconds. */
@@ -76,14 +79,23 @@
     public Load(int port, int connections, double perSecond) {
         rate = perSecond;
         for (int i = 0; i < connections; i++) {
-            proxies.add(new Bootstrap().group(group).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel channel) {
-                        channel.pipeline().addLast(new LineBasedFrameDecoder(1 << 16),
-                            new StringDecoder(StandardCharsets.UTF_8), new Answers());
-                    }
-                }).connect("127.0.0.1", port).syncUninterruptibly().channel());
+            proxies.add(new Bootstrap()
+                    .group(group)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel channel) {
+                            channel.pipeline()
+                                    .addLast(
+                                            new LineBasedFrameDecoder(1 << 16),
+                                            new StringDecoder(StandardCharsets.UTF_8),
+                                            new Answers());
+                        }
+                    })
+                    .connect("127.0.0.1", port)
+                    .syncUninterruptibly()
+                    .channel());
         }
         loop.scheduleAtFixedRate(this::tick, 0, TICK_MICROS, TimeUnit.MICROSECONDS);
     }
@@ -100,13 +112,15 @@
     /** From now on requests belong to a new stretch. */
     public Stretch begin() {
         return loop.submit(() -> {
-            stretch = new Stretch();
-            if (!running) {
-                next = System.nanoTime();
-            }
-            running = true;
-            return stretch;
-        }).syncUninterruptibly().getNow();
+                    stretch = new Stretch();
+                    if (!running) {
+                        next = System.nanoTime();
+                    }
+                    running = true;
+                    return stretch;
+                })
+                .syncUninterruptibly()
+                .getNow();
     }
 
     public void pause() {
@@ -120,9 +134,12 @@
             long id = ++lastId;
             sent.put(id, new Sent(next, kind, stretch));
             stretch.asked++;
-            String line = Sites.request(id, kind, Sites.tenant(random), String.format("%016x",
-                0xABCL << 40 | id),
-                System.currentTimeMillis());
+            String line = Sites.request(
+                    id,
+                    kind,
+                    Sites.tenant(random),
+                    String.format("%016x", 0xABCL << 40 | id),
+                    System.currentTimeMillis());
             proxy.writeAndFlush(ByteBufUtil.writeUtf8(proxy.alloc(), line));
             next += (long) (-Math.log(1 - random.nextDouble()) / rate * 1e9);
         }
@@ -132,7 +149,9 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, String line) {
             int at = line.indexOf("\"id\":");
-            Sent one = at < 0 ? null : sent.remove(Long.parseLong(line.substring(at + 5).split("\\D")[0]));
+            Sent one = at < 0
+                    ? null
+                    : sent.remove(Long.parseLong(line.substring(at + 5).split("\\D")[0]));
             if (one == null) {
                 return;
             }
--- a/lab/src/main/java/wheatspread/lab/memory/MemoryCrowd.java
+++ b/lab/src/main/java/wheatspread/lab/memory/MemoryCrowd.java
@@ -24,9 +24,9 @@
 import wheatspread.jsonrpc.RpcFront;
 import wheatspread.lab.Sites;
 import wheatspread.lab.standins.Parties;
+import wheatspread.logging.EventLog;
 import wheatspread.sockets.Listener;
 import wheatspread.sockets.Turns;
-import wheatspread.logging.EventLog;
 import wheatspread.turns.TurnLimits;
 
 /** A crowd on one loop in memory: its heap, its longest turn, and whether all are answered once. */
@@ -53,16 +53,31 @@
         turns.usedBy(clock::now);
         Core core;
         try (Parties parties = new Parties(RUN, RUN)) {
-            ServerConfig config = ServerConfig.read(Fields.of(Sites.config(parties, 1_000).toMap(), ""));
-            core = new Core(config.site(), settings -> new Choice(settings, 1), clock,
-                (job, body, patience, to) -> clock.after(RUN, () -> to.ended(Outcome.OK, body))::cancel,
-                accepting -> { }, EventLog.NONE);
+            ServerConfig config =
+                    ServerConfig.read(Fields.of(Sites.config(parties, 1_000).toMap(), ""));
+            core = new Core(
+                    config.site(),
+                    settings -> new Choice(settings, 1),
+                    clock,
+                    (job, body, patience, to) -> clock.after(RUN, () -> to.ended(Outcome.OK, body))::cancel,
+                    accepting -> {},
+                    EventLog.NONE);
         }
         core.attach(new Runs(core));
         ConnectionLimits usual = ConnectionLimits.usual(count);
-        ConnectionLimits own = new ConnectionLimits(count, 0, 0, 1_000, 60_000_000, 60_000_000, idle,
-            2_000_000,
-            usual.toSpeak(), usual.mostHeld(), usual.mostWaiting(), usual.refusal());
+        ConnectionLimits own = new ConnectionLimits(
+                count,
+                0,
+                0,
+                1_000,
+                60_000_000,
+                60_000_000,
+                idle,
+                2_000_000,
+                usual.toSpeak(),
+                usual.mostHeld(),
+                usual.mostWaiting(),
+                usual.refusal());
         listener = new Listener(loop, turns, clock, new RpcFront(core, clock), own, EventLog.NONE);
         loop.submit(() -> core.booted(false, 20_000_000)).syncUninterruptibly();
     }
@@ -121,20 +136,23 @@
                 return null;
             });
         }
-        byte[] check = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n"
-            .getBytes(StandardCharsets.UTF_8);
+        byte[] check = "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n".getBytes(StandardCharsets.UTF_8);
         answers.set(0);
         for (int i = 0; i < count; i++) {
             channels.get(i).say(check);
         }
         await(() -> answers.get() >= count, 30);
-        figures.put("spoke", answers.get()).put("heap_per_connection",
-            (liveBytes() - empty) / (double) count);
+        figures.put("spoke", answers.get()).put("heap_per_connection", (liveBytes() - empty) / (double) count);
         TimeUnit.MICROSECONDS.sleep(turns.limits().lately() * 6 / 5); // by now they are asleep
         List<byte[]> requests = new ArrayList<>();
         for (int i = 0; i < count; i++) {
-            requests.add(Sites.request(2, Sites.KINDS.get(1), "barangay-kitchens", String.format("%016x", i),
-                System.currentTimeMillis()).getBytes(StandardCharsets.UTF_8));
+            requests.add(Sites.request(
+                            2,
+                            Sites.KINDS.get(1),
+                            "barangay-kitchens",
+                            String.format("%016x", i),
+                            System.currentTimeMillis())
+                    .getBytes(StandardCharsets.UTF_8));
         }
         answers.set(0);
         served.set(0);
@@ -144,22 +162,23 @@
             channels.get(i).say(requests.get(i));
         }
         await(() -> answers.get() >= count, 30);
-        figures.put("burst_answered", answers.get()).put("burst_served", served.get())
-            .put("burst_took_ms", (System.nanoTime() - began) / 1_000_000)
-            .put("burst_longest_turn_us", inLoop(() -> turns.times().takeLongestMicros()));
+        figures.put("burst_answered", answers.get())
+                .put("burst_served", served.get())
+                .put("burst_took_ms", (System.nanoTime() - began) / 1_000_000)
+                .put("burst_longest_turn_us", inLoop(() -> turns.times().takeLongestMicros()));
         await(() -> listener.table().size() < count, 30);
         began = System.nanoTime();
         await(() -> listener.table().size() == 0, 30);
         return figures.put("expiry_took_ms", (System.nanoTime() - began) / 1_000_000)
-            .put("expiry_left", (Object) inLoop(() -> listener.table().sizeOf(State.RESTING)))
-            .put("expiry_longest_turn_us", inLoop(() -> turns.times().takeLongestMicros()))
-            .put("timers", (Object) inLoop(() -> turns.wheel().size()));
+                .put("expiry_left", (Object) inLoop(() -> listener.table().sizeOf(State.RESTING)))
+                .put("expiry_longest_turn_us", inLoop(() -> turns.times().takeLongestMicros()))
+                .put("timers", (Object) inLoop(() -> turns.wheel().size()));
     }
 
     private void hear(MemoryChannel from, ByteBuf bytes) {
         answers.incrementAndGet();
         if (bytes.indexOf(bytes.readerIndex(), bytes.writerIndex(), (byte) '\n') > 0
-            && bytes.toString(StandardCharsets.UTF_8).contains("\"result\"")) {
+                && bytes.toString(StandardCharsets.UTF_8).contains("\"result\"")) {
             served.incrementAndGet();
         }
     }
--- a/lab/src/main/java/wheatspread/lab/memory/MemoryTransport.java
+++ b/lab/src/main/java/wheatspread/lab/memory/MemoryTransport.java
@@ -23,7 +23,7 @@
  */
 final class MemoryTransport implements Transport {
     private static final int READY_AT_ONCE = 4_096;
-    static final IoEvent READ = new IoEvent() { };
+    static final IoEvent READ = new IoEvent() {};
 
     @Override
     public String name() {
--- a/lab/src/main/java/wheatspread/lab/model/ModelFleet.java
+++ b/lab/src/main/java/wheatspread/lab/model/ModelFleet.java
@@ -25,9 +25,11 @@
 final class ModelFleet {
     /** One way between two servers, at least and at most; us. */
     private static final long NEAR = 200;
+
     private static final long FAR = 3_000;
     /** The size of so many messages is measured: one in this many. */
     private static final int MEASURED = 16;
+
     private static final long CALENDAR = 1_700_000_000_000L;
 
     private final VirtualTime time;
@@ -45,7 +47,7 @@
     private long bytes;
 
     /** Somebody whom a change of the view took out as missed, first seen at that time. */
-    record Missed(String name, long at, boolean alive) { }
+    record Missed(String name, long at, boolean alive) {}
 
     /** One process of a member. */
     private final class Process {
@@ -53,6 +55,7 @@
         boolean alive = true;
         /** It is stopped until then. */
         long stoppedUntil;
+
         long planned = Long.MAX_VALUE;
 
         Process(Member self) {
@@ -142,8 +145,7 @@
         }
     }
 
-    ModelFleet(VirtualTime time, Links links, SplittableRandom random, DetectorSettings settings,
-               List<String> seeds) {
+    ModelFleet(VirtualTime time, Links links, SplittableRandom random, DetectorSettings settings, List<String> seeds) {
         this.time = time;
         this.links = links;
         this.random = random;
@@ -194,8 +196,10 @@
             if (one.alive) {
                 View view = one.membership.view();
                 boolean stands = one.membership.stands(time.now());
-                counts.merge(view == null ? "none" : view.id() + " of " + view.size()
-                    + (stands ? "" : " old"), 1, Integer::sum);
+                counts.merge(
+                        view == null ? "none" : view.id() + " of " + view.size() + (stands ? "" : " old"),
+                        1,
+                        Integer::sum);
             }
         });
         return counts;
@@ -207,8 +211,10 @@
         for (Process one : processes.values()) {
             if (one.alive) {
                 View view = one.membership.view();
-                if (view == null || view.size() != size || first != null && !first.id().equals(view.id())
-                    || !one.membership.stands(time.now())) {
+                if (view == null
+                        || view.size() != size
+                        || first != null && !first.id().equals(view.id())
+                        || !one.membership.stands(time.now())) {
                     return false;
                 }
                 first = view;
--- a/lab/src/main/java/wheatspread/lab/model/ModelRun.java
+++ b/lab/src/main/java/wheatspread/lab/model/ModelRun.java
@@ -32,15 +32,15 @@
     private final List<double[]> seconds = new ArrayList<>();
 
     /** What came of it; {@code faults} is empty where all held. A second has messages, bytes and views. */
-    public record Outcome(JSONObject figures, List<String> faults, List<double[]> seconds) { }
+    public record Outcome(JSONObject figures, List<String> faults, List<double[]> seconds) {}
 
     public ModelRun(Scenario scenario, DetectorSettings settings, long seed) {
         this.scenario = scenario;
         this.seed = seed;
         SplittableRandom random = new SplittableRandom(seed);
         links = new Links(random.split());
-        fleet = new ModelFleet(time, links, random.split(), settings,
-            scenario.members().subList(0, scenario.seeds()));
+        fleet = new ModelFleet(
+                time, links, random.split(), settings, scenario.members().subList(0, scenario.seeds()));
     }
 
     /** Once an object. */
@@ -70,8 +70,9 @@
     }
 
     private int size() {
-        return scenario.expect().members() >= 0 ? scenario.expect().members()
-            : scenario.members().size() - ended.size();
+        return scenario.expect().members() >= 0
+                ? scenario.expect().members()
+                : scenario.members().size() - ended.size();
     }
 
     // ---- what befalls them ----
@@ -104,7 +105,7 @@
                 fleet.leave(name);
                 time.at(time.now() + 2 * SECOND, () -> fleet.kill(name));
             }
-            default -> { } // garbage is for those who read bytes
+            default -> {} // garbage is for those who read bytes
         }
     }
 
@@ -125,8 +126,8 @@
                 faults.add("no quorum lives, and not all say so: " + fleet.standing());
             }
         } else if (converged < 0 || converged > scenario.expect().converged()) {
-            faults.add("one view of " + size() + (converged < 0 ? " never came: " + fleet.standing()
-                : " after " + converged / 1_000 + " ms"));
+            faults.add("one view of " + size()
+                    + (converged < 0 ? " never came: " + fleet.standing() : " after " + converged / 1_000 + " ms"));
         } else if (!fleet.agree(size())) {
             faults.add("the view did not last until the end: " + fleet.standing());
         }
@@ -141,12 +142,22 @@
             faults.add("missed were " + missed + "; expected " + new TreeSet<>(gone));
         }
         double memberSeconds = scenario.members().size() * (scenario.run() / 1e6);
-        return new Outcome(new JSONObject().put("seed", seed).put("members", scenario.members().size())
-            .put("converged_ms", converged < 0 ? -1 : converged / 1_000).put("views", views)
-            .put("missed", new JSONArray(missed))
-            .put("missed_alive", fleet.missed().stream().filter(ModelFleet.Missed::alive).count())
-            .put("messages_per_member_s", (fleet.messages() - messages) / memberSeconds)
-            .put("bytes_per_member_s", (fleet.bytes() - bytes) / memberSeconds)
-            .put("steps_per_s", time.carriedOut() / (wall / 1e9)), faults, seconds);
+        return new Outcome(
+                new JSONObject()
+                        .put("seed", seed)
+                        .put("members", scenario.members().size())
+                        .put("converged_ms", converged < 0 ? -1 : converged / 1_000)
+                        .put("views", views)
+                        .put("missed", new JSONArray(missed))
+                        .put(
+                                "missed_alive",
+                                fleet.missed().stream()
+                                        .filter(ModelFleet.Missed::alive)
+                                        .count())
+                        .put("messages_per_member_s", (fleet.messages() - messages) / memberSeconds)
+                        .put("bytes_per_member_s", (fleet.bytes() - bytes) / memberSeconds)
+                        .put("steps_per_s", time.carriedOut() / (wall / 1e9)),
+                faults,
+                seconds);
     }
 }
--- a/lab/src/main/java/wheatspread/lab/model/ModelSweep.java
+++ b/lab/src/main/java/wheatspread/lab/model/ModelSweep.java
@@ -55,19 +55,32 @@
                 outcome.figures().put("wrong_removals_per_h", hourly);
                 tell(detector.getKey() + ", loss " + loss, outcome);
                 wrong.computeIfAbsent(detector.getKey(), none -> new LinkedHashMap<>())
-                    .put(Math.round(loss * 100) + "%", hourly);
+                        .put(Math.round(loss * 100) + "%", hourly);
             }
         }
         if (out != null) {
             Files.createDirectories(out);
-            Report.bars(out.resolve("membership-detect.png"), "From a crash to one view on all", "ms",
-                Map.of("usual settings", detect));
-            Report.bars(out.resolve("membership-bytes.png"), "Sent by each member", "bytes a second",
-                Map.of("usual settings", bytes));
-            Report.lines(out.resolve("membership-messages.png"),
-                "Messages of each member round a crash at 5 s", "s", "messages a second", messages);
-            Report.bars(out.resolve("membership-wrong.png"), "Healthy members taken out, fleet of "
-                + LOSS_FLEET, "an hour", wrong);
+            Report.bars(
+                    out.resolve("membership-detect.png"),
+                    "From a crash to one view on all",
+                    "ms",
+                    Map.of("usual settings", detect));
+            Report.bars(
+                    out.resolve("membership-bytes.png"),
+                    "Sent by each member",
+                    "bytes a second",
+                    Map.of("usual settings", bytes));
+            Report.lines(
+                    out.resolve("membership-messages.png"),
+                    "Messages of each member round a crash at 5 s",
+                    "s",
+                    "messages a second",
+                    messages);
+            Report.bars(
+                    out.resolve("membership-wrong.png"),
+                    "Healthy members taken out, fleet of " + LOSS_FLEET,
+                    "an hour",
+                    wrong);
         }
         return held;
     }
@@ -104,15 +117,19 @@
 
     private static Scenario crash(int size) {
         Fault crash = new Fault(Fault.Kind.KILL, 5 * SECOND, 0, Set.of(), Set.of(), Set.of("m" + size), 1, 1);
-        return new Scenario(members(size), Math.min(3, size), 0, CRASH_RUN, List.of(crash),
-            new Scenario.Expect(1, -1, 5 * SECOND, Set.of("m" + size)));
+        return new Scenario(
+                members(size),
+                Math.min(3, size),
+                0,
+                CRASH_RUN,
+                List.of(crash),
+                new Scenario.Expect(1, -1, 5 * SECOND, Set.of("m" + size)));
     }
 
     private static Scenario loss(double share) {
         Map<String, String> zones = members(LOSS_FLEET);
-        Fault loss = new Fault(Fault.Kind.LOSS, 0, LOSS_RUN, zones.keySet(), zones.keySet(), Set.of(), share,
-            1);
-        return new Scenario(zones, 3, 0, LOSS_RUN + 20 * SECOND, List.of(loss),
-            new Scenario.Expect(-1, -1, 20 * SECOND, null));
+        Fault loss = new Fault(Fault.Kind.LOSS, 0, LOSS_RUN, zones.keySet(), zones.keySet(), Set.of(), share, 1);
+        return new Scenario(
+                zones, 3, 0, LOSS_RUN + 20 * SECOND, List.of(loss), new Scenario.Expect(-1, -1, 20 * SECOND, null));
     }
 }
--- a/lab/src/main/java/wheatspread/lab/report/Report.java
+++ b/lab/src/main/java/wheatspread/lab/report/Report.java
@@ -46,10 +46,11 @@
         for (String line : Files.readAllLines(Path.of("/proc/cpuinfo"))) {
             model = line.startsWith("model name") ? line.substring(line.indexOf(':') + 2) : model;
         }
-        return new JSONObject().put("processor", model).put("cores",
-            Runtime.getRuntime().availableProcessors())
-            .put("system", System.getProperty("os.name") + " " + System.getProperty("os.version"))
-            .put("java", System.getProperty("java.version"));
+        return new JSONObject()
+                .put("processor", model)
+                .put("cores", Runtime.getRuntime().availableProcessors())
+                .put("system", System.getProperty("os.name") + " " + System.getProperty("os.version"))
+                .put("java", System.getProperty("java.version"));
     }
 
     /** Writes {@code NAME.json} into a folder. */
@@ -61,32 +62,43 @@
     }
 
     private static String command() {
-        return "java -jar lab/target/wheatspread-lab.jar " + System.getProperty("sun.java.command", "")
-            .replaceFirst("^\\S+ ?", "");
+        return "java -jar lab/target/wheatspread-lab.jar "
+                + System.getProperty("sun.java.command", "").replaceFirst("^\\S+ ?", "");
     }
 
     /** Draws bars, one group for each series, into {@code NAME.png}. */
     public static void bars(Path file, String title, String unit, Map<String, Map<String, Double>> series)
-        throws IOException {
+            throws IOException {
         Files.createDirectories(file.toAbsolutePath().getParent());
         System.setProperty("java.awt.headless", "true");
-        CategoryChart chart = new CategoryChartBuilder().width(900).height(500).title(title).yAxisTitle(unit)
-            .build();
+        CategoryChart chart = new CategoryChartBuilder()
+                .width(900)
+                .height(500)
+                .title(title)
+                .yAxisTitle(unit)
+                .build();
         chart.getStyler().setLegendVisible(true);
         List<String> names = new ArrayList<>(new TreeMap<>(series).keySet());
         for (String one : names) {
-            chart.addSeries(one, new ArrayList<>(series.get(one).keySet()),
-                new ArrayList<>(series.get(one).values()));
+            chart.addSeries(
+                    one,
+                    new ArrayList<>(series.get(one).keySet()),
+                    new ArrayList<>(series.get(one).values()));
         }
         BitmapEncoder.saveBitmap(chart, file.toString(), BitmapEncoder.BitmapFormat.PNG);
     }
 
     /** Draws lines over equal steps of one, from 0, into a file; values that are no numbers are left out. */
     public static void lines(Path file, String title, String x, String y, Map<String, double[]> series)
-        throws IOException {
+            throws IOException {
         System.setProperty("java.awt.headless", "true");
-        XYChart chart = new XYChartBuilder().width(1_000).height(500).title(title).xAxisTitle(x).yAxisTitle(y)
-            .build();
+        XYChart chart = new XYChartBuilder()
+                .width(1_000)
+                .height(500)
+                .title(title)
+                .xAxisTitle(x)
+                .yAxisTitle(y)
+                .build();
         series.forEach((name, values) -> {
             List<Integer> at = new ArrayList<>();
             List<Double> told = new ArrayList<>();
--- a/lab/src/main/java/wheatspread/lab/rig/HandedSocket.java
+++ b/lab/src/main/java/wheatspread/lab/rig/HandedSocket.java
@@ -49,8 +49,9 @@
     private long lastStarted;
 
     HandedSocket() throws IOException {
-        holder = new ProcessBuilder("perl", "-e", HOLDER).redirectError(ProcessBuilder.Redirect.INHERIT)
-            .start();
+        holder = new ProcessBuilder("perl", "-e", HOLDER)
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
         out = holder.outputWriter(StandardCharsets.UTF_8);
         in = holder.inputReader(StandardCharsets.UTF_8);
         String line = in.readLine();
--- a/lab/src/main/java/wheatspread/lab/rig/HandoverRun.java
+++ b/lab/src/main/java/wheatspread/lab/rig/HandoverRun.java
@@ -24,7 +24,11 @@
  */
 public final class HandoverRun {
     /** What becomes of the two. */
-    public enum End { OLD_LEAVES, OLD_KILLED, NEW_DIES_BEFORE_READY }
+    public enum End {
+        OLD_LEAVES,
+        OLD_KILLED,
+        NEW_DIES_BEFORE_READY
+    }
 
     private static final String NAME = "n1";
     private static final long UP_MS = 30_000;
@@ -49,8 +53,9 @@
         Random random = new Random(seed);
         List<String> faults = new ArrayList<>();
         Path dir = Files.createTempDirectory("wheatspread-handover");
-        try (HandedSocket socket = new HandedSocket(); Signals signals = new Signals();
-             World world = new World(Map.of(NAME, new InetSocketAddress("127.0.0.1", socket.port())))) {
+        try (HandedSocket socket = new HandedSocket();
+                Signals signals = new Signals();
+                World world = new World(Map.of(NAME, new InetSocketAddress("127.0.0.1", socket.port())))) {
             Ports ports = new Ports();
             InetSocketAddress oldDoor = ports.next();
             InetSocketAddress newDoor = ports.next();
@@ -110,14 +115,27 @@
         }
     }
 
-    private ProcessHandle start(Path dir, String which, HandedSocket socket, World world, Door kernel,
-                                InetSocketAddress door) throws IOException, InterruptedException {
-        Path config = Files.writeString(dir.resolve(which + ".json"), Sites.config(kernel.text(),
-            world.recordsDoor().text(), world.announceDoor().text(), 512, 1).put("name", NAME).put("listen",
-                "127.0.0.1:" + socket.port()).toString());
-        List<String> command = new ArrayList<>(List.of("/usr/bin/env", "GW_CONFIG=" + config,
-            "GW_CONTROL=127.0.0.1:" + door.getPort(), "GW_INHERITED_FD=0", "TMPDIR=" + dir,
-            Path.of(System.getProperty("java.home"), "bin", "java").toString()));
+    private ProcessHandle start(
+            Path dir, String which, HandedSocket socket, World world, Door kernel, InetSocketAddress door)
+            throws IOException, InterruptedException {
+        Path config = Files.writeString(
+                dir.resolve(which + ".json"),
+                Sites.config(
+                                kernel.text(),
+                                world.recordsDoor().text(),
+                                world.announceDoor().text(),
+                                512,
+                                1)
+                        .put("name", NAME)
+                        .put("listen", "127.0.0.1:" + socket.port())
+                        .toString());
+        List<String> command = new ArrayList<>(List.of(
+                "/usr/bin/env",
+                "GW_CONFIG=" + config,
+                "GW_CONTROL=127.0.0.1:" + door.getPort(),
+                "GW_INHERITED_FD=0",
+                "TMPDIR=" + dir,
+                Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(flags);
         command.addAll(List.of("-jar", jar.toAbsolutePath().toString(), "serve"));
         return socket.start(dir.resolve(which + ".log"), command);
--- a/lab/src/main/java/wheatspread/lab/rig/Member.java
+++ b/lab/src/main/java/wheatspread/lab/rig/Member.java
@@ -26,6 +26,7 @@
     private Path operator;
     /** Where its operators' door listens; null for none. */
     private InetSocketAddress door;
+
     private Process process;
     private ProcessLog log;
 
--- a/lab/src/main/java/wheatspread/lab/rig/ReloadRun.java
+++ b/lab/src/main/java/wheatspread/lab/rig/ReloadRun.java
@@ -26,13 +26,25 @@
  */
 public final class ReloadRun {
     /** What a server meets while its addresses move. */
-    public enum Trouble { NONE, KERNEL_LATE, KERNEL_BOOTS_LATE, KERNEL_COLD, PAUSED, STARVED }
+    public enum Trouble {
+        NONE,
+        KERNEL_LATE,
+        KERNEL_BOOTS_LATE,
+        KERNEL_COLD,
+        PAUSED,
+        STARVED
+    }
 
     /** What moves. */
-    enum Part { KERNELS, RECORDS, ANNOUNCE }
+    enum Part {
+        KERNELS,
+        RECORDS,
+        ANNOUNCE
+    }
 
     /** By the protocol's page. */
     private static final long OLD_CLOSE_MS = 1_500;
+
     private static final long FOUND_MS = 8_000;
     private static final long BETWEEN_MS = 1_000;
     private static final long SECOND_AFTER_MS = 300;
@@ -51,7 +63,7 @@
     }
 
     /** What came of it; {@code faults} is empty where every promise was kept. */
-    public record Outcome(JSONObject figures, List<String> faults) { }
+    public record Outcome(JSONObject figures, List<String> faults) {}
 
     /** One server for each trouble; every round gives each server another one. */
     public Outcome play(long seed) throws Exception {
@@ -61,8 +73,11 @@
             rig.start();
             rig.world().ask(rate);
             TimeUnit.MILLISECONDS.sleep(BETWEEN_MS);
-            for (Set<Part> moving : List.of(EnumSet.of(Part.KERNELS), EnumSet.of(Part.RECORDS),
-                EnumSet.of(Part.ANNOUNCE), EnumSet.allOf(Part.class))) {
+            for (Set<Part> moving : List.of(
+                    EnumSet.of(Part.KERNELS),
+                    EnumSet.of(Part.RECORDS),
+                    EnumSet.of(Part.ANNOUNCE),
+                    EnumSet.allOf(Part.class))) {
                 round(rig, moving, moving.size() > 1, random, faults);
                 TimeUnit.MILLISECONDS.sleep(BETWEEN_MS);
             }
@@ -77,13 +92,13 @@
                     faults.add(member.name() + " left with " + code + ": " + tail(member));
                 }
             }
-            return new Outcome(ledger.figures().put("seed", seed).put("open_at_end", open)
-                .put("left_in_order", left), faults);
+            return new Outcome(
+                    ledger.figures().put("seed", seed).put("open_at_end", open).put("left_in_order", left), faults);
         }
     }
 
     private void round(Rig rig, Set<Part> moving, boolean twice, Random random, List<String> faults)
-        throws IOException, InterruptedException {
+            throws IOException, InterruptedException {
         List<Trouble> troubles = new ArrayList<>(List.of(Trouble.values()));
         Collections.shuffle(troubles, random);
         Map<Member, Integer> linksBefore = new HashMap<>();
@@ -128,13 +143,15 @@
         for (int i = 0; i < troubles.size(); i++) {
             Member member = rig.members().get(i);
             String at = "kernel=/" + rig.world().kernelDoor(member.name()).text();
-            boolean told = member.log().await(line -> line.contains("INFO") && line.contains("reload ")
-                && line.contains(at), FOUND_MS) != null;
-            boolean linked = !moving.contains(Part.KERNELS) || linksAbove(rig, member,
-                linksBefore.get(member));
+            boolean told = member.log()
+                            .await(
+                                    line -> line.contains("INFO") && line.contains("reload ") && line.contains(at),
+                                    FOUND_MS)
+                    != null;
+            boolean linked = !moving.contains(Part.KERNELS) || linksAbove(rig, member, linksBefore.get(member));
             if (!told || !linked) {
                 faults.add(member.name() + " with " + troubles.get(i) + " while " + moving + " moved: "
-                    + (told ? "no link at the new kernel" : "no reload logged") + "; " + tail(member));
+                        + (told ? "no link at the new kernel" : "no reload logged") + "; " + tail(member));
             }
         }
     }
@@ -170,7 +187,7 @@
     }
 
     private static void meet(World world, Member member, Trouble trouble, long millis)
-        throws IOException, InterruptedException {
+            throws IOException, InterruptedException {
         long from = System.currentTimeMillis();
         switch (trouble) {
             case KERNEL_LATE -> {
@@ -191,7 +208,7 @@
                 world.paused(member.name(), from, from + STARVED_MS);
                 member.starve(STARVED_SHARE, STARVED_MS);
             }
-            default -> { }
+            default -> {}
         }
     }
 
--- a/lab/src/main/java/wheatspread/lab/rig/Rig.java
+++ b/lab/src/main/java/wheatspread/lab/rig/Rig.java
@@ -25,6 +25,7 @@
     private static final long SEEN_MS = 2_300;
     /** After this long every request is over. */
     private static final long LAST_ANSWERS_MS = 16_000;
+
     private static final int SOCKETS = 512;
 
     private final Ports ports = new Ports();
@@ -46,8 +47,8 @@
     /** Servers of these names. */
     public Rig(Path jar, List<String> flags, List<String> names) throws IOException {
         dir = Files.createTempDirectory("wheatspread-rig");
-        List<String> command = new ArrayList<>(List.of(Path.of(System.getProperty("java.home"), "bin", "java")
-            .toString()));
+        List<String> command = new ArrayList<>(
+                List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
         command.addAll(flags);
         command.addAll(List.of("-jar", jar.toAbsolutePath().toString(), "serve"));
         for (String name : names) {
@@ -88,10 +89,13 @@
 
     /** Writes the configuration of a server with the addresses of this moment. */
     public void configure(Member member) throws IOException {
-        JSONObject config = Sites.config(world.kernelDoor(member.name()).text(), world.recordsDoor().text(),
-            world.announceDoor().text(), SOCKETS, members.size());
-        member.configure(config.put("name", member.name()).put("listen",
-            Listening.text(addresses.get(member.name()))));
+        JSONObject config = Sites.config(
+                world.kernelDoor(member.name()).text(),
+                world.recordsDoor().text(),
+                world.announceDoor().text(),
+                SOCKETS,
+                members.size());
+        member.configure(config.put("name", member.name()).put("listen", Listening.text(addresses.get(member.name()))));
     }
 
     /** Ends the load and waits until every request is over; returns how many still lack an answer. */
--- a/lab/src/main/java/wheatspread/lab/standins/Door.java
+++ b/lab/src/main/java/wheatspread/lab/standins/Door.java
@@ -43,19 +43,27 @@
 
     private void open(int at) {
         ChannelGroup children = new DefaultChannelGroup(GlobalEventExecutor.INSTANCE);
-        listening = new ServerBootstrap().group(group).channel(NioServerSocketChannel.class)
-            .childOption(ChannelOption.TCP_NODELAY, true).option(ChannelOption.SO_REUSEADDR, true)
-            .childHandler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel child) {
-                    children.add(child);
-                    if (lines) {
-                        child.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE),
-                            new StringDecoder(StandardCharsets.UTF_8));
+        listening = new ServerBootstrap()
+                .group(group)
+                .channel(NioServerSocketChannel.class)
+                .childOption(ChannelOption.TCP_NODELAY, true)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .childHandler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel child) {
+                        children.add(child);
+                        if (lines) {
+                            child.pipeline()
+                                    .addLast(
+                                            new LineBasedFrameDecoder(LONGEST_LINE),
+                                            new StringDecoder(StandardCharsets.UTF_8));
+                        }
+                        child.pipeline().addLast(new StringEncoder(StandardCharsets.UTF_8), handler.get());
                     }
-                    child.pipeline().addLast(new StringEncoder(StandardCharsets.UTF_8), handler.get());
-                }
-            }).bind(HOST, at).syncUninterruptibly().channel();
+                })
+                .bind(HOST, at)
+                .syncUninterruptibly()
+                .channel();
         open = children;
         port = ((InetSocketAddress) listening.localAddress()).getPort();
     }
@@ -79,9 +87,13 @@
         ChannelGroup left = open;
         open(0);
         before.close().syncUninterruptibly();
-        group.next().schedule(() -> {
-            left.close();
-        }, closeAfter, TimeUnit.MILLISECONDS);
+        group.next()
+                .schedule(
+                        () -> {
+                            left.close();
+                        },
+                        closeAfter,
+                        TimeUnit.MILLISECONDS);
     }
 
     /** Refuses at this address; what is open stays. */
--- a/lab/src/main/java/wheatspread/lab/standins/Doors.java
+++ b/lab/src/main/java/wheatspread/lab/standins/Doors.java
@@ -12,8 +12,7 @@
 public final class Doors {
     private static final int PATIENCE_MS = 1_000;
 
-    private Doors() {
-    }
+    private Doors() {}
 
     /** The body of the answer; null where there is none in time. */
     public static String ask(InetSocketAddress door, String call) {
--- a/lab/src/main/java/wheatspread/lab/standins/Folders.java
+++ b/lab/src/main/java/wheatspread/lab/standins/Folders.java
@@ -8,7 +8,7 @@
 
 /** Folders that a measurement made. */
 public final class Folders {
-    private Folders() { }
+    private Folders() {}
 
     /** Deletes a folder with all that is in it; nothing where it is not there. */
     public static void delete(Path folder) throws IOException {
--- a/lab/src/main/java/wheatspread/lab/standins/Listening.java
+++ b/lab/src/main/java/wheatspread/lab/standins/Listening.java
@@ -7,11 +7,10 @@
 
 /** The address of a stand-in that stays where it is. */
 public final class Listening {
-    private Listening() { }
+    private Listening() {}
 
     /** {@code lines}: whether the handler gets lines of text, or the bytes as they come. */
-    public static InetSocketAddress on(EventLoopGroup group, Supplier<ChannelHandler> handler,
-        boolean lines) {
+    public static InetSocketAddress on(EventLoopGroup group, Supplier<ChannelHandler> handler, boolean lines) {
         return new Door(group, handler, lines).address();
     }
 
--- a/lab/src/main/java/wheatspread/lab/standins/Parties.java
+++ b/lab/src/main/java/wheatspread/lab/standins/Parties.java
@@ -17,8 +17,7 @@
  * report.
  */
 public final class Parties implements AutoCloseable {
-    private final MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final long runMicros;
     private final long callMicros;
     private final InetSocketAddress kernel;
@@ -66,13 +65,24 @@
             JSONObject command = new JSONObject(line);
             String job = command.optString("job");
             switch (command.getString("type")) {
-                case "OPEN" -> say(ctx, new JSONObject().put("type", "BOOTED").put("state", "WARM")
-                    .put("took", 20_000));
-                case "SYSINFO" -> say(ctx, new JSONObject().put("type", "INFO").put("ref", command.get("ref"))
-                    .put("gauges", List.of(0.3, 1, 0.1, 10)));
+                case "OPEN" ->
+                    say(
+                            ctx,
+                            new JSONObject()
+                                    .put("type", "BOOTED")
+                                    .put("state", "WARM")
+                                    .put("took", 20_000));
+                case "SYSINFO" ->
+                    say(
+                            ctx,
+                            new JSONObject()
+                                    .put("type", "INFO")
+                                    .put("ref", command.get("ref"))
+                                    .put("gauges", List.of(0.3, 1, 0.1, 10)));
                 case "SCHED" -> {
                     runs++;
-                    boolean calls = callMicros >= 0 && !command.getString("kind").equals("search");
+                    boolean calls =
+                            callMicros >= 0 && !command.getString("kind").equals("search");
                     after(ctx, runMicros, () -> {
                         if (calls) {
                             say(ctx, notice("IOREQ", job).put("data", "Y2FsbA=="));
@@ -92,8 +102,12 @@
         }
 
         private void end(ChannelHandlerContext ctx, String job, String state) {
-            say(ctx, notice("REAP", job).put("state", state).put("took", runMicros / 1e3).put("data",
-                "b2s="));
+            say(
+                    ctx,
+                    notice("REAP", job)
+                            .put("state", state)
+                            .put("took", runMicros / 1e3)
+                            .put("data", "b2s="));
         }
 
         private void say(ChannelHandlerContext ctx, JSONObject message) {
@@ -110,8 +124,7 @@
         @Override
         protected void channelRead0(ChannelHandlerContext ctx, String line) {
             if (line.isEmpty()) {
-                ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 204 No Content\r\n\r\n",
-                    StandardCharsets.US_ASCII));
+                ctx.writeAndFlush(Unpooled.copiedBuffer("HTTP/1.1 204 No Content\r\n\r\n", StandardCharsets.US_ASCII));
             }
         }
     }
--- a/lab/src/main/java/wheatspread/lab/standins/ProcessLog.java
+++ b/lab/src/main/java/wheatspread/lab/standins/ProcessLog.java
@@ -23,8 +23,8 @@
     }
 
     private void read() {
-        try (BufferedReader in = new BufferedReader(new InputStreamReader(process.getInputStream(),
-            StandardCharsets.UTF_8))) {
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(process.getInputStream(), StandardCharsets.UTF_8))) {
             for (String line = in.readLine(); line != null; line = in.readLine()) {
                 add(line);
             }
--- a/lab/src/main/java/wheatspread/lab/standins/RecordsHandler.java
+++ b/lab/src/main/java/wheatspread/lab/standins/RecordsHandler.java
@@ -20,7 +20,8 @@
         if (end < 0) {
             return;
         }
-        String[] words = in.toString(in.readerIndex(), end - 1, StandardCharsets.US_ASCII).split(" ");
+        String[] words = in.toString(in.readerIndex(), end - 1, StandardCharsets.US_ASCII)
+                .split(" ");
         if (words[0].equals("UNOP")) {
             in.skipBytes(end + 1);
             return;
--- a/lab/src/main/java/wheatspread/lab/standins/ServerProcess.java
+++ b/lab/src/main/java/wheatspread/lab/standins/ServerProcess.java
@@ -26,7 +26,7 @@
      * {@code core} is the core to run on, -1 for any.
      */
     public ServerProcess(Path jar, JSONObject config, String operator, List<String> flags, int core)
-        throws IOException, InterruptedException {
+            throws IOException, InterruptedException {
         Path dir = Files.createTempDirectory("wheatspread-lab");
         Files.writeString(dir.resolve("config.json"), config.toString());
         List<String> command = new ArrayList<>();
@@ -37,7 +37,8 @@
         command.addAll(flags);
         command.addAll(List.of("-jar", jar.toString(), "serve"));
         if (operator != null) {
-            command.add(Files.writeString(dir.resolve("operator.json"), operator).toString());
+            command.add(
+                    Files.writeString(dir.resolve("operator.json"), operator).toString());
         }
         ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
         builder.environment().put("GW_CONFIG", dir.resolve("config.json").toString());
@@ -47,8 +48,8 @@
         if (log.await(line -> line.contains("to=SERVING") || line.contains("phase SERVING"), UP_MS) == null) {
             throw new IOException("the server does not start: " + log.lines());
         }
-        Matcher matcher = Pattern.compile("/127\\.0\\.0\\.1:(\\d+)").matcher(
-            log.await(line -> line.contains("listening "), UP_MS));
+        Matcher matcher = Pattern.compile("/127\\.0\\.0\\.1:(\\d+)")
+                .matcher(log.await(line -> line.contains("listening "), UP_MS));
         while (matcher.find()) {
             addresses.add(matcher.group(1));
         }
@@ -112,11 +113,14 @@
     /** The lines of a diagnostic command of the JDK. */
     public List<String> jcmd(String... words) throws IOException, InterruptedException {
         List<String> command = new ArrayList<>(List.of(
-            Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
-                Long.toString(process.pid())));
+                Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(), Long.toString(process.pid())));
         command.addAll(List.of(words));
         File out = File.createTempFile("jcmd", ".txt");
-        new ProcessBuilder(command).redirectErrorStream(true).redirectOutput(out).start().waitFor();
+        new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectOutput(out)
+                .start()
+                .waitFor();
         List<String> lines = Files.readAllLines(out.toPath());
         Files.delete(out.toPath());
         return lines;
--- a/lab/src/main/java/wheatspread/lab/store/StoreRuns.java
+++ b/lab/src/main/java/wheatspread/lab/store/StoreRuns.java
@@ -18,8 +18,7 @@
 /** Groups of one size written by each of the writers in turns, on fresh files. */
 public final class StoreRuns {
     public static final List<String> WRITERS = List.of("bare", "store", "plain");
-    private static final StoreSettings SETTINGS = StoreSettings.DEFAULT.withSizes(64 << 20, 4L << 30,
-        1L << 30);
+    private static final StoreSettings SETTINGS = StoreSettings.DEFAULT.withSizes(64 << 20, 4L << 30, 1L << 30);
 
     /** Groups that wait at a time while writes are counted: one is written while others gather. */
     private static final int IN_FLIGHT = 4;
@@ -38,7 +37,10 @@
 
     /** A key of 24 bytes. */
     public static byte[] key(long number) {
-        return ByteBuffer.allocate(24).putLong(number * 0x9E3779B97F4A7C15L).putLong(number).array();
+        return ByteBuffer.allocate(24)
+                .putLong(number * 0x9E3779B97F4A7C15L)
+                .putLong(number)
+                .array();
     }
 
     /** Writes a second and the latency of a group, the medians of all rounds; and the ratios. */
@@ -55,7 +57,7 @@
         JSONObject figures = new JSONObject();
         all.forEach((one, runs) -> figures.put(one, medians(runs)));
         return figures.put("times_plain", ratio(all, "store", "plain"))
-            .put("bare_over_store", ratio(all, "bare", "store"));
+                .put("bare_over_store", ratio(all, "bare", "store"));
     }
 
     /** The median of the ratios within each round, since the disk is not the same from one to the next. */
@@ -63,7 +65,7 @@
         double[] ratios = new double[all.get(one).size()];
         for (int i = 0; i < ratios.length; i++) {
             ratios[i] = all.get(one).get(i).getDouble("writes_per_s")
-                / all.get(other).get(i).getDouble("writes_per_s");
+                    / all.get(other).get(i).getDouble("writes_per_s");
         }
         Arrays.sort(ratios);
         return ratios[ratios.length / 2];
@@ -74,8 +76,10 @@
         Histogram latency = new Histogram(3_600_000_000L, 3);
         run(which, 1, latency);
         double writes = run(which, IN_FLIGHT, new Histogram(3_600_000_000L, 3));
-        return new JSONObject().put("writes_per_s", writes).put("p50_us", latency.getValueAtPercentile(50))
-            .put("p99_us", latency.getValueAtPercentile(99));
+        return new JSONObject()
+                .put("writes_per_s", writes)
+                .put("p50_us", latency.getValueAtPercentile(50))
+                .put("p99_us", latency.getValueAtPercentile(99));
     }
 
     /** Writes a second; the latency is from a group's begin until nothing that was begun with it waits. */
@@ -117,8 +121,12 @@
     private static JSONObject medians(List<JSONObject> runs) {
         JSONObject medians = new JSONObject();
         for (String key : runs.get(0).keySet()) {
-            medians.put(key, runs.stream().mapToDouble(run -> run.getDouble(key)).sorted().toArray()[
-                runs.size() / 2]);
+            medians.put(
+                    key,
+                    runs.stream()
+                            .mapToDouble(run -> run.getDouble(key))
+                            .sorted()
+                            .toArray()[runs.size() / 2]);
         }
         return medians;
     }
--- a/lab/src/main/java/wheatspread/lab/store/Writers.java
+++ b/lab/src/main/java/wheatspread/lab/store/Writers.java
@@ -26,8 +26,7 @@
 
     /** The program's store. */
     static Writers store(Path folder, StoreSettings settings) throws IOException {
-        Store store = Store.open(FolderDisk.make(folder), settings, Store.Time.SYSTEM, Runnable::run,
-            EventLog.NONE);
+        Store store = Store.open(FolderDisk.make(folder), settings, Store.Time.SYSTEM, Runnable::run, EventLog.NONE);
         return new Writers() {
             @Override
             public CountDownLatch begin(byte[][] keys, byte[] value) throws Exception {
@@ -70,8 +69,11 @@
                     sum.update(key);
                     sum.update(value);
                     places.put(ByteBuffer.wrap(key), end + bytes.position());
-                    bytes.putInt(key.length).putInt(value.length).putInt((int) sum.getValue()).put(key).put(
-                        value);
+                    bytes.putInt(key.length)
+                            .putInt(value.length)
+                            .putInt((int) sum.getValue())
+                            .put(key)
+                            .put(value);
                 }
                 end += bytes.position();
                 channel.write(bytes.flip());
@@ -87,8 +89,7 @@
     }
 
     private static FileChannel append(Path file) throws IOException {
-        return FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-            StandardOpenOption.APPEND);
+        return FileChannel.open(file, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.APPEND);
     }
 
     /** The disk alone: the bytes of the group appended and synced. */
--- a/lab/src/main/java/wheatspread/lab/world/BookingKernel.java
+++ b/lab/src/main/java/wheatspread/lab/world/BookingKernel.java
@@ -77,8 +77,8 @@
     }
 
     private double speed() {
-        double warmed = warmFromTheStart() ? 1 : Math.min(1, (double) (System.currentTimeMillis(
-            ) - startedAt) / COLD_MS);
+        double warmed =
+                warmFromTheStart() ? 1 : Math.min(1, (double) (System.currentTimeMillis() - startedAt) / COLD_MS);
         return COLD_FROM + (1 - COLD_FROM) * warmed;
     }
 
@@ -127,27 +127,37 @@
         if (bootedAfter == 0) {
             boot(context, lastRead);
         } else {
-            context.executor().schedule(() -> {
-                if (link == context) {
-                    boot(context, lastRead);
-                }
-            }, bootedAfter, TimeUnit.MILLISECONDS);
+            context.executor()
+                    .schedule(
+                            () -> {
+                                if (link == context) {
+                                    boot(context, lastRead);
+                                }
+                            },
+                            bootedAfter,
+                            TimeUnit.MILLISECONDS);
         }
     }
 
     private void boot(ChannelHandlerContext context, long lastRead) {
         boolean warm = warmFromTheStart();
-        send(new JSONObject().put("type", "BOOTED").put("state", warm ? "WARM" : "COLD")
-            .put("took", System.currentTimeMillis() - startedAt + (warm ? 20_000 : 0)));
-        notices.stream().filter(one -> new JSONObject(one).getLong("n") > lastRead)
-            .forEach(one -> context.writeAndFlush(one + "\n"));
+        send(new JSONObject()
+                .put("type", "BOOTED")
+                .put("state", warm ? "WARM" : "COLD")
+                .put("took", System.currentTimeMillis() - startedAt + (warm ? 20_000 : 0)));
+        notices.stream()
+                .filter(one -> new JSONObject(one).getLong("n") > lastRead)
+                .forEach(one -> context.writeAndFlush(one + "\n"));
     }
 
     private void carryOut(JSONObject command, String job) {
         Run run = runs.get(job);
         switch (command.getString("type")) {
-            case "SYSINFO" -> send(new JSONObject().put("type", "INFO").put("ref", command.get("ref"))
-                .put("gauges", List.of(Math.min(1.0, onCores() / (double) CORES), onCores(), 0.1, 20)));
+            case "SYSINFO" ->
+                send(new JSONObject()
+                        .put("type", "INFO")
+                        .put("ref", command.get("ref"))
+                        .put("gauges", List.of(Math.min(1.0, onCores() / (double) CORES), onCores(), 0.1, 20)));
             case "SCHED" -> {
                 if (run == null) {
                     schedule(job, command.getString("kind"), command.getString("data"));
@@ -164,8 +174,11 @@
                     work(job, run, run.left);
                 }
             }
-            case "RESCHED" -> send(new JSONObject().put("type", "EINVAL").put("state", "RESCHED").put("job",
-                job));
+            case "RESCHED" ->
+                send(new JSONObject()
+                        .put("type", "EINVAL")
+                        .put("state", "RESCHED")
+                        .put("job", job));
             default -> throw new IllegalStateException(command.toString());
         }
     }
@@ -184,17 +197,24 @@
     private void work(String job, Run run, double millis) {
         double crowd = Math.max(1, (onCores() + 1) / (double) CORES);
         long of = process;
-        run.end = link.executor().schedule(() -> {
-            if (of == process) {
-                run.end = null;
-                if (run.calls) {
-                    run.calls = false;
-                    notice(new JSONObject().put("type", "IOREQ").put("job", job).put("data", "Y2FsbA=="));
-                } else {
-                    end(job, "OK", "b2s=");
-                }
-            }
-        }, (long) (millis * crowd / speed() * 1_000), TimeUnit.MICROSECONDS);
+        run.end = link.executor()
+                .schedule(
+                        () -> {
+                            if (of == process) {
+                                run.end = null;
+                                if (run.calls) {
+                                    run.calls = false;
+                                    notice(new JSONObject()
+                                            .put("type", "IOREQ")
+                                            .put("job", job)
+                                            .put("data", "Y2FsbA=="));
+                                } else {
+                                    end(job, "OK", "b2s=");
+                                }
+                            }
+                        },
+                        (long) (millis * crowd / speed() * 1_000),
+                        TimeUnit.MICROSECONDS);
     }
 
     private static void cancel(Run run) {
@@ -206,8 +226,11 @@
 
     private void end(String job, String state, String data) {
         runs.remove(job);
-        JSONObject reap = new JSONObject().put("type", "REAP").put("job", job).put("state", state).put(
-            "took", 100);
+        JSONObject reap = new JSONObject()
+                .put("type", "REAP")
+                .put("job", job)
+                .put("state", state)
+                .put("took", 100);
         notice(data == null ? reap : reap.put("data", data));
     }
 
--- a/lab/src/main/java/wheatspread/lab/world/Callers.java
+++ b/lab/src/main/java/wheatspread/lab/world/Callers.java
@@ -55,7 +55,13 @@
     private long lastTxn;
     private int mostPerLink = Integer.MAX_VALUE;
 
-    Callers(int number, boolean bySubject, boolean heeds, EventLoop loop, Ledger ledger, ServerList list,
+    Callers(
+            int number,
+            boolean bySubject,
+            boolean heeds,
+            EventLoop loop,
+            Ledger ledger,
+            ServerList list,
             Map<String, InetSocketAddress> addresses) {
         this.number = number;
         this.bySubject = bySubject;
@@ -98,7 +104,9 @@
 
         void to(String server) {
             Link link = links.computeIfAbsent(server, name -> new ArrayList<>()).stream()
-                .filter(one -> !one.leaving && one.open.size() < MOST_OPEN).findFirst().orElse(null);
+                    .filter(one -> !one.leaving && one.open.size() < MOST_OPEN)
+                    .findFirst()
+                    .orElse(null);
             (link == null ? new Link(server) : link).take(this);
         }
 
@@ -130,21 +138,25 @@
         if (heeds) {
             List<String> open = new ArrayList<>(willing);
             open.removeIf(name -> stayAway.getOrDefault(name, 0L) > now
-                || outstanding(name) >= room.getOrDefault(name, Double.MAX_VALUE));
+                    || outstanding(name) >= room.getOrDefault(name, Double.MAX_VALUE));
             willing = open.isEmpty() ? willing : open;
         }
         if (willing.isEmpty()) {
             return null;
         }
-        return willing.get(bySubject ? Math.floorMod(going.subject.hashCode() * 31, willing.size())
-            : Math.floorMod(turn++, willing.size()));
+        return willing.get(
+                bySubject
+                        ? Math.floorMod(going.subject.hashCode() * 31, willing.size())
+                        : Math.floorMod(turn++, willing.size()));
     }
 
     private int outstanding(String server) {
-        return links.getOrDefault(server, List.of()).stream().mapToInt(one -> one.open.size()).sum();
+        return links.getOrDefault(server, List.of()).stream()
+                .mapToInt(one -> one.open.size())
+                .sum();
     }
 
-    private record Open(Going going, Tried tried) { }
+    private record Open(Going going, Tried tried) {}
 
     /** A connection to a server. */
     private final class Link extends SimpleChannelInboundHandler<String> {
@@ -158,17 +170,23 @@
         Link(String server) {
             this.server = server;
             links.computeIfAbsent(server, name -> new ArrayList<>()).add(this);
-            ChannelFuture connecting = new Bootstrap().group(loop).channel(NioSocketChannel.class)
-                .option(ChannelOption.TCP_NODELAY, true).option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel made) {
-                        made.pipeline().addLast(new LineBasedFrameDecoder(1 << 16),
-                            new StringDecoder(StandardCharsets.UTF_8), new StringEncoder(
-                                StandardCharsets.UTF_8),
-                            Link.this);
-                    }
-                }).connect(addresses.get(server));
+            ChannelFuture connecting = new Bootstrap()
+                    .group(loop)
+                    .channel(NioSocketChannel.class)
+                    .option(ChannelOption.TCP_NODELAY, true)
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, 1_000)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel made) {
+                            made.pipeline()
+                                    .addLast(
+                                            new LineBasedFrameDecoder(1 << 16),
+                                            new StringDecoder(StandardCharsets.UTF_8),
+                                            new StringEncoder(StandardCharsets.UTF_8),
+                                            Link.this);
+                        }
+                    })
+                    .connect(addresses.get(server));
             connecting.addListener(done -> {
                 if (!done.isSuccess()) {
                     drop();
@@ -195,15 +213,26 @@
             open.put(id, new Open(going, tried));
             leaving |= id >= mostPerLink;
             ledger.tried(tried);
-            String body = Base64.getEncoder().encodeToString(("work " + going.asked.work + " "
-                + going.subject)
-                .getBytes(StandardCharsets.UTF_8));
-            JSONObject params = new JSONObject().put("txn", txn).put("door", now).put("lb", number)
-                .put("team", Sites.tenant(random)).put("limit", going.left()).put("cpu", going.asked.work)
-                .put("ram", 24.5).put("standing", 0.5).put("blob", body);
+            String body = Base64.getEncoder()
+                    .encodeToString(
+                            ("work " + going.asked.work + " " + going.subject).getBytes(StandardCharsets.UTF_8));
+            JSONObject params = new JSONObject()
+                    .put("txn", txn)
+                    .put("door", now)
+                    .put("lb", number)
+                    .put("team", Sites.tenant(random))
+                    .put("limit", going.left())
+                    .put("cpu", going.asked.work)
+                    .put("ram", 24.5)
+                    .put("standing", 0.5)
+                    .put("blob", body);
             params.put(going.asked.key == null ? "item" : "unique", going.subject);
-            channel.writeAndFlush(new JSONObject().put("jsonrpc", "2.0").put("id", id)
-                .put("method", going.asked.kind.name()).put("params", params) + "\n");
+            channel.writeAndFlush(new JSONObject()
+                            .put("jsonrpc", "2.0")
+                            .put("id", id)
+                            .put("method", going.asked.kind.name())
+                            .put("params", params)
+                    + "\n");
         }
 
         @Override
@@ -229,8 +258,8 @@
             long now = System.currentTimeMillis();
             ledger.answered(one.tried, now);
             JSONObject error = message.optJSONObject("error");
-            JSONObject told = error == null ? message.getJSONObject("result") : error.optJSONObject("data",
-                new JSONObject());
+            JSONObject told =
+                    error == null ? message.getJSONObject("result") : error.optJSONObject("data", new JSONObject());
             if (told.has("feedback")) {
                 room.put(server, told.getDouble("feedback"));
             }
--- a/lab/src/main/java/wheatspread/lab/world/Ledger.java
+++ b/lab/src/main/java/wheatspread/lab/world/Ledger.java
@@ -149,7 +149,8 @@
 
     private long pausedFor(String server, long from, long to) {
         return pauses.getOrDefault(server, List.of()).stream()
-            .mapToLong(one -> Math.max(0, Math.min(to, one[1]) - Math.max(from, one[0]))).sum();
+                .mapToLong(one -> Math.max(0, Math.min(to, one[1]) - Math.max(from, one[0])))
+                .sum();
     }
 
     /** A process of a server was ended outright while another goes on: what breaks until then is excused. */
@@ -167,8 +168,7 @@
 
     /** The connection of a try ended without an answer. */
     void broken(Tried one) {
-        boolean lost = isKilled(one.server)
-            || System.currentTimeMillis() <= mayLose.getOrDefault(one.server, 0L);
+        boolean lost = isKilled(one.server) || System.currentTimeMillis() <= mayLose.getOrDefault(one.server, 0L);
         if (one.answers == 0 && lost) {
             one.excused = true;
             count("lost_on_killed");
@@ -219,22 +219,23 @@
         }
         Long notice = notices.get(server);
         if (notice != null && one.writtenAt > notice + GRACE) {
-            fault("late_run", job + " on " + server + ", written " + (one.writtenAt - notice)
-                + " ms after the notice");
+            fault("late_run", job + " on " + server + ", written " + (one.writtenAt - notice) + " ms after the notice");
         }
     }
 
     /** How many tries may still be answered. */
     int open(long now) {
-        return (int) tries.values().stream().filter(one -> one.answers == 0 && !one.excused
-            && now <= one.due + SLACK + pausedFor(one.server, one.writtenAt, now)).count();
+        return (int) tries.values().stream()
+                .filter(one -> one.answers == 0
+                        && !one.excused
+                        && now <= one.due + SLACK + pausedFor(one.server, one.writtenAt, now))
+                .count();
     }
 
     /** Once all is over: what has no answer by now will never have one. */
     void close(long now) {
         for (Tried one : tries.values()) {
-            if (one.answers == 0 && !one.excused
-                && now > one.due + SLACK + pausedFor(one.server, one.writtenAt, now)) {
+            if (one.answers == 0 && !one.excused && now > one.due + SLACK + pausedFor(one.server, one.writtenAt, now)) {
                 fault("unanswered", one.txn + " by " + one.server);
                 one.excused = true;
             }
@@ -244,7 +245,8 @@
     /** How often a promise was broken. */
     public long broken() {
         return List.of("answered_twice", "late", "unanswered", "unknown_run", "doubled", "late_run").stream()
-            .mapToLong(kind -> counts.getOrDefault(kind, 0L)).sum();
+                .mapToLong(kind -> counts.getOrDefault(kind, 0L))
+                .sum();
     }
 
     public List<String> faults() {
@@ -259,17 +261,34 @@
 
     /** The same for each second, NaN where nothing was asked. */
     public double[] bySecond() {
-        return seconds.stream().mapToDouble(one -> one[0] == 0 ? Double.NaN : one[1] / one[0]).toArray();
+        return seconds.stream()
+                .mapToDouble(one -> one[0] == 0 ? Double.NaN : one[1] / one[0])
+                .toArray();
     }
 
     /** Its figures. */
     public JSONObject figures() {
-        JSONObject all = new JSONObject().put("worth_served", worthServed())
-            .put("served_p50_ms", took.getValueAtPercentile(50))
-            .put("served_p99_ms", took.getValueAtPercentile(99));
-        for (String kind : List.of("asked", "tries", "runs", "served", "served_in_time", "refused", "failed",
-            "timed_out", "unanswered", "answered_twice", "late", "doubled", "late_run", "unknown_run",
-            "lost_on_killed", "refused_without_time")) {
+        JSONObject all = new JSONObject()
+                .put("worth_served", worthServed())
+                .put("served_p50_ms", took.getValueAtPercentile(50))
+                .put("served_p99_ms", took.getValueAtPercentile(99));
+        for (String kind : List.of(
+                "asked",
+                "tries",
+                "runs",
+                "served",
+                "served_in_time",
+                "refused",
+                "failed",
+                "timed_out",
+                "unanswered",
+                "answered_twice",
+                "late",
+                "doubled",
+                "late_run",
+                "unknown_run",
+                "lost_on_killed",
+                "refused_without_time")) {
             all.put(kind, counts.getOrDefault(kind, 0L));
         }
         return all;
--- a/lab/src/main/java/wheatspread/lab/world/ServerList.java
+++ b/lab/src/main/java/wheatspread/lab/world/ServerList.java
@@ -38,8 +38,10 @@
 
     /** The servers that a proxy takes for willing. */
     List<String> seenBy(int proxy) {
-        return views.get(proxy).entrySet().stream().filter(Map.Entry::getValue).map(Map.Entry::getKey).toList(
-            );
+        return views.get(proxy).entrySet().stream()
+                .filter(Map.Entry::getValue)
+                .map(Map.Entry::getKey)
+                .toList();
     }
 
     private void lapse() {
@@ -55,8 +57,10 @@
         Boolean before = accepting.put(name, value);
         if (before == null || before != value) {
             for (Map<String, Boolean> view : views) {
-                loop.schedule(() -> view.put(name, accepting.get(name)),
-                    LEAST_LAG + random.nextInt(LAG_SPREAD), TimeUnit.MILLISECONDS);
+                loop.schedule(
+                        () -> view.put(name, accepting.get(name)),
+                        LEAST_LAG + random.nextInt(LAG_SPREAD),
+                        TimeUnit.MILLISECONDS);
             }
         }
     }
--- a/lab/src/main/java/wheatspread/lab/world/World.java
+++ b/lab/src/main/java/wheatspread/lab/world/World.java
@@ -25,8 +25,7 @@
     private static final long CALL_MICROS = 160_000;
     private static final long TICK_MICROS = 1_000;
 
-    private final MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
     private final Ledger ledger = new Ledger();
     private final Map<String, BookingKernel> kernels = new LinkedHashMap<>();
@@ -149,8 +148,9 @@
             double mean = kind.keyed() ? 415 : 285;
             double work = mean * Math.exp(0.4 * random.nextGaussian() - 0.08);
             // a few subjects are far more popular than the rest; each save is one of its own
-            String subject = kind.keyed() ? "plan-" + random.nextLong(1L << 40)
-                : "dish-" + (int) (SUBJECTS * Math.pow(random.nextDouble(), 3));
+            String subject = kind.keyed()
+                    ? "plan-" + random.nextLong(1L << 40)
+                    : "dish-" + (int) (SUBJECTS * Math.pow(random.nextDouble(), 3));
             callers.get(random.nextInt(callers.size())).ask(kind, work, subject);
             next += (long) (-Math.log(1 - random.nextDouble()) / perSecond * 1e9);
         }
--- a/lab/src/test/java/wheatspread/lab/deployments/DeploymentsTest.java
+++ b/lab/src/test/java/wheatspread/lab/deployments/DeploymentsTest.java
@@ -29,8 +29,10 @@
 
     @Provide
     Arbitrary<int[]> choices() {
-        return Arbitraries.integers().between(0, Deployment.MOST - 1).array(int[].class)
-            .ofSize(Deployment.CHOICES);
+        return Arbitraries.integers()
+                .between(0, Deployment.MOST - 1)
+                .array(int[].class)
+                .ofSize(Deployment.CHOICES);
     }
 
     /** A fault shrinks to the choices that it needs: 0 is the plain value of each. */
@@ -49,9 +51,23 @@
 
     /** Each stands for a line of code that takes a field for granted, and is found among the drawn ones. */
     @ParameterizedTest
-    @ValueSource(strings = {"records", "announce", "seed", "limits", "settings.Parties", "settings.Ceilings",
-        "settings.FamilyInfo.Say", "settings.FamilyInfo.Halt", "settings.FamilyInfo.Fresh", "limit", "cpu",
-        "item", "lb", "team"})
+    @ValueSource(
+            strings = {
+                "records",
+                "announce",
+                "seed",
+                "limits",
+                "settings.Parties",
+                "settings.Ceilings",
+                "settings.FamilyInfo.Say",
+                "settings.FamilyInfo.Halt",
+                "settings.FamilyInfo.Fresh",
+                "limit",
+                "cpu",
+                "item",
+                "lb",
+                "team"
+            })
     void aPlantedDemandForAFieldIsFound(String field) throws IOException {
         String[] path = field.split("\\.");
         boolean ofRequest = List.of("limit", "cpu", "item", "lb", "team").contains(field);
@@ -65,13 +81,16 @@
             return there ? told : ofRequest ? told.put("ram", "none") : told.put("kernel", 7);
         };
         Planted planted = ofRequest ? new Planted(told -> told, demand) : new Planted(demand, told -> told);
-        int found = IntStream.rangeClosed(1, DRAWN).filter(seed -> {
-            try {
-                return !play(Deployment.drawn(seed), seed, planted).isEmpty();
-            } catch (IOException e) {
-                throw new java.io.UncheckedIOException(e);
-            }
-        }).findFirst().orElse(0);
+        int found = IntStream.rangeClosed(1, DRAWN)
+                .filter(seed -> {
+                    try {
+                        return !play(Deployment.drawn(seed), seed, planted).isEmpty();
+                    } catch (IOException e) {
+                        throw new java.io.UncheckedIOException(e);
+                    }
+                })
+                .findFirst()
+                .orElse(0);
         assertThat(found).as("the first of the drawn deployments that finds it").isPositive();
     }
 }
--- a/lab/src/test/java/wheatspread/lab/faults/FaultsRunTest.java
+++ b/lab/src/test/java/wheatspread/lab/faults/FaultsRunTest.java
@@ -15,8 +15,7 @@
 /** Six real processes with faults between them, and that what must never be would be seen. */
 class FaultsRunTest {
     private static final Path JAR = Path.of("../server/target/wheatspread.jar");
-    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-        "-Xmx48m");
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m");
     /** A pause and a one-sided cut that move nobody, one who is heard by none, and a crash. */
     private static final String SIX = """
         {"members": 6, "load_per_s": 20, "run_s": 26, "faults": [
@@ -57,14 +56,14 @@
     void aWrongScenarioIsNamedWithItsKey() {
         for (String[] one : new String[][] {
             {"{'members': 3, 'faults': [{'do': 'melt'}]}", "faults[0].do is an unknown word: melt"},
-            {"{'members': 3, 'faults': [{'do': 'cut', 'on': ['m1']}]}",
-                "faults[0].do is cut, which takes from"},
-            {"{'members': 3, 'faults': [{'do': 'kill', 'on': ['m4']}]}",
-                "faults[0].on names m4; known are all"},
+            {"{'members': 3, 'faults': [{'do': 'cut', 'on': ['m1']}]}", "faults[0].do is cut, which takes from"},
+            {"{'members': 3, 'faults': [{'do': 'kill', 'on': ['m4']}]}", "faults[0].on names m4; known are all"},
             {"{'members': 3, 'zones': {'a': 2}}", "zones hold 2 members; members says 3"},
-            {"{'members': 3, 'run': 5}", "run is an unknown key; known are [expect, faults"}}) {
-            assertThatThrownBy(() -> scenario(one[0].replace('\'', '"'))).isInstanceOf(Fields.BadValue.class)
-                .hasMessageContaining(one[1]);
+            {"{'members': 3, 'run': 5}", "run is an unknown key; known are [expect, faults"}
+        }) {
+            assertThatThrownBy(() -> scenario(one[0].replace('\'', '"')))
+                    .isInstanceOf(Fields.BadValue.class)
+                    .hasMessageContaining(one[1]);
         }
     }
 
--- a/lab/src/test/java/wheatspread/lab/memory/MemoryCrowdTest.java
+++ b/lab/src/test/java/wheatspread/lab/memory/MemoryCrowdTest.java
@@ -17,7 +17,9 @@
             JSONObject figures = crowd.play();
             assertThat(figures.getInt("spoke")).isEqualTo(3_000);
             assertThat(figures.getInt("burst_answered")).isEqualTo(3_000);
-            assertThat(figures.getInt("burst_served")).as("the gate lets some in").isBetween(1, 2_999);
+            assertThat(figures.getInt("burst_served"))
+                    .as("the gate lets some in")
+                    .isBetween(1, 2_999);
             assertThat(figures.getInt("expiry_left")).isZero();
             assertThat(figures.getInt("timers")).as("none of a connection").isLessThan(10);
         }
--- a/lab/src/test/java/wheatspread/lab/rig/HandoverRunTest.java
+++ b/lab/src/test/java/wheatspread/lab/rig/HandoverRunTest.java
@@ -10,15 +10,14 @@
 
 /** Two processes of one server share its listening socket, and one of them goes: nobody is turned away. */
 class HandoverRunTest {
-    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-        "-Xmx48m");
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m");
 
     @ParameterizedTest
     @EnumSource
     @Timeout(120)
     void whatIsAskedOnTheSharedSocketIsAnsweredOnce(HandoverRun.End end) throws Exception {
-        ReloadRun.Outcome outcome = new HandoverRun(Path.of("../server/target/wheatspread.jar"), FLAGS, 12)
-            .play(end, 1);
+        ReloadRun.Outcome outcome =
+                new HandoverRun(Path.of("../server/target/wheatspread.jar"), FLAGS, 12).play(end, 1);
         assertThat(outcome.faults()).isEmpty();
         assertThat(outcome.figures().getLong("doubled")).isZero();
         assertThat(outcome.figures().getLong("served")).isGreaterThan(40);
--- a/lab/src/test/java/wheatspread/lab/rig/OffTest.java
+++ b/lab/src/test/java/wheatspread/lab/rig/OffTest.java
@@ -22,15 +22,25 @@
     void aServerThatIsNotToldToLoadsNothingOfTheFleetsOwnAffairs() throws Exception {
         Path loaded = dir.resolve("classes.txt");
         try (Parties parties = new Parties(1_000, 1_000);
-             ServerProcess server = new ServerProcess(Path.of("../server/target/wheatspread.jar"),
-                 Sites.config(parties, 512), null, List.of("-XX:+UseSerialGC", "-Xmx48m",
-                     "-Xlog:class+load=info:file=" + loaded), -1)) {
+                ServerProcess server = new ServerProcess(
+                        Path.of("../server/target/wheatspread.jar"),
+                        Sites.config(parties, 512),
+                        null,
+                        List.of("-XX:+UseSerialGC", "-Xmx48m", "-Xlog:class+load=info:file=" + loaded),
+                        -1)) {
             assertThat(server.leave()).isTrue();
         }
         String classes = Files.readString(loaded);
         assertThat(classes).contains("wheatspread.daemon.Server ", "wheatspread.kernel.KernelLink ");
-        assertThat(classes).doesNotContain("wheatspread.membership.", "wheatspread.peers.",
-            "wheatspread.daemon.FleetView", "wheatspread.config.MembershipConfig", "NioDatagramChannel",
-            "wheatspread.store.", "com.google.protobuf.", "com.dynatrace.hash4j.");
+        assertThat(classes)
+                .doesNotContain(
+                        "wheatspread.membership.",
+                        "wheatspread.peers.",
+                        "wheatspread.daemon.FleetView",
+                        "wheatspread.config.MembershipConfig",
+                        "NioDatagramChannel",
+                        "wheatspread.store.",
+                        "com.google.protobuf.",
+                        "com.dynatrace.hash4j.");
     }
 }
--- a/lab/src/test/java/wheatspread/lab/rig/ReloadRunTest.java
+++ b/lab/src/test/java/wheatspread/lab/rig/ReloadRunTest.java
@@ -12,8 +12,7 @@
 /** Six real processes whose parties move while each has its own trouble; and a fault the ledger must see. */
 class ReloadRunTest {
     private static final Path JAR = Path.of("../server/target/wheatspread.jar");
-    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1",
-        "-Xmx48m");
+    private static final List<String> FLAGS = List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m");
 
     @Test
     @Timeout(180)
