--- a/server/src/main/java/wheatspread/admission/Admission.java
+++ b/server/src/main/java/wheatspread/admission/Admission.java
@@ -10,23 +10,57 @@
 public interface Admission {
 
     /** How often a request may take effect. */
-    enum Effect { IDEMPOTENT, KEYED, AT_MOST_ONCE }
+    enum Effect {
+        IDEMPOTENT,
+        KEYED,
+        AT_MOST_ONCE
+    }
 
     /** What requests may call while they run. */
-    enum Dependency { NONE, SHARED, TIER }
+    enum Dependency {
+        NONE,
+        SHARED,
+        TIER
+    }
 
     /** What the host can do with running work. */
-    enum Halt { NONE, ABORT, SUSPEND }
+    enum Halt {
+        NONE,
+        ABORT,
+        SUSPEND
+    }
 
     /** What callers make of {@link Actions#advise}. */
-    enum Advice { NONE, THRESHOLD, WINDOW, SHARE }
+    enum Advice {
+        NONE,
+        THRESHOLD,
+        WINDOW,
+        SHARE
+    }
 
     /** How a run or a call ended. */
-    enum Outcome { OK, FAILED, QUEUE_FULL, TIMED_OUT, CONNECT_ERROR, RESET, CANCELED, IGNORED }
+    enum Outcome {
+        OK,
+        FAILED,
+        QUEUE_FULL,
+        TIMED_OUT,
+        CONNECT_ERROR,
+        RESET,
+        CANCELED,
+        IGNORED
+    }
 
     /** One class of requests; {@code skipWorth} is the part of the worth earned without the call. */
-    record RequestClass(long aim, double aimStretch, long deadline, Effect effect, double worth,
-                        double lateWorth, long window, boolean calls, double skipWorth) {
+    record RequestClass(
+            long aim,
+            double aimStretch,
+            long deadline,
+            Effect effect,
+            double worth,
+            double lateWorth,
+            long window,
+            boolean calls,
+            double skipWorth) {
         public RequestClass {
             atLeast("class deadline", deadline, 1);
             atLeast("class aim", aim, 1);
@@ -52,8 +86,15 @@
     }
 
     /** What the server dies of; {@code speedFloor} is the least speed of a cold process. */
-    record Limits(double memoryKb, double runFactor, double keyKb, double tipMultiple, double speedFloor,
-                  long coldFor, long answerSlack, long drainGrace) {
+    record Limits(
+            double memoryKb,
+            double runFactor,
+            double keyKb,
+            double tipMultiple,
+            double speedFloor,
+            long coldFor,
+            long answerSlack,
+            long drainGrace) {
         public Limits {
             atLeast("memoryKb", memoryKb, 1);
             atLeast("runFactor", runFactor, 1);
@@ -82,8 +123,15 @@
      * connection unused for {@code idle}, 0 where that is not known; the prices are those of an opening for
      * each first try and of a hundred connections kept open.
      */
-    record Callers(int count, Advice advice, long heeded, long maxStayAway, boolean healthSteers, long idle,
-                   double openingPrice, double connectionPrice) {
+    record Callers(
+            int count,
+            Advice advice,
+            long heeded,
+            long maxStayAway,
+            boolean healthSteers,
+            long idle,
+            double openingPrice,
+            double connectionPrice) {
         public Callers {
             atLeast("callers", count, 0);
             present("advice", advice);
@@ -96,9 +144,18 @@
     }
 
     /** All that is told at start; {@code servers} is how many do this work, 0 where that is not known. */
-    record Settings(int cores, int servers,
-                    boolean cold, Halt halt, long fresh, long resolution, Limits limits,
-                    Below below, Callers callers, List<RequestClass> classes, List<Tenant> tenants) {
+    record Settings(
+            int cores,
+            int servers,
+            boolean cold,
+            Halt halt,
+            long fresh,
+            long resolution,
+            Limits limits,
+            Below below,
+            Callers callers,
+            List<RequestClass> classes,
+            List<Tenant> tenants) {
         public Settings {
             atLeast("cores", cores, 1);
             atLeast("servers", servers, 0);
@@ -122,11 +179,21 @@
      * {@code further} marks a try after the first where callers mark them; {@code hint} the expected work, as
      * time on a core of usual speed, 0 where none is told.
      */
-    record Request(long id, int tenant, int kind, long age, long left, long duplicateOf, boolean further,
-                   boolean keyed, boolean write, double heldKb, double hint) { }
+    record Request(
+            long id,
+            int tenant,
+            int kind,
+            long age,
+            long left,
+            long duplicateOf,
+            boolean further,
+            boolean keyed,
+            boolean write,
+            double heldKb,
+            double hint) {}
 
     /** Readings of the moment; NaN where missing. */
-    record Gauges(double coreUse, double onCores, double memoryShare, double connections) { }
+    record Gauges(double coreUse, double onCores, double memoryShare, double connections) {}
 
     /** Starts a batch of events at the given clock, which never goes back. */
     void begin(long now);
--- a/server/src/main/java/wheatspread/announce/AnnounceClient.java
+++ b/server/src/main/java/wheatspread/announce/AnnounceClient.java
@@ -29,6 +29,7 @@
 public final class AnnounceClient implements Announcer {
     /** Four reports may be lost before an entry lapses. */
     private static final long PERIOD_MS = 600;
+
     private static final int CONNECT_MS = 500;
     /** A change is reported once more after this long: an older report may be read behind it. */
     private static final long AGAIN_MS = 150;
@@ -40,6 +41,7 @@
     private InetSocketAddress address;
     /** Where the last report went, or is to go once it is connected. */
     private Connection connection;
+
     private Boolean accepting;
     private boolean started;
     private boolean closed;
@@ -110,18 +112,23 @@
 
         void open() {
             clients.clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new HttpClientCodec(), new HttpObjectAggregator(64 * 1024),
-                            Connection.this);
-                    }
-                }).connect(address).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        ended();
-                    }
-                });
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline()
+                                    .addLast(
+                                            new HttpClientCodec(),
+                                            new HttpObjectAggregator(64 * 1024),
+                                            Connection.this);
+                        }
+                    })
+                    .connect(address)
+                    .addListener(done -> {
+                        if (!done.isSuccess()) {
+                            ended();
+                        }
+                    });
         }
 
         void close() {
@@ -134,8 +141,8 @@
         void send() {
             waiting = true;
             byte[] body = ("{\"accepting\":\"" + accepting + "\"}").getBytes(StandardCharsets.US_ASCII);
-            DefaultFullHttpRequest put = new DefaultFullHttpRequest(HttpVersion.HTTP_1_1, HttpMethod.PUT,
-                "/announce/" + name, Unpooled.wrappedBuffer(body));
+            DefaultFullHttpRequest put = new DefaultFullHttpRequest(
+                    HttpVersion.HTTP_1_1, HttpMethod.PUT, "/announce/" + name, Unpooled.wrappedBuffer(body));
             put.headers().set(HttpHeaderNames.HOST, address.getHostString() + ':' + address.getPort());
             put.headers().set(HttpHeaderNames.CONTENT_LENGTH, body.length);
             channel.writeAndFlush(put, channel.voidPromise());
--- a/server/src/main/java/wheatspread/commands/BenchlinkCommand.java
+++ b/server/src/main/java/wheatspread/commands/BenchlinkCommand.java
@@ -6,8 +6,10 @@
 import wheatspread.sim.BenchLink;
 
 /** The decisions on the simulator's wire. */
-@Command(name = "benchlink", mixinStandardHelpOptions = true,
-    description = "Puts the same decisions on the simulator's wire, on standard input and output.")
+@Command(
+        name = "benchlink",
+        mixinStandardHelpOptions = true,
+        description = "Puts the same decisions on the simulator's wire, on standard input and output.")
 final class BenchlinkCommand implements Callable<Integer> {
     @Override
     public Integer call() throws IOException {
--- a/server/src/main/java/wheatspread/commands/CheckCommand.java
+++ b/server/src/main/java/wheatspread/commands/CheckCommand.java
@@ -17,19 +17,27 @@
 import wheatspread.config.FleetConfig;
 
 /** Reads settings files and names each fault. */
-@Command(name = "check", mixinStandardHelpOptions = true,
-    description = "Reads every settings file, names each fault with file and line, and starts nothing.",
-    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:Nothing is wrong.", "78:Something is."},
-    footerHeading = "%nExamples:%n", footer = {"  wheatspread check --config config.json deploy/uwsgi.json",
-        "  wheatspread check --fleet deploy/fleet.json"})
+@Command(
+        name = "check",
+        mixinStandardHelpOptions = true,
+        description = "Reads every settings file, names each fault with file and line, and starts nothing.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {"0:Nothing is wrong.", "78:Something is."},
+        footerHeading = "%nExamples:%n",
+        footer = {
+            "  wheatspread check --config config.json deploy/uwsgi.json",
+            "  wheatspread check --fleet deploy/fleet.json"
+        })
 final class CheckCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
-    @Parameters(index = "0", arity = "0..1", paramLabel = "OPERATOR_FILE",
-        description = "The operator's file.")
+
+    @Parameters(index = "0", arity = "0..1", paramLabel = "OPERATOR_FILE", description = "The operator's file.")
     private Path operatorFile;
+
     @Option(names = "--config", paramLabel = "FILE", description = "In place of what GW_CONFIG names.")
     private Path config;
+
     @Option(names = "--fleet", paramLabel = "FILE", description = "A fleet's file, with the files it names.")
     private Path fleet;
 
@@ -47,8 +55,12 @@
             });
         }
         faults.forEach(spec.commandLine().getOut()::println);
-        spec.commandLine().getOut().println(faults.isEmpty() ? "nothing is wrong" : faults.size()
-            + (faults.size() == 1 ? " fault" : " faults"));
+        spec.commandLine()
+                .getOut()
+                .println(
+                        faults.isEmpty()
+                                ? "nothing is wrong"
+                                : faults.size() + (faults.size() == 1 ? " fault" : " faults"));
         spec.commandLine().getOut().flush();
         return faults.isEmpty() ? Exit.OK : Exit.CONFIG;
     }
--- a/server/src/main/java/wheatspread/commands/CompletionCommand.java
+++ b/server/src/main/java/wheatspread/commands/CompletionCommand.java
@@ -7,9 +7,12 @@
 import picocli.CommandLine.Spec;
 
 /** Prints what a shell needs to complete commands. */
-@Command(name = "completion", mixinStandardHelpOptions = true,
-    description = "Prints a script with which bash and zsh complete commands and options.",
-    footerHeading = "%nExample:%n", footer = "  source <(wheatspread completion)")
+@Command(
+        name = "completion",
+        mixinStandardHelpOptions = true,
+        description = "Prints a script with which bash and zsh complete commands and options.",
+        footerHeading = "%nExample:%n",
+        footer = "  source <(wheatspread completion)")
 final class CompletionCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
--- a/server/src/main/java/wheatspread/commands/Exit.java
+++ b/server/src/main/java/wheatspread/commands/Exit.java
@@ -16,14 +16,19 @@
     static final int CONFIG = 78;
 
     /** Help's list of them. */
-    static final String[] LIST = {"0:All went well.", "64:The command line is wrong.",
+    static final String[] LIST = {
+        "0:All went well.",
+        "64:The command line is wrong.",
         "65:An input is wrong.",
         "66:An input cannot be read.",
-            "69:An address is taken, the kernel did not come up, or a fleet failed.",
-        "70:A fault in the program.", "73:An output cannot be written.", "75:It runs already, or is busy.",
-        "78:A settings file is wrong."};
+        "69:An address is taken, the kernel did not come up, or a fleet failed.",
+        "70:A fault in the program.",
+        "73:An output cannot be written.",
+        "75:It runs already, or is busy.",
+        "78:A settings file is wrong."
+    };
 
-    private Exit() { }
+    private Exit() {}
 
     /** A fault that ends the command with a message and no trace. */
     static final class Failure extends RuntimeException {
@@ -38,12 +43,15 @@
 
     /** Turns what a command threw into one message on standard error, and its exit code. */
     static int handle(Exception fault, CommandLine command, CommandLine.ParseResult parsed) {
-        int code = fault instanceof Failure failure ? failure.code : fault instanceof Fields.BadValue ? CONFIG
-            : fault instanceof IllegalArgumentException ? DATA : SOFTWARE;
+        int code = fault instanceof Failure failure
+                ? failure.code
+                : fault instanceof Fields.BadValue
+                        ? CONFIG
+                        : fault instanceof IllegalArgumentException ? DATA : SOFTWARE;
         String kind = fault instanceof Fields.BadValue ? "configuration: " : "";
         String text = fault instanceof Failure || fault instanceof IllegalArgumentException
-            ? fault.getMessage()
-            : fault.toString();
+                ? fault.getMessage()
+                : fault.toString();
         command.getErr().println("wheatspread: " + kind + text);
         command.getErr().flush();
         return code;
--- a/server/src/main/java/wheatspread/commands/FleetCommand.java
+++ b/server/src/main/java/wheatspread/commands/FleetCommand.java
@@ -24,18 +24,31 @@
 import wheatspread.supervisor.StatusFile;
 
 /** Starts, watches, rolls and replaces the servers of a fleet on this machine. */
-@Command(name = "fleet", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
-    description = "Starts, watches, rolls and replaces the servers of a fleet on this machine.",
-    footerHeading = "%nExamples:%n", footer = {"  wheatspread fleet up deploy/fleet.json",
-        "  wheatspread fleet roll deploy/fleet.json --to v2 --share 0.87",
-        "  wheatspread fleet status deploy/fleet.json --once"},
-    subcommands = {FleetCommand.Up.class, StatusCommand.class, FleetCommand.Roll.class,
-        FleetCommand.StopRoll.class, FleetCommand.Drain.class, FleetCommand.Start.class,
+@Command(
+        name = "fleet",
+        mixinStandardHelpOptions = true,
+        synopsisSubcommandLabel = "COMMAND",
+        description = "Starts, watches, rolls and replaces the servers of a fleet on this machine.",
+        footerHeading = "%nExamples:%n",
+        footer = {
+            "  wheatspread fleet up deploy/fleet.json",
+            "  wheatspread fleet roll deploy/fleet.json --to v2 --share 0.87",
+            "  wheatspread fleet status deploy/fleet.json --once"
+        },
+        subcommands = {
+            FleetCommand.Up.class,
+            StatusCommand.class,
+            FleetCommand.Roll.class,
+            FleetCommand.StopRoll.class,
+            FleetCommand.Drain.class,
+            FleetCommand.Start.class,
             FleetCommand.Down.class,
-        FleetCommand.Detach.class})
+            FleetCommand.Detach.class
+        })
 final class FleetCommand implements Callable<Integer> {
     /** How long a supervisor may take to answer a command. */
     private static final long ANSWER_MS = 5_000;
+
     private static final long LOOK_MS = 200;
 
     @Spec
@@ -50,8 +63,8 @@
     abstract static class OnFile implements Callable<Integer> {
         @Spec
         CommandSpec spec;
-        @Parameters(index = "0", paramLabel = "FLEET_FILE",
-            description = "The fleet's file; JSON with comments.")
+
+        @Parameters(index = "0", paramLabel = "FLEET_FILE", description = "The fleet's file; JSON with comments.")
         Path file;
 
         FleetConfig config() {
@@ -67,8 +80,9 @@
             try {
                 JSONObject answer = new Spool(config.dir()).ask(command, ANSWER_MS);
                 if (answer == null) {
-                    throw new Exit.Failure(Exit.TRY_LATER, "no supervisor answers for " + config.dir()
-                        + "; the command waits for one");
+                    throw new Exit.Failure(
+                            Exit.TRY_LATER,
+                            "no supervisor answers for " + config.dir() + "; the command waits for one");
                 } else if (answer.has("error")) {
                     throw new Exit.Failure(Exit.UNAVAILABLE, answer.getString("error"));
                 }
@@ -80,25 +94,41 @@
     }
 
     /** Runs the supervisor. */
-    @Command(name = "up", mixinStandardHelpOptions = true,
-        description = {"Runs the fleet's supervisor in the foreground, and starts every member.",
-            "It finds members that an earlier one started, and goes on with a roll that was under way.",
-            "SIGTERM or SIGINT takes the fleet down, SIGHUP reads the file again."},
-        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:The fleet is down, or was left alone.",
-            "75:Another supervisor has this fleet.", "78:The fleet's file is wrong."})
+    @Command(
+            name = "up",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Runs the fleet's supervisor in the foreground, and starts every member.",
+                "It finds members that an earlier one started, and goes on with a roll that was under way.",
+                "SIGTERM or SIGINT takes the fleet down, SIGHUP reads the file again."
+            },
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {
+                "0:The fleet is down, or was left alone.",
+                "75:Another supervisor has this fleet.",
+                "78:The fleet's file is wrong."
+            })
     static final class Up extends OnFile {
         @Override
         public Integer call() throws IOException, InterruptedException {
             FleetConfig config = config();
             LogSetup.use(config.log().json(), config.log().level(), "fleet");
-            EventLog log = new StructuredLog(new RepeatLimit(config.log().repeats() * config.members().size(),
-                config.log().window()), () -> System.nanoTime() / 1_000);
+            EventLog log = new StructuredLog(
+                    new RepeatLimit(
+                            config.log().repeats() * config.members().size(),
+                            config.log().window()),
+                    () -> System.nanoTime() / 1_000);
             FleetRunner runner = new FleetRunner(config, log);
             Signals.handle("TERM", runner::goDown);
             Signals.handle("INT", runner::goDown);
             if (!Signals.handle("HUP", runner::reload)) {
-                log.error("signal_ignored", "signals", "HUP", "reason", "the supervisor and all that it "
-                    + "starts hear no reload: start it with env --default-signal=HUP, or without nohup");
+                log.error(
+                        "signal_ignored",
+                        "signals",
+                        "HUP",
+                        "reason",
+                        "the supervisor and all that it "
+                                + "starts hear no reload: start it with env --default-signal=HUP, or without nohup");
             }
             try {
                 runner.run();
@@ -112,19 +142,26 @@
     }
 
     /** Rolls to another build, and waits for the end. */
-    @Command(name = "roll", mixinStandardHelpOptions = true,
-        description = "Replaces the build that members run, a few at a time, and waits for the end of it.",
-        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:All of them run the new build.",
-            "69:It stopped, and says why; the old build serves where it was to roll back.",
-            "75:No supervisor answers."})
+    @Command(
+            name = "roll",
+            mixinStandardHelpOptions = true,
+            description = "Replaces the build that members run, a few at a time, and waits for the end of it.",
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {
+                "0:All of them run the new build.",
+                "69:It stopped, and says why; the old build serves where it was to roll back.",
+                "75:No supervisor answers."
+            })
     static final class Roll extends OnFile {
         @Option(names = "--to", required = true, paramLabel = "BUILD", description = "The build to run.")
         private String to;
+
         @Option(names = "--member", paramLabel = "NAME", description = "A member to roll; all without one.")
         private List<String> names = List.of();
-        @Option(names = "--share", defaultValue = "1",
-            description = "Of the fleet, in part (${DEFAULT-VALUE}).")
+
+        @Option(names = "--share", defaultValue = "1", description = "Of the fleet, in part (${DEFAULT-VALUE}).")
         private double share;
+
         @Option(names = "--no-wait", description = "Doesn't wait for the end.")
         private boolean noWait;
 
@@ -134,9 +171,17 @@
             if (!(share > 0 && share <= 1)) {
                 throw new ParameterException(spec.commandLine(), "--share is " + share + ", not from 0 to 1");
             }
-            int count = names.isEmpty() ? (int) Math.max(1, Math.round(share * config.members().size())) : 0;
-            long at = ask(config, new JSONObject().put("do", "roll").put("to", to).put("names", names)
-                .put("count", count)).getLong("at");
+            int count = names.isEmpty()
+                    ? (int) Math.max(1, Math.round(share * config.members().size()))
+                    : 0;
+            long at = ask(
+                            config,
+                            new JSONObject()
+                                    .put("do", "roll")
+                                    .put("to", to)
+                                    .put("names", names)
+                                    .put("count", count))
+                    .getLong("at");
             return noWait ? Exit.OK : follow(new StatusFile(config.dir()), at);
         }
 
@@ -144,12 +189,11 @@
             String told = "";
             while (true) {
                 JSONObject status = file.read();
-                JSONObject roll = status == null || status.getLong("at") < since ? null
-                    : status.optJSONObject("roll");
+                JSONObject roll = status == null || status.getLong("at") < since ? null : status.optJSONObject("roll");
                 if (roll != null) {
                     String line = roll.getString("status") + (roll.getBoolean("paused") ? " (paused)" : "")
-                        + ": "
-                        + roll.getJSONObject("steps").getInt("done") + " of " + roll.getInt("members");
+                            + ": "
+                            + roll.getJSONObject("steps").getInt("done") + " of " + roll.getInt("members");
                     if (!line.equals(told)) {
                         out().println(line);
                         out().flush();
@@ -159,11 +203,16 @@
                         case "DONE" -> {
                             return Exit.OK;
                         }
-                        case "STOPPED", "ROLLED_BACK" -> throw new Exit.Failure(Exit.UNAVAILABLE,
-                            "the roll to "
-                            + to + " " + (roll.getString("status").equals("STOPPED") ? "stopped"
-                            : "was rolled back") + ": " + roll.getString("reason"));
-                        default -> { }
+                        case "STOPPED", "ROLLED_BACK" ->
+                            throw new Exit.Failure(
+                                    Exit.UNAVAILABLE,
+                                    "the roll to "
+                                            + to + " "
+                                            + (roll.getString("status").equals("STOPPED")
+                                                    ? "stopped"
+                                                    : "was rolled back")
+                                            + ": " + roll.getString("reason"));
+                        default -> {}
                     }
                 }
                 TimeUnit.MILLISECONDS.sleep(LOOK_MS);
@@ -193,8 +242,10 @@
     }
 
     /** Stops a roll. */
-    @Command(name = "stop-roll", mixinStandardHelpOptions = true,
-        description = "Stops a roll where it stands; members keep the build they have.")
+    @Command(
+            name = "stop-roll",
+            mixinStandardHelpOptions = true,
+            description = "Stops a roll where it stands; members keep the build they have.")
     static final class StopRoll extends Order {
         @Override
         JSONObject order() {
@@ -203,8 +254,10 @@
     }
 
     /** Takes a member out. */
-    @Command(name = "drain", mixinStandardHelpOptions = true,
-        description = "Gives a member its notice; it leaves and stays away until it is started.")
+    @Command(
+            name = "drain",
+            mixinStandardHelpOptions = true,
+            description = "Gives a member its notice; it leaves and stays away until it is started.")
     static final class Drain extends MemberOrder {
         @Override
         JSONObject order() {
@@ -213,8 +266,10 @@
     }
 
     /** Takes a member in again. */
-    @Command(name = "start", mixinStandardHelpOptions = true,
-        description = "Starts a member that was drained, or that is held since it ended too often.")
+    @Command(
+            name = "start",
+            mixinStandardHelpOptions = true,
+            description = "Starts a member that was drained, or that is held since it ended too often.")
     static final class Start extends MemberOrder {
         @Override
         JSONObject order() {
@@ -223,8 +278,10 @@
     }
 
     /** Takes the fleet down. */
-    @Command(name = "down", mixinStandardHelpOptions = true,
-        description = "Gives every member its notice; the supervisor ends once all have left.")
+    @Command(
+            name = "down",
+            mixinStandardHelpOptions = true,
+            description = "Gives every member its notice; the supervisor ends once all have left.")
     static final class Down extends Order {
         @Override
         JSONObject order() {
@@ -233,8 +290,10 @@
     }
 
     /** Ends the supervisor alone. */
-    @Command(name = "detach", mixinStandardHelpOptions = true,
-        description = "Ends the supervisor and leaves the members running, to replace it by another.")
+    @Command(
+            name = "detach",
+            mixinStandardHelpOptions = true,
+            description = "Ends the supervisor and leaves the members running, to replace it by another.")
     static final class Detach extends Order {
         @Override
         JSONObject order() {
--- a/server/src/main/java/wheatspread/commands/ImportNginxCommand.java
+++ b/server/src/main/java/wheatspread/commands/ImportNginxCommand.java
@@ -9,17 +9,27 @@
 import wheatspread.nginx.Importer;
 
 /** Makes an operator's file of an nginx configuration. */
-@Command(name = "import-nginx", mixinStandardHelpOptions = true,
-    description = {"Reads the upstream and location blocks of an nginx configuration and writes an "
-        + "operator's file.", "What it cannot carry over it reports on standard error, with file and line."},
-    footerHeading = "%nExample:%n", footer = "  wheatspread import-nginx site.conf uwsgi.json 10.0.0.4:3031")
+@Command(
+        name = "import-nginx",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Reads the upstream and location blocks of an nginx configuration and writes an " + "operator's file.",
+            "What it cannot carry over it reports on standard error, with file and line."
+        },
+        footerHeading = "%nExample:%n",
+        footer = "  wheatspread import-nginx site.conf uwsgi.json 10.0.0.4:3031")
 final class ImportNginxCommand implements Callable<Integer> {
     @Parameters(index = "0", paramLabel = "NGINX_CONF", description = "The configuration to read.")
     private Path conf;
+
     @Parameters(index = "1", paramLabel = "OPERATOR_FILE", description = "The file to write.")
     private Path file;
-    @Parameters(index = "2", arity = "0..1", paramLabel = "HOST:PORT",
-        description = "The server of an upstream that this is; the first that is up without it.")
+
+    @Parameters(
+            index = "2",
+            arity = "0..1",
+            paramLabel = "HOST:PORT",
+            description = "The server of an upstream that this is; the first that is up without it.")
     private String listen;
 
     @Override
--- a/server/src/main/java/wheatspread/commands/Screen.java
+++ b/server/src/main/java/wheatspread/commands/Screen.java
@@ -17,8 +17,7 @@
     private static final long REFRESH_MS = 500;
     private static final Size UNKNOWN = new Size(120, 40);
 
-    private Screen() {
-    }
+    private Screen() {}
 
     /** Where the lines of a table come from. */
     interface Lines {
@@ -33,14 +32,12 @@
             Display display = new Display(terminal, true);
             terminal.puts(Capability.enter_ca_mode);
             try {
-                for (int key = 0; key != 'q' && key != -1;) {
+                for (int key = 0; key != 'q' && key != -1; ) {
                     Size told = terminal.getSize();
-                    Size size = told.getRows() > 0 && told.getColumns() > 0 ? told
-                        : UNKNOWN; // a pty may not say
+                    Size size = told.getRows() > 0 && told.getColumns() > 0 ? told : UNKNOWN; // a pty may not say
                     display.resize(size.getRows(), size.getColumns());
                     List<AttributedString> now = lines.now();
-                    display.update(now.subList(0, Math.min(now.size(), Math.max(1, size.getRows() - 1))),
-                        -1);
+                    display.update(now.subList(0, Math.min(now.size(), Math.max(1, size.getRows() - 1))), -1);
                     int read = terminal.reader().read(REFRESH_MS);
                     key = read == -2 ? 0 : read;
                 }
@@ -54,7 +51,10 @@
     }
 
     static AttributedString styled(int color, String text) {
-        return color < 0 ? new AttributedString(text) : new AttributedStringBuilder()
-            .styled(AttributedStyle.DEFAULT.foreground(color), text).toAttributedString();
+        return color < 0
+                ? new AttributedString(text)
+                : new AttributedStringBuilder()
+                        .styled(AttributedStyle.DEFAULT.foreground(color), text)
+                        .toAttributedString();
     }
 }
--- a/server/src/main/java/wheatspread/commands/ServeCommand.java
+++ b/server/src/main/java/wheatspread/commands/ServeCommand.java
@@ -23,29 +23,52 @@
 import wheatspread.logging.StructuredLog;
 
 /** Runs one server until it is told to leave. */
-@Command(name = "serve", mixinStandardHelpOptions = true,
-    description = {"Runs one server. GW_CONFIG names its configuration; GW_NAME and GW_LISTEN go over it.",
-        "SIGTERM drains it, SIGHUP reads the configuration again, a second SIGINT asks a drain to hurry."},
-    exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:It left in order.",
-        "69:An address is taken, or the kernel did not come up.", "70:Its event loop ended.",
-        "75:The lock is held: this server runs already.", "78:A settings file is wrong."},
-    footerHeading = "%nExample:%n", footer = "  GW_CONFIG=config.json wheatspread serve deploy/uwsgi.json")
+@Command(
+        name = "serve",
+        mixinStandardHelpOptions = true,
+        description = {
+            "Runs one server. GW_CONFIG names its configuration; GW_NAME and GW_LISTEN go over it.",
+            "SIGTERM drains it, SIGHUP reads the configuration again, a second SIGINT asks a drain to hurry."
+        },
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {
+            "0:It left in order.",
+            "69:An address is taken, or the kernel did not come up.",
+            "70:Its event loop ended.",
+            "75:The lock is held: this server runs already.",
+            "78:A settings file is wrong."
+        },
+        footerHeading = "%nExample:%n",
+        footer = "  GW_CONFIG=config.json wheatspread serve deploy/uwsgi.json")
 final class ServeCommand implements Callable<Integer> {
-    @Parameters(index = "0", arity = "0..1", paramLabel = "OPERATOR_FILE",
-        description = "Second front, limits, log and life of the process; JSON with comments.")
+    @Parameters(
+            index = "0",
+            arity = "0..1",
+            paramLabel = "OPERATOR_FILE",
+            description = "Second front, limits, log and life of the process; JSON with comments.")
     private Path operatorFile;
-    @Option(names = "--ready-file", paramLabel = "FILE",
-        description = "Is there while the server takes work; goes over life.ready_file.")
+
+    @Option(
+            names = "--ready-file",
+            paramLabel = "FILE",
+            description = "Is there while the server takes work; goes over life.ready_file.")
     private Path readyFile;
-    @Option(names = "--lock-file", paramLabel = "FILE",
-        description = "Locked while the process lives; goes over life.lock_file.")
+
+    @Option(
+            names = "--lock-file",
+            paramLabel = "FILE",
+            description = "Locked while the process lives; goes over life.lock_file.")
     private Path lockFile;
-    @Option(names = "--report-file", paramLabel = "FILE",
-        description = "Gets the report of the drain; goes over life.report_file.")
+
+    @Option(
+            names = "--report-file",
+            paramLabel = "FILE",
+            description = "Gets the report of the drain; goes over life.report_file.")
     private Path reportFile;
-    @Option(names = "--mark", paramLabel = "TEXT", defaultValue = "",
-        description = "Stands in the lock file.")
+
+    @Option(names = "--mark", paramLabel = "TEXT", defaultValue = "", description = "Stands in the lock file.")
     private String mark;
+
     @Option(names = "--stats", description = "Answers the method stats, as the key of that name does.")
     private boolean stats;
 
@@ -53,23 +76,25 @@
     public Integer call() throws IOException, InterruptedException {
         Configuration all = Configuration.load(System.getenv(), operatorFile);
         ServerConfig config = all.server();
-        OperatorConfig operator = all.operator().with(all.operator().life().with(readyFile, lockFile,
-            reportFile),
-            stats || all.operator().stats());
+        OperatorConfig operator = all.operator()
+                .with(
+                        all.operator().life().with(readyFile, lockFile, reportFile),
+                        stats || all.operator().stats());
         LogConfig told = operator.log();
         LogSetup.use(told.json(), told.level(), config.name());
-        EventLog log = new StructuredLog(new RepeatLimit(told.repeats(), told.window()),
-            () -> System.nanoTime() / 1_000);
+        EventLog log =
+                new StructuredLog(new RepeatLimit(told.repeats(), told.window()), () -> System.nanoTime() / 1_000);
         try {
-            return serve(config, operator, mark, log, server -> { });
+            return serve(config, operator, mark, log, server -> {});
         } finally {
             LogSetup.flush();
         }
     }
 
     /** From the settings to the exit code; {@code whenListening} hears of a server that listens. */
-    static int serve(ServerConfig config, OperatorConfig operator, String mark, EventLog log,
-                     Consumer<Server> whenListening) throws IOException, InterruptedException {
+    static int serve(
+            ServerConfig config, OperatorConfig operator, String mark, EventLog log, Consumer<Server> whenListening)
+            throws IOException, InterruptedException {
         Server server;
         try {
             server = new Server(config, operator, (loop, turns) -> new LoopClock(turns), log);
@@ -105,11 +130,14 @@
         boolean heard = Signals.handle("TERM", () -> server.notice(Event.NOTICE));
         // at a terminal the second Ctrl-C means that somebody waits
         Signals.handle("INT", () -> server.notice(interrupted.getAndSet(true) ? Event.HURRY : Event.NOTICE));
-        heard &= Signals.handle("HUP", () -> server.reload(() ->
-            ServerConfig.fromEnvironment(System.getenv())));
+        heard &= Signals.handle("HUP", () -> server.reload(() -> ServerConfig.fromEnvironment(System.getenv())));
         if (!heard) { // every reload, or the notice, would pass unseen
-            log.error("signal_ignored", "signals", "TERM or HUP", "reason", "started by a process that "
-                + "ignores it, as nohup does; start it with env --default-signal=HUP");
+            log.error(
+                    "signal_ignored",
+                    "signals",
+                    "TERM or HUP",
+                    "reason",
+                    "started by a process that " + "ignores it, as nohup does; start it with env --default-signal=HUP");
         }
     }
 }
--- a/server/src/main/java/wheatspread/commands/ShowConfigCommand.java
+++ b/server/src/main/java/wheatspread/commands/ShowConfigCommand.java
@@ -15,33 +15,44 @@
 import wheatspread.config.Source;
 
 /** Prints what holds. */
-@Command(name = "show-config", mixinStandardHelpOptions = true,
-    description = "Prints every setting that holds, with where its value comes from: FILE:LINE, a variable, "
-        + "or default.",
-    footerHeading = "%nExample:%n",
+@Command(
+        name = "show-config",
+        mixinStandardHelpOptions = true,
+        description = "Prints every setting that holds, with where its value comes from: FILE:LINE, a variable, "
+                + "or default.",
+        footerHeading = "%nExample:%n",
         footer = "  wheatspread show-config --config config.json deploy/uwsgi.json")
 final class ShowConfigCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
-    @Parameters(index = "0", arity = "0..1", paramLabel = "OPERATOR_FILE",
-        description = "The operator's file.")
+
+    @Parameters(index = "0", arity = "0..1", paramLabel = "OPERATOR_FILE", description = "The operator's file.")
     private Path operatorFile;
+
     @Option(names = "--config", paramLabel = "FILE", description = "In place of what GW_CONFIG names.")
     private Path config;
+
     @Option(names = "--json", description = "As a JSON list.")
     private boolean json;
 
     @Override
     public Integer call() {
-        List<Source> sources = Configuration.load(CheckCommand.environment(config), operatorFile).sources();
+        List<Source> sources = Configuration.load(CheckCommand.environment(config), operatorFile)
+                .sources();
         PrintWriter out = spec.commandLine().getOut();
         JSONArray list = new JSONArray();
         for (Source source : sources) {
-            int widest = source.settings().stream().mapToInt(one -> one.key().length()).max().orElse(0);
+            int widest = source.settings().stream()
+                    .mapToInt(one -> one.key().length())
+                    .max()
+                    .orElse(0);
             for (Source.Setting one : source.settings()) {
                 if (json) {
-                    list.put(new JSONObject().put("file", source.file()).put("key", one.key())
-                        .put("value", one.value()).put("origin", one.origin()));
+                    list.put(new JSONObject()
+                            .put("file", source.file())
+                            .put("key", one.key())
+                            .put("value", one.value())
+                            .put("origin", one.origin()));
                 } else {
                     out.printf("%-" + widest + "s  %s  (%s)%n", one.key(), one.value(), one.origin());
                 }
--- a/server/src/main/java/wheatspread/commands/StoreCommand.java
+++ b/server/src/main/java/wheatspread/commands/StoreCommand.java
@@ -25,13 +25,23 @@
 import wheatspread.store.WriteState;
 
 /** Tools for a store that no process has open. */
-@Command(name = "store", mixinStandardHelpOptions = true, synopsisSubcommandLabel = "COMMAND",
-    description = "Looks at a store's folder, checks it, or makes it smaller. No process may have it open.",
-    footerHeading = "%nExamples:%n", footer = {"  wheatspread store check /var/lib/wheatspread/keys",
-        "  wheatspread store dump /var/lib/wheatspread/keys --prefix plan:",
-        "  wheatspread store compact /var/lib/wheatspread/keys"},
-    subcommands = {StoreCommand.Check.class, StoreCommand.Stat.class, StoreCommand.Dump.class,
-        StoreCommand.Compact.class})
+@Command(
+        name = "store",
+        mixinStandardHelpOptions = true,
+        synopsisSubcommandLabel = "COMMAND",
+        description = "Looks at a store's folder, checks it, or makes it smaller. No process may have it open.",
+        footerHeading = "%nExamples:%n",
+        footer = {
+            "  wheatspread store check /var/lib/wheatspread/keys",
+            "  wheatspread store dump /var/lib/wheatspread/keys --prefix plan:",
+            "  wheatspread store compact /var/lib/wheatspread/keys"
+        },
+        subcommands = {
+            StoreCommand.Check.class,
+            StoreCommand.Stat.class,
+            StoreCommand.Dump.class,
+            StoreCommand.Compact.class
+        })
 final class StoreCommand implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
@@ -45,6 +55,7 @@
     abstract static class OnFolder implements Callable<Integer> {
         @Spec
         private CommandSpec spec;
+
         @Parameters(index = "0", paramLabel = "FOLDER", description = "The store's folder.")
         private Path folder;
 
@@ -71,11 +82,17 @@
         }
     }
 
-    @Command(name = "check", mixinStandardHelpOptions = true,
-        description = "Reads every record of every file and tells what is not as it was written.",
-        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:Nothing is lost.",
-            "65:Something is, or the folder holds what this program cannot read.",
-            "66:There is no such folder.", "75:A process has it open."})
+    @Command(
+            name = "check",
+            mixinStandardHelpOptions = true,
+            description = "Reads every record of every file and tells what is not as it was written.",
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {
+                "0:Nothing is lost.",
+                "65:Something is, or the folder holds what this program cannot read.",
+                "66:There is no such folder.",
+                "75:A process has it open."
+            })
     static final class Check extends OnFolder {
         @Option(names = "--json", description = "For programs.")
         private boolean json;
@@ -88,14 +105,13 @@
             } else {
                 look.findings().forEach(out::println);
                 out.println(look.files().size() + " files, " + look.stats().keys() + " keys, "
-                    + (look.damages() == 0 ? "nothing is lost" : look.damages() + " places are damaged"));
+                        + (look.damages() == 0 ? "nothing is lost" : look.damages() + " places are damaged"));
             }
             return look.damages() == 0 ? CommandLine.ExitCode.OK : Exit.DATA;
         }
     }
 
-    @Command(name = "stat", mixinStandardHelpOptions = true,
-        description = "Tells what the store holds, file by file.")
+    @Command(name = "stat", mixinStandardHelpOptions = true, description = "Tells what the store holds, file by file.")
     static final class Stat extends OnFolder {
         @Option(names = "--json", description = "For programs.")
         private boolean json;
@@ -112,13 +128,19 @@
         }
     }
 
-    @Command(name = "dump", mixinStandardHelpOptions = true,
-        description = {"Prints every key that lives as a line of JSON: key, value and expires_ms;",
-            "what is no text stands as key64 and value64."},
-        exitCodeListHeading = "%nExit codes:%n", exitCodeList = {"0:All were read.", "65:Some could not be."})
+    @Command(
+            name = "dump",
+            mixinStandardHelpOptions = true,
+            description = {
+                "Prints every key that lives as a line of JSON: key, value and expires_ms;",
+                "what is no text stands as key64 and value64."
+            },
+            exitCodeListHeading = "%nExit codes:%n",
+            exitCodeList = {"0:All were read.", "65:Some could not be."})
     static final class Dump extends OnFolder {
         @Option(names = "--prefix", paramLabel = "TEXT", description = "Only keys that begin so.")
         private String prefix = "";
+
         @Option(names = "--keys", description = "Without the values.")
         private boolean keysOnly;
 
@@ -126,8 +148,8 @@
         int on(Disk disk, PrintWriter out) throws IOException {
             byte[] begin = prefix.getBytes(StandardCharsets.UTF_8);
             long unread = Offline.dump(disk, System.currentTimeMillis(), entry -> {
-                if (entry.key().length >= begin.length && java.util.Arrays.equals(begin, 0, begin.length,
-                    entry.key(), 0, begin.length)) {
+                if (entry.key().length >= begin.length
+                        && java.util.Arrays.equals(begin, 0, begin.length, entry.key(), 0, begin.length)) {
                     JSONObject line = new JSONObject();
                     text(line, "key", entry.key());
                     if (!keysOnly) {
@@ -144,24 +166,41 @@
 
         private static void text(JSONObject line, String name, byte[] bytes) {
             try {
-                line.put(name, StandardCharsets.UTF_8.newDecoder().decode(ByteBuffer.wrap(bytes)).toString());
+                line.put(
+                        name,
+                        StandardCharsets.UTF_8
+                                .newDecoder()
+                                .decode(ByteBuffer.wrap(bytes))
+                                .toString());
             } catch (CharacterCodingException e) {
                 line.put(name + "64", Base64.getEncoder().encodeToString(bytes));
             }
         }
     }
 
-    @Command(name = "compact", mixinStandardHelpOptions = true,
-        description = "Rewrites the files without what has expired or was overwritten.")
+    @Command(
+            name = "compact",
+            mixinStandardHelpOptions = true,
+            description = "Rewrites the files without what has expired or was overwritten.")
     static final class Compact extends OnFolder {
-        @Option(names = "--accept-loss", description = {"Forgets what damage has put in doubt:",
-            "keys that it took are then absent, and older values of them count again."})
+        @Option(
+                names = "--accept-loss",
+                description = {
+                    "Forgets what damage has put in doubt:",
+                    "keys that it took are then absent, and older values of them count again."
+                })
         private boolean acceptLoss;
 
         @Override
         int on(Disk disk, PrintWriter out) throws IOException {
-            print(Offline.compact(disk, StoreSettings.DEFAULT, System.currentTimeMillis(), acceptLoss,
-                EventLog.lines(out::println)), out);
+            print(
+                    Offline.compact(
+                            disk,
+                            StoreSettings.DEFAULT,
+                            System.currentTimeMillis(),
+                            acceptLoss,
+                            EventLog.lines(out::println)),
+                    out);
             return Exit.OK;
         }
     }
@@ -172,22 +211,33 @@
             out.printf("%-34s %12d %12d %10d%n", file.name(), file.bytes(), file.liveBytes(), file.records());
         }
         out.println(look.stats().keys() + " keys, " + look.stats().usedBytes() + " bytes, "
-            + look.stats().liveBytes() + " of them live");
+                + look.stats().liveBytes() + " of them live");
         if (look.stats().allInDoubt() || look.stats().doubtfulKeys() > 0) {
-            out.println(look.stats().allInDoubt() ? "keys are in doubt; which, is not known"
-                : look.stats().doubtfulKeys() + " keys are in doubt");
+            out.println(
+                    look.stats().allInDoubt()
+                            ? "keys are in doubt; which, is not known"
+                            : look.stats().doubtfulKeys() + " keys are in doubt");
         }
     }
 
     private static JSONObject json(Offline.Look look) {
         JSONArray files = new JSONArray();
-        look.files().forEach(file -> files.put(new JSONObject().put("name", file.name()).put("bytes",
-            file.bytes()).put("live_bytes", file.liveBytes()).put("records", file.records())));
-        return new JSONObject().put("files", files).put("keys", look.stats().keys())
-            .put("used_bytes", look.stats().usedBytes()).put("live_bytes", look.stats().liveBytes())
-            .put("doubtful_keys", look.stats().doubtfulKeys()).put("all_in_doubt", look.stats().allInDoubt())
-            .put("mode", look.stats().mode() == WriteState.Mode.OPEN ? "open" : "full")
-            .put("damages", look.damages()).put("cut_bytes", look.cutBytes())
-            .put("findings", new JSONArray(look.findings()));
+        look.files()
+                .forEach(file -> files.put(new JSONObject()
+                        .put("name", file.name())
+                        .put("bytes", file.bytes())
+                        .put("live_bytes", file.liveBytes())
+                        .put("records", file.records())));
+        return new JSONObject()
+                .put("files", files)
+                .put("keys", look.stats().keys())
+                .put("used_bytes", look.stats().usedBytes())
+                .put("live_bytes", look.stats().liveBytes())
+                .put("doubtful_keys", look.stats().doubtfulKeys())
+                .put("all_in_doubt", look.stats().allInDoubt())
+                .put("mode", look.stats().mode() == WriteState.Mode.OPEN ? "open" : "full")
+                .put("damages", look.damages())
+                .put("cut_bytes", look.cutBytes())
+                .put("findings", new JSONArray(look.findings()));
     }
 }
--- a/server/src/main/java/wheatspread/commands/TrainCommand.java
+++ b/server/src/main/java/wheatspread/commands/TrainCommand.java
@@ -17,8 +17,11 @@
  * start loads ({@code -XX:ArchiveClassesAtExit}). What goes wrong is told and no failure: a server starts
  * without an archive too.
  */
-@Command(name = "train", hidden = true, mixinStandardHelpOptions = true,
-    description = "Starts a server and ends it, for the build's class-data archive.")
+@Command(
+        name = "train",
+        hidden = true,
+        mixinStandardHelpOptions = true,
+        description = "Starts a server and ends it, for the build's class-data archive.")
 final class TrainCommand implements Callable<Integer> {
     @Parameters(index = "0", paramLabel = "CONFIG", description = "A platform configuration.")
     private Path config;
@@ -27,8 +30,8 @@
     public Integer call() {
         try {
             Wheatspread.prepared(new ServeCommand()).parseArgs("--stats");
-            Configuration all = Configuration.load(Map.of("GW_CONFIG", config.toString(), "GW_LISTEN",
-                "127.0.0.1:0"), null);
+            Configuration all =
+                    Configuration.load(Map.of("GW_CONFIG", config.toString(), "GW_LISTEN", "127.0.0.1:0"), null);
             LogSetup.use(false, "error", all.server().name());
             EventLog log = new StructuredLog(new RepeatLimit(1, 1), () -> 0);
             ServeCommand.serve(all.server(), all.operator(), "", log, server -> server.notice(Event.NOTICE));
--- a/server/src/main/java/wheatspread/commands/Wheatspread.java
+++ b/server/src/main/java/wheatspread/commands/Wheatspread.java
@@ -8,25 +8,39 @@
 import picocli.CommandLine.Spec;
 
 /** The program's command line. */
-@Command(name = "wheatspread", mixinStandardHelpOptions = true, version = "wheatspread 0.1.0",
-    synopsisSubcommandLabel = "COMMAND",
+@Command(
+        name = "wheatspread",
+        mixinStandardHelpOptions = true,
+        version = "wheatspread 0.1.0",
+        synopsisSubcommandLabel = "COMMAND",
         description = "A recipe server that decides for itself what it takes.",
-    footerHeading = "%nExamples:%n", footer = {"  GW_CONFIG=config.json wheatspread serve deploy/uwsgi.json",
-        "  wheatspread check --config config.json deploy/uwsgi.json",
-            "  wheatspread fleet up deploy/fleet.json"},
-    subcommands = {ServeCommand.class, CheckCommand.class, ShowConfigCommand.class, ImportNginxCommand.class,
-        BenchlinkCommand.class, FleetCommand.class, MembersCommand.class, StoreCommand.class,
-        CompletionCommand.class, TrainCommand.class})
+        footerHeading = "%nExamples:%n",
+        footer = {
+            "  GW_CONFIG=config.json wheatspread serve deploy/uwsgi.json",
+            "  wheatspread check --config config.json deploy/uwsgi.json",
+            "  wheatspread fleet up deploy/fleet.json"
+        },
+        subcommands = {
+            ServeCommand.class,
+            CheckCommand.class,
+            ShowConfigCommand.class,
+            ImportNginxCommand.class,
+            BenchlinkCommand.class,
+            FleetCommand.class,
+            MembersCommand.class,
+            StoreCommand.class,
+            CompletionCommand.class,
+            TrainCommand.class
+        })
 public final class Wheatspread implements Callable<Integer> {
     @Spec
     private CommandSpec spec;
 
     public static void main(String[] args) {
         // a server's start pays for no other command's options
-        CommandLine line = args.length > 0 && args[0].equals("serve") ? prepared(new ServeCommand())
-            : commands();
-        String[] left = line.getCommand() instanceof ServeCommand ? java.util.Arrays.copyOfRange(args, 1,
-            args.length) : args;
+        CommandLine line = args.length > 0 && args[0].equals("serve") ? prepared(new ServeCommand()) : commands();
+        String[] left =
+                line.getCommand() instanceof ServeCommand ? java.util.Arrays.copyOfRange(args, 1, args.length) : args;
         System.exit(line.execute(left));
     }
 
@@ -36,8 +50,10 @@
     }
 
     static CommandLine prepared(Object command) {
-        return new CommandLine(command).setExecutionExceptionHandler(Exit::handle)
-            .setParameterExceptionHandler(Exit::misused).setExitCodeExceptionMapper(e -> Exit.SOFTWARE);
+        return new CommandLine(command)
+                .setExecutionExceptionHandler(Exit::handle)
+                .setParameterExceptionHandler(Exit::misused)
+                .setExitCodeExceptionMapper(e -> Exit.SOFTWARE);
     }
 
     @Override
--- a/server/src/main/java/wheatspread/config/Configuration.java
+++ b/server/src/main/java/wheatspread/config/Configuration.java
@@ -17,6 +17,7 @@
     private static final int OWN_SOCKETS = 32;
     /** Connections to the records service, as a share of all descriptors and at most. */
     private static final int RECORDS_PART = 8;
+
     private static final int RECORDS_MOST = 40;
 
     /** How many connections the records client may hold of so many descriptors. */
@@ -28,8 +29,8 @@
     public static int platformConnections(ServerConfig server, OperatorConfig operator) {
         int sockets = server.sockets() - OWN_SOCKETS - recordsConnections(server.sockets());
         if (operator.mostConnections() > sockets) {
-            throw new Fields.BadValue("connections.max is " + operator.mostConnections()
-                + ", and limits.sockets leaves " + sockets);
+            throw new Fields.BadValue(
+                    "connections.max is " + operator.mostConnections() + ", and limits.sockets leaves " + sockets);
         }
         sockets = operator.mostConnections() > 0 ? operator.mostConnections() : sockets;
         sockets -= operator.uwsgi() == null ? 0 : operator.uwsgi().mostConnections();
--- a/server/src/main/java/wheatspread/config/Fields.java
+++ b/server/src/main/java/wheatspread/config/Fields.java
@@ -37,8 +37,8 @@
 
         /** Several at once; the message tells the first, and how many there are besides. */
         BadValue(List<String> faults) {
-            super(faults.get(0) + (faults.size() == 1 ? "" : " (and " + (faults.size() - 1)
-                + " more; 'check' names them all)"));
+            super(faults.get(0)
+                    + (faults.size() == 1 ? "" : " (and " + (faults.size() - 1) + " more; 'check' names them all)"));
             this.faults = List.copyOf(faults);
         }
 
@@ -104,9 +104,9 @@
 
     private String told(String name) {
         Object value = map.get(name);
-        return value == null ? "" : ": " + (value instanceof Map ? "an object" : value instanceof List
-            ? "a list"
-            : value);
+        return value == null
+                ? ""
+                : ": " + (value instanceof Map ? "an object" : value instanceof List ? "a list" : value);
     }
 
     /** The object under a key; an empty one where it may be absent and is. */
@@ -140,8 +140,9 @@
     /** A number within bounds, or the value for an absent key. */
     public double number(String name, double absent, double least, double most) {
         double value = number(name, absent);
-        return value >= least && value <= most ? value
-            : fault(name, "is " + value + ", not from " + least + " to " + most, absent);
+        return value >= least && value <= most
+                ? value
+                : fault(name, "is " + value + ", not from " + least + " to " + most, absent);
     }
 
     public long integer(String name) {
@@ -156,13 +157,13 @@
     /** An integer within bounds, or the value for an absent key. */
     public int integer(String name, int absent, int least, int most) {
         if (has(name) && !(map.get(name) instanceof Number)) {
-            return fault(name, "is missing or not a number" + told(name) + "; allowed is " + least + " to "
-                + most,
-                absent);
+            return fault(
+                    name, "is missing or not a number" + told(name) + "; allowed is " + least + " to " + most, absent);
         }
         long value = has(name) ? integer(name) : took(name, (long) absent);
-        return value >= least && value <= most ? (int) value
-            : fault(name, "is " + value + ", not from " + least + " to " + most, absent);
+        return value >= least && value <= most
+                ? (int) value
+                : fault(name, "is " + value + ", not from " + least + " to " + most, absent);
     }
 
     /**
@@ -192,8 +193,11 @@
     /** True or false, or the value for an absent key. */
     public boolean flag(String name, boolean absent) {
         Object value = map.get(name);
-        return value == null ? took(name, absent) : value instanceof Boolean b ? took(name, b)
-            : fault(name, "is neither true nor false" + told(name), absent);
+        return value == null
+                ? took(name, absent)
+                : value instanceof Boolean b
+                        ? took(name, b)
+                        : fault(name, "is neither true nor false" + told(name), absent);
     }
 
     public String text(String name) {
@@ -211,8 +215,7 @@
         String told = text(name);
         T known = words.get(told);
         if (known == null && map.get(name) instanceof String) {
-            fault(name, "is an unknown word: " + told + "; allowed are " + new TreeSet<>(words.keySet()),
-                null);
+            fault(name, "is an unknown word: " + told + "; allowed are " + new TreeSet<>(words.keySet()), null);
         }
         return known == null ? words.values().iterator().next() : known;
     }
--- a/server/src/main/java/wheatspread/config/JsonFile.java
+++ b/server/src/main/java/wheatspread/config/JsonFile.java
@@ -23,16 +23,20 @@
  */
 public final class JsonFile {
     private static final JsonFactory FACTORY = new JsonFactoryBuilder()
-        .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS).enable(JsonReadFeature.ALLOW_YAML_COMMENTS)
-        .enable(JsonReadFeature.ALLOW_TRAILING_COMMA).enable(JsonReadFeature.ALLOW_UNQUOTED_FIELD_NAMES)
-        .enable(JsonReadFeature.ALLOW_SINGLE_QUOTES)
-        .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-        .streamReadConstraints(StreamReadConstraints.builder().maxNestingDepth(64).build()).build();
+            .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
+            .enable(JsonReadFeature.ALLOW_YAML_COMMENTS)
+            .enable(JsonReadFeature.ALLOW_TRAILING_COMMA)
+            .enable(JsonReadFeature.ALLOW_UNQUOTED_FIELD_NAMES)
+            .enable(JsonReadFeature.ALLOW_SINGLE_QUOTES)
+            .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
+            .streamReadConstraints(
+                    StreamReadConstraints.builder().maxNestingDepth(64).build())
+            .build();
     private static final long MOST_BYTES = 16L << 20;
 
     private final Map<String, Integer> lines = new HashMap<>();
 
-    private JsonFile() { }
+    private JsonFile() {}
 
     /** The object in a file; its complaints name file, line and key. */
     public static Fields read(Path file) {
@@ -44,8 +48,7 @@
             text = Files.readString(file);
         } catch (IOException e) {
             throw new Fields.BadValue(file + " cannot be read: "
-                + (e instanceof java.nio.file.NoSuchFileException
-                ? "there is no such file" : e.toString()));
+                    + (e instanceof java.nio.file.NoSuchFileException ? "there is no such file" : e.toString()));
         }
         return read(file.toString(), text);
     }
@@ -59,13 +62,14 @@
             }
             Map<String, Object> map = reader.object(parser, "");
             if (parser.nextToken() != null) {
-                throw new Fields.BadValue(name + ":" + parser.currentTokenLocation().getLineNr()
-                    + ": something follows the object");
+                throw new Fields.BadValue(
+                        name + ":" + parser.currentTokenLocation().getLineNr() + ": something follows the object");
             }
             return Fields.of(map, new Source(name, reader.lines));
         } catch (JsonProcessingException e) {
-            throw new Fields.BadValue(name + ":" + (e.getLocation() == null ? 1 : e.getLocation().getLineNr())
-                + ": is not a JSON object: " + e.getOriginalMessage().split("\n")[0]);
+            throw new Fields.BadValue(name + ":"
+                    + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": is not a JSON object: "
+                    + e.getOriginalMessage().split("\n")[0]);
         } catch (IOException e) {
             throw new IllegalStateException(e); // a text in memory
         }
--- a/server/src/main/java/wheatspread/config/LifeConfig.java
+++ b/server/src/main/java/wheatspread/config/LifeConfig.java
@@ -20,8 +20,11 @@
 
     static LifeConfig read(Fields told) {
         told.only(Set.of("ready_file", "lock_file", "report_file", "kernel_wait_ms"));
-        return new LifeConfig(path(told, "ready_file"), path(told, "lock_file"), path(told, "report_file"),
-            told.micros("kernel_wait_ms", 0, 0));
+        return new LifeConfig(
+                path(told, "ready_file"),
+                path(told, "lock_file"),
+                path(told, "report_file"),
+                told.micros("kernel_wait_ms", 0, 0));
     }
 
     private static Path path(Fields told, String key) {
@@ -35,7 +38,10 @@
 
     /** This, with what the command line says going over it; null where it says nothing. */
     public LifeConfig with(Path ready, Path lock, Path report) {
-        return new LifeConfig(ready == null ? readyFile : ready, lock == null ? lockFile : lock,
-            report == null ? reportFile : report, kernelWait);
+        return new LifeConfig(
+                ready == null ? readyFile : ready,
+                lock == null ? lockFile : lock,
+                report == null ? reportFile : report,
+                kernelWait);
     }
 }
--- a/server/src/main/java/wheatspread/config/LogConfig.java
+++ b/server/src/main/java/wheatspread/config/LogConfig.java
@@ -13,10 +13,13 @@
 
     static LogConfig read(Fields told) {
         told.only(Set.of("format", "level", "repeats", "repeats_ms"));
-        return new LogConfig(told.word("format", Map.of("json", true, "text", false), USUAL.json),
-            told.word("level", Map.of("debug", "debug", "info", "info", "warn", "warn", "error", "error"),
-                USUAL.level),
-            told.integer("repeats", USUAL.repeats, 0, 1_000_000),
-            told.micros("repeats_ms", USUAL.window, 1));
+        return new LogConfig(
+                told.word("format", Map.of("json", true, "text", false), USUAL.json),
+                told.word(
+                        "level",
+                        Map.of("debug", "debug", "info", "info", "warn", "warn", "error", "error"),
+                        USUAL.level),
+                told.integer("repeats", USUAL.repeats, 0, 1_000_000),
+                told.micros("repeats_ms", USUAL.window, 1));
     }
 }
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -20,18 +20,33 @@
  * @param stats whether the method {@code stats} answers on the platform's front
  * @param membership null where this server keeps to itself
  */
-public record OperatorConfig(UwsgiConfig uwsgi, int mostConnections, ConnectionLimits connections,
-                             TurnLimits turns, String transport, int reportSeconds, LogConfig log,
-                             LifeConfig life, boolean stats, MembershipConfig membership) {
+public record OperatorConfig(
+        UwsgiConfig uwsgi,
+        int mostConnections,
+        ConnectionLimits connections,
+        TurnLimits turns,
+        String transport,
+        int reportSeconds,
+        LogConfig log,
+        LifeConfig life,
+        boolean stats,
+        MembershipConfig membership) {
     /** What holds without a file, as on the platform. */
-    public static final OperatorConfig NONE = new OperatorConfig(null, 0, ConnectionLimits.usual(0),
-        TurnLimits.USUAL, "nio", 0, LogConfig.USUAL, LifeConfig.USUAL, false, null);
+    public static final OperatorConfig NONE = new OperatorConfig(
+            null,
+            0,
+            ConnectionLimits.usual(0),
+            TurnLimits.USUAL,
+            "nio",
+            0,
+            LogConfig.USUAL,
+            LifeConfig.USUAL,
+            false,
+            null);
 
-    private static final Map<String, Refusal> REFUSALS = Map.of("close", Refusal.CLOSE, "reset",
-        Refusal.RESET,
-        "answer", Refusal.ANSWER);
-    private static final Map<String, String> TRANSPORTS = Map.of("nio", "nio", "epoll", "epoll", "auto",
-        "auto");
+    private static final Map<String, Refusal> REFUSALS =
+            Map.of("close", Refusal.CLOSE, "reset", Refusal.RESET, "answer", Refusal.ANSWER);
+    private static final Map<String, String> TRANSPORTS = Map.of("nio", "nio", "epoll", "epoll", "auto", "auto");
 
     /** Complaints name the file and the key. */
     public static OperatorConfig readFile(Path file, Site site) {
@@ -39,63 +54,98 @@
     }
 
     static OperatorConfig read(Fields told, Site site) {
-        told.only(Set.of("uwsgi", "connections", "turns", "transport", "report_s", "log", "life",
-            "stats", "membership"));
+        told.only(
+                Set.of("uwsgi", "connections", "turns", "transport", "report_s", "log", "life", "stats", "membership"));
         UwsgiConfig uwsgi = told.has("uwsgi") ? UwsgiConfig.read(told.object("uwsgi", false), site) : null;
         Fields connections = told.object("connections", true);
-        OperatorConfig config = new OperatorConfig(uwsgi, connections.integer("max", 0, 0, 1 << 20),
-            limits(connections),
-            turns(told.object("turns", true)), told.word("transport", TRANSPORTS, "auto"),
-            told.integer("report_s", 0, 0, 3_600), LogConfig.read(told.object("log", true)),
-            LifeConfig.read(told.object("life", true)), told.flag("stats", false),
-            told.has("membership") ? MembershipConfig.read(told.object("membership", false)) : null);
+        OperatorConfig config = new OperatorConfig(
+                uwsgi,
+                connections.integer("max", 0, 0, 1 << 20),
+                limits(connections),
+                turns(told.object("turns", true)),
+                told.word("transport", TRANSPORTS, "auto"),
+                told.integer("report_s", 0, 0, 3_600),
+                LogConfig.read(told.object("log", true)),
+                LifeConfig.read(told.object("life", true)),
+                told.flag("stats", false),
+                told.has("membership") ? MembershipConfig.read(told.object("membership", false)) : null);
         told.settle();
         return config;
     }
 
     private static ConnectionLimits limits(Fields told) {
-        told.only(Set.of("max", "max_per_source", "accepts_per_s", "accept_burst", "first_request_ms",
-            "whole_request_ms", "idle_timeout_ms", "leaving_ms", "to_speak_ms", "max_partial_kb",
+        told.only(Set.of(
+                "max",
+                "max_per_source",
+                "accepts_per_s",
+                "accept_burst",
+                "first_request_ms",
+                "whole_request_ms",
+                "idle_timeout_ms",
+                "leaving_ms",
+                "to_speak_ms",
+                "max_partial_kb",
                 "max_waiting_kb",
-            "refused"));
+                "refused"));
         ConnectionLimits usual = NONE.connections;
-        return new ConnectionLimits(0, told.integer("max_per_source", usual.mostOfSource(), 0, 1 << 20),
-            told.integer("accepts_per_s", usual.acceptsPerSecond(), 0, 1_000_000),
-            told.integer("accept_burst", usual.acceptBurst(), 1, 1_000_000),
-            told.micros("first_request_ms", usual.firstRequest(), 10),
-            told.micros("whole_request_ms", usual.wholeRequest(), 10),
-            told.micros("idle_timeout_ms", usual.idle(), 0), told.micros("leaving_ms", usual.lingering(), 10),
-            told.micros("to_speak_ms", usual.toSpeak(), 0),
-            told.integer("max_partial_kb", (int) (usual.mostHeld() >> 10), 64, 1 << 20) * 1024L,
-            told.integer("max_waiting_kb", (int) (usual.mostWaiting() >> 10), 256, 1 << 20) * 1024L,
-            told.word("refused", REFUSALS, usual.refusal()));
+        return new ConnectionLimits(
+                0,
+                told.integer("max_per_source", usual.mostOfSource(), 0, 1 << 20),
+                told.integer("accepts_per_s", usual.acceptsPerSecond(), 0, 1_000_000),
+                told.integer("accept_burst", usual.acceptBurst(), 1, 1_000_000),
+                told.micros("first_request_ms", usual.firstRequest(), 10),
+                told.micros("whole_request_ms", usual.wholeRequest(), 10),
+                told.micros("idle_timeout_ms", usual.idle(), 0),
+                told.micros("leaving_ms", usual.lingering(), 10),
+                told.micros("to_speak_ms", usual.toSpeak(), 0),
+                told.integer("max_partial_kb", (int) (usual.mostHeld() >> 10), 64, 1 << 20) * 1024L,
+                told.integer("max_waiting_kb", (int) (usual.mostWaiting() >> 10), 256, 1 << 20) * 1024L,
+                told.word("refused", REFUSALS, usual.refusal()));
     }
 
     private static TurnLimits turns(Fields told) {
-        told.only(Set.of("read_kb", "requests", "read_us", "lately_ms", "sleepers_part", "crowd",
-            "expiring"));
+        told.only(Set.of("read_kb", "requests", "read_us", "lately_ms", "sleepers_part", "crowd", "expiring"));
         TurnLimits usual = TurnLimits.USUAL;
-        return new TurnLimits(told.integer("read_kb", usual.mostBytes() >> 10, 4, 1 << 16) << 10,
-            told.integer("requests", usual.mostRequests(), 1, 100_000),
-            told.integer("read_us", usual.mostMicros(), 100, 1_000_000), told.micros("lately_ms",
-                usual.lately(), 0),
-            told.integer("sleepers_part", usual.sleepersPart(), 2, 1_000),
-            told.integer("crowd", usual.crowd(), 1, 1 << 20),
-            told.integer("expiring", usual.mostExpiring(), 1, 100_000));
+        return new TurnLimits(
+                told.integer("read_kb", usual.mostBytes() >> 10, 4, 1 << 16) << 10,
+                told.integer("requests", usual.mostRequests(), 1, 100_000),
+                told.integer("read_us", usual.mostMicros(), 100, 1_000_000),
+                told.micros("lately_ms", usual.lately(), 0),
+                told.integer("sleepers_part", usual.sleepersPart(), 2, 1_000),
+                told.integer("crowd", usual.crowd(), 1, 1 << 20),
+                told.integer("expiring", usual.mostExpiring(), 1, 100_000));
     }
 
     /** What holds for the uwsgi front's connections. */
     public ConnectionLimits uwsgiLimits() {
         ConnectionLimits c = connections;
-        return new ConnectionLimits(uwsgi.mostConnections(), c.mostOfSource(), c.acceptsPerSecond(),
-            c.acceptBurst(), c.firstRequest(), uwsgi.readTimeout(), uwsgi.idleTimeout(), c.lingering(),
+        return new ConnectionLimits(
+                uwsgi.mostConnections(),
+                c.mostOfSource(),
+                c.acceptsPerSecond(),
+                c.acceptBurst(),
+                c.firstRequest(),
+                uwsgi.readTimeout(),
+                uwsgi.idleTimeout(),
+                c.lingering(),
                 c.toSpeak(),
-            c.mostHeld(), c.mostWaiting(), c.refusal());
+                c.mostHeld(),
+                c.mostWaiting(),
+                c.refusal());
     }
 
     /** This, with another life and another say on {@code stats}. */
     public OperatorConfig with(LifeConfig otherLife, boolean tellStats) {
-        return new OperatorConfig(uwsgi, mostConnections, connections, turns, transport, reportSeconds, log,
-            otherLife, tellStats, membership);
+        return new OperatorConfig(
+                uwsgi,
+                mostConnections,
+                connections,
+                turns,
+                transport,
+                reportSeconds,
+                log,
+                otherLife,
+                tellStats,
+                membership);
     }
 }
--- a/server/src/main/java/wheatspread/config/ServerConfig.java
+++ b/server/src/main/java/wheatspread/config/ServerConfig.java
@@ -19,10 +19,19 @@
  * @param shared a folder that the processes of an upgrade share, for the keys that either ran
  *     ({@code shared}; {@code $TMPDIR} where a socket is handed over); null for none
  */
-public record ServerConfig(String name, InetSocketAddress listen, InetSocketAddress kernel,
-                           InetSocketAddress records, InetSocketAddress announce, long seed, long stopMicros,
-                           int sockets, Site site, InetSocketAddress control, int inherited,
-                           Path shared) {
+public record ServerConfig(
+        String name,
+        InetSocketAddress listen,
+        InetSocketAddress kernel,
+        InetSocketAddress records,
+        InetSocketAddress announce,
+        long seed,
+        long stopMicros,
+        int sockets,
+        Site site,
+        InetSocketAddress control,
+        int inherited,
+        Path shared) {
     private static final int DEFAULT_STOP_MS = 3_000;
     private static final int DEFAULT_SOCKETS = 1_024;
     /** The key that {@code GW_INHERITED_FD} stands for; a file may say it too. */
@@ -40,15 +49,15 @@
     /** The file's keys, with what the environment puts over them. */
     static Fields fields(Path file, Map<String, String> environment) {
         Fields told = JsonFile.read(file);
-        for (var key : Map.of("name", "GW_NAME", "listen", "GW_LISTEN", "control", "GW_CONTROL").entrySet()) {
+        for (var key : Map.of("name", "GW_NAME", "listen", "GW_LISTEN", "control", "GW_CONTROL")
+                .entrySet()) {
             if (environment.get(key.getValue()) != null) {
                 told.override(key.getKey(), environment.get(key.getValue()), key.getValue());
             }
         }
         String inherited = environment.get("GW_INHERITED_FD");
         if (inherited != null) {
-            Object fd = inherited.strip().matches("\\d{1,9}") ? (Object) Integer.valueOf(inherited.strip())
-                : inherited;
+            Object fd = inherited.strip().matches("\\d{1,9}") ? (Object) Integer.valueOf(inherited.strip()) : inherited;
             told.override(INHERITED, fd, "GW_INHERITED_FD");
             String tmp = environment.get("TMPDIR");
             if (tmp != null && !tmp.isBlank() && !told.has("shared")) {
@@ -60,8 +69,19 @@
 
     /** This configuration with the addresses at which another one reaches the parties round the server. */
     public ServerConfig withAddressesOf(ServerConfig other) {
-        return new ServerConfig(name, listen, other.kernel, other.records, other.announce, seed, stopMicros,
-            sockets, site, control, inherited, shared);
+        return new ServerConfig(
+                name,
+                listen,
+                other.kernel,
+                other.records,
+                other.announce,
+                seed,
+                stopMicros,
+                sockets,
+                site,
+                control,
+                inherited,
+                shared);
     }
 
     /**
@@ -82,12 +102,19 @@
     public static ServerConfig read(Fields told) {
         Fields limits = told.object("limits", true);
         Site site = site(told.object("settings", false));
-        ServerConfig config = new ServerConfig(told.text("name"), address(told, "listen"), address(told,
-            "kernel"), records(told, site), addressOrNone(told, "announce"), seed(told),
-            told.integer("stop_ms", DEFAULT_STOP_MS, 100, 600_000) * 1000L,
-            limits.integer("sockets", DEFAULT_SOCKETS, 64, 1 << 20), site,
-            addressOrNone(told, "control"), told.integer(INHERITED, -1, -1, 1 << 20),
-            told.has("shared") ? Path.of(told.text("shared")) : null);
+        ServerConfig config = new ServerConfig(
+                told.text("name"),
+                address(told, "listen"),
+                address(told, "kernel"),
+                records(told, site),
+                addressOrNone(told, "announce"),
+                seed(told),
+                told.integer("stop_ms", DEFAULT_STOP_MS, 100, 600_000) * 1000L,
+                limits.integer("sockets", DEFAULT_SOCKETS, 64, 1 << 20),
+                site,
+                addressOrNone(told, "control"),
+                told.integer(INHERITED, -1, -1, 1 << 20),
+                told.has("shared") ? Path.of(told.text("shared")) : null);
         told.settle();
         return config;
     }
@@ -102,8 +129,11 @@
     }
 
     private static Site site(Fields settings) {
-        Site site = new Site(SettingsReader.read(settings), SettingsReader.names(settings, "Lanes"),
-            SettingsReader.names(settings, "Parties"), SettingsReader.gauges(settings));
+        Site site = new Site(
+                SettingsReader.read(settings),
+                SettingsReader.names(settings, "Lanes"),
+                SettingsReader.names(settings, "Parties"),
+                SettingsReader.gauges(settings));
         if (site.classes().isEmpty()) {
             settings.fault("Lanes", "names no class of requests", null);
         }
@@ -121,7 +151,7 @@
     /** Where calls go: it must be there as soon as a class of the site may call, and only then. */
     private static InetSocketAddress records(Fields told, Site site) {
         boolean calls = site.settings().below().kind() != Dependency.NONE
-            && site.settings().classes().stream().anyMatch(RequestClass::calls);
+                && site.settings().classes().stream().anyMatch(RequestClass::calls);
         return calls ? address(told, "records") : addressOrNone(told, "records");
     }
 
@@ -133,8 +163,9 @@
     static InetSocketAddress address(Fields told, String key) {
         String text = told.text(key);
         int colon = text.lastIndexOf(':');
-        if (colon < 1 || !text.substring(colon + 1).matches("\\d{1,5}")
-            || Integer.parseInt(text.substring(colon + 1)) > 65_535) {
+        if (colon < 1
+                || !text.substring(colon + 1).matches("\\d{1,5}")
+                || Integer.parseInt(text.substring(colon + 1)) > 65_535) {
             if (!text.isEmpty()) {
                 told.fault(key, "is not host:port: " + text, null);
             }
--- a/server/src/main/java/wheatspread/config/SettingsReader.java
+++ b/server/src/main/java/wheatspread/config/SettingsReader.java
@@ -14,16 +14,16 @@
 
 /** The settings of one instance, the same on the simulator's wire and in a real server's configuration. */
 public final class SettingsReader {
-    private static final Map<String, Effect> EFFECTS = Map.of("idempotent", Effect.IDEMPOTENT,
-        "deduplicated", Effect.KEYED, "at_most_once", Effect.AT_MOST_ONCE);
-    private static final Map<String, Dependency> DEPENDENCIES = Map.of("silent", Dependency.NONE,
-        "shared", Dependency.SHARED, "tier", Dependency.TIER);
-    private static final Map<String, Halt> HALTS = Map.of("silent", Halt.NONE, "abort", Halt.ABORT,
-        "suspend", Halt.SUSPEND);
-    private static final Map<String, Advice> ADVICE = Map.of("silent", Advice.NONE, "threshold",
-        Advice.THRESHOLD, "window", Advice.WINDOW, "share_of", Advice.SHARE);
+    private static final Map<String, Effect> EFFECTS =
+            Map.of("idempotent", Effect.IDEMPOTENT, "deduplicated", Effect.KEYED, "at_most_once", Effect.AT_MOST_ONCE);
+    private static final Map<String, Dependency> DEPENDENCIES =
+            Map.of("silent", Dependency.NONE, "shared", Dependency.SHARED, "tier", Dependency.TIER);
+    private static final Map<String, Halt> HALTS =
+            Map.of("silent", Halt.NONE, "abort", Halt.ABORT, "suspend", Halt.SUSPEND);
+    private static final Map<String, Advice> ADVICE = Map.of(
+            "silent", Advice.NONE, "threshold", Advice.THRESHOLD, "window", Advice.WINDOW, "share_of", Advice.SHARE);
 
-    private SettingsReader() { }
+    private SettingsReader() {}
 
     public static Settings read(Fields info) {
         Fields family = info.object("FamilyInfo", false);
@@ -38,28 +38,55 @@
         for (Fields party : info.objects("Parties")) {
             tenants.add(new Tenant(party.number("QuotaPerS", 0)));
         }
-        Admission.Limits limits = new Admission.Limits(family.number("MemoryKb"),
-            family.number("RunFactor", 1), family.number("KbPerKey", 0), rules.number("TipMultiple"),
-            rules.number("ColdFrom", 1), rules.time("Cold", 0), rules.time("AnswerSlack", 0),
-            rules.time("DrainGrace", 0));
-        Admission.Below below = new Admission.Below(family.word("DependsOn", DEPENDENCIES, Dependency.NONE),
-            family.number("CallsOut", 0), family.time("DepWindow", 0), family.time("Linger", 0));
-        Admission.Callers callers = new Admission.Callers((int) family.number("Callers", 0),
-            family.word("Say", ADVICE, Advice.NONE), family.time("Heeded", 0),
-            ceilings.flag("RetryAfter") ? ceilings.time("MaxRetryAfter", 0) : 0,
-            family.flag("RegistryFollows"), family.time("Idle", 0), prices.number("Handshake", 0),
-            prices.number("Connection", 0));
-        return new Settings((int) family.integer("NCores"), (int) info.number("ReplicasOfMe", 0),
-            family.flag("Cold"), family.word("Halt", HALTS, Halt.NONE), family.time("Fresh", 0),
-            info.time("Resolution", 0), limits, below, callers, classes, tenants);
+        Admission.Limits limits = new Admission.Limits(
+                family.number("MemoryKb"),
+                family.number("RunFactor", 1),
+                family.number("KbPerKey", 0),
+                rules.number("TipMultiple"),
+                rules.number("ColdFrom", 1),
+                rules.time("Cold", 0),
+                rules.time("AnswerSlack", 0),
+                rules.time("DrainGrace", 0));
+        Admission.Below below = new Admission.Below(
+                family.word("DependsOn", DEPENDENCIES, Dependency.NONE),
+                family.number("CallsOut", 0),
+                family.time("DepWindow", 0),
+                family.time("Linger", 0));
+        Admission.Callers callers = new Admission.Callers(
+                (int) family.number("Callers", 0),
+                family.word("Say", ADVICE, Advice.NONE),
+                family.time("Heeded", 0),
+                ceilings.flag("RetryAfter") ? ceilings.time("MaxRetryAfter", 0) : 0,
+                family.flag("RegistryFollows"),
+                family.time("Idle", 0),
+                prices.number("Handshake", 0),
+                prices.number("Connection", 0));
+        return new Settings(
+                (int) family.integer("NCores"),
+                (int) info.number("ReplicasOfMe", 0),
+                family.flag("Cold"),
+                family.word("Halt", HALTS, Halt.NONE),
+                family.time("Fresh", 0),
+                info.time("Resolution", 0),
+                limits,
+                below,
+                callers,
+                classes,
+                tenants);
     }
 
     private static RequestClass requestClass(Fields lane, Fields family, int index) {
         long deadline = lane.time("Deadline");
-        return new RequestClass(lane.time("Aim", deadline), lane.number("AimStretch", 0), deadline,
-            lane.word("Effect", EFFECTS), lane.number("Worth", 1), lane.number("LateWorth", 0),
-            lane.time("Window", 0), nth(family, "ClassCalls", index) == Boolean.TRUE,
-            nth(family, "ClassSkipWorth", index) instanceof Number n ? n.doubleValue() : 0);
+        return new RequestClass(
+                lane.time("Aim", deadline),
+                lane.number("AimStretch", 0),
+                deadline,
+                lane.word("Effect", EFFECTS),
+                lane.number("Worth", 1),
+                lane.number("LateWorth", 0),
+                lane.time("Window", 0),
+                nth(family, "ClassCalls", index) == Boolean.TRUE,
+                nth(family, "ClassSkipWorth", index) instanceof Number n ? n.doubleValue() : 0);
     }
 
     private static Object nth(Fields fields, String name, int index) {
--- a/server/src/main/java/wheatspread/config/Source.java
+++ b/server/src/main/java/wheatspread/config/Source.java
@@ -17,7 +17,7 @@
     private final Map<String, String> over = new LinkedHashMap<>();
 
     /** One value that holds, and where it comes from: {@code FILE:LINE}, a variable, or {@code default}. */
-    public record Setting(String key, Object value, String origin) { }
+    public record Setting(String key, Object value, String origin) {}
 
     Source(String file, Map<String, Integer> lines) {
         this.file = file;
--- a/server/src/main/java/wheatspread/config/UwsgiConfig.java
+++ b/server/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -12,66 +12,115 @@
  * The operator's file: where the uwsgi front listens, its bounds, which vars carry what, and what holds for
  * a request whose packet does not say. Times are microseconds here and milliseconds in the file.
  */
-public record UwsgiConfig(InetSocketAddress listen, int mostConnections, int mostVars, int mostBody,
-                          long readTimeout, long idleTimeout, String healthPath, Vars vars, Defaults defaults,
-                          List<Route> routes) {
-    private static final Set<String> KEYS = Set.of("listen", "max_connections", "max_vars", "max_body",
-        "read_timeout_ms", "idle_timeout_ms", "health_path", "vars", "defaults", "routes");
+public record UwsgiConfig(
+        InetSocketAddress listen,
+        int mostConnections,
+        int mostVars,
+        int mostBody,
+        long readTimeout,
+        long idleTimeout,
+        String healthPath,
+        Vars vars,
+        Defaults defaults,
+        List<Route> routes) {
+    private static final Set<String> KEYS = Set.of(
+            "listen",
+            "max_connections",
+            "max_vars",
+            "max_body",
+            "read_timeout_ms",
+            "idle_timeout_ms",
+            "health_path",
+            "vars",
+            "defaults",
+            "routes");
     private static final Set<String> DEFAULT_KEYS = Set.of("class", "tenant", "limit_ms", "cpu_ms", "ram_kb");
-    private static final Map<String, Match> MATCHES = Map.of("exact", Match.EXACT, "prefix", Match.PREFIX,
-        "prefix_first", Match.PREFIX_FIRST, "regex", Match.REGEX, "regex_any_case", Match.REGEX_ANY_CASE);
+    private static final Map<String, Match> MATCHES = Map.of(
+            "exact",
+            Match.EXACT,
+            "prefix",
+            Match.PREFIX,
+            "prefix_first",
+            Match.PREFIX_FIRST,
+            "regex",
+            Match.REGEX,
+            "regex_any_case",
+            Match.REGEX_ANY_CASE);
 
     /** The names of the vars that carry a request's particulars. */
-    public record Vars(String kind, String tenant, String limit, String hint, String ram, String unique,
-                       String item) {
+    public record Vars(String kind, String tenant, String limit, String hint, String ram, String unique, String item) {
         /** What a proxy is asked to call them, unless the file says otherwise. */
-        public static final Vars USUAL = new Vars("RECIPE_CLASS", "RECIPE_TENANT", "RECIPE_LIMIT_MS",
-            "RECIPE_CPU_MS", "RECIPE_RAM_KB", "RECIPE_UNIQUE", "RECIPE_ITEM");
+        public static final Vars USUAL = new Vars(
+                "RECIPE_CLASS",
+                "RECIPE_TENANT",
+                "RECIPE_LIMIT_MS",
+                "RECIPE_CPU_MS",
+                "RECIPE_RAM_KB",
+                "RECIPE_UNIQUE",
+                "RECIPE_ITEM");
     }
 
     /** What holds where a packet does not say; an index of -1 and a limit of 0 mean that nothing is set. */
-    public record Defaults(int kind, int tenant, long limit, long hint, double ramKb) { }
+    public record Defaults(int kind, int tenant, long limit, long hint, double ramKb) {}
 
     /** How a route's path is compared, as the location forms of nginx are. */
-    public enum Match { EXACT, PREFIX, PREFIX_FIRST, REGEX, REGEX_ANY_CASE }
+    public enum Match {
+        EXACT,
+        PREFIX,
+        PREFIX_FIRST,
+        REGEX,
+        REGEX_ANY_CASE
+    }
 
     /**
      * Defaults for the requests whose path matches; {@code pattern} is null unless it is a regex. The routes
      * within it are looked at where it is the one that matches; they take nothing over from it.
      */
-    public record Route(Match match, String path, Pattern pattern, Defaults defaults, List<Route> routes) { }
+    public record Route(Match match, String path, Pattern pattern, Defaults defaults, List<Route> routes) {}
 
     static UwsgiConfig read(Fields told, Site site) {
         told.only(KEYS);
         Fields names = told.object("vars", true);
         names.only(Set.of("class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "unique", "item"));
         Vars usual = Vars.USUAL;
-        Vars vars = new Vars(names.text("class", usual.kind), names.text("tenant", usual.tenant),
-            names.text("limit_ms", usual.limit), names.text("cpu_ms", usual.hint),
-            names.text("ram_kb", usual.ram), names.text("unique", usual.unique),
-            names.text("item", usual.item));
+        Vars vars = new Vars(
+                names.text("class", usual.kind),
+                names.text("tenant", usual.tenant),
+                names.text("limit_ms", usual.limit),
+                names.text("cpu_ms", usual.hint),
+                names.text("ram_kb", usual.ram),
+                names.text("unique", usual.unique),
+                names.text("item", usual.item));
         Defaults none = new Defaults(-1, -1, 0, 0, 24);
         Defaults defaults = defaults(told.object("defaults", true), none, site, DEFAULT_KEYS);
-        return new UwsgiConfig(ServerConfig.address(told, "listen"),
-            told.integer("max_connections", 256, 1, 1 << 20), told.integer("max_vars", 16_384, 64, 65_535),
-            told.integer("max_body", 2_048, 0, 1 << 20), told.micros("read_timeout_ms", 5_000_000L, 10),
-            told.micros("idle_timeout_ms", 60_000_000L, 10), told.text("health_path", ""), vars, defaults,
-            routes(told, defaults, site));
+        return new UwsgiConfig(
+                ServerConfig.address(told, "listen"),
+                told.integer("max_connections", 256, 1, 1 << 20),
+                told.integer("max_vars", 16_384, 64, 65_535),
+                told.integer("max_body", 2_048, 0, 1 << 20),
+                told.micros("read_timeout_ms", 5_000_000L, 10),
+                told.micros("idle_timeout_ms", 60_000_000L, 10),
+                told.text("health_path", ""),
+                vars,
+                defaults,
+                routes(told, defaults, site));
     }
 
     private static Defaults defaults(Fields told, Defaults outer, Site site, Set<String> keys) {
         told.only(keys);
-        return new Defaults(index(told, "class", site == null ? null : site.classes(), outer.kind),
-            index(told, "tenant", site == null ? null : site.tenants(), outer.tenant),
-            told.integer("limit_ms", (int) (outer.limit / 1000), 0, 3_600_000) * 1000L,
-            Math.round(positive(told, "cpu_ms", outer.hint / 1000.0) * 1000),
-            positive(told, "ram_kb", outer.ramKb));
+        return new Defaults(
+                index(told, "class", site == null ? null : site.classes(), outer.kind),
+                index(told, "tenant", site == null ? null : site.tenants(), outer.tenant),
+                told.integer("limit_ms", (int) (outer.limit / 1000), 0, 3_600_000) * 1000L,
+                Math.round(positive(told, "cpu_ms", outer.hint / 1000.0) * 1000),
+                positive(told, "ram_kb", outer.ramKb));
     }
 
     private static double positive(Fields told, String key, double absent) {
         double value = told.number(key, absent);
-        return value >= 0 && value < 1e6 ? value
-            : told.fault(key, "is out of range: " + value + "; allowed is 0 to under 1000000", absent);
+        return value >= 0 && value < 1e6
+                ? value
+                : told.fault(key, "is out of range: " + value + "; allowed is 0 to under 1000000", absent);
     }
 
     private static int index(Fields told, String key, List<String> names, int absent) {
@@ -83,7 +132,9 @@
     }
 
     private static List<Route> routes(Fields told, Defaults outer, Site site) {
-        return told.objects("routes").stream().map(one -> route(one, outer, site)).toList();
+        return told.objects("routes").stream()
+                .map(one -> route(one, outer, site))
+                .toList();
     }
 
     private static Route route(Fields told, Defaults outer, Site site) {
@@ -97,8 +148,15 @@
         } catch (PatternSyntaxException e) {
             told.fault("path", "is no regular expression: " + e.getDescription() + ": " + path, null);
         }
-        return new Route(match, path, pattern, defaults(told, outer, site,
-            Set.of("match", "path", "class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "routes")),
-            routes(told, outer, site));
+        return new Route(
+                match,
+                path,
+                pattern,
+                defaults(
+                        told,
+                        outer,
+                        site,
+                        Set.of("match", "path", "class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "routes")),
+                routes(told, outer, site));
     }
 }
--- a/server/src/main/java/wheatspread/connections/Connection.java
+++ b/server/src/main/java/wheatspread/connections/Connection.java
@@ -28,6 +28,7 @@
     State state = State.GONE;
     /** Since when it is in this state: since its first byte where it speaks, since its last use otherwise. */
     long since;
+
     long usedAt;
     int open;
     int held;
@@ -39,9 +40,11 @@
     boolean unread;
     /** The neighbours in the list of its state. */
     Connection previous;
+
     Connection next;
     /** The neighbours among the connections of its source that rest. */
     Connection previousOfSource;
+
     Connection nextOfSource;
 
     Connection(Caller caller, Sources.Source source) {
--- a/server/src/main/java/wheatspread/connections/ConnectionCounters.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionCounters.java
@@ -30,10 +30,37 @@
 
     /** All of them, as names and values in turns. */
     public Object[] fields() {
-        return new Object[] {"accepted", accepted, "accepts_paused", paused, "refused_full", refusedFull,
-            "refused_source", refusedSource, "room_lingering", roomLingering, "room_silent", roomSilent,
-            "room_speaking", roomSpeaking, "room_resting", roomResting, "room_young", roomYoung,
-            "closed_silent", closedSilent, "closed_half", closedHalf, "closed_idle", closedIdle,
-            "closed_lingering", closedLingering, "closed_held", closedHeld, "closed_stalled", closedStalled};
+        return new Object[] {
+            "accepted",
+            accepted,
+            "accepts_paused",
+            paused,
+            "refused_full",
+            refusedFull,
+            "refused_source",
+            refusedSource,
+            "room_lingering",
+            roomLingering,
+            "room_silent",
+            roomSilent,
+            "room_speaking",
+            roomSpeaking,
+            "room_resting",
+            roomResting,
+            "room_young",
+            roomYoung,
+            "closed_silent",
+            closedSilent,
+            "closed_half",
+            closedHalf,
+            "closed_idle",
+            closedIdle,
+            "closed_lingering",
+            closedLingering,
+            "closed_held",
+            closedHeld,
+            "closed_stalled",
+            closedStalled
+        };
     }
 }
--- a/server/src/main/java/wheatspread/connections/ConnectionLimits.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionLimits.java
@@ -16,21 +16,57 @@
  * @param mostWaiting bytes that wait to be written to callers that do not read, of all connections together
  * @param refusal what a connection gets that can't be taken
  */
-public record ConnectionLimits(int mostConnections, int mostOfSource, int acceptsPerSecond, int acceptBurst,
-                               long firstRequest, long wholeRequest, long idle, long lingering, long toSpeak,
-                               long mostHeld, long mostWaiting, Refusal refusal) {
+public record ConnectionLimits(
+        int mostConnections,
+        int mostOfSource,
+        int acceptsPerSecond,
+        int acceptBurst,
+        long firstRequest,
+        long wholeRequest,
+        long idle,
+        long lingering,
+        long toSpeak,
+        long mostHeld,
+        long mostWaiting,
+        Refusal refusal) {
     /** What a connection gets that can't be taken: the end, a reset, or an answer and the end. */
-    public enum Refusal { CLOSE, RESET, ANSWER }
+    public enum Refusal {
+        CLOSE,
+        RESET,
+        ANSWER
+    }
 
     /** What holds unless an operator's file says otherwise. */
     public static ConnectionLimits usual(int mostConnections) {
-        return new ConnectionLimits(mostConnections, 0, 0, 1_000, 2_000_000, 2_000_000, 0, 2_000_000, 200_000,
-            8 << 20, 12 << 20, Refusal.CLOSE);
+        return new ConnectionLimits(
+                mostConnections,
+                0,
+                0,
+                1_000,
+                2_000_000,
+                2_000_000,
+                0,
+                2_000_000,
+                200_000,
+                8 << 20,
+                12 << 20,
+                Refusal.CLOSE);
     }
 
     /** The same with room for so many. */
     public ConnectionLimits with(int connections) {
-        return new ConnectionLimits(connections, mostOfSource, acceptsPerSecond, acceptBurst, firstRequest,
-            wholeRequest, idle, lingering, toSpeak, mostHeld, mostWaiting, refusal);
+        return new ConnectionLimits(
+                connections,
+                mostOfSource,
+                acceptsPerSecond,
+                acceptBurst,
+                firstRequest,
+                wholeRequest,
+                idle,
+                lingering,
+                toSpeak,
+                mostHeld,
+                mostWaiting,
+                refusal);
     }
 }
--- a/server/src/main/java/wheatspread/connections/ConnectionTable.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionTable.java
@@ -64,8 +64,9 @@
      * socket gets what {@link ConnectionLimits#refusal} says. {@code address} tells sources apart.
      */
     public Connection admit(Caller caller, long address, long now) {
-        if (limits.mostOfSource() > 0 && sources.connectionsOf(address) >= limits.mostOfSource()
-            && !makeRoomOf(address)) {
+        if (limits.mostOfSource() > 0
+                && sources.connectionsOf(address) >= limits.mostOfSource()
+                && !makeRoomOf(address)) {
             counters.refusedSource++;
             return null;
         }
@@ -221,9 +222,9 @@
     }
 
     private void settle(Connection c, long since) {
-        State state = c.leaving ? c.open > 0 ? State.LEAVING : State.LINGERING
-            : c.held > 0 ? State.SPEAKING : c.open > 0 ? State.ASKING
-            : c.asked ? State.RESTING : State.NEW;
+        State state = c.leaving
+                ? c.open > 0 ? State.LEAVING : State.LINGERING
+                : c.held > 0 ? State.SPEAKING : c.open > 0 ? State.ASKING : c.asked ? State.RESTING : State.NEW;
         if (state == State.NEW && c.state == State.NEW) {
             return; // empty messages say nothing
         }
@@ -315,8 +316,9 @@
 
     /** When the first limit ends; {@link Long#MAX_VALUE} if none will. */
     public long soonest() {
-        return Math.min(Math.min(endOf(State.NEW), endOf(State.SPEAKING)),
-            Math.min(endOf(State.RESTING), endOf(State.LINGERING)));
+        return Math.min(
+                Math.min(endOf(State.NEW), endOf(State.SPEAKING)),
+                Math.min(endOf(State.RESTING), endOf(State.LINGERING)));
     }
 
     /**
--- a/server/src/main/java/wheatspread/connections/Sources.java
+++ b/server/src/main/java/wheatspread/connections/Sources.java
@@ -16,6 +16,7 @@
         int resting;
         /** The longest at rest comes first. */
         Connection first;
+
         Connection last;
         private Source previous;
         private Source next;
@@ -28,6 +29,7 @@
     private final Long2ObjectHashMap<Source> byAddress = new Long2ObjectHashMap<>(16, 0.65f);
     /** By the number of connections at rest; null where no source has so many. */
     private Source[] byResting = new Source[16];
+
     private int most;
 
     Source of(long address) {
--- a/server/src/main/java/wheatspread/control/ControlConnection.java
+++ b/server/src/main/java/wheatspread/control/ControlConnection.java
@@ -43,14 +43,15 @@
         if (end < 0) {
             if (bytes.readableBytes() > ControlFront.MOST_HEAD) {
                 bytes.skipBytes(bytes.readableBytes());
-                answer(ControlFront.response("431 Request Header Fields Too Large", "head over "
-                    + ControlFront.MOST_HEAD + " bytes\n"));
+                answer(ControlFront.response(
+                        "431 Request Header Fields Too Large", "head over " + ControlFront.MOST_HEAD + " bytes\n"));
                 return 1;
             }
             return 0; // the rest comes in later pieces
         }
         int length = end - bytes.readerIndex();
-        String head = bytes.readCharSequence(length, StandardCharsets.ISO_8859_1).toString();
+        String head =
+                bytes.readCharSequence(length, StandardCharsets.ISO_8859_1).toString();
         bytes.skipBytes(bytes.readableBytes()); // one call a connection: a body or more calls are not read
         answer(Calls.answer(head, front.ready.getAsBoolean(), front.vars, front.more));
         return 1;
--- a/server/src/main/java/wheatspread/control/ControlFront.java
+++ b/server/src/main/java/wheatspread/control/ControlFront.java
@@ -33,7 +33,7 @@
     }
 
     /** An answer, with the status as HTTP says it. */
-    public record Told(String status, String body) { }
+    public record Told(String status, String body) {}
 
     /**
      * {@code ready} says whether the process can serve; {@code vars} gives the figures as lines of text;
@@ -48,9 +48,19 @@
     /** The bounds of the door's own connections, apart from those of the recipe traffic. */
     public static ConnectionLimits limits() {
         ConnectionLimits usual = ConnectionLimits.usual(MOST_CALLERS);
-        return new ConnectionLimits(MOST_CALLERS, 0, 0, usual.acceptBurst(), WHOLE_CALL, WHOLE_CALL,
-            WHOLE_CALL, usual.lingering(), usual.toSpeak(), MOST_CALLERS * (long) MOST_HEAD, 4L << 20,
-            ConnectionLimits.Refusal.ANSWER);
+        return new ConnectionLimits(
+                MOST_CALLERS,
+                0,
+                0,
+                usual.acceptBurst(),
+                WHOLE_CALL,
+                WHOLE_CALL,
+                WHOLE_CALL,
+                usual.lingering(),
+                usual.toSpeak(),
+                MOST_CALLERS * (long) MOST_HEAD,
+                4L << 20,
+                ConnectionLimits.Refusal.ANSWER);
     }
 
     @Override
@@ -67,7 +77,7 @@
     static byte[] response(String status, String body) {
         byte[] text = body.getBytes(StandardCharsets.UTF_8);
         String head = "HTTP/1.1 " + status + "\r\nContent-Type: text/plain; charset=utf-8\r\nContent-Length: "
-            + text.length + "\r\nConnection: close\r\n\r\n";
+                + text.length + "\r\nConnection: close\r\n\r\n";
         byte[] whole = new byte[head.length() + text.length];
         System.arraycopy(head.getBytes(StandardCharsets.ISO_8859_1), 0, whole, 0, head.length());
         System.arraycopy(text, 0, whole, head.length(), text.length);
--- a/server/src/main/java/wheatspread/control/Vars.java
+++ b/server/src/main/java/wheatspread/control/Vars.java
@@ -8,15 +8,15 @@
 public final class Vars {
     private static final String PREFIX = "edge_gw.";
 
-    private Vars() { }
+    private Vars() {}
 
     /**
      * The figures from the start of the process: each class's final answers, the runs handed to the
      * kernel, the tries taken and not ended, and the files taken and turned down at SIGHUP. Every class of
      * the site is named, with 0 where nothing came.
      */
-    public static String text(Counts counts, List<String> classes, int concurrent, long reloadSuccess,
-                              long reloadFailure) {
+    public static String text(
+            Counts counts, List<String> classes, int concurrent, long reloadSuccess, long reloadFailure) {
         StringBuilder text = new StringBuilder(256);
         Map<Integer, long[]> byClass = counts.byClass();
         for (int kind = 0; kind < classes.size(); kind++) {
--- a/server/src/main/java/wheatspread/core/Answer.java
+++ b/server/src/main/java/wheatspread/core/Answer.java
@@ -10,5 +10,11 @@
      * What became of the try. Only {@code REFUSED} promises that it never ran; {@code CONFLICT} is a try that
      * claims the name of another one in hand, or its key with another body.
      */
-    public enum Kind { SERVED, REFUSED, FAILED, OUT_OF_TIME, CONFLICT }
+    public enum Kind {
+        SERVED,
+        REFUSED,
+        FAILED,
+        OUT_OF_TIME,
+        CONFLICT
+    }
 }
--- a/server/src/main/java/wheatspread/core/Batches.java
+++ b/server/src/main/java/wheatspread/core/Batches.java
@@ -19,6 +19,7 @@
     private static final long GAUGES_STALE = 300_000;
     /** The module is woken this long after it failed; us. */
     private static final long AFTER_FAULT = 50_000;
+
     private static final Gauges NO_GAUGES = new Gauges(Double.NaN, Double.NaN, Double.NaN, Double.NaN);
 
     private final Clock clock;
--- a/server/src/main/java/wheatspread/core/Carrier.java
+++ b/server/src/main/java/wheatspread/core/Carrier.java
@@ -32,8 +32,8 @@
         } else if (one.run == Try.Run.NONE) {
             one.run = Try.Run.ACTIVE;
             core.counts.runs++;
-            core.kernel.run(one.submission.job(), core.site().classes().get(one.submission.kind()),
-                one.submission.body());
+            core.kernel.run(
+                    one.submission.job(), core.site().classes().get(one.submission.kind()), one.submission.body());
         }
     }
 
@@ -55,8 +55,10 @@
      * one that repeated the same was first.
      */
     private void standForKey(Try one) {
-        boolean free = one.entry == null || one.entry.owner != one && !core.keys.holds(one.entry)
-            && (one.submission.unique() == null || !one.entry.owner.everRan());
+        boolean free = one.entry == null
+                || one.entry.owner != one
+                        && !core.keys.holds(one.entry)
+                        && (one.submission.unique() == null || !one.entry.owner.everRan());
         if (free) {
             KeyTable.Entry other = core.keys.find(one.submission, core.batches.now());
             one.entry = other == null ? core.keys.put(one) : other;
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -26,6 +26,7 @@
     private Site site;
     /** Whether the kernel started cold, as its first boot said. */
     private boolean cold;
+
     private final Function<Settings, Admission> newModule;
     final Clock clock;
     final Calls calls;
@@ -37,17 +38,22 @@
     final Counts counts = new Counts();
     private final Carrier carrier = new Carrier(this);
     Kernel kernel;
-    Consumer<Long> idleCloser = after -> { };
+    Consumer<Long> idleCloser = after -> {};
 
     final Batches batches;
     final FinalAnswers answers;
     private boolean healthy = true;
     private long retiredAt = Long.MAX_VALUE;
     private long warmAt;
-    private Runnable whenUp = () -> { };
-
-    public Core(Site site, Function<Settings, Admission> newModule, Clock clock, Records records,
-                Announcer announcer, EventLog log) {
+    private Runnable whenUp = () -> {};
+
+    public Core(
+            Site site,
+            Function<Settings, Admission> newModule,
+            Clock clock,
+            Records records,
+            Announcer announcer,
+            EventLog log) {
         this.site = site;
         this.newModule = newModule;
         this.clock = clock;
@@ -60,8 +66,9 @@
     }
 
     private static long[] windows(Site site) {
-        return site.settings().classes().stream().mapToLong(c -> c.effect() == Effect.KEYED ? c.window() : 0)
-            .toArray();
+        return site.settings().classes().stream()
+                .mapToLong(c -> c.effect() == Effect.KEYED ? c.window() : 0)
+                .toArray();
     }
 
     /**
@@ -99,7 +106,7 @@
     }
 
     /** What is in hand, by how far it has come. */
-    public record InHand(int held, int running, int paused, int calling, int joined) { }
+    public record InHand(int held, int running, int paused, int calling, int joined) {}
 
     /** What owes an answer now; a paused run counts where a repeat waits for it. */
     public InHand inHand() {
@@ -174,9 +181,18 @@
             return;
         }
         boolean write = site.settings().classes().get(s.kind()).effect() != Effect.IDEMPOTENT;
-        to.arrived(new Admission.Request(one.number, s.tenant(), s.kind(), Math.max(0, now - s.door()),
-            s.limited() ? Math.max(1, s.due() - now) : 0, entry == null ? 0 : entry.owner.number,
-            s.further(), s.item() != null, write, s.heldKb(), s.hint()));
+        to.arrived(new Admission.Request(
+                one.number,
+                s.tenant(),
+                s.kind(),
+                Math.max(0, now - s.door()),
+                s.limited() ? Math.max(1, s.due() - now) : 0,
+                entry == null ? 0 : entry.owner.number,
+                s.further(),
+                s.item() != null,
+                write,
+                s.heldKb(),
+                s.hint()));
     }
 
     /**
@@ -249,7 +265,8 @@
 
     /** Whether what is written now is written over the grace after the notice, and must not run. */
     boolean graceIsOver(long at) {
-        return retiredAt != Long.MAX_VALUE && at > retiredAt + site.settings().limits().drainGrace();
+        return retiredAt != Long.MAX_VALUE
+                && at > retiredAt + site.settings().limits().drainGrace();
     }
 
     /** Answers all that is open, now: who was not begun hears that it never ran. */
@@ -316,8 +333,7 @@
     /** The kernel ended a try at its word: it never ran, unless it was paused before and taken up again. */
     private void notTakenUp(Try one) {
         if (one.paused) {
-            answers.over(one, Kernel.End.STOPPED, null, Outcome.CANCELED,
-                0); // a second run is forbidden all the same
+            answers.over(one, Kernel.End.STOPPED, null, Outcome.CANCELED, 0); // a second run is forbidden all the same
         } else {
             neverStarted(one);
         }
--- a/server/src/main/java/wheatspread/core/Counts.java
+++ b/server/src/main/java/wheatspread/core/Counts.java
@@ -10,6 +10,7 @@
      * here, so it holds no more than the settings name.
      */
     private final Map<Integer, long[]> byClass = new TreeMap<>();
+
     long read;
     long served;
     long refused;
@@ -17,6 +18,7 @@
     long gone;
     /** Failed by the core's own timer, since they were due. */
     long overdue;
+
     long runs;
     long joins;
     long calls;
@@ -75,10 +77,30 @@
 
     /** What came since another count, as names and values in turns. */
     public Object[] since(Counts old) {
-        return new Object[] {"read", read - old.read, "served", served - old.served, "refused",
-            refused - old.refused, "failed", failed - old.failed, "overdue", overdue - old.overdue, "gone",
-            gone - old.gone, "runs", runs - old.runs, "joins", joins - old.joins, "calls", calls - old.calls,
-            "skips", skips - old.skips, "resumed", resumed - old.resumed};
+        return new Object[] {
+            "read",
+            read - old.read,
+            "served",
+            served - old.served,
+            "refused",
+            refused - old.refused,
+            "failed",
+            failed - old.failed,
+            "overdue",
+            overdue - old.overdue,
+            "gone",
+            gone - old.gone,
+            "runs",
+            runs - old.runs,
+            "joins",
+            joins - old.joins,
+            "calls",
+            calls - old.calls,
+            "skips",
+            skips - old.skips,
+            "resumed",
+            resumed - old.resumed
+        };
     }
 
     /** All of them, as names and values in turns. */
@@ -89,7 +111,7 @@
     @Override
     public String toString() {
         return "read " + read + ", served " + served + ", refused " + refused + ", failed " + failed
-            + " (overdue " + overdue + "), gone " + gone + ", runs " + runs + ", joins " + joins + ", calls "
-            + calls + ", skips " + skips;
+                + " (overdue " + overdue + "), gone " + gone + ", runs " + runs + ", joins " + joins + ", calls "
+                + calls + ", skips " + skips;
     }
 }
--- a/server/src/main/java/wheatspread/core/Kernel.java
+++ b/server/src/main/java/wheatspread/core/Kernel.java
@@ -3,7 +3,12 @@
 /** What the core asks of the kernel, which does the work. Commands may be given while the link is down. */
 public interface Kernel {
     /** How a run ended. */
-    enum End { OK, ERROR, STOPPED, MOOT }
+    enum End {
+        OK,
+        ERROR,
+        STOPPED,
+        MOOT
+    }
 
     void run(String job, String kind, byte[] body);
 
--- a/server/src/main/java/wheatspread/core/KeyTable.java
+++ b/server/src/main/java/wheatspread/core/KeyTable.java
@@ -23,6 +23,7 @@
         long pinnedUntil;
         /** How the owner's run ended; null while it has not. */
         Kernel.End end;
+
         byte[] result;
 
         Entry(String key, Try owner) {
@@ -73,13 +74,14 @@
     }
 
     private static boolean mayBeRead(Entry entry, long now) {
-        return entry.end == null ? !entry.owner.answered()
-            : entry.end == Kernel.End.OK && now < entry.pinnedUntil;
+        return entry.end == null ? !entry.owner.answered() : entry.end == Kernel.End.OK && now < entry.pinnedUntil;
     }
 
     private boolean forbids(Entry entry, Submission s) {
-        return !entry.owner.everRan() || s.door() <= entry.owner.submission.door()
-            + Math.max(window(s.kind()), window(entry.owner.submission.kind()));
+        return !entry.owner.everRan()
+                || s.door()
+                        <= entry.owner.submission.door()
+                                + Math.max(window(s.kind()), window(entry.owner.submission.kind()));
     }
 
     Entry put(Try owner) {
@@ -95,8 +97,9 @@
 
     /** Whether forgetting this entry could let a second try run. */
     private boolean mustStay(Entry entry, long now) {
-        return entry.owner.submission.unique() != null && entry.owner.everRan()
-            && now <= entry.owner.submission.door() + window(entry.owner.submission.kind()) + READ_LATE;
+        return entry.owner.submission.unique() != null
+                && entry.owner.everRan()
+                && now <= entry.owner.submission.door() + window(entry.owner.submission.kind()) + READ_LATE;
     }
 
     boolean holds(Entry entry) {
--- a/server/src/main/java/wheatspread/core/Site.java
+++ b/server/src/main/java/wheatspread/core/Site.java
@@ -34,16 +34,38 @@
             }
             // a class that stays keeps its figures: its window holds for the tries that ran before the retune
         }
-        return new Site(new Settings(settings.cores(), settings.servers(), settings.cold(), settings.halt(),
-            settings.fresh(), settings.resolution(), settings.limits(), settings.below(), settings.callers(),
-            kinds, settings.tenants()), names, tenants, gauges);
+        return new Site(
+                new Settings(
+                        settings.cores(),
+                        settings.servers(),
+                        settings.cold(),
+                        settings.halt(),
+                        settings.fresh(),
+                        settings.resolution(),
+                        settings.limits(),
+                        settings.below(),
+                        settings.callers(),
+                        kinds,
+                        settings.tenants()),
+                names,
+                tenants,
+                gauges);
     }
 
     /** The settings of a process whose kernel says whether it started cold. */
     Settings settings(boolean cold) {
-        return new Settings(settings.cores(), settings.servers(), cold, settings.halt(), settings.fresh(),
-            settings.resolution(), settings.limits(), settings.below(), settings.callers(),
-            settings.classes(), settings.tenants());
+        return new Settings(
+                settings.cores(),
+                settings.servers(),
+                cold,
+                settings.halt(),
+                settings.fresh(),
+                settings.resolution(),
+                settings.limits(),
+                settings.below(),
+                settings.callers(),
+                settings.classes(),
+                settings.tenants());
     }
 
     /** A row of readings by their names; NaN where one is missing. */
@@ -52,8 +74,10 @@
         for (int i = 0; i < names.size(); i++) {
             values.put(names.get(i), row.applyAsDouble(i));
         }
-        return new Gauges(values.getOrDefault("core_use", Double.NaN),
-            values.getOrDefault("on_cores", Double.NaN), values.getOrDefault("heap_share", Double.NaN),
-            values.getOrDefault("links", Double.NaN));
+        return new Gauges(
+                values.getOrDefault("core_use", Double.NaN),
+                values.getOrDefault("on_cores", Double.NaN),
+                values.getOrDefault("heap_share", Double.NaN),
+                values.getOrDefault("links", Double.NaN));
     }
 }
--- a/server/src/main/java/wheatspread/core/Submission.java
+++ b/server/src/main/java/wheatspread/core/Submission.java
@@ -9,6 +9,16 @@
  * {@code unique} ties the tries of one keyed request, {@code item} names what a read is about; both may be
  * null.
  */
-public record Submission(String job, int kind, int tenant, long door, long due, boolean limited,
-                         boolean further, double heldKb, long hint, String unique, String item,
-                         byte[] body) { }
+public record Submission(
+        String job,
+        int kind,
+        int tenant,
+        long door,
+        long due,
+        boolean limited,
+        boolean further,
+        double heldKb,
+        long hint,
+        String unique,
+        String item,
+        byte[] body) {}
--- a/server/src/main/java/wheatspread/core/Try.java
+++ b/server/src/main/java/wheatspread/core/Try.java
@@ -6,19 +6,27 @@
 /** One try in hand, from its reading until both its answer is given and its run, if any, has ended. */
 final class Try {
     /** Where its run stands. */
-    enum Run { NONE, ACTIVE, PAUSED, ENDED }
+    enum Run {
+        NONE,
+        ACTIVE,
+        PAUSED,
+        ENDED
+    }
 
     /** The number by which the module knows it. */
     final long number;
+
     final Submission submission;
     Reply reply;
     /** It was read over the grace after the notice to leave, and must not run. */
     boolean late;
+
     Run run = Run.NONE;
     /** The kernel has been asked to stop its run. */
     boolean stopAsked;
     /** Its run was paused at some time, so that it has begun whatever the kernel says later. */
     boolean paused;
+
     Clock.Timer dueTimer;
     /** The key's entry it stands in or repeats; null where it has no key. */
     KeyTable.Entry entry;
@@ -27,6 +35,7 @@
 
     /** The notice of the call that its run waits for, and the call's body; 0 if it waits for none. */
     long notice;
+
     byte[] callBody;
     Records.Call call;
     Clock.Timer callTimer;
--- a/server/src/main/java/wheatspread/daemon/FleetView.java
+++ b/server/src/main/java/wheatspread/daemon/FleetView.java
@@ -30,8 +30,7 @@
     private final EventLog log;
     private boolean closed;
 
-    FleetView(MembershipConfig config, String name, Transport transport, EventLoop loop, Clock clock,
-              EventLog log) {
+    FleetView(MembershipConfig config, String name, Transport transport, EventLoop loop, Clock clock, EventLog log) {
         cluster = config.cluster();
         this.name = name;
         this.clock = clock;
@@ -41,8 +40,16 @@
         String build = program.getImplementationVersion() == null ? "" : program.getImplementationVersion();
         Member self = new Member(new MemberId(name, start), config.advertise(), config.zone(), build, 0);
         // drawn apart from all other servers of the fleet, or all would do everything at once
-        peers = new Peers(cluster, config.listen(), self, config.seeds(), transport, loop, clock,
-            new SplittableRandom(start * 31 + name.hashCode()), log);
+        peers = new Peers(
+                cluster,
+                config.listen(),
+                self,
+                config.seeds(),
+                transport,
+                loop,
+                clock,
+                new SplittableRandom(start * 31 + name.hashCode()),
+                log);
     }
 
     /**
@@ -59,8 +66,8 @@
                 }
             });
         } else if (!opening.awaitUninterruptibly().isSuccess()) {
-            throw new IllegalStateException("cannot listen for peers: " + opening.cause().getMessage(),
-                opening.cause());
+            throw new IllegalStateException(
+                    "cannot listen for peers: " + opening.cause().getMessage(), opening.cause());
         }
     }
 
@@ -84,15 +91,16 @@
         Membership membership = peers.membership();
         View view = membership.view();
         return peers.counts().text("edge_gw.peers.") + "edge_gw.peers.members="
-            + (view == null ? 0 : view.size()) + "\nedge_gw.peers.stands="
-            + (membership.stands(Turns.micros()) ? 1 : 0) + "\n";
+                + (view == null ? 0 : view.size()) + "\nedge_gw.peers.stands="
+                + (membership.stands(Turns.micros()) ? 1 : 0) + "\n";
     }
 
     /** The operators' calls that there are with this; null for any other. */
     ControlFront.Told answer(String method, String path) {
         if (path.equals("/_members")) {
-            return method.equals("GET") ? new ControlFront.Told("200 OK", members().toString() + "\n")
-                : new ControlFront.Told("405 Method Not Allowed", "only GET\n");
+            return method.equals("GET")
+                    ? new ControlFront.Told("200 OK", members().toString() + "\n")
+                    : new ControlFront.Told("405 Method Not Allowed", "only GET\n");
         }
         if (path.equals("/_members/form")) {
             if (!method.equals("POST")) {
@@ -100,8 +108,9 @@
             }
             String refused = peers.found();
             log.info("form_ordered", "refused", refused == null ? "no" : refused);
-            return refused == null ? new ControlFront.Told("200 OK", "forming\n")
-                : new ControlFront.Told("409 Conflict", refused + "\n");
+            return refused == null
+                    ? new ControlFront.Told("200 OK", "forming\n")
+                    : new ControlFront.Told("409 Conflict", refused + "\n");
         }
         return null;
     }
@@ -114,19 +123,27 @@
         for (int i = 0; view != null && i < view.size(); i++) {
             Member one = view.members().get(i);
             boolean in = membership.isIn();
-            members.put(new JSONObject().put("name", one.id().name()).put("start", one.id().start())
-                .put("address", one.address()).put("zone", one.zone()).put("build", one.build())
-                .put("config", one.config())
-                .put("suspected_by", in ? membership.suspectedBy(i) : List.of())
-                .put("missed_by", in ? membership.reportedBy(i) : List.of())
-                .put("suspected_ms", membership.suspectedFor(one.id(), now) / 1_000));
+            members.put(new JSONObject()
+                    .put("name", one.id().name())
+                    .put("start", one.id().start())
+                    .put("address", one.address())
+                    .put("zone", one.zone())
+                    .put("build", one.build())
+                    .put("config", one.config())
+                    .put("suspected_by", in ? membership.suspectedBy(i) : List.of())
+                    .put("missed_by", in ? membership.reportedBy(i) : List.of())
+                    .put("suspected_ms", membership.suspectedFor(one.id(), now) / 1_000));
         }
-        return new JSONObject().put("cluster", cluster).put("name", name)
-            .put("start", membership.self().id().start())
-            .put("epoch", view == null ? 0 : view.id().epoch())
-            .put("number", view == null ? 0 : view.id().number()).put("in", membership.isIn())
-            .put("stands", membership.stands(now))
-            .put("why_not", membership.whyNot(now)).put("distrust", membership.distrust())
-            .put("members", members);
+        return new JSONObject()
+                .put("cluster", cluster)
+                .put("name", name)
+                .put("start", membership.self().id().start())
+                .put("epoch", view == null ? 0 : view.id().epoch())
+                .put("number", view == null ? 0 : view.id().number())
+                .put("in", membership.isIn())
+                .put("stands", membership.stands(now))
+                .put("why_not", membership.whyNot(now))
+                .put("distrust", membership.distrust())
+                .put("members", members);
     }
 }
--- a/server/src/main/java/wheatspread/daemon/GracefulShutdown.java
+++ b/server/src/main/java/wheatspread/daemon/GracefulShutdown.java
@@ -38,8 +38,14 @@
      * {@code unread} tells whether callers have written what has not been read yet; {@code life} hears how
      * the drain ended.
      */
-    GracefulShutdown(Core core, List<Listener> fronts, Clock clock, Marks marks, EventLog log,
-                     BooleanSupplier unread, Consumer<Event> life) {
+    GracefulShutdown(
+            Core core,
+            List<Listener> fronts,
+            Clock clock,
+            Marks marks,
+            EventLog log,
+            BooleanSupplier unread,
+            Consumer<Event> life) {
         this.core = core;
         this.fronts = fronts;
         this.clock = clock;
@@ -90,9 +96,19 @@
         if (drain == null) {
             return;
         }
-        List<Object> fields = new ArrayList<>(List.of("took_ms", drain.took(clock.now()) / 1000, "held",
-            handAtNotice.held(), "running", handAtNotice.running(), "paused", handAtNotice.paused(),
-            "calling", handAtNotice.calling(), "joined", handAtNotice.joined()));
+        List<Object> fields = new ArrayList<>(List.of(
+                "took_ms",
+                drain.took(clock.now()) / 1000,
+                "held",
+                handAtNotice.held(),
+                "running",
+                handAtNotice.running(),
+                "paused",
+                handAtNotice.paused(),
+                "calling",
+                handAtNotice.calling(),
+                "joined",
+                handAtNotice.joined()));
         fields.addAll(List.of(core.counts().since(atNotice)));
         fields.addAll(List.of("unanswered", core.open()));
         log.info("drained", fields.toArray());
@@ -115,8 +131,9 @@
 
     private void awaitClosed(List<Listener> all, long closingAt, Runnable ended) {
         long pending = all.stream().mapToLong(Listener::pendingBytes).sum();
-        if (all.stream().allMatch(Listener::isEmpty) || drain == null
-            || !drain.lingers(clock.now(), closingAt, pending)) {
+        if (all.stream().allMatch(Listener::isEmpty)
+                || drain == null
+                || !drain.lingers(clock.now(), closingAt, pending)) {
             all.forEach(Listener::cut);
             clock.soon(ended);
         } else {
--- a/server/src/main/java/wheatspread/daemon/Marks.java
+++ b/server/src/main/java/wheatspread/daemon/Marks.java
@@ -45,11 +45,13 @@
         this.files = files;
         this.log = log;
         boolean none = files.readyFile() == null && files.reportFile() == null;
-        disk = none ? null : Executors.newSingleThreadExecutor(task -> {
-            Thread thread = new Thread(task, "marks");
-            thread.setDaemon(true);
-            return thread;
-        });
+        disk = none
+                ? null
+                : Executors.newSingleThreadExecutor(task -> {
+                    Thread thread = new Thread(task, "marks");
+                    thread.setDaemon(true);
+                    return thread;
+                });
     }
 
     /** Takes the lock, for good; the system lets go of it when the process ends, however it ends. */
@@ -113,13 +115,15 @@
         if (file == null) {
             return;
         }
-        CompletableFuture.runAsync(() -> {
-            try {
-                WholeFile.write(file, text + "\n");
-            } catch (IOException e) {
-                log.warn("mark_failed", "file", file, "error", e);
-            }
-        }, disk);
+        CompletableFuture.runAsync(
+                () -> {
+                    try {
+                        WholeFile.write(file, text + "\n");
+                    } catch (IOException e) {
+                        log.warn("mark_failed", "file", file, "error", e);
+                    }
+                },
+                disk);
     }
 
     /** Waits a little for what is still to be written. */
--- a/server/src/main/java/wheatspread/daemon/Rehearsal.java
+++ b/server/src/main/java/wheatspread/daemon/Rehearsal.java
@@ -37,15 +37,16 @@
     private static final int ROUNDS = 400;
     /** It ends early where the core is slow: a server that comes late serves nobody. */
     static final long LONGEST_NS = 1_500_000_000L;
+
     private static final long STEP = 5_000;
     private static final byte[] BODY = new byte[256];
 
-    private record Task(long at, long number, Runnable what) { }
+    private record Task(long at, long number, Runnable what) {}
 
     private final Site site;
     private final Core core;
     private final PriorityQueue<Task> tasks =
-        new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::number));
+            new PriorityQueue<>(Comparator.comparingLong(Task::at).thenComparingLong(Task::number));
     private final Deque<Runnable> soon = new ArrayDeque<>();
     private long now = 1_000_000_000;
     private long set;
@@ -53,8 +54,7 @@
 
     Rehearsal(Site site) {
         this.site = site;
-        core = new Core(site, settings -> new Choice(settings, 1), this, this, accepting -> { },
-            EventLog.NONE);
+        core = new Core(site, settings -> new Choice(settings, 1), this, this, accepting -> {}, EventLog.NONE);
         core.attach(this);
         core.booted(false, 0);
     }
@@ -66,17 +66,18 @@
     int play(long longest, BooleanSupplier over) {
         long until = System.nanoTime() + longest;
         Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1, EventLog.NONE);
-        var listener = new wheatspread.sockets.Listener(null, turns, this, new RpcFront(core, this),
-            ConnectionLimits.usual(1), EventLog.NONE);
+        var listener = new wheatspread.sockets.Listener(
+                null, turns, this, new RpcFront(core, this), ConnectionLimits.usual(1), EventLog.NONE);
         EmbeddedChannel channel = new EmbeddedChannel(listener.callerOf(0));
         int served = 0;
-        for (int round = 1; round <= ROUNDS && System.nanoTime() < until
-            && !over.getAsBoolean(); round++) {
+        for (int round = 1; round <= ROUNDS && System.nanoTime() < until && !over.getAsBoolean(); round++) {
             channel.writeInbound(Unpooled.copiedBuffer(request(round) + "\n", StandardCharsets.UTF_8));
             pass(now + STEP);
             for (Object out = channel.readOutbound(); out != null; out = channel.readOutbound()) {
                 served += out instanceof ByteBuf line
-                    && line.toString(StandardCharsets.UTF_8).contains("\"result\"") ? 1 : 0;
+                                && line.toString(StandardCharsets.UTF_8).contains("\"result\"")
+                        ? 1
+                        : 0;
                 ReferenceCountUtil.release(out);
             }
         }
@@ -87,15 +88,25 @@
     private String request(int round) {
         int kind = round % site.classes().size();
         RequestClass told = site.settings().classes().get(kind);
-        JSONObject params = new JSONObject().put("txn", String.format("%016x", round)).put("door", now / 1000)
-            .put("lb", 1).put("limit", told.deadline() / 1000).put("cpu", 20.5).put("ram", 20.5)
-            .put("standing", 0.5).put("blob", encoded());
+        JSONObject params = new JSONObject()
+                .put("txn", String.format("%016x", round))
+                .put("door", now / 1000)
+                .put("lb", 1)
+                .put("limit", told.deadline() / 1000)
+                .put("cpu", 20.5)
+                .put("ram", 20.5)
+                .put("standing", 0.5)
+                .put("blob", encoded());
         if (!site.tenants().isEmpty()) {
             params.put("team", site.tenants().get(round % site.tenants().size()));
         }
         params.put(told.effect() == Effect.KEYED ? "unique" : "item", "rehearsed-" + round);
-        return new JSONObject().put("jsonrpc", "2.0").put("id", round).put("method", site.classes().get(kind))
-            .put("params", params).toString();
+        return new JSONObject()
+                .put("jsonrpc", "2.0")
+                .put("id", round)
+                .put("method", site.classes().get(kind))
+                .put("params", params)
+                .toString();
     }
 
     private static String encoded() {
@@ -137,7 +148,8 @@
 
     @Override
     public void run(String job, String kind, byte[] body) {
-        boolean calls = site.settings().classes().get(site.classes().indexOf(kind)).calls();
+        boolean calls =
+                site.settings().classes().get(site.classes().indexOf(kind)).calls();
         after(STEP, () -> {
             if (calls) {
                 core.blocked(job, ++notices, body);
--- a/server/src/main/java/wheatspread/daemon/Reports.java
+++ b/server/src/main/java/wheatspread/daemon/Reports.java
@@ -23,8 +23,14 @@
     private final EventLog log;
 
     /** Every so many {@code seconds}, 0 for never, as long as {@code goesOn}. */
-    Reports(Core core, Map<Listener, InetSocketAddress> fronts, Turns turns, Clock clock, int seconds,
-            BooleanSupplier goesOn, EventLog log) {
+    Reports(
+            Core core,
+            Map<Listener, InetSocketAddress> fronts,
+            Turns turns,
+            Clock clock,
+            int seconds,
+            BooleanSupplier goesOn,
+            EventLog log) {
         this.core = core;
         this.fronts = fronts;
         this.turns = turns;
@@ -52,12 +58,21 @@
         log.info("counts", core.counts().fields());
         fronts.forEach((front, address) -> {
             ConnectionTable table = front.table();
-            log.info("connections", all(new Object[] {"front", address, "now", table.size(), "resting",
-                table.sizeOf(State.RESTING)}, table.counters().fields()));
+            log.info(
+                    "connections",
+                    all(
+                            new Object[] {"front", address, "now", table.size(), "resting", table.sizeOf(State.RESTING)
+                            },
+                            table.counters().fields()));
         });
-        log.info("turns", all(turns.times().fields(), turns.gate().fields(), new Object[] {"exhausted",
-            turns.order().exhausted(), "sleepers", turns.order().sleepers(), "timers",
-            turns.wheel().size()}));
+        log.info("turns", all(turns.times().fields(), turns.gate().fields(), new Object[] {
+            "exhausted",
+            turns.order().exhausted(),
+            "sleepers",
+            turns.order().sleepers(),
+            "timers",
+            turns.wheel().size()
+        }));
     }
 
     private static Object[] all(Object[]... fields) {
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -46,6 +46,7 @@
 public final class Server {
     /** EX_SOFTWARE of sysexits.h. */
     public static final int LOOP_ENDED = 70;
+
     private static final long DRAIN_LOOK = 25_000;
 
     private final ServerConfig config;
@@ -61,9 +62,11 @@
     private final Core core;
     /** The fronts with the addresses they listen on, in the order in which they are bound. */
     private final Map<Listener, InetSocketAddress> fronts = new LinkedHashMap<>();
+
     private final List<InetSocketAddress> bound = new ArrayList<>();
     /** The protocols of the fronts, which read the classes of the site; null where uwsgi is off. */
     private final RpcFront platformProtocol;
+
     private final UwsgiFront uwsgiProtocol;
     /** The front of the platform's proxies, which may accept on a socket it was handed. */
     private final Listener platformFront;
@@ -71,6 +74,7 @@
     private final FleetView fleet;
     /** The operators' door; null where the configuration names none. */
     private final Listener door;
+
     private final Reloads reloads;
     private volatile InetSocketAddress doorAddress;
     private final CountDownLatch stopped = new CountDownLatch(1);
@@ -82,8 +86,8 @@
     private long noticeAt;
 
     /** {@code newClock} makes the clock of the loop. */
-    public Server(ServerConfig config, OperatorConfig operator, BiFunction<EventLoop, Turns, Clock> newClock,
-                  EventLog log) {
+    public Server(
+            ServerConfig config, OperatorConfig operator, BiFunction<EventLoop, Turns, Clock> newClock, EventLog log) {
         this.config = config;
         this.operator = operator;
         this.log = log;
@@ -95,19 +99,21 @@
         group.terminationFuture().addListener(ended -> stopped.countDown());
         clock = newClock.apply(loop, turns);
         turns.usedBy(clock::now);
-        Bootstrap clients = new Bootstrap().group(loop).channel(transport.clientChannel())
-            .option(ChannelOption.TCP_NODELAY, true);
+        Bootstrap clients =
+                new Bootstrap().group(loop).channel(transport.clientChannel()).option(ChannelOption.TCP_NODELAY, true);
         int calls = Configuration.recordsConnections(config.sockets());
         records = new RecordsClient(clients, config.records(), calls, clock, log);
         announcer = new AnnounceClient(clients, config.announce(), config.name(), log);
-        core = new Core(config.site(), settings -> new Choice(settings, config.seed()), clock, records,
-            this::announce, log);
+        core = new Core(
+                config.site(), settings -> new Choice(settings, config.seed()), clock, records, this::announce, log);
         kernel = new KernelLink(clients, config.kernel(), core, log);
         core.attach(kernel);
         if (config.shared() != null) {
             try {
-                core.shareKeysWith(new SharedClaims(config.shared().resolve(config.name()),
-                    ProcessHandle.current().pid(), log));
+                core.shareKeysWith(new SharedClaims(
+                        config.shared().resolve(config.name()),
+                        ProcessHandle.current().pid(),
+                        log));
             } catch (IOException e) {
                 log.warn("claims_failed", "folder", config.shared(), "error", e.toString());
             }
@@ -116,28 +122,49 @@
         marks = new Marks(operator.life(), log);
         reloads = new Reloads(config, log);
         int sockets = Configuration.platformConnections(config, operator);
-        uwsgiProtocol = operator.uwsgi() == null ? null
-            : new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
+        uwsgiProtocol = operator.uwsgi() == null ? null : new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
         if (uwsgiProtocol != null) {
-            fronts.put(new Listener(loop, turns, clock, uwsgiProtocol, operator.uwsgiLimits(), log),
-                operator.uwsgi().listen());
+            fronts.put(
+                    new Listener(loop, turns, clock, uwsgiProtocol, operator.uwsgiLimits(), log),
+                    operator.uwsgi().listen());
         }
         RpcFront platform = new RpcFront(core, clock);
         platformProtocol = platform;
         if (operator.stats()) {
             platform.tellStats(() -> life.phase().name());
         }
-        platformFront = new Listener(loop, turns, clock, platform, operator.connections().with(sockets), log);
+        platformFront = new Listener(
+                loop, turns, clock, platform, operator.connections().with(sockets), log);
         fronts.put(platformFront, config.listen());
-        fleet = operator.membership() == null ? null
-            : new FleetView(operator.membership(), config.name(), transport, loop, clock, log);
-        door = config.control() == null ? null : new Listener(loop, turns, clock, new ControlFront(
-            () -> life.phase() == Phase.SERVING, this::vars, fleet == null ? null : fleet::answer),
-            ControlFront.limits(), log);
-        shutdown = new GracefulShutdown(core, List.copyOf(fronts.keySet()), clock, marks, log,
-            () -> !turns.order().isEmpty(), this::on);
-        reports = new Reports(core, fronts, turns, clock, operator.reportSeconds(),
-            () -> life.phase().compareTo(Phase.CLOSING) < 0, log);
+        fleet = operator.membership() == null
+                ? null
+                : new FleetView(operator.membership(), config.name(), transport, loop, clock, log);
+        door = config.control() == null
+                ? null
+                : new Listener(
+                        loop,
+                        turns,
+                        clock,
+                        new ControlFront(
+                                () -> life.phase() == Phase.SERVING, this::vars, fleet == null ? null : fleet::answer),
+                        ControlFront.limits(),
+                        log);
+        shutdown = new GracefulShutdown(
+                core,
+                List.copyOf(fronts.keySet()),
+                clock,
+                marks,
+                log,
+                () -> !turns.order().isEmpty(),
+                this::on);
+        reports = new Reports(
+                core,
+                fronts,
+                turns,
+                clock,
+                operator.reportSeconds(),
+                () -> life.phase().compareTo(Phase.CLOSING) < 0,
+                log);
         core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
     }
 
@@ -156,8 +183,8 @@
 
     /** The figures of the operators' door; on the loop's thread. */
     private String vars() {
-        String own = Vars.text(core.counts(), core.site().classes(), core.open(),
-            reloads.takenSoFar(), reloads.refusedSoFar());
+        String own = Vars.text(
+                core.counts(), core.site().classes(), core.open(), reloads.takenSoFar(), reloads.refusedSoFar());
         return fleet == null ? own : own + fleet.vars();
     }
 
@@ -176,8 +203,14 @@
         switch (to) {
             case BINDING -> kernel.open();
             case WAITING -> {
-                new KernelWait(clock, operator.life().kernelWait(), config.kernel(), life,
-                    () -> on(Event.KERNEL_GIVEN_UP), log).begin();
+                new KernelWait(
+                                clock,
+                                operator.life().kernelWait(),
+                                config.kernel(),
+                                life,
+                                () -> on(Event.KERNEL_GIVEN_UP),
+                                log)
+                        .begin();
                 reports.begin();
             }
             case SERVING -> {
@@ -195,20 +228,28 @@
             }
             case CLOSING -> close();
             case STOPPED -> stopped.countDown();
-            default -> { }
+            default -> {}
         }
     }
 
     private JSONObject identity() {
-        return new JSONObject().put("name", config.name()).put("pid", ProcessHandle.current().pid())
-            .put("listen", bound.stream().map(one -> one.getHostString() + ":" + one.getPort()).toList())
-            .put("at", clock.now() / 1000);
+        return new JSONObject()
+                .put("name", config.name())
+                .put("pid", ProcessHandle.current().pid())
+                .put(
+                        "listen",
+                        bound.stream()
+                                .map(one -> one.getHostString() + ":" + one.getPort())
+                                .toList())
+                .put("at", clock.now() / 1000);
     }
 
     /** Takes the operator's lock; only one process of this name may go on. {@code mark} stands in it. */
     public void lock(String mark) throws IOException, Marks.Taken {
-        marks.lock(new JSONObject().put("name", config.name()).put("pid", ProcessHandle.current().pid())
-            .put("mark", mark));
+        marks.lock(new JSONObject()
+                .put("name", config.name())
+                .put("pid", ProcessHandle.current().pid())
+                .put("mark", mark));
     }
 
     /** Asks on the loop's thread and waits for it. */
@@ -219,10 +260,11 @@
     /** The start begins, unless it has begun or a notice to leave came before it. */
     private void begin() {
         loop.submit(() -> {
-            if (life.phase() == Phase.NEW) {
-                on(Event.START);
-            }
-        }).syncUninterruptibly();
+                    if (life.phase() == Phase.NEW) {
+                        on(Event.START);
+                    }
+                })
+                .syncUninterruptibly();
     }
 
     /** Warms the JVM before anybody can ask; a notice to leave ends it. */
@@ -249,27 +291,36 @@
             if (door != null) {
                 doorAddress = bind(door, config.control());
             }
-            fronts.forEach((front, address) -> bound.add(front == platformFront && config.inherited() >= 0
-                ? front.hold(config.inherited()) : bind(front, address)));
+            fronts.forEach((front, address) -> bound.add(
+                    front == platformFront && config.inherited() >= 0
+                            ? front.hold(config.inherited())
+                            : bind(front, address)));
             if (fleet != null) {
                 fleet.open(config.inherited() >= 0);
             }
         } catch (RuntimeException e) {
             loop.submit(() -> {
-                fronts.keySet().forEach(Listener::close);
-                if (door != null) {
-                    door.close();
-                }
-                if (fleet != null) {
-                    fleet.close();
-                }
-                kernel.close();
-                on(Event.BIND_FAILED);
-            }).syncUninterruptibly();
+                        fronts.keySet().forEach(Listener::close);
+                        if (door != null) {
+                            door.close();
+                        }
+                        if (fleet != null) {
+                            fleet.close();
+                        }
+                        kernel.close();
+                        on(Event.BIND_FAILED);
+                    })
+                    .syncUninterruptibly();
             throw e;
         }
-        log.info("listening", "addresses", bound, "inherited_fd", config.inherited(), "control",
-            door == null ? "none" : config.control());
+        log.info(
+                "listening",
+                "addresses",
+                bound,
+                "inherited_fd",
+                config.inherited(),
+                "control",
+                door == null ? "none" : config.control());
         ask(Event.BOUND);
         return true;
     }
@@ -313,8 +364,16 @@
             reloads.refuse(e);
             return;
         }
-        log.info("reload", "kernel", next.kernel(), "records", next.records(), "announce",
-            next.announce(), "needs_start", !next.withAddressesOf(config).equals(config));
+        log.info(
+                "reload",
+                "kernel",
+                next.kernel(),
+                "records",
+                next.records(),
+                "announce",
+                next.announce(),
+                "needs_start",
+                !next.withAddressesOf(config).equals(config));
         kernel.moveTo(next.kernel());
         records.moveTo(next.records());
         announcer.moveTo(next.announce());
@@ -347,8 +406,8 @@
 
     private void beginDrain() {
         marks.notReady();
-        shutdown.begin(noticeAt, config.stopMicros(), config.site().settings().limits().drainGrace(),
-            life.kernelUp());
+        shutdown.begin(
+                noticeAt, config.stopMicros(), config.site().settings().limits().drainGrace(), life.kernelUp());
         if (fleet != null) {
             fleet.leave();
         }
--- a/server/src/main/java/wheatspread/daemon/Signals.java
+++ b/server/src/main/java/wheatspread/daemon/Signals.java
@@ -7,7 +7,7 @@
  * whose use the compiler warns of without a way to say that it is meant; so they are looked up.
  */
 public final class Signals {
-    private Signals() { }
+    private Signals() {}
 
     /**
      * Runs a task, on a thread of the JVM's, whenever a signal such as {@code HUP} comes. Returns whether it
@@ -18,18 +18,20 @@
         try {
             Class<?> signal = Class.forName("sun.misc.Signal");
             Class<?> handler = Class.forName("sun.misc.SignalHandler");
-            Object proxy = Proxy.newProxyInstance(Signals.class.getClassLoader(), new Class<?>[] {handler},
-                (self, method, arguments) -> switch (method.getName()) {
-                    case "handle" -> {
-                        task.run();
-                        yield null;
-                    }
-                    case "hashCode" -> System.identityHashCode(self);
-                    case "equals" -> self == arguments[0];
-                    default -> "handler of SIG" + name;
-                });
+            Object proxy = Proxy.newProxyInstance(
+                    Signals.class.getClassLoader(),
+                    new Class<?>[] {handler},
+                    (self, method, arguments) -> switch (method.getName()) {
+                        case "handle" -> {
+                            task.run();
+                            yield null;
+                        }
+                        case "hashCode" -> System.identityHashCode(self);
+                        case "equals" -> self == arguments[0];
+                        default -> "handler of SIG" + name;
+                    });
             Object before = signal.getMethod("handle", signal, handler)
-                .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
+                    .invoke(null, signal.getConstructor(String.class).newInstance(name), proxy);
             return before != handler.getField("SIG_IGN").get(null);
         } catch (ReflectiveOperationException e) {
             throw new IllegalStateException("SIG" + name + " cannot be handled: " + e, e);
--- a/server/src/main/java/wheatspread/daemon/WholeFile.java
+++ b/server/src/main/java/wheatspread/daemon/WholeFile.java
@@ -11,7 +11,7 @@
 
 /** Files that are read by other processes while they are written: written beside, then renamed into place. */
 public final class WholeFile {
-    private WholeFile() { }
+    private WholeFile() {}
 
     /** Who reads the file finds the old text or this one whole; a crash of the machine may lose it. */
     public static void write(Path file, String text) throws IOException {
@@ -23,8 +23,8 @@
     /** The same, and when it returns the text outlives a crash of the machine. */
     public static void writeSynced(Path file, String text) throws IOException {
         Path beside = beside(file);
-        try (FileChannel out = FileChannel.open(beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE,
-            StandardOpenOption.TRUNCATE_EXISTING)) {
+        try (FileChannel out = FileChannel.open(
+                beside, StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.TRUNCATE_EXISTING)) {
             ByteBuffer bytes = ByteBuffer.wrap(text.getBytes(StandardCharsets.UTF_8));
             while (bytes.hasRemaining()) {
                 out.write(bytes);
@@ -32,8 +32,7 @@
             out.force(true);
         }
         Files.move(beside, file, StandardCopyOption.ATOMIC_MOVE);
-        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(),
-            StandardOpenOption.READ)) {
+        try (FileChannel folder = FileChannel.open(file.toAbsolutePath().getParent(), StandardOpenOption.READ)) {
             folder.force(true);
         }
     }
--- a/server/src/main/java/wheatspread/disk/FolderDisk.java
+++ b/server/src/main/java/wheatspread/disk/FolderDisk.java
@@ -18,6 +18,7 @@
 public final class FolderDisk implements Disk {
     /** The file whose lock keeps the folder; it holds the id of the process that has it. */
     public static final String LOCK = "lock";
+
     private final Path folder;
 
     private FolderDisk(Path folder) {
@@ -41,21 +42,26 @@
     @Override
     public List<String> list() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(Files::isRegularFile).map(f -> f.getFileName().toString()).toList();
+            return files.filter(Files::isRegularFile)
+                    .map(f -> f.getFileName().toString())
+                    .toList();
         }
     }
 
     @Override
     public DiskFile create(String name) throws IOException {
-        return new ChannelFile(FileChannel.open(folder.resolve(name), StandardOpenOption.CREATE_NEW,
-            StandardOpenOption.READ, StandardOpenOption.WRITE));
+        return new ChannelFile(FileChannel.open(
+                folder.resolve(name),
+                StandardOpenOption.CREATE_NEW,
+                StandardOpenOption.READ,
+                StandardOpenOption.WRITE));
     }
 
     @Override
     public DiskFile open(String name) throws IOException {
         // a file system may refuse to sync what was opened to be read alone
-        return new ChannelFile(FileChannel.open(folder.resolve(name), StandardOpenOption.READ,
-            StandardOpenOption.WRITE));
+        return new ChannelFile(
+                FileChannel.open(folder.resolve(name), StandardOpenOption.READ, StandardOpenOption.WRITE));
     }
 
     @Override
@@ -82,8 +88,8 @@
 
     @Override
     public Closeable lock() throws IOException {
-        FileChannel file = FileChannel.open(folder.resolve(LOCK), StandardOpenOption.CREATE,
-            StandardOpenOption.WRITE, StandardOpenOption.READ);
+        FileChannel file = FileChannel.open(
+                folder.resolve(LOCK), StandardOpenOption.CREATE, StandardOpenOption.WRITE, StandardOpenOption.READ);
         FileLock lock;
         try {
             lock = file.tryLock();
@@ -93,10 +99,10 @@
         if (lock == null) {
             file.close();
             throw new TakenException(folder + " is in use by process "
-                + Files.readString(folder.resolve(LOCK)).strip());
+                    + Files.readString(folder.resolve(LOCK)).strip());
         }
-        file.truncate(0).write(ByteBuffer.wrap((ProcessHandle.current().pid() + "\n")
-            .getBytes(StandardCharsets.US_ASCII)), 0);
+        file.truncate(0)
+                .write(ByteBuffer.wrap((ProcessHandle.current().pid() + "\n").getBytes(StandardCharsets.US_ASCII)), 0);
         return file;
     }
 
--- a/server/src/main/java/wheatspread/fleet/Action.java
+++ b/server/src/main/java/wheatspread/fleet/Action.java
@@ -5,11 +5,11 @@
     String member();
 
     /** Start a process of a build as a generation of a member. */
-    record Start(String member, String build, int generation) implements Action { }
+    record Start(String member, String build, int generation) implements Action {}
 
     /** Give it the notice to leave. */
-    record Notice(String member, int generation) implements Action { }
+    record Notice(String member, int generation) implements Action {}
 
     /** End it outright. */
-    record Kill(String member, int generation, String why) implements Action { }
+    record Kill(String member, int generation, String why) implements Action {}
 }
--- a/server/src/main/java/wheatspread/fleet/Fleet.java
+++ b/server/src/main/java/wheatspread/fleet/Fleet.java
@@ -83,8 +83,16 @@
         String from = roster.get(chosen.get(0)).build;
         roll = new Rollout(plan.rolling(), from, to, chosen, now);
         chosen.forEach(restarts::forgive);
-        log.info("roll_began", "from", from, "to", to, "members", chosen.size(), "most_out",
-            plan.rolling().mostOut(roster.all().size()));
+        log.info(
+                "roll_began",
+                "from",
+                from,
+                "to",
+                to,
+                "members",
+                chosen.size(),
+                "most_out",
+                plan.rolling().mostOut(roster.all().size()));
     }
 
     /** Stops a roll where it stands. */
@@ -160,8 +168,18 @@
     }
 
     private void tell(Member one, long now) {
-        log.info("member", "name", one.name, "state", one.state, "build", one.build, "generation",
-            one.generation, "after_ms", (now - one.startedAt) / 1_000);
+        log.info(
+                "member",
+                "name",
+                one.name,
+                "state",
+                one.state,
+                "build",
+                one.build,
+                "generation",
+                one.generation,
+                "after_ms",
+                (now - one.startedAt) / 1_000);
     }
 
     /** The process of a member ended; {@code code} is {@link Member#UNKNOWN_CODE} where nobody heard it. */
@@ -176,9 +194,21 @@
         one.pid = 0;
         one.unsureUntil = 0;
         one.enter(State.ABSENT, now);
-        log.log(asked ? EventLog.Level.INFO : EventLog.Level.WARN, "member_ended", "name", name, "build",
-            one.build, "generation", generation, "code", code, "asked", asked, "ran_ms",
-            (now - one.startedAt) / 1_000);
+        log.log(
+                asked ? EventLog.Level.INFO : EventLog.Level.WARN,
+                "member_ended",
+                "name",
+                name,
+                "build",
+                one.build,
+                "generation",
+                generation,
+                "code",
+                code,
+                "asked",
+                asked,
+                "ran_ms",
+                (now - one.startedAt) / 1_000);
         Rollout.Status before = roll == null ? null : roll.status();
         if (roll != null) {
             roll.ended(one, asked, now);
@@ -189,8 +219,14 @@
         }
         if (!asked && !turned && restarts.ended(name, now - one.startedAt, now)) {
             one.enter(State.HELD, now);
-            log.error("member_held", "name", name, "ends", plan.backoff().loopExits(), "within_ms",
-                plan.backoff().loopWithin() / 1_000);
+            log.error(
+                    "member_held",
+                    "name",
+                    name,
+                    "ends",
+                    plan.backoff().loopExits(),
+                    "within_ms",
+                    plan.backoff().loopWithin() / 1_000);
             if (roll != null && roll.leads(name)) {
                 roll.giveUp(one, now);
                 tellRoll();
@@ -199,8 +235,15 @@
     }
 
     private void tellRoll() {
-        log.log(roll.reason().isEmpty() ? EventLog.Level.INFO : EventLog.Level.ERROR, "roll", "to", roll.to(),
-            "status", roll.status(), "reason", roll.reason());
+        log.log(
+                roll.reason().isEmpty() ? EventLog.Level.INFO : EventLog.Level.ERROR,
+                "roll",
+                "to",
+                roll.to(),
+                "status",
+                roll.status(),
+                "reason",
+                roll.reason());
     }
 
     // ---- decisions ----
@@ -235,12 +278,16 @@
             kill(one, "not well in time", now);
         } else if (one.state == State.LEAVING && now - one.since > plan.stopAfter()) {
             kill(one, "still there after its time to leave", now);
-        } else if (plan.hung() > 0 && (one.state == State.UP || one.state == State.UNWELL)
-            && now - Math.max(one.heardAt, one.wellAt) > plan.hung()) {
+        } else if (plan.hung() > 0
+                && (one.state == State.UP || one.state == State.UNWELL)
+                && now - Math.max(one.heardAt, one.wellAt) > plan.hung()) {
             kill(one, "answers no check", now);
         } else if (roll != null && roll.failing(one)) {
-            roll.failed(one, "failed " + one.health.failed() + " of "
-                + (one.health.served() + one.health.failed()) + " requests", now);
+            roll.failed(
+                    one,
+                    "failed " + one.health.failed() + " of " + (one.health.served() + one.health.failed())
+                            + " requests",
+                    now);
             tellRoll();
             if (roll.status() == Rollout.Status.RUNNING) {
                 leave(one, now); // another generation of the same build gets a try
@@ -274,8 +321,12 @@
             leave(one, now);
         }
         if (roll.paused() != paused) {
-            log.warn(roll.paused() ? "roll_paused" : "roll_goes_on", "to", roll.to(), "out",
-                roster.out(now).size());
+            log.warn(
+                    roll.paused() ? "roll_paused" : "roll_goes_on",
+                    "to",
+                    roll.to(),
+                    "out",
+                    roster.out(now).size());
         }
         if (roll.status() != before) {
             tellRoll();
@@ -290,8 +341,10 @@
             if (one.state == State.HELD && one.wanted && !restarts.held(one.name, now)) {
                 one.enter(State.ABSENT, now);
             }
-            if (one.state != State.ABSENT || !one.wanted && !led || !led && starting >= plan.startAtOnce()
-                || !restarts.mayStart(one.name, now)) {
+            if (one.state != State.ABSENT
+                    || !one.wanted && !led
+                    || !led && starting >= plan.startAtOnce()
+                    || !restarts.mayStart(one.name, now)) {
                 continue;
             }
             String told = roll == null ? null : roll.buildOf(one.name);
@@ -312,9 +365,20 @@
         List<FleetState.Of> members = new ArrayList<>();
         for (Member one : roster.all()) {
             Restarts.Ends ends = restarts.of(one.name);
-            members.add(new FleetState.Of(one.name, one.state, one.wanted, one.build, one.generation, one.pid,
-                one.since, one.startedAt, one.wellAt, List.copyOf(ends.at), ends.inARow, ends.notBefore,
-                ends.heldUntil));
+            members.add(new FleetState.Of(
+                    one.name,
+                    one.state,
+                    one.wanted,
+                    one.build,
+                    one.generation,
+                    one.pid,
+                    one.since,
+                    one.startedAt,
+                    one.wellAt,
+                    List.copyOf(ends.at),
+                    ends.inARow,
+                    ends.notBefore,
+                    ends.heldUntil));
         }
         return new FleetState(members, roll == null ? null : roll.state(), down);
     }
@@ -352,8 +416,14 @@
                 leave(one, now);
             }
         }
-        log.info("fleet_found", "members", told.members().size(), "alive", alive.size(), "roll",
-            roll == null ? "none" : roll.status());
+        log.info(
+                "fleet_found",
+                "members",
+                told.members().size(),
+                "alive",
+                alive.size(),
+                "roll",
+                roll == null ? "none" : roll.status());
     }
 
     private void adopt(Member one, Found found, long now) {
--- a/server/src/main/java/wheatspread/fleet/FleetPlan.java
+++ b/server/src/main/java/wheatspread/fleet/FleetPlan.java
@@ -15,9 +15,18 @@
  * @param hung a member that lives and answers no check for so long is killed; 0 for never
  * @param settle how long a start whose outcome a dead supervisor didn't note may take to show itself
  */
-public record FleetPlan(List<String> members, String build, int startAtOnce, long startTimeout,
-    long stopAfter,
-                        long stale, int badAfter, long hung, long settle, Rolling rolling, Backoff backoff) {
+public record FleetPlan(
+        List<String> members,
+        String build,
+        int startAtOnce,
+        long startTimeout,
+        long stopAfter,
+        long stale,
+        int badAfter,
+        long hung,
+        long settle,
+        Rolling rolling,
+        Backoff backoff) {
     public FleetPlan {
         members = List.copyOf(members);
     }
@@ -34,9 +43,15 @@
      * @param mostFailures so many failed successors stop the roll
      * @param rollBack whether the old build takes over again then
      */
-    public record Rolling(double outShare, int outMost, int provenAnswers, long provenAfter,
-        long provenPatience,
-                          double failedShare, int mostFailures, boolean rollBack) {
+    public record Rolling(
+            double outShare,
+            int outMost,
+            int provenAnswers,
+            long provenAfter,
+            long provenPatience,
+            double failedShare,
+            int mostFailures,
+            boolean rollBack) {
         /** How many of a fleet may be out of service together. */
         public int mostOut(int fleet) {
             int byShare = Math.max(1, (int) Math.floor(outShare * fleet + 1e-9));
@@ -55,7 +70,13 @@
      * @param loopExits so many ends within {@code loopWithin} are a crash loop, and the member is held
      * @param holdFor how long it is held; 0 until an operator starts it
      */
-    public record Backoff(long first, double factor, long longest, double jitter, long forgiven,
-        int loopExits,
-                          long loopWithin, long holdFor) { }
+    public record Backoff(
+            long first,
+            double factor,
+            long longest,
+            double jitter,
+            long forgiven,
+            int loopExits,
+            long loopWithin,
+            long holdFor) {}
 }
--- a/server/src/main/java/wheatspread/fleet/FleetState.java
+++ b/server/src/main/java/wheatspread/fleet/FleetState.java
@@ -10,15 +10,32 @@
  */
 public record FleetState(List<Of> members, Roll roll, boolean down) {
     /** One member. */
-    public record Of(String name, Member.State state, boolean wanted, String build, int generation, long pid,
-                     long since, long startedAt, long wellAt, List<Long> ends, int endsInARow, long notBefore,
-                     long heldUntil) { }
+    public record Of(
+            String name,
+            Member.State state,
+            boolean wanted,
+            String build,
+            int generation,
+            long pid,
+            long since,
+            long startedAt,
+            long wellAt,
+            List<Long> ends,
+            int endsInARow,
+            long notBefore,
+            long heldUntil) {}
 
     /** A roll. */
-    public record Roll(String from, String to, Rollout.Status status, String reason, int failures,
-        long beganAt,
-                       long endedAt, Map<String, Rollout.Step> steps) { }
+    public record Roll(
+            String from,
+            String to,
+            Rollout.Status status,
+            String reason,
+            int failures,
+            long beganAt,
+            long endedAt,
+            Map<String, Rollout.Step> steps) {}
 
     /** A process that was found alive: its number, and the generation that it was started as. */
-    public record Found(long pid, int generation) { }
+    public record Found(long pid, int generation) {}
 }
--- a/server/src/main/java/wheatspread/fleet/Member.java
+++ b/server/src/main/java/wheatspread/fleet/Member.java
@@ -7,13 +7,20 @@
      * decision to start it until it is well; {@code UP}, {@code UNWELL}: by its checks; {@code LEAVING}: it
      * got its notice; {@code HELD}: it ended too often.
      */
-    public enum State { ABSENT, STARTING, UP, UNWELL, LEAVING, HELD }
+    public enum State {
+        ABSENT,
+        STARTING,
+        UP,
+        UNWELL,
+        LEAVING,
+        HELD
+    }
 
     /**
      * What a check told: well or not, what it served and failed since its start, and how long until it is
      * warm.
      */
-    public record Health(boolean well, long served, long failed, long refused, long warmIn) { }
+    public record Health(boolean well, long served, long failed, long refused, long warmIn) {}
 
     /** Ends of processes that the system told nothing of. */
     public static final int UNKNOWN_CODE = -1;
@@ -22,6 +29,7 @@
     State state = State.ABSENT;
     /** Whether it should run. */
     boolean wanted = true;
+
     String build;
     int generation;
     /** Of the process; 0 while it is not known. */
@@ -34,10 +42,12 @@
     long wellAt;
     /** When it last answered a check; 0 if it did not in this generation. */
     long heardAt;
+
     int badChecks;
     Health health;
     /** Until when a start that may or may not have happened has time to show; 0 if there is no doubt. */
     long unsureUntil;
+
     int lastCode = UNKNOWN_CODE;
     boolean everEnded;
     boolean killed;
@@ -83,8 +93,7 @@
 
     /** Whether a process of it lives, as far as is known. */
     public boolean lives() {
-        return state == State.STARTING || state == State.UP || state == State.UNWELL
-            || state == State.LEAVING;
+        return state == State.STARTING || state == State.UP || state == State.UNWELL || state == State.LEAVING;
     }
 
     /** How long ago it was last heard, in microseconds; -1 if never. */
--- a/server/src/main/java/wheatspread/fleet/Restarts.java
+++ b/server/src/main/java/wheatspread/fleet/Restarts.java
@@ -43,8 +43,7 @@
         Ends ends = of(name);
         ends.inARow = ranFor >= backoff.forgiven() ? 1 : ends.inARow + 1;
         ends.at.addLast(now);
-        while (ends.at.size() > MOST_KEPT || !ends.at.isEmpty()
-            && ends.at.peekFirst() < now - backoff.loopWithin()) {
+        while (ends.at.size() > MOST_KEPT || !ends.at.isEmpty() && ends.at.peekFirst() < now - backoff.loopWithin()) {
             ends.at.removeFirst();
         }
         double pause = backoff.first() * Math.pow(backoff.factor(), Math.min(60, ends.inARow - 1));
--- a/server/src/main/java/wheatspread/fleet/Rollout.java
+++ b/server/src/main/java/wheatspread/fleet/Rollout.java
@@ -16,10 +16,23 @@
  */
 public final class Rollout {
     /** How far a roll has come. */
-    public enum Status { RUNNING, ROLLING_BACK, DONE, STOPPED, ROLLED_BACK }
+    public enum Status {
+        RUNNING,
+        ROLLING_BACK,
+        DONE,
+        STOPPED,
+        ROLLED_BACK
+    }
 
     /** How far a member of it has come. {@code GONE} is one that has left or fell, and is to start anew. */
-    public enum Step { WAITING, LEAVING, GONE, STARTING, PROVING, DONE }
+    public enum Step {
+        WAITING,
+        LEAVING,
+        GONE,
+        STARTING,
+        PROVING,
+        DONE
+    }
 
     private final Rolling rules;
     private final String from;
@@ -54,8 +67,7 @@
     }
 
     FleetState.Roll state() {
-        return new FleetState.Roll(from, to, status, reason, failures, beganAt, endedAt,
-            new LinkedHashMap<>(steps));
+        return new FleetState.Roll(from, to, status, reason, failures, beganAt, endedAt, new LinkedHashMap<>(steps));
     }
 
     public Status status() {
@@ -131,8 +143,11 @@
             steps.put(one.name, Step.GONE); // whichever build it was, the old one is next
         } else if (successor && !asked) {
             steps.put(one.name, Step.GONE);
-            failed(one, "ended with " + (one.lastCode == Member.UNKNOWN_CODE ? "an unknown code" : "code "
-                + one.lastCode) + " " + when(one, now), now);
+            failed(
+                    one,
+                    "ended with " + (one.lastCode == Member.UNKNOWN_CODE ? "an unknown code" : "code " + one.lastCode)
+                            + " " + when(one, now),
+                    now);
         }
     }
 
@@ -147,8 +162,9 @@
             reason = one.name + ": generation " + one.generation + " of build " + to + " " + how;
             if (rules.rollBack()) {
                 status = Status.ROLLING_BACK;
-                steps.replaceAll((name, step) -> step == Step.WAITING ? Step.DONE
-                    : step == Step.GONE || step == Step.LEAVING ? step : Step.WAITING);
+                steps.replaceAll((name, step) -> step == Step.WAITING
+                        ? Step.DONE
+                        : step == Step.GONE || step == Step.LEAVING ? step : Step.WAITING);
             } else {
                 end(Status.STOPPED, now);
             }
@@ -231,8 +247,10 @@
         if (step == Step.PROVING && proven(one, now)) {
             return Step.DONE;
         }
-        if (step == Step.WAITING && status == Status.ROLLING_BACK && one.build.equals(from)
-            && one.state != State.LEAVING) {
+        if (step == Step.WAITING
+                && status == Status.ROLLING_BACK
+                && one.build.equals(from)
+                && one.state != State.LEAVING) {
             return Step.DONE; // it never left the old build
         }
         return step;
@@ -244,19 +262,21 @@
             return false;
         }
         long well = now - one.wellAt;
-        return well >= rules.provenAfter() && (one.health.served() >= rules.provenAnswers()
-            || well >= rules.provenPatience());
+        return well >= rules.provenAfter()
+                && (one.health.served() >= rules.provenAnswers() || well >= rules.provenPatience());
     }
 
     /** Whether a successor fails more of what it is asked than is allowed, by enough answers to tell. */
     boolean failing(Member one) {
-        if (over() || status == Status.ROLLING_BACK || one.health == null || !one.build.equals(to)
-            || steps.get(one.name) != Step.PROVING) {
+        if (over()
+                || status == Status.ROLLING_BACK
+                || one.health == null
+                || !one.build.equals(to)
+                || steps.get(one.name) != Step.PROVING) {
             return false;
         }
         long answers = one.health.served() + one.health.failed();
-        return answers >= Math.max(10, rules.provenAnswers())
-            && one.health.failed() > rules.failedShare() * answers;
+        return answers >= Math.max(10, rules.provenAnswers()) && one.health.failed() > rules.failedShare() * answers;
     }
 
     private List<Member> next(Roster roster, long now) {
--- a/server/src/main/java/wheatspread/handover/SharedClaims.java
+++ b/server/src/main/java/wheatspread/handover/SharedClaims.java
@@ -26,13 +26,14 @@
 public final class SharedClaims implements Claims {
     /** Claims of this process that are still to be deleted, oldest first. */
     private final ArrayDeque<Made> made = new ArrayDeque<>();
+
     private final Path folder;
     private final String self;
     private final EventLog log;
     private final MessageDigest digest;
     private boolean failed;
 
-    private record Made(Path file, long until) { }
+    private record Made(Path file, long until) {}
 
     /** {@code self} names this process in its claims. */
     public SharedClaims(Path folder, long self, EventLog log) throws IOException {
@@ -75,7 +76,8 @@
     /** Who claimed and for which door; null where the file went, or holds no whole claim. */
     private static String[] read(Path file) throws IOException {
         try {
-            String[] words = Files.readString(file, StandardCharsets.US_ASCII).strip().split(" ");
+            String[] words =
+                    Files.readString(file, StandardCharsets.US_ASCII).strip().split(" ");
             return words.length == 2 && words[1].matches("\\d{1,19}") ? words : null;
         } catch (NoSuchFileException e) {
             return null;
--- a/server/src/main/java/wheatspread/jsonrpc/RequestReader.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RequestReader.java
@@ -78,8 +78,8 @@
         } else if (params.has("item")) {
             item = key(params, "item");
         }
-        return new Submission(txn, kind, tenant(params), door, door + limit, limited, further, ram, cpu,
-            unique, item, body(params));
+        return new Submission(
+                txn, kind, tenant(params), door, door + limit, limited, further, ram, cpu, unique, item, body(params));
     }
 
     private static double optional(JSONObject params, String name, double most) {
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -20,6 +20,7 @@
     static final int CONFLICT = -32002;
     /** Else the parser takes names without quotes, and does not see what follows the object. */
     private static final JSONParserConfiguration STRICT = new JSONParserConfiguration().withStrictMode(true);
+
     private static final int PARSE_ERROR = -32700;
     private static final int INVALID_REQUEST = -32600;
     private static final int METHOD_NOT_FOUND = -32601;
@@ -29,12 +30,14 @@
     private final RpcFront front;
     /** The open requests, the newest first; there are too few to need an index. */
     private Open newest;
+
     private int open;
 
     /** A request without an answer yet; the ticket is null until the core has taken it. */
     private static final class Open {
         /** The text of its JSON-RPC id. */
         final String id;
+
         final String txn;
         final boolean ofCrowd;
         Long ticket;
@@ -107,8 +110,7 @@
             if (length < 0) {
                 return lines;
             }
-            int end = length > 0 && bytes.getByte(bytes.readerIndex() + length - 1) == '\r' ? length - 1
-                : length;
+            int end = length > 0 && bytes.getByte(bytes.readerIndex() + length - 1) == '\r' ? length - 1 : length;
             String line = bytes.toString(bytes.readerIndex(), end, StandardCharsets.UTF_8);
             bytes.skipBytes(length + 1);
             lines++;
@@ -234,8 +236,11 @@
     }
 
     private void stats(String id) {
-        JSONObject result = new JSONObject().put("well", front.core.well()).put("phase", front.phase.get())
-            .put("open", front.core.open()).put("warm_in_ms", front.core.warmIn() / 1000);
+        JSONObject result = new JSONObject()
+                .put("well", front.core.well())
+                .put("phase", front.phase.get())
+                .put("open", front.core.open())
+                .put("warm_in_ms", front.core.warmIn() / 1000);
         EventLog.map(front.core.counts().fields()).forEach(result::put);
         result(id, result);
     }
--- a/server/src/main/java/wheatspread/jsonrpc/RpcFront.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcFront.java
@@ -45,8 +45,8 @@
     @Override
     public byte[] refusal() {
         return ("{\"jsonrpc\":\"2.0\",\"id\":null,\"error\":{\"code\":" + RpcConnection.REFUSED
-            + ",\"message\":\"no room for this connection\",\"data\":{\"later\":1000}}}\n")
-            .getBytes(StandardCharsets.UTF_8);
+                        + ",\"message\":\"no room for this connection\",\"data\":{\"later\":1000}}}\n")
+                .getBytes(StandardCharsets.UTF_8);
     }
 
     /** Reads the classes of a retuned site from now on; on the loop's thread. */
--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -34,6 +34,7 @@
     private static final long LONGEST_RETRY_MS = 400;
     /** How long missed notices are waited for where the kernel does not say that they are through. */
     private static final long SYNC_MS = 1_000;
+
     private static final String SYNC = "sync";
     /** How long the old link may take to vouch for what was said on it before a new one takes its place. */
     private static final long VOUCH_MS = 200;
@@ -54,14 +55,17 @@
     private Connection waiting;
     /** Commands may go out: the kernel is up and the notices missed have been read. */
     private boolean ready;
+
     private boolean booted;
     private boolean closed;
     /** The link was asked for; before that a new address is only noted. */
     private boolean opened;
+
     private int unheard;
     private long lastNotice;
     /** The last notice before a line that was not understood and asked for again; -1 if there is none. */
     private long askedAgain = -1;
+
     private long retryMs = FIRST_RETRY_MS;
 
     public KernelLink(Bootstrap clients, InetSocketAddress address, Listener listener, EventLog log) {
@@ -80,15 +84,19 @@
         Connection next = new Connection(address);
         opening = next;
         ChannelFuture connecting = clients.clone()
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel ch) {
-                    ch.pipeline().addLast(new LineBasedFrameDecoder(LONGEST_LINE),
-                        new StringDecoder(StandardCharsets.UTF_8), new StringEncoder(StandardCharsets.UTF_8),
-                        next);
-                }
-            }).connect(next.to);
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel ch) {
+                        ch.pipeline()
+                                .addLast(
+                                        new LineBasedFrameDecoder(LONGEST_LINE),
+                                        new StringDecoder(StandardCharsets.UTF_8),
+                                        new StringEncoder(StandardCharsets.UTF_8),
+                                        next);
+                    }
+                })
+                .connect(next.to);
         connecting.addListener(done -> {
             if (!done.isSuccess() && opening == next) {
                 opening = null;
@@ -125,13 +133,16 @@
     }
 
     private void retry() {
-        loop.schedule(() -> {
-            // an old address's link still serves, but only until its kernel closes it;
-            // one that waits for its word must not be overtaken by another
-            if (opening == null && waiting == null && (current == null || !current.to.equals(address))) {
-                open();
-            }
-        }, retryMs, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    // an old address's link still serves, but only until its kernel closes it;
+                    // one that waits for its word must not be overtaken by another
+                    if (opening == null && waiting == null && (current == null || !current.to.equals(address))) {
+                        open();
+                    }
+                },
+                retryMs,
+                TimeUnit.MILLISECONDS);
         retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2);
     }
 
@@ -215,11 +226,14 @@
         waiting = next;
         ready = false;
         askGauges(Long.toString(unconfirmed.last()));
-        loop.schedule(() -> {
-            if (waiting == next) {
-                use(next);
-            }
-        }, VOUCH_MS, TimeUnit.MILLISECONDS);
+        loop.schedule(
+                () -> {
+                    if (waiting == next) {
+                        use(next);
+                    }
+                },
+                VOUCH_MS,
+                TimeUnit.MILLISECONDS);
     }
 
     private void use(Connection next) {
@@ -332,11 +346,14 @@
             booted = true;
             retryMs = FIRST_RETRY_MS;
             askGauges(SYNC);
-            loop.schedule(() -> {
-                if (current == this) {
-                    becomeReady();
-                }
-            }, SYNC_MS, TimeUnit.MILLISECONDS);
+            loop.schedule(
+                    () -> {
+                        if (current == this) {
+                            becomeReady();
+                        }
+                    },
+                    SYNC_MS,
+                    TimeUnit.MILLISECONDS);
             listener.booted(cold, age);
         }
 
@@ -361,7 +378,8 @@
             log.warn("kernel_refused", "command", notice.optString("state"), "job", notice.optString("job"));
             String job = notice.optString("job");
             unconfirmed.refused(job, notice.optString("state"));
-            if (notice.optString("state").equals("SCHED") || notice.optString("state").equals("RESCHED")) {
+            if (notice.optString("state").equals("SCHED")
+                    || notice.optString("state").equals("RESCHED")) {
                 listener.notStarted(job);
             }
         }
--- a/server/src/main/java/wheatspread/kernel/Unconfirmed.java
+++ b/server/src/main/java/wheatspread/kernel/Unconfirmed.java
@@ -7,7 +7,7 @@
 /** The commands that the kernel has not shown to have read, in the order in which they were given. */
 final class Unconfirmed {
     /** A command not known to be read; {@code number} counts commands. */
-    private record Command(long number, String type, String job, String line) { }
+    private record Command(long number, String type, String job, String line) {}
 
     private final Deque<Command> commands = new ArrayDeque<>();
     /** The last command that was given. */
@@ -30,8 +30,9 @@
 
     /** Says all that has not been said on the link in use. */
     void say(Consumer<String> link) {
-        commands.stream().filter(command -> command.number() > lastSaid)
-            .forEach(command -> link.accept(command.line()));
+        commands.stream()
+                .filter(command -> command.number() > lastSaid)
+                .forEach(command -> link.accept(command.line()));
         lastSaid = last;
     }
 
--- a/server/src/main/java/wheatspread/life/Drain.java
+++ b/server/src/main/java/wheatspread/life/Drain.java
@@ -17,7 +17,13 @@
     public static final long LINGER = 500_000;
 
     /** What to do now. */
-    public enum Step { LISTEN, STOP_LISTENING, ANSWER_ALL, LEAVE_EMPTY, LEAVE_IN_TIME }
+    public enum Step {
+        LISTEN,
+        STOP_LISTENING,
+        ANSWER_ALL,
+        LEAVE_EMPTY,
+        LEAVE_IN_TIME
+    }
 
     private final long noticeAt;
     private final long leaveBy;
--- a/server/src/main/java/wheatspread/life/Life.java
+++ b/server/src/main/java/wheatspread/life/Life.java
@@ -14,18 +14,40 @@
      * and refuses; {@code SERVING} takes work; {@code DRAINING} answers what there is; {@code CLOSING} lets
      * go of sockets.
      */
-    public enum Phase { NEW, REHEARSING, BINDING, RETREATING, WAITING, SERVING, DRAINING, CLOSING, STOPPED }
+    public enum Phase {
+        NEW,
+        REHEARSING,
+        BINDING,
+        RETREATING,
+        WAITING,
+        SERVING,
+        DRAINING,
+        CLOSING,
+        STOPPED
+    }
 
     /**
      * {@code NOTICE} is the notice to leave, {@code HURRY} a second one that asks not to wait; {@code EMPTY}
      * and {@code TIME_UP} end a drain.
      */
-    public enum Event { START, REHEARSED, BOUND, BIND_FAILED, KERNEL_UP, KERNEL_GIVEN_UP, NOTICE, HURRY,
+    public enum Event {
+        START,
+        REHEARSED,
+        BOUND,
+        BIND_FAILED,
+        KERNEL_UP,
+        KERNEL_GIVEN_UP,
+        NOTICE,
+        HURRY,
         RELOAD,
-        EMPTY, TIME_UP, CLOSED }
+        EMPTY,
+        TIME_UP,
+        CLOSED
+    }
 
     /** Exit codes, as in sysexits.h. */
     public static final int OK = 0;
+
     public static final int UNAVAILABLE = 69;
 
     /** Hears of every change of phase. */
@@ -36,34 +58,109 @@
     private static final Map<Phase, Map<Event, Phase>> TABLE = new EnumMap<>(Phase.class);
 
     static {
-        row(Phase.NEW, Event.START, Phase.REHEARSING, Event.NOTICE, Phase.STOPPED, Event.HURRY, Phase.STOPPED,
-            Event.RELOAD, Phase.NEW);
+        row(
+                Phase.NEW,
+                Event.START,
+                Phase.REHEARSING,
+                Event.NOTICE,
+                Phase.STOPPED,
+                Event.HURRY,
+                Phase.STOPPED,
+                Event.RELOAD,
+                Phase.NEW);
         // nothing has been accepted yet, so there is nothing to drain
-        row(Phase.REHEARSING, Event.REHEARSED, Phase.BINDING, Event.NOTICE, Phase.STOPPED, Event.HURRY,
-            Phase.STOPPED, Event.RELOAD, Phase.REHEARSING);
+        row(
+                Phase.REHEARSING,
+                Event.REHEARSED,
+                Phase.BINDING,
+                Event.NOTICE,
+                Phase.STOPPED,
+                Event.HURRY,
+                Phase.STOPPED,
+                Event.RELOAD,
+                Phase.REHEARSING);
         // the kernel's link opens while the listeners are bound
-        row(Phase.BINDING, Event.BOUND, Phase.WAITING, Event.BIND_FAILED, Phase.STOPPED, Event.NOTICE,
-            Phase.RETREATING, Event.HURRY, Phase.RETREATING, Event.RELOAD, Phase.BINDING, Event.KERNEL_UP,
-            Phase.BINDING);
+        row(
+                Phase.BINDING,
+                Event.BOUND,
+                Phase.WAITING,
+                Event.BIND_FAILED,
+                Phase.STOPPED,
+                Event.NOTICE,
+                Phase.RETREATING,
+                Event.HURRY,
+                Phase.RETREATING,
+                Event.RELOAD,
+                Phase.BINDING,
+                Event.KERNEL_UP,
+                Phase.BINDING);
         // a listener may have accepted before the others are bound
-        row(Phase.RETREATING, Event.BOUND, Phase.DRAINING, Event.BIND_FAILED, Phase.STOPPED, Event.NOTICE,
-            Phase.RETREATING, Event.HURRY, Phase.RETREATING, Event.RELOAD, Phase.RETREATING, Event.KERNEL_UP,
-            Phase.RETREATING);
-        row(Phase.WAITING, Event.KERNEL_UP, Phase.SERVING, Event.KERNEL_GIVEN_UP, Phase.DRAINING,
-            Event.NOTICE,
-            Phase.DRAINING, Event.HURRY, Phase.DRAINING, Event.RELOAD, Phase.WAITING);
-        row(Phase.SERVING, Event.NOTICE, Phase.DRAINING, Event.HURRY, Phase.DRAINING, Event.RELOAD,
-            Phase.SERVING);
+        row(
+                Phase.RETREATING,
+                Event.BOUND,
+                Phase.DRAINING,
+                Event.BIND_FAILED,
+                Phase.STOPPED,
+                Event.NOTICE,
+                Phase.RETREATING,
+                Event.HURRY,
+                Phase.RETREATING,
+                Event.RELOAD,
+                Phase.RETREATING,
+                Event.KERNEL_UP,
+                Phase.RETREATING);
+        row(
+                Phase.WAITING,
+                Event.KERNEL_UP,
+                Phase.SERVING,
+                Event.KERNEL_GIVEN_UP,
+                Phase.DRAINING,
+                Event.NOTICE,
+                Phase.DRAINING,
+                Event.HURRY,
+                Phase.DRAINING,
+                Event.RELOAD,
+                Phase.WAITING);
+        row(Phase.SERVING, Event.NOTICE, Phase.DRAINING, Event.HURRY, Phase.DRAINING, Event.RELOAD, Phase.SERVING);
         // a repeated notice doesn't move the drain's clock; a kernel that comes up now finds no work
-        row(Phase.DRAINING, Event.EMPTY, Phase.CLOSING, Event.TIME_UP, Phase.CLOSING, Event.NOTICE,
-            Phase.DRAINING, Event.HURRY, Phase.DRAINING, Event.RELOAD, Phase.DRAINING, Event.KERNEL_UP,
-            Phase.DRAINING);
-        row(Phase.CLOSING, Event.CLOSED, Phase.STOPPED, Event.NOTICE, Phase.CLOSING, Event.HURRY,
-            Phase.CLOSING,
-            Event.RELOAD, Phase.CLOSING, Event.KERNEL_UP, Phase.CLOSING);
-        row(Phase.STOPPED, Event.NOTICE, Phase.STOPPED, Event.HURRY, Phase.STOPPED, Event.RELOAD,
-            Phase.STOPPED,
-            Event.KERNEL_UP, Phase.STOPPED, Event.REHEARSED, Phase.STOPPED);
+        row(
+                Phase.DRAINING,
+                Event.EMPTY,
+                Phase.CLOSING,
+                Event.TIME_UP,
+                Phase.CLOSING,
+                Event.NOTICE,
+                Phase.DRAINING,
+                Event.HURRY,
+                Phase.DRAINING,
+                Event.RELOAD,
+                Phase.DRAINING,
+                Event.KERNEL_UP,
+                Phase.DRAINING);
+        row(
+                Phase.CLOSING,
+                Event.CLOSED,
+                Phase.STOPPED,
+                Event.NOTICE,
+                Phase.CLOSING,
+                Event.HURRY,
+                Phase.CLOSING,
+                Event.RELOAD,
+                Phase.CLOSING,
+                Event.KERNEL_UP,
+                Phase.CLOSING);
+        row(
+                Phase.STOPPED,
+                Event.NOTICE,
+                Phase.STOPPED,
+                Event.HURRY,
+                Phase.STOPPED,
+                Event.RELOAD,
+                Phase.STOPPED,
+                Event.KERNEL_UP,
+                Phase.STOPPED,
+                Event.REHEARSED,
+                Phase.STOPPED);
     }
 
     private static void row(Phase from, Object... pairs) {
