--- a/server/src/main/java/wheatspread/logging/EventLayout.java
+++ b/server/src/main/java/wheatspread/logging/EventLayout.java
@@ -27,7 +27,8 @@
     public String doLayout(ILoggingEvent event) {
         List<KeyValuePair> pairs = event.getKeyValuePairs() == null ? List.of() : event.getKeyValuePairs();
         Throwable fault = event.getThrowableProxy() instanceof ch.qos.logback.classic.spi.ThrowableProxy proxy
-            ? proxy.getThrowable() : null;
+                ? proxy.getThrowable()
+                : null;
         return json ? object(event, pairs, fault) : text(event, pairs, fault);
     }
 
@@ -43,15 +44,20 @@
             fields[at] = fault;
         }
         return Instant.ofEpochMilli(event.getTimeStamp()) + " " + event.getLevel() + " "
-            + (server == null ? "" : server + " ") + EventLog.line(event.getFormattedMessage(), fields)
+                + (server == null ? "" : server + " ") + EventLog.line(event.getFormattedMessage(), fields)
                 + "\n";
     }
 
     private String object(ILoggingEvent event, List<KeyValuePair> pairs, Throwable fault) {
         StringBuilder out = new StringBuilder();
-        JSONWriter line = new JSONWriter(out).object().key("at")
-            .value(Instant.ofEpochMilli(event.getTimeStamp()).toString())
-            .key("level").value(event.getLevel().toString()).key("event").value(event.getFormattedMessage());
+        JSONWriter line = new JSONWriter(out)
+                .object()
+                .key("at")
+                .value(Instant.ofEpochMilli(event.getTimeStamp()).toString())
+                .key("level")
+                .value(event.getLevel().toString())
+                .key("event")
+                .value(event.getFormattedMessage());
         if (server != null) {
             line.key("server").value(server);
         }
@@ -68,8 +74,12 @@
     /** Numbers that JSON has no word for, and whatever is no JSON value, stand as text. */
     private static Object plain(Object value) {
         boolean number = value instanceof Number n && Double.isFinite(n.doubleValue());
-        return value == null ? JSONObject.NULL : number || value instanceof Boolean ? value
-            : value instanceof java.util.Collection<?> all ? all.stream().map(EventLayout::plain).toList()
-            : String.valueOf(value);
+        return value == null
+                ? JSONObject.NULL
+                : number || value instanceof Boolean
+                        ? value
+                        : value instanceof java.util.Collection<?> all
+                                ? all.stream().map(EventLayout::plain).toList()
+                                : String.valueOf(value);
     }
 }
--- a/server/src/main/java/wheatspread/logging/EventLog.java
+++ b/server/src/main/java/wheatspread/logging/EventLog.java
@@ -14,10 +14,15 @@
      * How much an event matters: INFO for what is usual, WARN for what should be looked at, ERROR for a
      * fault.
      */
-    enum Level { DEBUG, INFO, WARN, ERROR }
+    enum Level {
+        DEBUG,
+        INFO,
+        WARN,
+        ERROR
+    }
 
     /** A log that keeps nothing. */
-    EventLog NONE = (level, event, fields) -> { };
+    EventLog NONE = (level, event, fields) -> {};
 
     /** {@code fields} are names and values in turns; an odd last one is a name without a value. */
     void log(Level level, String event, Object... fields);
@@ -53,11 +58,19 @@
         StringBuilder text = new StringBuilder(event);
         for (int i = 0; i + 1 < fields.length; i += 2) {
             String value = String.valueOf(fields[i + 1]);
-            boolean plain = !value.isEmpty() && value.chars().noneMatch(c -> c <= ' '
-                || c == '"' || c == '=');
-            text.append(' ').append(fields[i]).append('=')
-                .append(plain ? value : '"' + value.replace("\\", "\\\\").replace("\"", "\\\"")
-                    .replace("\n", "\\n").replace("\r", "\\r") + '"');
+            boolean plain = !value.isEmpty() && value.chars().noneMatch(c -> c <= ' ' || c == '"' || c == '=');
+            text.append(' ')
+                    .append(fields[i])
+                    .append('=')
+                    .append(
+                            plain
+                                    ? value
+                                    : '"'
+                                            + value.replace("\\", "\\\\")
+                                                    .replace("\"", "\\\"")
+                                                    .replace("\n", "\\n")
+                                                    .replace("\r", "\\r")
+                                            + '"');
         }
         return text.toString();
     }
--- a/server/src/main/java/wheatspread/logging/RepeatLimit.java
+++ b/server/src/main/java/wheatspread/logging/RepeatLimit.java
@@ -11,6 +11,7 @@
 public final class RepeatLimit {
     /** Names that are kept; further ones share a place, since a name may be made of what a peer sent. */
     private static final int MOST_NAMES = 256;
+
     private static final String OTHERS = "";
 
     private final int most;
--- a/server/src/main/java/wheatspread/membership/Agreement.java
+++ b/server/src/main/java/wheatspread/membership/Agreement.java
@@ -24,6 +24,7 @@
     public static final long FAST = 0;
     /** Of who has not voted. */
     public static final long NEVER = -1;
+
     private static final int OWNER_BITS = 20;
 
     private final View view;
@@ -32,12 +33,14 @@
     private final int fastQuorum;
     /** No vote is given in a ballot below this one. */
     private long promised = FAST;
+
     private long votedIn = NEVER;
     private Change voted;
     /** Who voted for what in the fast round. */
     private final Map<Change, BitSet> fastVotes = new LinkedHashMap<>();
     /** The highest ballot that was heard of, with what is known of it. What is below it is forgotten. */
     private long ballot = FAST;
+
     private final TreeMap<Integer, Promise> promises = new TreeMap<>();
     private Change asked;
     private final BitSet accepted = new BitSet();
@@ -45,7 +48,7 @@
     private Change decided;
 
     /** What a member had voted when it promised to vote in no lower ballot. */
-    public record Promise(long votedIn, Change voted) { }
+    public record Promise(long votedIn, Change voted) {}
 
     /** {@code self} is the index of this member in the view. */
     Agreement(View view, int self) {
@@ -187,7 +190,8 @@
 
     /** The one change that may have been decided in a lower ballot, or the one that this member prefers. */
     private Change choose() {
-        long latest = promises.values().stream().mapToLong(Promise::votedIn).max().orElse(NEVER);
+        long latest =
+                promises.values().stream().mapToLong(Promise::votedIn).max().orElse(NEVER);
         Map<Change, Integer> counts = new HashMap<>();
         for (Promise one : promises.values()) {
             if (one.votedIn == latest && latest > FAST) {
@@ -256,14 +260,17 @@
 
     /** Equal where the same is known of votes and rounds, and very likely different where not. */
     long digest() {
-        return fastVotes.hashCode() * 31L * 31 + promises.hashCode() * 31L + accepted.hashCode() + ballot
-            + Objects.hashCode(asked);
+        return fastVotes.hashCode() * 31L * 31
+                + promises.hashCode() * 31L
+                + accepted.hashCode()
+                + ballot
+                + Objects.hashCode(asked);
     }
 
     /** What tells this state from any other. */
     @Override
     public String toString() {
-        return promised + "|" + votedIn + voted + "|" + fastVotes + "|" + ballot + promises + asked + accepted
-            + "|" + preferred + "|" + decided;
+        return promised + "|" + votedIn + voted + "|" + fastVotes + "|" + ballot + promises + asked + accepted + "|"
+                + preferred + "|" + decided;
     }
 }
--- a/server/src/main/java/wheatspread/membership/CutTally.java
+++ b/server/src/main/java/wheatspread/membership/CutTally.java
@@ -22,13 +22,14 @@
     private final int[][] counters;
     /** As the counters, with odd for "suspected": no report yet, and often none in the end. */
     private final int[][] suspicions;
+
     private final BitSet leaving = new BitSet();
     private final Map<MemberId, Joiner> joiners = new TreeMap<>();
     private final int mostJoiners;
     /** What follows from all this, until something else is heard; most messages bring nothing new. */
     private Summary summary;
 
-    private record Summary(long digest, Change whole, Change hasty) { }
+    private record Summary(long digest, Change whole, Change hasty) {}
 
     /** Somebody who wants to become a member, with what those who would watch it say. */
     static final class Joiner {
@@ -91,8 +92,9 @@
      */
     boolean joins(Member member) {
         Member old = view.named(member.id().name());
-        if (joiners.containsKey(member.id()) || joiners.size() >= mostJoiners
-            || old != null && old.id().start() >= member.id().start()) {
+        if (joiners.containsKey(member.id())
+                || joiners.size() >= mostJoiners
+                || old != null && old.id().start() >= member.id().start()) {
             return false;
         }
         for (MemberId other : List.copyOf(joiners.keySet())) {
@@ -104,8 +106,9 @@
             }
         }
         summary = null;
-        joiners.put(member.id(), new Joiner(member, view.watchersOf(member.id().name(),
-            old == null ? -1 : view.indexOf(old.id()))));
+        joiners.put(
+                member.id(),
+                new Joiner(member, view.watchersOf(member.id().name(), old == null ? -1 : view.indexOf(old.id()))));
         return true;
     }
 
@@ -164,8 +167,7 @@
     private Summary summary() {
         if (summary == null) {
             BitSet unstable = unstable();
-            summary = new Summary(computeDigest(), computeChange(unstable, false),
-                computeChange(unstable, true));
+            summary = new Summary(computeDigest(), computeChange(unstable, false), computeChange(unstable, true));
         }
         return summary;
     }
@@ -252,8 +254,7 @@
     private Change computeChange(BitSet unstable, boolean hasty) {
         List<MemberId> out = new ArrayList<>();
         for (int i = 0; i < view.size(); i++) {
-            boolean gone = leaving.get(i) || unstable.get(i)
-                && against(i, unstable) >= View.high(counters[i].length);
+            boolean gone = leaving.get(i) || unstable.get(i) && against(i, unstable) >= View.high(counters[i].length);
             if (gone) {
                 out.add(view.members().get(i).id());
             } else if (unstable.get(i) && !hasty) {
--- a/server/src/main/java/wheatspread/membership/Damping.java
+++ b/server/src/main/java/wheatspread/membership/Damping.java
@@ -18,6 +18,7 @@
     private static final double MOST_POINTS = 12;
     /** Somebody who was not heard for so long begins anew. */
     private static final long GAP = 3_000_000;
+
     private static final int MOST_NAMES = 4_096;
 
     private final Map<String, Points> points = bounded();
@@ -29,7 +30,7 @@
         }
     }
 
-    private record Heard(long since, long last) { }
+    private record Heard(long since, long last) {}
 
     /** The eldest are forgotten first: to be forgotten costs a change of the view, no more. */
     private static <K, V> Map<K, V> bounded() {
--- a/server/src/main/java/wheatspread/membership/DetectorSettings.java
+++ b/server/src/main/java/wheatspread/membership/DetectorSettings.java
@@ -15,17 +15,31 @@
  *     0 for not at all
  * @param lateTurn a turn that comes this late counts against the member's own health
  */
-public record DetectorSettings(long period, long direct, long whole, int helpers, long leastSuspicion,
-                               long mostSuspicion, int confirmations, int worstHealth, long lateTurn) {
+public record DetectorSettings(
+        long period,
+        long direct,
+        long whole,
+        int helpers,
+        long leastSuspicion,
+        long mostSuspicion,
+        int confirmations,
+        int worstHealth,
+        long lateTurn) {
     /** Somebody who ends is reported by all its watchers after some 2 to 3 s. */
-    public static final DetectorSettings USUAL = new DetectorSettings(1_000_000, 300_000, 700_000, 3,
-        1_000_000, 3_000_000, 3, 8, 200_000);
+    public static final DetectorSettings USUAL =
+            new DetectorSettings(1_000_000, 300_000, 700_000, 3, 1_000_000, 3_000_000, 3, 8, 200_000);
 
     public DetectorSettings {
-        if (!(0 < direct && direct <= whole && whole <= period && 0 <= leastSuspicion
-            && leastSuspicion <= mostSuspicion && confirmations >= 0 && worstHealth >= 0 && lateTurn > 0)) {
-            throw new IllegalArgumentException("direct <= whole <= period and leastSuspicion <= "
-                + "mostSuspicion: " + this);
+        if (!(0 < direct
+                && direct <= whole
+                && whole <= period
+                && 0 <= leastSuspicion
+                && leastSuspicion <= mostSuspicion
+                && confirmations >= 0
+                && worstHealth >= 0
+                && lateTurn > 0)) {
+            throw new IllegalArgumentException(
+                    "direct <= whole <= period and leastSuspicion <= " + "mostSuspicion: " + this);
         }
     }
 
@@ -36,7 +50,6 @@
 
     /** SWIM with suspicions of one length, and trust in oneself. */
     public DetectorSettings suspicious() {
-        return new DetectorSettings(period, direct, whole, helpers, mostSuspicion, mostSuspicion, 0, 0,
-            Long.MAX_VALUE);
+        return new DetectorSettings(period, direct, whole, helpers, mostSuspicion, mostSuspicion, 0, 0, Long.MAX_VALUE);
     }
 }
--- a/server/src/main/java/wheatspread/membership/Founding.java
+++ b/server/src/main/java/wheatspread/membership/Founding.java
@@ -22,9 +22,17 @@
  */
 final class Founding {
     /** What is to be done now. */
-    enum Step { NOTHING, ASK, FOUND }
+    enum Step {
+        NOTHING,
+        ASK,
+        FOUND
+    }
 
-    private enum Phase { NONE, QUIET, ASKING }
+    private enum Phase {
+        NONE,
+        QUIET,
+        ASKING
+    }
 
     /** An epoch is the Unix milliseconds of its founding times this, plus the founder's place. */
     static final int MOST_SEEDS = 32;
@@ -34,11 +42,13 @@
     static final long HOLD = 4_000_000;
     /** Further seeds and newcomers are waited for so long after the last of them. */
     private static final long GATHER = 1_000_000;
+
     private static final long AGAIN = 300_000;
     /** Each seed waits so much longer than the one before it in the list, so that one asks first. */
     private static final long STAGGER = 500_000;
     /** Who knocked so long ago may have gone. */
     private static final long FRESH = 3_000_000;
+
     private static final int MOST_KNOCKERS = 4_096;
 
     private final List<String> seeds;
@@ -59,7 +69,7 @@
     private MemberId consentTo;
     private long consentUntil;
 
-    private record Knocked(Member member, long at) { }
+    private record Knocked(Member member, long at) {}
 
     Founding(List<String> seeds, String address, RandomGenerator random) {
         if (seeds.size() > MOST_SEEDS) {
@@ -121,8 +131,7 @@
      * an order, in one that does not stand.
      */
     boolean consents(MemberId founder, boolean free, long now) {
-        if (!free || phase == Phase.ASKING || consentTo != null && !consentTo.equals(founder)
-            && now < consentUntil) {
+        if (!free || phase == Phase.ASKING || consentTo != null && !consentTo.equals(founder) && now < consentUntil) {
             return false;
         }
         consentTo = founder;
@@ -161,7 +170,7 @@
         boolean enough = ordered || 2 * consentingSeeds() > seeds.size();
         boolean all = !ordered && consenting.containsAll(seeds);
         if (enough && now >= gatherUntil && (all || now >= askedAt + 2 * GATHER)
-            || enough && now >= askedAt + HOLD - GATHER) {
+                || enough && now >= askedAt + HOLD - GATHER) {
             knockers.values().forEach(one -> {
                 if (now - one.at <= FRESH) {
                     founders.putIfAbsent(one.member.id(), one.member);
--- a/server/src/main/java/wheatspread/membership/Member.java
+++ b/server/src/main/java/wheatspread/membership/Member.java
@@ -8,4 +8,4 @@
  * @param build of its program
  * @param config the version of its configuration
  */
-public record Member(MemberId id, String address, String zone, String build, long config) { }
+public record Member(MemberId id, String address, String zone, String build, long config) {}
--- a/server/src/main/java/wheatspread/membership/Membership.java
+++ b/server/src/main/java/wheatspread/membership/Membership.java
@@ -22,6 +22,7 @@
     public static final int MOST_SEEDS = Founding.MOST_SEEDS;
     /** How often news alone goes out while there is any, and to how many. */
     private static final long GOSSIP = 100_000;
+
     private static final int GOSSIP_TO = 3;
     private static final int MOST_NEWS = 16;
     private static final int MOST_JOINERS = 256;
@@ -37,15 +38,18 @@
     private static final long FIRST_ROUND = 250_000;
     /** and a round that is under way so long. */
     private static final long ROUND = 1_000_000;
+
     private static final long KNOCK = 500_000;
     /** A peer is asked for a view, or told one or all that is known, this often at most. */
     private static final long AGAIN = 300_000;
     /** Seeds outside the view are told of it so often by all members together, and twice this by few. */
     private static final long SEEK = 200_000;
+
     private static final long LEAST_SEEK = 2_000_000;
     private static final int MOST_KNOCKS = 3;
     /** All that is known is told this often at most, and no more than 1,000 pieces of it a second. */
     private static final long TELL_ALL = 20_000;
+
     private static final long TELL_ALL_PIECE = 1_000;
     /** Under loss suspicions come with every message, and each would have all members counted. */
     private static final long COUNT_MISSED = 250_000;
@@ -68,6 +72,7 @@
 
     /** Another start number stands here where this member came back to a fleet that it had left. */
     private Member self;
+
     private final List<String> seeds;
     private final DetectorSettings settings;
     private final RandomGenerator random;
@@ -94,11 +99,13 @@
     private long tellAllAt;
     /** The latest epoch in which this member was in a view, and whether it was in one under this number. */
     private long latestEpoch;
+
     private boolean wasIn;
     /** When it was heard last that the view stands, while this member is not in it. */
     private long stoodAt;
     /** The time of the call that is being carried out. */
     private long now;
+
     private long reportedAt;
     private long unstableSince;
     private long roundAt;
@@ -112,12 +119,14 @@
         final Watch watch;
         /** Its place among the watchers. */
         int slot;
+
         boolean joiner;
         /**
          * Of the present probe: its number, how many helpers were asked, how many said that they heard
          * nothing.
          */
         long number;
+
         int asked;
         int nacks;
 
@@ -128,11 +137,11 @@
     }
 
     /** A probe that is made for somebody else. */
-    private record Relay(String address, long number, long until) { }
+    private record Relay(String address, long number, long until) {}
 
     /** {@code seeds} are addresses at which a view may be asked for. */
-    public Membership(Member self, List<String> seeds, DetectorSettings settings, RandomGenerator random,
-                      Actions actions) {
+    public Membership(
+            Member self, List<String> seeds, DetectorSettings settings, RandomGenerator random, Actions actions) {
         this.self = self;
         this.seeds = List.copyOf(seeds);
         this.settings = settings;
@@ -216,9 +225,11 @@
 
     /** The next time at which {@link #turn} has something to do. */
     public long nextTurn() {
-        long next = !isIn() ? leaves ? Long.MAX_VALUE : knockAt
-            : queue.isEmpty() && tellLeft == 0 && !agreement.underWay() && tally.change(true) == null
-                ? seekAt : Math.min(seekAt, gossipAt);
+        long next = !isIn()
+                ? leaves ? Long.MAX_VALUE : knockAt
+                : queue.isEmpty() && tellLeft == 0 && !agreement.underWay() && tally.change(true) == null
+                        ? seekAt
+                        : Math.min(seekAt, gossipAt);
         next = leaves ? next : Math.min(next, founding.nextAt());
         for (Subject one : subjects.values()) {
             next = Math.min(next, one.watch.nextAt());
@@ -386,8 +397,10 @@
     // ---- messages ----
 
     private void send(String address, Body body) {
-        actions.send(address, new Message(self.id(), viewId(), stands(now), digest(), body,
-            isIn() ? queue.take(MOST_NEWS) : List.of()));
+        actions.send(
+                address,
+                new Message(
+                        self.id(), viewId(), stands(now), digest(), body, isIn() ? queue.take(MOST_NEWS) : List.of()));
     }
 
     /** To somebody who may be in no view, or in another: without the news of this one. */
@@ -417,12 +430,11 @@
         if (message.view().equals(viewId())) {
             if (isIn()) {
                 message.news().forEach(this::hear);
-                if (message.digest() != digest() && sender >= 0 && now >= tellAllAt
-                    && mayTell(message.from())) {
+                if (message.digest() != digest() && sender >= 0 && now >= tellAllAt && mayTell(message.from())) {
                     List<News> all = all();
                     tellAllAt = now + Math.max(TELL_ALL, all.size() * TELL_ALL_PIECE);
-                    actions.send(address, new Message(self.id(), viewId(), stands(now), digest(),
-                        new Body.Gossip(), all));
+                    actions.send(
+                            address, new Message(self.id(), viewId(), stands(now), digest(), new Body.Gossip(), all));
                 }
             }
         } else if (goesBefore(message)) {
@@ -466,7 +478,9 @@
                 send(asked.address(), new Body.Ping(lastNumber, asked.to()));
             }
         } else if (body instanceof Body.Nack nack) {
-            subjects.values().stream().filter(one -> one.number == nack.number()).forEach(one -> one.nacks++);
+            subjects.values().stream()
+                    .filter(one -> one.number == nack.number())
+                    .forEach(one -> one.nacks++);
         } else if (body instanceof Body.WhichView) {
             if (isIn()) {
                 send(address, new Body.ViewIs(view));
@@ -528,8 +542,10 @@
 
     private void hear(News news) {
         if (take(news)) {
-            boolean ofRound = news instanceof News.FastVotes || news instanceof News.Accepted
-                || news instanceof News.Prepare || news instanceof News.Promised;
+            boolean ofRound = news instanceof News.FastVotes
+                    || news instanceof News.Accepted
+                    || news instanceof News.Prepare
+                    || news instanceof News.Promised;
             if (!ofRound || news instanceof News.Promised) {
                 queue.add(news);
             }
@@ -549,8 +565,9 @@
     /** What is known of votes and of the round, with the promises of these members. */
     private List<News> ofRound(IntPredicate promising) {
         List<News> known = new ArrayList<>();
-        agreement.fastVotes().forEach((change, voters) ->
-            known.add(new News.FastVotes(change, (BitSet) voters.clone())));
+        agreement
+                .fastVotes()
+                .forEach((change, voters) -> known.add(new News.FastVotes(change, (BitSet) voters.clone())));
         long ballot = agreement.ballot();
         if (ballot > Agreement.FAST) {
             known.add(new News.Prepare(ballot));
@@ -560,8 +577,8 @@
                 }
             });
             if (agreement.asked() != null) {
-                known.add(new News.Accepted(ballot, agreement.asked(),
-                    (BitSet) agreement.accepted().clone()));
+                known.add(new News.Accepted(
+                        ballot, agreement.asked(), (BitSet) agreement.accepted().clone()));
             }
         }
         return known;
@@ -580,8 +597,7 @@
         } else if (news instanceof News.Leaving one) {
             return inView(one.member()) && tally.leaves(one.member());
         } else if (news instanceof News.Joining one) {
-            return view.indexOf(one.member().id()) < 0 && tally.joins(one.member())
-                && watchJoiner(one.member());
+            return view.indexOf(one.member().id()) < 0 && tally.joins(one.member()) && watchJoiner(one.member());
         } else if (news instanceof News.Heard one) {
             return tally.heard(one.joiner(), one.slot(), one.counter());
         } else if (news instanceof News.FastVotes one) {
@@ -592,7 +608,7 @@
             return inView(one.member()) && agreement.heardPromise(one.ballot(), one.member(), one.promise());
         } else if (news instanceof News.Accepted one) {
             return one.voters().length() <= view.size()
-                && agreement.heardAccepted(one.ballot(), one.change(), one.voters());
+                    && agreement.heardAccepted(one.ballot(), one.change(), one.voters());
         }
         return false;
     }
@@ -607,8 +623,7 @@
         }
         Subject watched = subjects.get(view.members().get(news.member()).id());
         if (watched != null) {
-            watched.watch.sharedBy(tally.othersSuspect(news.member(), watched.slot),
-                tally.watchers(news.member()) - 1);
+            watched.watch.sharedBy(tally.othersSuspect(news.member(), watched.slot), tally.watchers(news.member()) - 1);
         }
         return true;
     }
@@ -698,8 +713,12 @@
         if (wasIn && next.id().epoch() != viewId().epoch() && next.id().epoch() <= latestEpoch) {
             wasIn = false;
             // it may have voted in views of that epoch and has forgotten it, so it comes as another one
-            self = new Member(new MemberId(self.id().name(), self.id().start() + 1), self.address(),
-                self.zone(), self.build(), self.config());
+            self = new Member(
+                    new MemberId(self.id().name(), self.id().start() + 1),
+                    self.address(),
+                    self.zone(),
+                    self.build(),
+                    self.config());
         }
         view = next;
         index = next.indexOf(self.id());
@@ -746,8 +765,14 @@
             boolean left = isIn() && tally.leaving().get(i);
             boolean again = next.named(one.name()) != null;
             List<String> witnesses = isIn() ? reportedBy(i) : List.of();
-            gone.add(new Departure(one, left ? Departure.Cause.LEFT : again ? Departure.Cause.RESTARTED
-                : change == null ? Departure.Cause.TOLD : Departure.Cause.MISSED, witnesses));
+            gone.add(new Departure(
+                    one,
+                    left
+                            ? Departure.Cause.LEFT
+                            : again
+                                    ? Departure.Cause.RESTARTED
+                                    : change == null ? Departure.Cause.TOLD : Departure.Cause.MISSED,
+                    witnesses));
             if (!left && before.id().epoch() == next.id().epoch()) {
                 damping.missed(one.name(), now);
             }
@@ -781,8 +806,8 @@
     /** For how long this member has suspected another, in us; 0 where it does not. */
     public long suspectedFor(MemberId other, long at) {
         Subject one = subjects.get(other);
-        boolean does = one != null && (one.watch.state() == Watch.State.SUSPECT
-            || one.watch.state() == Watch.State.DOWN);
+        boolean does =
+                one != null && (one.watch.state() == Watch.State.SUSPECT || one.watch.state() == Watch.State.DOWN);
         return does ? at - one.watch.suspectSince() : 0;
     }
 
--- a/server/src/main/java/wheatspread/membership/Message.java
+++ b/server/src/main/java/wheatspread/membership/Message.java
@@ -15,33 +15,33 @@
     /** What it is about, besides the news. */
     public sealed interface Body {
         /** Asks {@code to}, and no other process at its address, for an {@link Ack}. */
-        record Ping(long number, MemberId to) implements Body { }
+        record Ping(long number, MemberId to) implements Body {}
 
         /** The answer; {@code number} is the asker's. */
-        record Ack(long number) implements Body { }
+        record Ack(long number) implements Body {}
 
         /** Asks a helper to ping a member and to say what came of it. */
-        record AskAround(long number, MemberId to, String address) implements Body { }
+        record AskAround(long number, MemberId to, String address) implements Body {}
 
         /** The helper has heard nothing either. */
-        record Nack(long number) implements Body { }
+        record Nack(long number) implements Body {}
 
         /** News alone. */
-        record Gossip() implements Body { }
+        record Gossip() implements Body {}
 
         /** Asks for the view. */
-        record WhichView() implements Body { }
+        record WhichView() implements Body {}
 
         /** The view, whole. */
-        record ViewIs(View view) implements Body { }
+        record ViewIs(View view) implements Body {}
 
         /** Wants to join. */
-        record Knock(Member member) implements Body { }
+        record Knock(Member member) implements Body {}
 
         /** A seed wants to found that epoch; {@code ordered} by an operator. */
-        record Found(long epoch, boolean ordered) implements Body { }
+        record Found(long epoch, boolean ordered) implements Body {}
 
         /** The sender will go by the first view of that epoch. */
-        record Consent(long epoch, Member member) implements Body { }
+        record Consent(long epoch, Member member) implements Body {}
     }
 }
--- a/server/src/main/java/wheatspread/membership/News.java
+++ b/server/src/main/java/wheatspread/membership/News.java
@@ -27,10 +27,10 @@
     }
 
     /** A member goes by itself. */
-    record Leaving(int member) implements News { }
+    record Leaving(int member) implements News {}
 
     /** Somebody wants to join. */
-    record Joining(Member member) implements News { }
+    record Joining(Member member) implements News {}
 
     /** The counter on a joiner of one who would watch it: odd is "heard". */
     record Heard(MemberId joiner, int slot, int counter) implements News {
--- a/server/src/main/java/wheatspread/membership/NewsQueue.java
+++ b/server/src/main/java/wheatspread/membership/NewsQueue.java
@@ -17,6 +17,7 @@
     private static final int TIMES = 4;
     /** So many times as many entries as are in use may wait, and so many more, before they are sorted out. */
     private static final int SLACK = 2;
+
     private static final int SLACK_AT_LEAST = 256;
 
     private final Map<Object, Entry> entries = new HashMap<>();
--- a/server/src/main/java/wheatspread/membership/Precedence.java
+++ b/server/src/main/java/wheatspread/membership/Precedence.java
@@ -6,8 +6,7 @@
  * that has it, and of two that have it the later founded to the earlier.
  */
 final class Precedence {
-    private Precedence() {
-    }
+    private Precedence() {}
 
     /**
      * Whether a view that is told of goes before the one that is held.
--- a/server/src/main/java/wheatspread/membership/Standing.java
+++ b/server/src/main/java/wheatspread/membership/Standing.java
@@ -86,7 +86,8 @@
         for (long one : heard) {
             late += now - one > HEARD ? 1 : 0;
         }
-        return 2 * late <= sample.length ? null
-            : late + " of " + sample.length + " others watched or watching are not heard";
+        return 2 * late <= sample.length
+                ? null
+                : late + " of " + sample.length + " others watched or watching are not heard";
     }
 }
--- a/server/src/main/java/wheatspread/membership/View.java
+++ b/server/src/main/java/wheatspread/membership/View.java
@@ -34,7 +34,8 @@
         Set<String> names = new HashSet<>();
         for (Member one : sorted) {
             if (!names.add(one.id().name())) {
-                throw new IllegalArgumentException("two members have the name " + one.id().name());
+                throw new IllegalArgumentException(
+                        "two members have the name " + one.id().name());
             }
         }
         hashes = sorted.stream().mapToLong(one -> hash(one.id().name())).toArray();
@@ -74,7 +75,10 @@
 
     /** The member of a name, whatever its start; null where there is none. */
     public Member named(String name) {
-        return members.stream().filter(one -> one.id().name().equals(name)).findFirst().orElse(null);
+        return members.stream()
+                .filter(one -> one.id().name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 
     /** Who watches the member of that index. */
--- a/server/src/main/java/wheatspread/membership/Watch.java
+++ b/server/src/main/java/wheatspread/membership/Watch.java
@@ -10,16 +10,29 @@
  */
 final class Watch {
     /** Where it stands. */
-    enum State { WELL, ASKED, ASKED_AROUND, SUSPECT, DOWN }
+    enum State {
+        WELL,
+        ASKED,
+        ASKED_AROUND,
+        SUSPECT,
+        DOWN
+    }
 
     /** What is to be done now. */
-    enum Step { NOTHING, PROBE, ASK_AROUND, SUSPECT, REPORT }
+    enum Step {
+        NOTHING,
+        PROBE,
+        ASK_AROUND,
+        SUSPECT,
+        REPORT
+    }
 
     private final DetectorSettings settings;
     private final SelfHealth health;
     private State state = State.WELL;
     /** When the present probe began, or when the next one is due. */
     private long probeAt;
+
     private boolean probing;
     private boolean askedAround;
     private long suspectSince;
@@ -50,9 +63,11 @@
 
     /** When {@link #step} has something to do next. */
     long nextAt() {
-        long probe = !probing ? probeAt
-            : askedAround ? probeAt + settings.whole() * health.times()
-            : probeAt + settings.direct() * health.times();
+        long probe = !probing
+                ? probeAt
+                : askedAround
+                        ? probeAt + settings.whole() * health.times()
+                        : probeAt + settings.direct() * health.times();
         return state == State.SUSPECT ? Math.min(probe, suspectSince + suspicion()) : probe;
     }
 
--- a/server/src/main/java/wheatspread/nginx/ConfParser.java
+++ b/server/src/main/java/wheatspread/nginx/ConfParser.java
@@ -103,8 +103,8 @@
             return;
         }
         List<Path> files = new ArrayList<>();
-        try (DirectoryStream<Path> stream = Files.newDirectoryStream(path.toAbsolutePath().getParent(),
-            path.getFileName().toString())) {
+        try (DirectoryStream<Path> stream = Files.newDirectoryStream(
+                path.toAbsolutePath().getParent(), path.getFileName().toString())) {
             stream.forEach(files::add);
         } catch (IOException e) {
             throw bad(name.line(), "cannot include " + mask + ": " + e.getMessage());
--- a/server/src/main/java/wheatspread/nginx/Importer.java
+++ b/server/src/main/java/wheatspread/nginx/Importer.java
@@ -18,20 +18,35 @@
  * among them that listens on a given address. What has no place there is reported with file and line.
  */
 public final class Importer {
-    private static final Map<String, String> MATCHES = Map.of("=", "exact", "^~", "prefix_first",
-        "~", "regex", "~*", "regex_any_case");
+    private static final Map<String, String> MATCHES =
+            Map.of("=", "exact", "^~", "prefix_first", "~", "regex", "~*", "regex_any_case");
     /** Vars that nginx's own list passes on; they reach the front as they are. */
-    private static final Set<String> STANDARD = Set.of("QUERY_STRING", "REQUEST_METHOD", "CONTENT_TYPE",
-        "CONTENT_LENGTH", "REQUEST_URI", "PATH_INFO", "DOCUMENT_ROOT", "SERVER_PROTOCOL", "REQUEST_SCHEME",
-        "HTTPS", "REMOTE_ADDR", "REMOTE_PORT", "SERVER_PORT", "SERVER_NAME", "SCRIPT_NAME", "HTTP_HOST");
-    private static final Set<String> INHERITED = Set.of("uwsgi_read_timeout", "uwsgi_send_timeout",
-        "client_max_body_size");
-    private static final Set<String> CARRIED = Set.of("uwsgi_param", "uwsgi_read_timeout",
-        "uwsgi_send_timeout", "client_max_body_size");
+    private static final Set<String> STANDARD = Set.of(
+            "QUERY_STRING",
+            "REQUEST_METHOD",
+            "CONTENT_TYPE",
+            "CONTENT_LENGTH",
+            "REQUEST_URI",
+            "PATH_INFO",
+            "DOCUMENT_ROOT",
+            "SERVER_PROTOCOL",
+            "REQUEST_SCHEME",
+            "HTTPS",
+            "REMOTE_ADDR",
+            "REMOTE_PORT",
+            "SERVER_PORT",
+            "SERVER_NAME",
+            "SCRIPT_NAME",
+            "HTTP_HOST");
+
+    private static final Set<String> INHERITED =
+            Set.of("uwsgi_read_timeout", "uwsgi_send_timeout", "client_max_body_size");
+    private static final Set<String> CARRIED =
+            Set.of("uwsgi_param", "uwsgi_read_timeout", "uwsgi_send_timeout", "client_max_body_size");
     private static final Pattern TIME = Pattern.compile("(\\d+)(ms|s|m|h|d|)");
     private static final Pattern SIZE = Pattern.compile("(\\d{1,9})([kKmMgG]?)");
-    private static final Map<String, Long> UNITS = Map.of("ms", 1L, "s", 1_000L, "", 1_000L,
-        "m", 60_000L, "h", 3_600_000L, "d", 86_400_000L);
+    private static final Map<String, Long> UNITS =
+            Map.of("ms", 1L, "s", 1_000L, "", 1_000L, "m", 60_000L, "h", 3_600_000L, "d", 86_400_000L);
     private static final long LONGEST_MS = 3_600_000;
     private static final int LARGEST_BODY = 1 << 20;
 
@@ -47,14 +62,14 @@
     private long mostConnections;
 
     /** What an enclosing block hands down to a location. */
-    private record Scope(Map<String, Directive> inherited, List<Directive> params, JSONArray routes) { }
+    private record Scope(Map<String, Directive> inherited, List<Directive> params, JSONArray routes) {}
 
     private Importer(String listen) {
         this.listen = listen;
     }
 
     /** The operator's file, and what could not be carried over, a line each. */
-    public record Result(JSONObject file, List<String> report) { }
+    public record Result(JSONObject file, List<String> report) {}
 
     /** {@code listen} picks the server by its address; where it is null, the first that is up is taken. */
     public static Result read(Path file, String listen) {
@@ -76,7 +91,7 @@
     private JSONObject operatorFile(Path file) {
         if (chosen == null) {
             throw new IllegalArgumentException(file + ":1: no location passes to "
-                + (listen == null ? "a server that this program could be" : listen));
+                    + (listen == null ? "a server that this program could be" : listen));
         }
         JSONObject uwsgi = new JSONObject().put("listen", listen).put("routes", routes);
         putPositive(uwsgi, "max_connections", Math.min(4096, mostConnections));
@@ -180,8 +195,9 @@
                 location(d, scope);
             } else if (Set.of("http", "server").contains(d.name()) && d.block() != null) {
                 walk(d.block(), scope);
-            } else if (!CARRIED.contains(d.name()) && (d.name().startsWith("uwsgi_")
-                || Set.of("rewrite", "return", "if", "set").contains(d.name()))) {
+            } else if (!CARRIED.contains(d.name())
+                    && (d.name().startsWith("uwsgi_")
+                            || Set.of("rewrite", "return", "if", "set").contains(d.name()))) {
                 complain(d, "has no counterpart in the recipe server");
             }
         }
@@ -269,8 +285,7 @@
         String value = param.arg(1);
         Vars vars = Vars.USUAL;
         Map<String, String> words = Map.of(vars.kind(), "class", vars.tenant(), "tenant");
-        Map<String, String> numbers = Map.of(vars.limit(), "limit_ms", vars.hint(), "cpu_ms", vars.ram(),
-            "ram_kb");
+        Map<String, String> numbers = Map.of(vars.limit(), "limit_ms", vars.hint(), "cpu_ms", vars.ram(), "ram_kb");
         boolean fixed = !value.contains("$");
         if (fixed && words.containsKey(name)) {
             route.put(words.get(name), value);
@@ -282,8 +297,16 @@
             } else {
                 once(param, name + " is not a number: " + value);
             }
-        } else if (!STANDARD.contains(name) && !Set.of(vars.kind(), vars.tenant(), vars.limit(), vars.hint(),
-            vars.ram(), vars.unique(), vars.item()).contains(name)) {
+        } else if (!STANDARD.contains(name)
+                && !Set.of(
+                                vars.kind(),
+                                vars.tenant(),
+                                vars.limit(),
+                                vars.hint(),
+                                vars.ram(),
+                                vars.unique(),
+                                vars.item())
+                        .contains(name)) {
             once(param, name + " means nothing to the recipe server");
         }
     }
@@ -301,8 +324,11 @@
         Matcher parts = TIME.matcher(d.arg(0));
         long total = 0;
         int end = 0;
-        while (end < d.arg(0).length() && parts.find(end) && parts.start() == end && parts.end() > end
-            && parts.group(1).length() < 10) {
+        while (end < d.arg(0).length()
+                && parts.find(end)
+                && parts.start() == end
+                && parts.end() > end
+                && parts.group(1).length() < 10) {
             total += Long.parseLong(parts.group(1)) * UNITS.get(parts.group(2));
             end = parts.end();
         }
@@ -323,7 +349,7 @@
             return -1;
         }
         long size = Long.parseLong(parts.group(1))
-            << Map.of("", 0, "k", 10, "m", 20, "g", 30).get(parts.group(2).toLowerCase());
+                << Map.of("", 0, "k", 10, "m", 20, "g", 30).get(parts.group(2).toLowerCase());
         if (size == 0 || size > LARGEST_BODY) {
             once(d, d.arg(0) + " is cut to " + LARGEST_BODY + " bytes, the most there is");
         }
--- a/server/src/main/java/wheatspread/peers/MessageCodec.java
+++ b/server/src/main/java/wheatspread/peers/MessageCodec.java
@@ -24,9 +24,11 @@
 public final class MessageCodec {
     /** Counts up where older programs could not read what is said; they drop it then. */
     public static final int MAJOR = 1;
+
     public static final int MINOR = 0;
     /** The largest fleet. */
     public static final int MOST_MEMBERS = 4_096;
+
     private static final int MOST_TEXT = 128;
     private static final int MOST_NEWS = 1 << 16;
     private static final long MOST_NUMBER = 1L << 53;
@@ -36,7 +38,7 @@
     private final String address;
 
     /** A message with the address to which answers go. */
-    public record Received(String address, Message message) { }
+    public record Received(String address, Message message) {}
 
     /** {@code address} is this server's own. */
     public MessageCodec(String cluster, String address) {
@@ -47,9 +49,15 @@
     // ---- to bytes ----
 
     public byte[] encode(Message message) {
-        Format.Envelope.Builder to = Format.Envelope.newBuilder().setMajor(MAJOR).setMinor(MINOR)
-            .setCluster(cluster).setFrom(id(message.from())).setAddress(address)
-            .setView(number(message.view())).setStands(message.stands()).setDigest(message.digest());
+        Format.Envelope.Builder to = Format.Envelope.newBuilder()
+                .setMajor(MAJOR)
+                .setMinor(MINOR)
+                .setCluster(cluster)
+                .setFrom(id(message.from()))
+                .setAddress(address)
+                .setView(number(message.view()))
+                .setStands(message.stands())
+                .setDigest(message.digest());
         message.news().forEach(one -> to.addNews(piece(one)));
         body(to, message.body());
         return seal(to.build().toByteArray());
@@ -57,8 +65,10 @@
 
     /** With the checksum before it, its highest byte first. */
     static byte[] seal(byte[] envelope) {
-        return ByteBuffer.allocate(Integer.BYTES + envelope.length).putInt(checksum(envelope, 0))
-            .put(envelope).array();
+        return ByteBuffer.allocate(Integer.BYTES + envelope.length)
+                .putInt(checksum(envelope, 0))
+                .put(envelope)
+                .array();
     }
 
     /** The datagram's own checksum has 16 bits, may be absent, and ends at the first relay. */
@@ -74,8 +84,10 @@
         } else if (body instanceof Body.Ack one) {
             to.setAck(one.number());
         } else if (body instanceof Body.AskAround one) {
-            to.setAround(Format.Around.newBuilder().setNumber(one.number()).setTo(id(one.to()))
-                .setAddress(one.address()));
+            to.setAround(Format.Around.newBuilder()
+                    .setNumber(one.number())
+                    .setTo(id(one.to()))
+                    .setAddress(one.address()));
         } else if (body instanceof Body.Nack one) {
             to.setNack(one.number());
         } else if (body instanceof Body.Gossip) {
@@ -83,7 +95,8 @@
         } else if (body instanceof Body.WhichView) {
             to.setWhichView(true);
         } else if (body instanceof Body.ViewIs one) {
-            Format.Fleet.Builder fleet = Format.Fleet.newBuilder().setId(number(one.view().id()));
+            Format.Fleet.Builder fleet =
+                    Format.Fleet.newBuilder().setId(number(one.view().id()));
             one.view().members().forEach(member -> fleet.addMembers(person(member)));
             to.setViewIs(fleet);
         } else if (body instanceof Body.Knock one) {
@@ -106,15 +119,19 @@
         } else if (news instanceof News.Joining one) {
             to.setJoining(person(one.member()));
         } else if (news instanceof News.Heard one) {
-            to.setHeard(Format.Heard.newBuilder().setJoiner(id(one.joiner())).setSlot(one.slot())
-                .setCounter(one.counter()));
+            to.setHeard(Format.Heard.newBuilder()
+                    .setJoiner(id(one.joiner()))
+                    .setSlot(one.slot())
+                    .setCounter(one.counter()));
         } else if (news instanceof News.FastVotes one) {
             to.setFastVotes(votes(0, one.change(), one.voters()));
         } else if (news instanceof News.Prepare one) {
             to.setPrepare(one.ballot());
         } else if (news instanceof News.Promised one) {
-            Format.Promised.Builder promised = Format.Promised.newBuilder().setBallot(one.ballot())
-                .setMember(one.member()).setVotedIn(one.promise().votedIn());
+            Format.Promised.Builder promised = Format.Promised.newBuilder()
+                    .setBallot(one.ballot())
+                    .setMember(one.member())
+                    .setVotedIn(one.promise().votedIn());
             if (one.promise().voted() != null) {
                 promised.setVoted(step(one.promise().voted()));
             }
@@ -126,8 +143,11 @@
     }
 
     private static Format.Votes votes(long ballot, Change change, BitSet voters) {
-        return Format.Votes.newBuilder().setBallot(ballot).setChange(step(change))
-            .setVoters(ByteString.copyFrom(voters.toByteArray())).build();
+        return Format.Votes.newBuilder()
+                .setBallot(ballot)
+                .setChange(step(change))
+                .setVoters(ByteString.copyFrom(voters.toByteArray()))
+                .build();
     }
 
     private static Format.Step step(Change change) {
@@ -138,7 +158,11 @@
     }
 
     private static Format.Edge edge(int member, int slot, int counter) {
-        return Format.Edge.newBuilder().setMember(member).setSlot(slot).setCounter(counter).build();
+        return Format.Edge.newBuilder()
+                .setMember(member)
+                .setSlot(slot)
+                .setCounter(counter)
+                .build();
     }
 
     private static Format.Id id(MemberId id) {
@@ -146,25 +170,31 @@
     }
 
     private static Format.ViewNumber number(ViewId id) {
-        return Format.ViewNumber.newBuilder().setEpoch(id.epoch()).setNumber(id.number()).build();
+        return Format.ViewNumber.newBuilder()
+                .setEpoch(id.epoch())
+                .setNumber(id.number())
+                .build();
     }
 
     private static Format.Person person(Member one) {
-        return Format.Person.newBuilder().setId(id(one.id())).setAddress(one.address()).setZone(one.zone())
-            .setBuild(one.build()).setConfig(one.config()).build();
+        return Format.Person.newBuilder()
+                .setId(id(one.id()))
+                .setAddress(one.address())
+                .setZone(one.zone())
+                .setBuild(one.build())
+                .setConfig(one.config())
+                .build();
     }
 
     // ---- from bytes ----
 
     public Received decode(byte[] bytes) throws Malformed {
-        if (bytes.length < Integer.BYTES
-            || ByteBuffer.wrap(bytes).getInt() != checksum(bytes, Integer.BYTES)) {
+        if (bytes.length < Integer.BYTES || ByteBuffer.wrap(bytes).getInt() != checksum(bytes, Integer.BYTES)) {
             throw new Malformed(Malformed.Kind.SPOILT, "checksum");
         }
         Format.Envelope told;
         try {
-            told = Format.Envelope.parseFrom(ByteString.copyFrom(bytes, Integer.BYTES,
-                bytes.length - Integer.BYTES));
+            told = Format.Envelope.parseFrom(ByteString.copyFrom(bytes, Integer.BYTES, bytes.length - Integer.BYTES));
         } catch (InvalidProtocolBufferException e) {
             throw new Malformed(Malformed.Kind.GARBAGE, "no message: " + e.getMessage());
         }
@@ -182,25 +212,39 @@
                 news.add(piece);
             }
         }
-        return new Received(address(told.getAddress()), new Message(id(told.getFrom()),
-            number(told.getView()), told.getStands(), told.getDigest(), body(told), news));
+        return new Received(
+                address(told.getAddress()),
+                new Message(
+                        id(told.getFrom()),
+                        number(told.getView()),
+                        told.getStands(),
+                        told.getDigest(),
+                        body(told),
+                        news));
     }
 
     /** What a later minor version says is news alone to this one. */
     private static Body body(Format.Envelope told) throws Malformed {
         return switch (told.getBodyCase()) {
-            case PING -> new Body.Ping(told.getPing().getNumber(), id(told.getPing().getTo()));
+            case PING ->
+                new Body.Ping(told.getPing().getNumber(), id(told.getPing().getTo()));
             case ACK -> new Body.Ack(told.getAck());
-            case AROUND -> new Body.AskAround(told.getAround().getNumber(), id(told.getAround().getTo()),
-                address(told.getAround().getAddress()));
+            case AROUND ->
+                new Body.AskAround(
+                        told.getAround().getNumber(),
+                        id(told.getAround().getTo()),
+                        address(told.getAround().getAddress()));
             case NACK -> new Body.Nack(told.getNack());
             case WHICH_VIEW -> new Body.WhichView();
             case VIEW_IS -> new Body.ViewIs(fleet(told.getViewIs()));
             case KNOCK -> new Body.Knock(person(told.getKnock()));
-            case FOUND -> new Body.Found(within(told.getFound().getEpoch(), 1, Long.MAX_VALUE, "epoch"),
-                told.getFound().getOrdered());
-            case CONSENT -> new Body.Consent(told.getConsent().getEpoch(),
-                person(told.getConsent().getMember()));
+            case FOUND ->
+                new Body.Found(
+                        within(told.getFound().getEpoch(), 1, Long.MAX_VALUE, "epoch"),
+                        told.getFound().getOrdered());
+            case CONSENT ->
+                new Body.Consent(
+                        told.getConsent().getEpoch(), person(told.getConsent().getMember()));
             default -> new Body.Gossip();
         };
     }
@@ -222,20 +266,31 @@
 
     private static News piece(Format.Piece told) throws Malformed {
         return switch (told.getWhatCase()) {
-            case REPORT -> new News.Report(index(told.getReport().getMember()),
-                slot(told.getReport().getSlot()), counter(told.getReport().getCounter()));
-            case SUSPICION -> new News.Suspicion(index(told.getSuspicion().getMember()),
-                slot(told.getSuspicion().getSlot()), counter(told.getSuspicion().getCounter()));
+            case REPORT ->
+                new News.Report(
+                        index(told.getReport().getMember()),
+                        slot(told.getReport().getSlot()),
+                        counter(told.getReport().getCounter()));
+            case SUSPICION ->
+                new News.Suspicion(
+                        index(told.getSuspicion().getMember()),
+                        slot(told.getSuspicion().getSlot()),
+                        counter(told.getSuspicion().getCounter()));
             case LEAVING -> new News.Leaving(index(told.getLeaving()));
             case JOINING -> new News.Joining(person(told.getJoining()));
-            case HEARD -> new News.Heard(id(told.getHeard().getJoiner()), slot(told.getHeard().getSlot()),
-                counter(told.getHeard().getCounter()));
-            case FAST_VOTES -> new News.FastVotes(step(told.getFastVotes().getChange()),
-                voters(told.getFastVotes()));
+            case HEARD ->
+                new News.Heard(
+                        id(told.getHeard().getJoiner()),
+                        slot(told.getHeard().getSlot()),
+                        counter(told.getHeard().getCounter()));
+            case FAST_VOTES -> new News.FastVotes(step(told.getFastVotes().getChange()), voters(told.getFastVotes()));
             case PREPARE -> new News.Prepare(ballot(told.getPrepare()));
             case PROMISED -> promised(told.getPromised());
-            case ACCEPTED -> new News.Accepted(ballot(told.getAccepted().getBallot()),
-                step(told.getAccepted().getChange()), voters(told.getAccepted()));
+            case ACCEPTED ->
+                new News.Accepted(
+                        ballot(told.getAccepted().getBallot()),
+                        step(told.getAccepted().getChange()),
+                        voters(told.getAccepted()));
             default -> null;
         };
     }
@@ -245,9 +300,12 @@
         if (voted != told.getVotedIn() >= Agreement.FAST) {
             throw new Malformed(Malformed.Kind.GARBAGE, "a vote without its ballot");
         }
-        return new News.Promised(ballot(told.getBallot()), index(told.getMember()),
-            new Agreement.Promise(within(told.getVotedIn(), Agreement.NEVER, told.getBallot() - 1, "vote"),
-                voted ? step(told.getVoted()) : null));
+        return new News.Promised(
+                ballot(told.getBallot()),
+                index(told.getMember()),
+                new Agreement.Promise(
+                        within(told.getVotedIn(), Agreement.NEVER, told.getBallot() - 1, "vote"),
+                        voted ? step(told.getVoted()) : null));
     }
 
     private static Change step(Format.Step told) throws Malformed {
@@ -276,13 +334,18 @@
     }
 
     private static ViewId number(Format.ViewNumber told) throws Malformed {
-        return new ViewId(within(told.getEpoch(), 0, MOST_NUMBER, "epoch"),
-            within(told.getNumber(), 0, MOST_NUMBER, "number of a view"));
+        return new ViewId(
+                within(told.getEpoch(), 0, MOST_NUMBER, "epoch"),
+                within(told.getNumber(), 0, MOST_NUMBER, "number of a view"));
     }
 
     private static Member person(Format.Person told) throws Malformed {
-        return new Member(id(told.getId()), address(told.getAddress()), text(told.getZone()),
-            text(told.getBuild()), told.getConfig());
+        return new Member(
+                id(told.getId()),
+                address(told.getAddress()),
+                text(told.getZone()),
+                text(told.getBuild()),
+                told.getConfig());
     }
 
     /** Only IPv4 addresses: to look a name up would hold the loop. */
--- a/server/src/main/java/wheatspread/peers/PeerAddress.java
+++ b/server/src/main/java/wheatspread/peers/PeerAddress.java
@@ -6,8 +6,7 @@
 
 /** Where a peer is reached: an IPv4 address and a port, as {@code 10.0.0.7:7400}. */
 public final class PeerAddress {
-    private PeerAddress() {
-    }
+    private PeerAddress() {}
 
     public static boolean isOne(String text) {
         return parse(text) != null;
--- a/server/src/main/java/wheatspread/peers/PeerCounts.java
+++ b/server/src/main/java/wheatspread/peers/PeerCounts.java
@@ -58,8 +58,10 @@
         line(text, prefix + "unsent", unsent);
         line(text, prefix + "over_rate", overRate);
         for (Malformed.Kind kind : Malformed.Kind.values()) {
-            line(text, prefix + "unread_" + kind.name().toLowerCase(java.util.Locale.ROOT),
-                malformed.getOrDefault(kind, 0L));
+            line(
+                    text,
+                    prefix + "unread_" + kind.name().toLowerCase(java.util.Locale.ROOT),
+                    malformed.getOrDefault(kind, 0L));
         }
         return text.toString();
     }
--- a/server/src/main/java/wheatspread/peers/Peers.java
+++ b/server/src/main/java/wheatspread/peers/Peers.java
@@ -39,9 +39,11 @@
 public final class Peers {
     /** What goes in one datagram on any network. */
     static final int MOST_DATAGRAM = 1_200;
+
     private static final int LARGEST_READ = 2_048;
     /** A view of {@link MessageCodec#MOST_MEMBERS} with long names. */
     private static final int LARGEST_FRAME = 2 << 20;
+
     private static final int MOST_STREAMS = 16;
     private static final int CONNECT_MS = 1_000;
     private static final long STREAM_TIME = 3_000_000;
@@ -64,8 +66,16 @@
     private boolean closed;
 
     /** {@code self} says where others reach this server, which listens at {@code listen}. */
-    public Peers(String cluster, InetSocketAddress listen, Member self, List<String> seeds,
-                 Transport transport, EventLoop loop, Clock clock, RandomGenerator random, EventLog log) {
+    public Peers(
+            String cluster,
+            InetSocketAddress listen,
+            Member self,
+            List<String> seeds,
+            Transport transport,
+            EventLoop loop,
+            Clock clock,
+            RandomGenerator random,
+            EventLog log) {
         this.transport = transport;
         this.loop = loop;
         this.clock = clock;
@@ -78,17 +88,24 @@
     /** Binds both sockets and begins; where one can't be bound, neither is. */
     public Future<Void> open() {
         Promise<Void> opened = loop.newPromise();
-        ChannelFuture first = new Bootstrap().group(loop).channel(transport.datagramChannel())
-            .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LARGEST_READ))
-            .handler(new Datagrams()).bind(listen);
+        ChannelFuture first = new Bootstrap()
+                .group(loop)
+                .channel(transport.datagramChannel())
+                .option(ChannelOption.RECVBUF_ALLOCATOR, new FixedRecvByteBufAllocator(LARGEST_READ))
+                .handler(new Datagrams())
+                .bind(listen);
         first.addListener(bound -> {
             if (!bound.isSuccess()) {
                 opened.setFailure(bound.cause());
                 return;
             }
             datagrams = first.channel();
-            ChannelFuture second = new ServerBootstrap().group(loop).channel(transport.serverChannel())
-                .option(ChannelOption.SO_REUSEADDR, true).childHandler(new Streams()).bind(listen);
+            ChannelFuture second = new ServerBootstrap()
+                    .group(loop)
+                    .channel(transport.serverChannel())
+                    .option(ChannelOption.SO_REUSEADDR, true)
+                    .childHandler(new Streams())
+                    .bind(listen);
             second.addListener(both -> {
                 if (!both.isSuccess()) {
                     datagrams.close();
@@ -205,26 +222,40 @@
                 counts.large();
                 stream(to, bytes);
             } else {
-                datagrams.writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to))
-                    .addListener(done -> {
-                        if (!done.isSuccess()) {
-                            counts.unsent();
-                        }
-                    });
+                datagrams
+                        .writeAndFlush(new DatagramPacket(Unpooled.wrappedBuffer(bytes), to))
+                        .addListener(done -> {
+                            if (!done.isSuccess()) {
+                                counts.unsent();
+                            }
+                        });
             }
         }
 
         @Override
         public void changed(View before, View now, List<Departure> gone) {
             List<String> come = now.members().stream()
-                .filter(one -> before == null || before.indexOf(one.id()) < 0)
-                .map(one -> one.id().toString()).toList();
+                    .filter(one -> before == null || before.indexOf(one.id()) < 0)
+                    .map(one -> one.id().toString())
+                    .toList();
             // equal on all servers for one view, whose list would be too long for a line
             String list = Integer.toHexString(now.members().toString().hashCode());
-            log.info("view", "id", now.id(), "members", now.size(), "list", list, "in",
-                now.indexOf(membership.self().id()) >= 0, "come", come,
-                "gone", gone.stream().map(one -> one.who() + " " + one.cause() + " "
-                    + one.witnesses()).toList());
+            log.info(
+                    "view",
+                    "id",
+                    now.id(),
+                    "members",
+                    now.size(),
+                    "list",
+                    list,
+                    "in",
+                    now.indexOf(membership.self().id()) >= 0,
+                    "come",
+                    come,
+                    "gone",
+                    gone.stream()
+                            .map(one -> one.who() + " " + one.cause() + " " + one.witnesses())
+                            .toList());
         }
 
         @Override
@@ -242,22 +273,27 @@
             return;
         }
         streamsOpen++;
-        new Bootstrap().group(loop).channel(transport.clientChannel())
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    bound(channel);
-                }
-            }).connect(to).addListener(done -> {
-                if (!done.isSuccess()) {
-                    counts.unsent();
-                    return;
-                }
-                Channel channel = ((ChannelFuture) done).channel();
-                channel.writeAndFlush(Unpooled.wrappedBuffer(Unpooled.buffer(4).writeInt(bytes.length),
-                    Unpooled.wrappedBuffer(bytes))).addListener(written -> channel.close());
-            });
+        new Bootstrap()
+                .group(loop)
+                .channel(transport.clientChannel())
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        bound(channel);
+                    }
+                })
+                .connect(to)
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        counts.unsent();
+                        return;
+                    }
+                    Channel channel = ((ChannelFuture) done).channel();
+                    channel.writeAndFlush(Unpooled.wrappedBuffer(
+                                    Unpooled.buffer(4).writeInt(bytes.length), Unpooled.wrappedBuffer(bytes)))
+                            .addListener(written -> channel.close());
+                });
     }
 
     /** A stream is counted until it is closed, and closed when its time is over. */
@@ -292,20 +328,22 @@
             }
             streamsOpen++;
             bound(channel);
-            channel.pipeline().addLast(new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
-                new SimpleChannelInboundHandler<ByteBuf>() {
-                    @Override
-                    protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
-                        read(frame);
-                        ctx.close();
-                    }
+            channel.pipeline()
+                    .addLast(
+                            new LengthFieldBasedFrameDecoder(LARGEST_FRAME, 0, 4, 0, 4),
+                            new SimpleChannelInboundHandler<ByteBuf>() {
+                                @Override
+                                protected void channelRead0(ChannelHandlerContext ctx, ByteBuf frame) {
+                                    read(frame);
+                                    ctx.close();
+                                }
 
-                    @Override
-                    public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
-                        counts.malformed(Malformed.Kind.GARBAGE);
-                        ctx.close();
-                    }
-                });
+                                @Override
+                                public void exceptionCaught(ChannelHandlerContext ctx, Throwable cause) {
+                                    counts.malformed(Malformed.Kind.GARBAGE);
+                                    ctx.close();
+                                }
+                            });
         }
     }
 }
--- a/server/src/main/java/wheatspread/records/RecordsClient.java
+++ b/server/src/main/java/wheatspread/records/RecordsClient.java
@@ -33,6 +33,7 @@
     private static final int CONNECT_MS = 1_000;
     /** Calls after which a connection is closed, since what it remembers of them grows. */
     private static final int MOST_CALLS = 64;
+
     private static final long SWEEP = 500_000;
 
     private final Bootstrap clients;
@@ -43,6 +44,7 @@
     private final List<Connection> connections = new ArrayList<>();
     /** Those that take no more calls, until what is in hand there has ended. */
     private final Set<Connection> leaving = new HashSet<>();
+
     private InetSocketAddress address;
     private boolean sweeping;
 
@@ -50,8 +52,7 @@
      * Past {@code mostConnections} calls share them. {@code address} is null where the deployment has no
      * records service; a call is then as one that was refused, since nobody was asked.
      */
-    public RecordsClient(Bootstrap clients, InetSocketAddress address, int mostConnections, Clock clock,
-                         EventLog log) {
+    public RecordsClient(Bootstrap clients, InetSocketAddress address, int mostConnections, Clock clock, EventLog log) {
         this.clients = clients;
         this.address = address;
         this.mostConnections = mostConnections;
@@ -114,7 +115,8 @@
 
     /** Closes what nobody used for a while. */
     private void sweep() {
-        new ArrayList<>(connections).stream().filter(c -> c.idleFor() > IDLE_MOST).forEach(Connection::close);
+        new ArrayList<>(connections)
+                .stream().filter(c -> c.idleFor() > IDLE_MOST).forEach(Connection::close);
         sweeping = !connections.isEmpty();
         if (sweeping) {
             clock.after(SWEEP, this::sweep);
@@ -151,22 +153,25 @@
          * be taken for the reply to that.
          */
         private final Set<String> seen = new HashSet<>();
+
         private Channel channel;
         private long usedAt = clock.now();
 
         void open() {
             clients.clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
-                .handler(new ChannelInitializer<Channel>() {
-                    @Override
-                    protected void initChannel(Channel ch) {
-                        ch.pipeline().addLast(new ReplyDecoder(), Connection.this);
-                    }
-                }).connect(address).addListener(done -> {
-                    if (!done.isSuccess()) {
-                        ended(Outcome.CONNECT_ERROR); // nothing was sent, so no call ran
-                    }
-                });
+                    .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+                    .handler(new ChannelInitializer<Channel>() {
+                        @Override
+                        protected void initChannel(Channel ch) {
+                            ch.pipeline().addLast(new ReplyDecoder(), Connection.this);
+                        }
+                    })
+                    .connect(address)
+                    .addListener(done -> {
+                        if (!done.isSuccess()) {
+                            ended(Outcome.CONNECT_ERROR); // nothing was sent, so no call ran
+                        }
+                    });
         }
 
         long idleFor() {
@@ -208,7 +213,7 @@
 
         private void send(Pending call) {
             byte[] line = ("OP " + call.job + ' ' + call.patienceMs + ' ' + call.body.length + "\r\n")
-                .getBytes(StandardCharsets.US_ASCII);
+                    .getBytes(StandardCharsets.US_ASCII);
             ByteBuf out = channel.alloc().buffer(line.length + call.body.length + 2);
             out.writeBytes(line).writeBytes(call.body).writeByte('\r').writeByte('\n');
             channel.writeAndFlush(out, channel.voidPromise());
--- a/server/src/main/java/wheatspread/records/ReplyDecoder.java
+++ b/server/src/main/java/wheatspread/records/ReplyDecoder.java
@@ -15,7 +15,7 @@
     private static final Set<String> WORDS = Set.of("DONE", "WAIT", "ERROR", "PAST", "EMPTY");
 
     /** One reply; {@code body} is null unless the word is DONE. */
-    record Reply(String job, String word, byte[] body) { }
+    record Reply(String job, String word, byte[] body) {}
 
     private String[] head;
     private int length;
@@ -52,7 +52,8 @@
             }
             return false;
         }
-        String line = in.readCharSequence(end - in.readerIndex() + 1, StandardCharsets.US_ASCII).toString();
+        String line = in.readCharSequence(end - in.readerIndex() + 1, StandardCharsets.US_ASCII)
+                .toString();
         String[] words = line.trim().split(" ");
         if (words.length < 2 || !WORDS.contains(words[1])) {
             throw spoilt("a reply without a known word");
--- a/server/src/main/java/wheatspread/sim/BenchLink.java
+++ b/server/src/main/java/wheatspread/sim/BenchLink.java
@@ -16,10 +16,10 @@
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
+import wheatspread.admission.Admission;
 import wheatspread.admission.Admission.Gauges;
 import wheatspread.admission.Admission.Outcome;
 import wheatspread.admission.Admission.Request;
-import wheatspread.admission.Admission;
 import wheatspread.admission.choice.Choice;
 import wheatspread.config.Fields;
 import wheatspread.config.SettingsReader;
@@ -27,9 +27,23 @@
 
 /** The wire: one line of events in, one line of actions out, one {@link Choice} for each instance. */
 public final class BenchLink {
-    private static final Map<String, Outcome> OUTCOMES = Map.of("Ok", Outcome.OK, "Failed", Outcome.FAILED,
-        "QueueFull", Outcome.QUEUE_FULL, "TimedOut", Outcome.TIMED_OUT, "ConnectError", Outcome.CONNECT_ERROR,
-        "ResetByPeer", Outcome.RESET, "Canceled", Outcome.CANCELED, "Ignored", Outcome.IGNORED);
+    private static final Map<String, Outcome> OUTCOMES = Map.of(
+            "Ok",
+            Outcome.OK,
+            "Failed",
+            Outcome.FAILED,
+            "QueueFull",
+            Outcome.QUEUE_FULL,
+            "TimedOut",
+            Outcome.TIMED_OUT,
+            "ConnectError",
+            Outcome.CONNECT_ERROR,
+            "ResetByPeer",
+            Outcome.RESET,
+            "Canceled",
+            Outcome.CANCELED,
+            "Ignored",
+            Outcome.IGNORED);
     private final JsonFactory json = new JsonFactory();
     private final BufferedReader in;
     private final OutputStream out;
@@ -47,7 +61,7 @@
     }
 
     /** One worker and the order of its gauges. */
-    private record Instance(Admission choice, List<String> gauges) { }
+    private record Instance(Admission choice, List<String> gauges) {}
 
     public BenchLink(InputStream in, OutputStream out) {
         this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
@@ -120,11 +134,9 @@
         Admission choice = instance.choice;
         switch (name) {
             case "Accept" -> choice.arrived(request(event));
-            case "Completed" -> choice.completed(event.id("Tid"), event.word("Rc", OUTCOMES),
-                event.time("WaitTime"));
+            case "Completed" -> choice.completed(event.id("Tid"), event.word("Rc", OUTCOMES), event.time("WaitTime"));
             case "Blocked" -> choice.blocked(event.id("Tid"));
-            case "Called" -> choice.called(event.id("Tid"), event.word("Rc", OUTCOMES),
-                event.time("WaitTime"));
+            case "Called" -> choice.called(event.id("Tid"), event.word("Rc", OUTCOMES), event.time("WaitTime"));
             case "CancelledByClient" -> choice.gone(event.id("Tid"));
             case "RetireSoon" -> choice.retiring(event.time("Left"));
             case "Bell" -> choice.timer(gauges(instance, event));
@@ -133,22 +145,31 @@
     }
 
     private static Request request(Fields e) {
-        return new Request(e.id("Tid"), (int) e.number("Customer", 0), (int) e.integer("Band"),
-            e.time("Age", 0), e.time("Left", 0), (long) e.number("DupOf", 0), e.flag("AgainByClient"),
-            e.has("NameKey"), e.flag("Mutates"), e.number("HeldKb"), e.time("WorkHint", 0));
+        return new Request(
+                e.id("Tid"),
+                (int) e.number("Customer", 0),
+                (int) e.integer("Band"),
+                e.time("Age", 0),
+                e.time("Left", 0),
+                (long) e.number("DupOf", 0),
+                e.flag("AgainByClient"),
+                e.has("NameKey"),
+                e.flag("Mutates"),
+                e.number("HeldKb"),
+                e.time("WorkHint", 0));
     }
 
     private static Gauges gauges(Instance instance, Fields event) {
         List<Object> row = event.list("Telemetry");
-        return Site.reading(instance.gauges, i -> i < row.size() && row.get(i) instanceof Number n
-            ? n.doubleValue() : Double.NaN);
+        return Site.reading(
+                instance.gauges, i -> i < row.size() && row.get(i) instanceof Number n ? n.doubleValue() : Double.NaN);
     }
 
     private Instance create(Fields event) throws IOException {
         Object told = event.get("Info");
         Fields info = told instanceof String s ? parse(s) : Fields.of(told, "Info");
-        return new Instance(new Choice(SettingsReader.read(info), event.integer("InitSeed")),
-            SettingsReader.gauges(info));
+        return new Instance(
+                new Choice(SettingsReader.read(info), event.integer("InitSeed")), SettingsReader.gauges(info));
     }
 
     private Fields parse(String text) throws IOException {
@@ -188,8 +209,7 @@
         if (token == JsonToken.VALUE_STRING) {
             return parser.getText();
         }
-        return token == JsonToken.VALUE_TRUE ? Boolean.TRUE
-            : token == JsonToken.VALUE_FALSE ? Boolean.FALSE : null;
+        return token == JsonToken.VALUE_TRUE ? Boolean.TRUE : token == JsonToken.VALUE_FALSE ? Boolean.FALSE : null;
     }
 
     /** Writes the actions of one instance; opens its part of the reply with the first of them. */
--- a/server/src/main/java/wheatspread/sockets/CallerHandle.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandle.java
@@ -166,5 +166,5 @@
         }
     }
 
-    private record Event(NioIoOps ops) implements NioIoEvent { }
+    private record Event(NioIoOps ops) implements NioIoEvent {}
 }
--- a/server/src/main/java/wheatspread/sockets/CallerHandler.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandler.java
@@ -29,6 +29,7 @@
     protected ChannelHandlerContext ctx;
     /** The beginning of a message whose end is missing; null if there is none. */
     private ByteBuf held;
+
     Connection connection;
     private Phase phase = Phase.OPEN;
     /** The caller's side has ended its stream; it may still read. */
@@ -247,8 +248,8 @@
     @Override
     public final boolean advances() {
         long pending = pendingBytes();
-        boolean less = pending > 0 && pending < lingering.pendingThen
-            && lingering.extensions++ < Lingering.MOST_EXTENSIONS;
+        boolean less =
+                pending > 0 && pending < lingering.pendingThen && lingering.extensions++ < Lingering.MOST_EXTENSIONS;
         lingering.pendingThen = pending;
         return less;
     }
--- a/server/src/main/java/wheatspread/sockets/EpollTransport.java
+++ b/server/src/main/java/wheatspread/sockets/EpollTransport.java
@@ -24,7 +24,7 @@
     /** The length of an address and the address, as the native library writes them. */
     private static final int ADDRESS = 1 + 26;
 
-    private EpollTransport() { }
+    private EpollTransport() {}
 
     /** Null where the library is not there, or does not load on this machine. */
     static Transport ifAvailable() {
@@ -108,10 +108,12 @@
         @Override
         protected IoOps mute(IoOps ops) {
             // errors are told in any case; without anything Netty would take the descriptor out of the set
-            return ((EpollIoOps) ops).without(EpollIoOps.EPOLLIN).without(EpollIoOps.EPOLLRDHUP)
-                .with(EpollIoOps.EPOLLERR);
+            return ((EpollIoOps) ops)
+                    .without(EpollIoOps.EPOLLIN)
+                    .without(EpollIoOps.EPOLLRDHUP)
+                    .with(EpollIoOps.EPOLLERR);
         }
     }
 
-    private record Event(EpollIoOps ops) implements EpollIoEvent { }
+    private record Event(EpollIoOps ops) implements EpollIoEvent {}
 }
--- a/server/src/main/java/wheatspread/sockets/Listener.java
+++ b/server/src/main/java/wheatspread/sockets/Listener.java
@@ -55,10 +55,12 @@
     private final Set<CallerHandler> stalled = new LinkedHashSet<>();
     /** One handle reads for all callers, one after another; each has but one read a turn. */
     private final RecvByteBufAllocator.ExtendedHandle reading = (RecvByteBufAllocator.ExtendedHandle)
-        new FixedRecvByteBufAllocator(READ).maxMessagesPerRead(1).newHandle();
+            new FixedRecvByteBufAllocator(READ).maxMessagesPerRead(1).newHandle();
+
     private ServerChannel listening;
     /** A handed-over socket on which nothing is accepted yet. */
     private ServerChannel held;
+
     private boolean handedOver;
     private boolean stopped;
     private Clock.Timer timer;
@@ -66,8 +68,7 @@
     private boolean watching;
     private boolean leaving;
 
-    public Listener(EventLoop loop, Turns turns, Clock clock, Front front, ConnectionLimits limits,
-                    EventLog log) {
+    public Listener(EventLoop loop, Turns turns, Clock clock, Front front, ConnectionLimits limits, EventLog log) {
         this.loop = loop;
         this.turns = turns;
         this.clock = clock;
@@ -83,12 +84,17 @@
 
     /** Binds and accepts; what cannot be bound is thrown. Returns the address that was bound. */
     public InetSocketAddress listen(InetSocketAddress address) {
-        ChannelFuture binding = new Bootstrap().group(loop).channel(turns.transport().serverChannel())
-            .option(ChannelOption.SO_BACKLOG, 1024).option(ChannelOption.SO_REUSEADDR, true)
-            .handler(new Acceptor()).bind(address).awaitUninterruptibly();
+        ChannelFuture binding = new Bootstrap()
+                .group(loop)
+                .channel(turns.transport().serverChannel())
+                .option(ChannelOption.SO_BACKLOG, 1024)
+                .option(ChannelOption.SO_REUSEADDR, true)
+                .handler(new Acceptor())
+                .bind(address)
+                .awaitUninterruptibly();
         if (!binding.isSuccess()) {
-            throw new IllegalStateException("cannot listen on " + address + ": "
-                + binding.cause().getMessage());
+            throw new IllegalStateException(
+                    "cannot listen on " + address + ": " + binding.cause().getMessage());
         }
         listening = (ServerChannel) binding.channel();
         return (InetSocketAddress) listening.localAddress();
@@ -162,12 +168,14 @@
         channel.config().setWriteBufferWaterMark(MARKS);
         channel.config().setRecvByteBufAllocator(() -> reading);
         channel.pipeline().addLast(caller);
-        turns.register(connection, () -> loop.register(channel).addListener(done -> {
-            if (!done.isSuccess()) {
-                table.closed(connection);
-                channel.unsafe().closeForcibly();
-            }
-        }));
+        turns.register(
+                connection,
+                () -> loop.register(channel).addListener(done -> {
+                    if (!done.isSuccess()) {
+                        table.closed(connection);
+                        channel.unsafe().closeForcibly();
+                    }
+                }));
     }
 
     private void refuse(Channel channel) {
@@ -177,7 +185,7 @@
                 @Override
                 public void channelActive(ChannelHandlerContext context) {
                     context.writeAndFlush(Unpooled.wrappedBuffer(front.refusal()))
-                        .addListener(ChannelFutureListener.CLOSE);
+                            .addListener(ChannelFutureListener.CLOSE);
                 }
             });
             loop.register(channel);
@@ -196,8 +204,7 @@
         }
         InetAddress address = socket.getAddress();
         ByteBuffer bytes = ByteBuffer.wrap(address.getAddress());
-        return address instanceof Inet4Address ? 0xFFFF_FFFFL << 32 | bytes.getInt() & 0xFFFF_FFFFL
-            : bytes.getLong();
+        return address instanceof Inet4Address ? 0xFFFF_FFFFL << 32 | bytes.getInt() & 0xFFFF_FFFFL : bytes.getLong();
     }
 
     /** A caller on a channel that something else opened: for rehearsals and tests. */
@@ -300,8 +307,9 @@
     private void closeStalled() {
         long waiting = stalled.stream().mapToLong(Caller::waitingBytes).sum();
         while (waiting > table.limits().mostWaiting()) {
-            CallerHandler worst = stalled.stream().max(Comparator.comparingLong(Caller::waitingBytes))
-                .orElseThrow();
+            CallerHandler worst = stalled.stream()
+                    .max(Comparator.comparingLong(Caller::waitingBytes))
+                    .orElseThrow();
             waiting -= worst.waitingBytes();
             stalled.remove(worst);
             table.stalls(worst.connection);
--- a/server/src/main/java/wheatspread/sockets/NioListening.java
+++ b/server/src/main/java/wheatspread/sockets/NioListening.java
@@ -9,7 +9,7 @@
 /** A listening socket on the JDK's selectors whose queue can be emptied before it closes. */
 public final class NioListening extends NioServerSocketChannel {
     /** Netty makes one of the class. */
-    public NioListening() { }
+    public NioListening() {}
 
     NioListening(ServerSocketChannel handedOver) {
         super(handedOver);
--- a/server/src/main/java/wheatspread/sockets/TurnTimes.java
+++ b/server/src/main/java/wheatspread/sockets/TurnTimes.java
@@ -19,8 +19,9 @@
 
     /** What is logged, as names and values in turns; the longest one since it was last asked for. */
     public Object[] fields() {
-        return new Object[] {"count", turns, "busy_us", busyMicros(), "p99_us", quantileMicros(0.99),
-            "longest_us", takeLongestMicros()};
+        return new Object[] {
+            "count", turns, "busy_us", busyMicros(), "p99_us", quantileMicros(0.99), "longest_us", takeLongestMicros()
+        };
     }
 
     public long turns() {
--- a/server/src/main/java/wheatspread/sockets/Turns.java
+++ b/server/src/main/java/wheatspread/sockets/Turns.java
@@ -262,8 +262,7 @@
         public long delayNanos(long nanoTime) {
             long look = wheel.nextLook();
             long delay = context.delayNanos(nanoTime);
-            long least = look == Long.MAX_VALUE ? delay : Math.min(delay, Math.max(0,
-                look * 1_000 - nanoTime));
+            long least = look == Long.MAX_VALUE ? delay : Math.min(delay, Math.max(0, look * 1_000 - nanoTime));
             // a selector that counts milliseconds would spin through the last one before every timer
             return least > 0 ? Math.max(least, transport.shortestWait()) : least;
         }
--- a/server/src/main/java/wheatspread/store/Catalog.java
+++ b/server/src/main/java/wheatspread/store/Catalog.java
@@ -131,8 +131,12 @@
 
     /** Whether one place of the log is before another; both in files that are known. */
     boolean isBefore(long at, long other) {
-        return Doubts.compare(byId.get(Index.file(at)).name.first(), Index.offset(at),
-            byId.get(Index.file(other)).name.first(), Index.offset(other)) < 0;
+        return Doubts.compare(
+                        byId.get(Index.file(at)).name.first(),
+                        Index.offset(at),
+                        byId.get(Index.file(other)).name.first(),
+                        Index.offset(other))
+                < 0;
     }
 
     /**
@@ -191,7 +195,7 @@
 
     static boolean isKey(Format.Record record, byte[] key) {
         return record.getKey().size() == key.length
-            && record.getKey().asReadOnlyByteBuffer().equals(ByteBuffer.wrap(key));
+                && record.getKey().asReadOnlyByteBuffer().equals(ByteBuffer.wrap(key));
     }
 
     /** Whether a time has come; 0 never does. */
--- a/server/src/main/java/wheatspread/store/CheckpointJob.java
+++ b/server/src/main/java/wheatspread/store/CheckpointJob.java
@@ -34,8 +34,7 @@
      * @param segment all of the log before this number and offset is in the index
      * @param waits whether the writer has to sync, and then {@link #publish}
      */
-    CheckpointJob(Disk disk, Catalog catalog, long number, int segment, int offset, long nowMs,
-        boolean waits) {
+    CheckpointJob(Disk disk, Catalog catalog, long number, int segment, int offset, long nowMs, boolean waits) {
         this.disk = disk;
         this.catalog = catalog;
         this.name = Layout.checkpoint(number);
@@ -53,9 +52,15 @@
             disk.delete(name + SegmentName.NEW);
             out = disk.create(name + SegmentName.NEW);
             write(Checkpoints.preamble());
-            write(Checkpoints.frame(Format.CheckpointFrame.newBuilder().setHead(Format.CheckpointHead
-                .newBuilder().setSeed(catalog.seed).setSegment(segment).setOffset(offset)
-                .setCreatedMs(nowMs)).build(), false));
+            write(Checkpoints.frame(
+                    Format.CheckpointFrame.newBuilder()
+                            .setHead(Format.CheckpointHead.newBuilder()
+                                    .setSeed(catalog.seed)
+                                    .setSegment(segment)
+                                    .setOffset(offset)
+                                    .setCreatedMs(nowMs))
+                            .build(),
+                    false));
         } else if (table < Index.TABLES) {
             table(table);
         } else {
@@ -70,8 +75,11 @@
         Format.CheckpointEntries.Builder[] chunk = {Format.CheckpointEntries.newBuilder()};
         IOException[] failed = new IOException[1];
         catalog.index.copy(which, (hash, at, length, expiry) -> {
-            chunk[0].addHashes(hash).addFiles(Index.file(at)).addOffsets(Index.offset(at)).addLengths(length)
-                .addExpiries(expiry);
+            chunk[0].addHashes(hash)
+                    .addFiles(Index.file(at))
+                    .addOffsets(Index.offset(at))
+                    .addLengths(length)
+                    .addExpiries(expiry);
             if (chunk[0].getHashesCount() == CHUNK && failed[0] == null) {
                 try {
                     flush(chunk[0]);
@@ -90,21 +98,28 @@
     private void flush(Format.CheckpointEntries.Builder chunk) throws IOException {
         if (chunk.getHashesCount() > 0) {
             entries += chunk.getHashesCount();
-            write(Checkpoints.frame(Format.CheckpointFrame.newBuilder().setEntries(chunk).build(), false));
+            write(Checkpoints.frame(
+                    Format.CheckpointFrame.newBuilder().setEntries(chunk).build(), false));
         }
     }
 
     private void finish() throws IOException {
         for (Segment one : catalog.snapshot()) {
-            Format.CheckpointEnd.File.Builder file = Format.CheckpointEnd.File.newBuilder().setId(one.id)
-                .setName(one.name.toString()).setLatestExpiryMs(one.latestExpiryMs).setRecords(one.records);
+            Format.CheckpointEnd.File.Builder file = Format.CheckpointEnd.File.newBuilder()
+                    .setId(one.id)
+                    .setName(one.name.toString())
+                    .setLatestExpiryMs(one.latestExpiryMs)
+                    .setRecords(one.records);
             if (one.cut != SegmentScan.UNCUT) {
                 file.setCut(one.cut);
             }
             end.addFiles(file);
         }
-        write(Checkpoints.frame(Format.CheckpointFrame.newBuilder().setEnd(end.setEntries(entries)).build(),
-            true));
+        write(Checkpoints.frame(
+                Format.CheckpointFrame.newBuilder()
+                        .setEnd(end.setEntries(entries))
+                        .build(),
+                true));
         out.sync();
         out.close();
         done = true;
--- a/server/src/main/java/wheatspread/store/Checkpoints.java
+++ b/server/src/main/java/wheatspread/store/Checkpoints.java
@@ -23,10 +23,14 @@
     private static final int PREAMBLE = 16;
     private static final int STALE = 1 << 30;
 
-    private Checkpoints() { }
+    private Checkpoints() {}
 
     static ByteBuffer preamble() {
-        return ByteBuffer.allocate(PREAMBLE).put(MAGIC).putInt(VERSION).putInt(0).flip();
+        return ByteBuffer.allocate(PREAMBLE)
+                .put(MAGIC)
+                .putInt(VERSION)
+                .putInt(0)
+                .flip();
     }
 
     /** One frame of a checkpoint; behind the last one stands its size in 4 bytes. */
@@ -40,7 +44,7 @@
     }
 
     /** What is known of a file that is not read again. */
-    record Known(long latestExpiryMs, long records, int cut) { }
+    record Known(long latestExpiryMs, long records, int cut) {}
 
     /** The seed of a checkpoint, for a store none of whose segments tells it. */
     static long seedOf(Disk disk, String name, LongSupplier otherwise) throws IOException {
@@ -53,7 +57,7 @@
 
     private static boolean isOurs(Window window) throws IOException {
         return window.at(0, PREAMBLE).remaining() >= PREAMBLE
-            && window.at(0, PREAMBLE).slice(0, PREAMBLE).equals(preamble());
+                && window.at(0, PREAMBLE).slice(0, PREAMBLE).equals(preamble());
     }
 
     /** The frame at a place, or null. */
@@ -86,8 +90,11 @@
             long endAt = size - 4 - Integer.toUnsignedLong(tail.getInt(0));
             Format.CheckpointFrame end = endAt >= PREAMBLE ? read(window, endAt) : null;
             Format.CheckpointFrame head = read(window, PREAMBLE);
-            if (end == null || !end.hasEnd() || head == null || !head.hasHead()
-                || head.getHead().getSeed() != into.seed) {
+            if (end == null
+                    || !end.hasEnd()
+                    || head == null
+                    || !head.hasHead()
+                    || head.getHead().getSeed() != into.seed) {
                 return null;
             }
             Loaded loaded = new Loaded(head.getHead(), into);
@@ -146,8 +153,12 @@
                 names.put(file.getId(), name);
                 if (now.name.equals(name)) {
                     ids.put(file.getId(), now.id);
-                    known.put(name, new Known(file.getLatestExpiryMs(), file.getRecords(),
-                        file.hasCut() ? file.getCut() : SegmentScan.UNCUT));
+                    known.put(
+                            name,
+                            new Known(
+                                    file.getLatestExpiryMs(),
+                                    file.getRecords(),
+                                    file.hasCut() ? file.getCut() : SegmentScan.UNCUT));
                     if (name.first() == segment && now.bytes < offset) {
                         return false;
                     }
@@ -161,8 +172,10 @@
 
         private boolean entries(Format.CheckpointEntries some, Index index) {
             int count = some.getHashesCount();
-            if (some.getFilesCount() != count || some.getOffsetsCount() != count
-                || some.getLengthsCount() != count || some.getExpiriesCount() != count) {
+            if (some.getFilesCount() != count
+                    || some.getOffsetsCount() != count
+                    || some.getLengthsCount() != count
+                    || some.getExpiriesCount() != count) {
                 return false;
             }
             for (int i = 0; i < count; i++) {
@@ -172,8 +185,11 @@
                 }
                 // what came behind the place is read from the log, which may have lost it
                 if (Doubts.compare(name.first(), some.getOffsets(i), segment, offset) < 0) {
-                    index.add(some.getHashes(i), Index.at(ids.get(some.getFiles(i)), some.getOffsets(i)),
-                        some.getLengths(i), some.getExpiries(i));
+                    index.add(
+                            some.getHashes(i),
+                            Index.at(ids.get(some.getFiles(i)), some.getOffsets(i)),
+                            some.getLengths(i),
+                            some.getExpiries(i));
                 }
             }
             return true;
--- a/server/src/main/java/wheatspread/store/CompactionJob.java
+++ b/server/src/main/java/wheatspread/store/CompactionJob.java
@@ -24,15 +24,13 @@
     private static final int MOST_RECORDS = 4_096;
 
     /** What a job has to know beside its run. */
-    record Terms(SegmentName name, long mark, boolean clear, Set<Integer> cutsNeeded, long nowMs,
-        long lossUntil) {
-    }
+    record Terms(SegmentName name, long mark, boolean clear, Set<Integer> cutsNeeded, long nowMs, long lossUntil) {}
 
     /** A record that has been copied into the group at {@code place}. */
-    private record Copy(long hash, long from, int place, int length, int expiry) { }
+    private record Copy(long hash, long from, int place, int length, int expiry) {}
 
     /** Keys that damage has taken from a place of an old file; the doubt stands at {@code place}. */
-    private record Loss(LongArrayList hashes, boolean all, int place, long from) { }
+    private record Loss(LongArrayList hashes, boolean all, int place, long from) {}
 
     private final Disk disk;
     private final Catalog catalog;
@@ -97,7 +95,7 @@
                 case RECORD -> record(scan);
                 case DAMAGE -> damage();
                 case END -> scan = null;
-                default -> { }
+                default -> {}
             }
             if (group.size() >= GROUP || group.records() == MOST_RECORDS) {
                 flush();
@@ -130,8 +128,7 @@
                     delete(at);
                 } else if (catalog.index.has(hash, from)) {
                     int place = group.add(hash, record);
-                    pending.add(new Copy(hash, from, place, group.length(place),
-                        Catalog.expirySeconds(expires)));
+                    pending.add(new Copy(hash, from, place, group.length(place), Catalog.expirySeconds(expires)));
                     records++;
                     latestExpiry = Math.max(latestExpiry, expires == 0 ? Segment.NEVER : expires);
                 }
@@ -139,8 +136,9 @@
             case DELETE -> delete(at);
             case CUT -> {
                 Map<Integer, Integer> kept = new TreeMap<>();
-                record.getCutsList().stream().filter(cut -> terms.cutsNeeded().contains(cut.getSegment()))
-                    .forEach(cut -> kept.put(cut.getSegment(), cut.getLength()));
+                record.getCutsList().stream()
+                        .filter(cut -> terms.cutsNeeded().contains(cut.getSegment()))
+                        .forEach(cut -> kept.put(cut.getSegment(), cut.getLength()));
                 if (!kept.isEmpty()) {
                     group.add(0, GroupEncoder.cuts(kept));
                 }
@@ -150,7 +148,7 @@
                     group.add(0, record);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
@@ -218,8 +216,13 @@
             result.latestExpiryMs = latestExpiry;
             catalog.announce(result);
             synchronized (catalog.index) {
-                losses.forEach(one -> catalog.lose(one.hashes(), one.all(), terms.lossUntil(), one.from(),
-                    terms.name().first(), one.place()));
+                losses.forEach(one -> catalog.lose(
+                        one.hashes(),
+                        one.all(),
+                        terms.lossUntil(),
+                        one.from(),
+                        terms.name().first(),
+                        one.place()));
             }
             for (int i = 0; i < expired.size(); i += 2) {
                 catalog.index.remove(expired.getLong(i), expired.getLong(i + 1));
@@ -229,8 +232,9 @@
             for (int left = INSTALL; left > 0 && installed < moves.size(); left--, installed += 4) {
                 long packed = moves.getLong(installed + 3);
                 long to = Index.at(result.id, (int) moves.getLong(installed + 2));
-                if (catalog.index.move(moves.getLong(installed), moves.getLong(installed + 1), to,
-                    (int) (packed >>> 32), (int) packed)) {
+                if (catalog.index.move(
+                        moves.getLong(installed), moves.getLong(installed + 1), to, (int) (packed >>> 32), (int)
+                                packed)) {
                     result.liveBytes += Catalog.weight(packed >>> 32);
                 }
             }
--- a/server/src/main/java/wheatspread/store/CompactionPolicy.java
+++ b/server/src/main/java/wheatspread/store/CompactionPolicy.java
@@ -21,10 +21,10 @@
     private static final long FIXED = Headers.SIZE + 96;
 
     /** What is known of one sealed segment; {@code latestExpiryMs} is that of its last living record. */
-    record Candidate(long bytes, long liveBytes, long latestExpiryMs) { }
+    record Candidate(long bytes, long liveBytes, long latestExpiryMs) {}
 
     /** Candidates {@code from} to {@code to}, both included; null stands for none. */
-    record Run(int from, int to) { }
+    record Run(int from, int to) {}
 
     private final StoreSettings settings;
 
--- a/server/src/main/java/wheatspread/store/Doubts.java
+++ b/server/src/main/java/wheatspread/store/Doubts.java
@@ -12,6 +12,7 @@
 final class Doubts {
     /** Beyond so many keys, all are in doubt. */
     static final int MOST = 100_000;
+
     private static final long NEVER = Long.MAX_VALUE;
 
     private final Long2LongHashMap keys = new Long2LongHashMap(0);
@@ -71,8 +72,9 @@
     /** Writes them into a checkpoint. */
     void save(Format.CheckpointEnd.Builder to) {
         for (Map.Entry<Long, Long> one : keys.entrySet()) {
-            to.addDoubts(Format.Doubt.newBuilder().addHashes(one.getKey())
-                .setUntilMs(one.getValue() == NEVER ? 0 : one.getValue()));
+            to.addDoubts(Format.Doubt.newBuilder()
+                    .addHashes(one.getKey())
+                    .setUntilMs(one.getValue() == NEVER ? 0 : one.getValue()));
         }
         if (allUntil != 0) {
             to.addDoubts(Format.Doubt.newBuilder().setAll(true).setUntilMs(allUntil == NEVER ? 0 : allUntil));
--- a/server/src/main/java/wheatspread/store/Frames.java
+++ b/server/src/main/java/wheatspread/store/Frames.java
@@ -15,9 +15,14 @@
     public static final int LONGEST = 16 << 20;
 
     /** What stands at a place. */
-    public enum Found { WHOLE, END, TORN, DAMAGED }
+    public enum Found {
+        WHOLE,
+        END,
+        TORN,
+        DAMAGED
+    }
 
-    private Frames() { }
+    private Frames() {}
 
     /** How many bytes a body of this length takes. */
     public static int sizeOf(int body) {
--- a/server/src/main/java/wheatspread/store/GroupEncoder.java
+++ b/server/src/main/java/wheatspread/store/GroupEncoder.java
@@ -17,6 +17,7 @@
 final class GroupEncoder {
     /** More than a group's own frame takes without its hashes. */
     private static final int HEAD_ROOM = 64;
+
     private static final int KEPT = 4 << 20;
 
     private final LongArrayList hashes = new LongArrayList();
@@ -48,15 +49,18 @@
     /** One record for all, so that they are there together or not at all. */
     static Format.Record cuts(Map<Integer, Integer> cuts) {
         Format.Record.Builder record = Format.Record.newBuilder().setKind(Format.Record.Kind.CUT);
-        cuts.forEach((segment, length) -> record.addCuts(Format.Cut.newBuilder().setSegment(segment)
-            .setLength(length)));
+        cuts.forEach((segment, length) ->
+                record.addCuts(Format.Cut.newBuilder().setSegment(segment).setLength(length)));
         return record.build();
     }
 
     static Format.Record doubt(LongArrayList hashes, boolean all, long untilMs) {
         Format.Doubt.Builder doubt = Format.Doubt.newBuilder().setAll(all).setUntilMs(untilMs);
         hashes.forEachOrderedLong(doubt::addHashes);
-        return Format.Record.newBuilder().setKind(Format.Record.Kind.DOUBT).setDoubt(doubt).build();
+        return Format.Record.newBuilder()
+                .setKind(Format.Record.Kind.DOUBT)
+                .setDoubt(doubt)
+                .build();
     }
 
     /**
@@ -74,11 +78,11 @@
         int kind = value == null ? Format.Record.Kind.DELETE_VALUE : Format.Record.Kind.PUT_VALUE;
         boolean hasValue = value != null && value.length > 0;
         int size = CodedOutputStream.computeEnumSize(Format.Record.KIND_FIELD_NUMBER, kind)
-            + (key.length > 0 ? CodedOutputStream.computeByteArraySize(Format.Record.KEY_FIELD_NUMBER,
-                key) : 0)
-            + (hasValue ? CodedOutputStream.computeByteArraySize(Format.Record.VALUE_FIELD_NUMBER, value) : 0)
-            + (expiresMs != 0 ? CodedOutputStream.computeFixed64Size(Format.Record.EXPIRES_MS_FIELD_NUMBER,
-                expiresMs) : 0);
+                + (key.length > 0 ? CodedOutputStream.computeByteArraySize(Format.Record.KEY_FIELD_NUMBER, key) : 0)
+                + (hasValue ? CodedOutputStream.computeByteArraySize(Format.Record.VALUE_FIELD_NUMBER, value) : 0)
+                + (expiresMs != 0
+                        ? CodedOutputStream.computeFixed64Size(Format.Record.EXPIRES_MS_FIELD_NUMBER, expiresMs)
+                        : 0);
         return frame(hash, size, to -> {
             to.writeEnum(Format.Record.KIND_FIELD_NUMBER, kind);
             if (key.length > 0) {
@@ -108,17 +112,18 @@
         int hashBytes = Long.BYTES * hashes.size();
         // what is 0 is left out, as everywhere in a protobuf message
         int groupSize = CodedOutputStream.computeFixed64Size(Format.Group.MARK_FIELD_NUMBER, mark)
-            + (at != 0 ? CodedOutputStream.computeFixed32Size(Format.Group.AT_FIELD_NUMBER, at) : 0)
-            + (size() != 0 ? CodedOutputStream.computeFixed32Size(Format.Group.LENGTH_FIELD_NUMBER,
-                size()) : 0)
-            + (synced != 0 ? CodedOutputStream.computeFixed32Size(Format.Group.SYNCED_FIELD_NUMBER,
-                synced) : 0)
-            + (hashBytes != 0 ? CodedOutputStream.computeTagSize(Format.Group.HASHES_FIELD_NUMBER)
-                + CodedOutputStream.computeUInt32SizeNoTag(hashBytes) + hashBytes : 0);
-        int size = CodedOutputStream.computeEnumSize(Format.Record.KIND_FIELD_NUMBER,
-            Format.Record.Kind.GROUP_VALUE)
+                + (at != 0 ? CodedOutputStream.computeFixed32Size(Format.Group.AT_FIELD_NUMBER, at) : 0)
+                + (size() != 0 ? CodedOutputStream.computeFixed32Size(Format.Group.LENGTH_FIELD_NUMBER, size()) : 0)
+                + (synced != 0 ? CodedOutputStream.computeFixed32Size(Format.Group.SYNCED_FIELD_NUMBER, synced) : 0)
+                + (hashBytes != 0
+                        ? CodedOutputStream.computeTagSize(Format.Group.HASHES_FIELD_NUMBER)
+                                + CodedOutputStream.computeUInt32SizeNoTag(hashBytes)
+                                + hashBytes
+                        : 0);
+        int size = CodedOutputStream.computeEnumSize(Format.Record.KIND_FIELD_NUMBER, Format.Record.Kind.GROUP_VALUE)
                 + CodedOutputStream.computeTagSize(Format.Record.GROUP_FIELD_NUMBER)
-            + CodedOutputStream.computeUInt32SizeNoTag(groupSize) + groupSize;
+                + CodedOutputStream.computeUInt32SizeNoTag(groupSize)
+                + groupSize;
         headSize = Frames.sizeOf(size);
         frameAt(start - headSize, size, to -> {
             to.writeEnum(Format.Record.KIND_FIELD_NUMBER, Format.Record.Kind.GROUP_VALUE);
@@ -152,8 +157,10 @@
 
     /** The last frame of a file. */
     static ByteBuffer seal(long mark, int at) {
-        Format.Record record = Format.Record.newBuilder().setKind(Format.Record.Kind.SEAL)
-            .setSeal(Format.Seal.newBuilder().setMark(mark).setAt(at)).build();
+        Format.Record record = Format.Record.newBuilder()
+                .setKind(Format.Record.Kind.SEAL)
+                .setSeal(Format.Seal.newBuilder().setMark(mark).setAt(at))
+                .build();
         ByteBuffer frame = ByteBuffer.allocate(Frames.sizeOf(record.getSerializedSize()));
         Frames.write(ByteBuffer.wrap(record.toByteArray()), frame);
         return frame.flip();
--- a/server/src/main/java/wheatspread/store/Headers.java
+++ b/server/src/main/java/wheatspread/store/Headers.java
@@ -10,16 +10,22 @@
 final class Headers {
     /** Bytes before the first group. */
     static final int SIZE = 256;
+
     static final int VERSION = 1;
     private static final byte[] MAGIC = "wheatlog".getBytes(StandardCharsets.US_ASCII);
     private static final int BLOCK = SIZE / 2;
 
-    private Headers() { }
+    private Headers() {}
 
     static ByteBuffer write(SegmentName name, long seed, long mark, long createdMs) {
-        Format.SegmentHeader header = Format.SegmentHeader.newBuilder().setFirst(name.first())
-            .setLast(name.last()).setGeneration(name.generation()).setSeed(seed).setMark(mark)
-            .setCreatedMs(createdMs).build();
+        Format.SegmentHeader header = Format.SegmentHeader.newBuilder()
+                .setFirst(name.first())
+                .setLast(name.last())
+                .setGeneration(name.generation())
+                .setSeed(seed)
+                .setMark(mark)
+                .setCreatedMs(createdMs)
+                .build();
         ByteBuffer all = ByteBuffer.allocate(SIZE);
         for (int at = 0; at < SIZE; at += BLOCK) {
             all.position(at).put(MAGIC).putInt(VERSION);
@@ -50,8 +56,8 @@
             }
         }
         if (versions[0] != 0 && versions[0] == versions[1] && versions[0] != VERSION) {
-            throw new StoreException("file " + name + " is of version " + versions[0]
-                + "; this program reads version " + VERSION);
+            throw new StoreException(
+                    "file " + name + " is of version " + versions[0] + "; this program reads version " + VERSION);
         }
         return null;
     }
@@ -60,13 +66,11 @@
         try {
             return Format.SegmentHeader.parseFrom(body);
         } catch (InvalidProtocolBufferException e) {
-            throw new StoreException("a header is whole, but not one of version " + VERSION + ": "
-                + e.getMessage());
+            throw new StoreException("a header is whole, but not one of version " + VERSION + ": " + e.getMessage());
         }
     }
 
-    private static Format.SegmentHeader checked(Format.SegmentHeader header, SegmentName name)
-        throws StoreException {
+    private static Format.SegmentHeader checked(Format.SegmentHeader header, SegmentName name) throws StoreException {
         SegmentName own = new SegmentName(header.getFirst(), header.getLast(), header.getGeneration());
         if (!own.equals(name)) {
             throw new StoreException("file " + name + " says of itself that it is " + own);
--- a/server/src/main/java/wheatspread/store/Index.java
+++ b/server/src/main/java/wheatspread/store/Index.java
@@ -17,6 +17,7 @@
 public final class Index {
     /** Tables; what {@link #copy} and {@link #sweep} go by. */
     public static final int TABLES = 64;
+
     private static final int BITS = 6;
     private static final int LONGS = 3;
     private static final int FEWEST = 16;
@@ -124,8 +125,7 @@
         Table table = table(hash);
         int found = 0;
         for (int cell = table.first(hash); table.holds(cell, hash); cell += LONGS) {
-            to.entry(hash, table.cells[cell + 1], length(table.cells[cell + 2]),
-                expiry(table.cells[cell + 2]));
+            to.entry(hash, table.cells[cell + 1], length(table.cells[cell + 2]), expiry(table.cells[cell + 2]));
             found++;
         }
         return found;
@@ -214,8 +214,7 @@
         /** The first cell that is free or whose hash is not less. */
         int first(long hash) {
             int cell = asked(hash);
-            while (cell < cells.length && cells[cell + 1] != 0
-                && Long.compareUnsigned(cells[cell], hash) < 0) {
+            while (cell < cells.length && cells[cell + 1] != 0 && Long.compareUnsigned(cells[cell], hash) < 0) {
                 cell += LONGS;
             }
             return cell;
@@ -272,7 +271,7 @@
 
         private void resize(int wanted) {
             long[] old = cells;
-            for (int next = wanted;; next = (int) Math.ceil(next * GROWTH)) {
+            for (int next = wanted; ; next = (int) Math.ceil(next * GROWTH)) {
                 allot(next);
                 if (refill(old)) {
                     return;
--- a/server/src/main/java/wheatspread/store/Layout.java
+++ b/server/src/main/java/wheatspread/store/Layout.java
@@ -16,8 +16,12 @@
  *     finished
  * @param aside damaged files that are kept for the operator
  */
-record Layout(List<SegmentName> chain, List<Integer> gaps, List<String> checkpoints, List<String> leftovers,
-    List<String> aside) {
+record Layout(
+        List<SegmentName> chain,
+        List<Integer> gaps,
+        List<String> checkpoints,
+        List<String> leftovers,
+        List<String> aside) {
     private static final String CHECKPOINT = "\\d{1,19}\\.checkpoint";
 
     static String checkpoint(long number) {
@@ -61,15 +65,19 @@
             SegmentName one = chain.get(i);
             if (i > 0 && one.overlaps(chain.get(i - 1))) {
                 throw new StoreException("files " + chain.get(i - 1) + " and " + one
-                    + " hold the same part of the log, and neither replaces the other");
+                        + " hold the same part of the log, and neither replaces the other");
             }
             if (one.first() != next) {
                 gaps.add(one.first());
             }
             next = one.last() + 1;
         }
-        return new Layout(List.copyOf(chain), List.copyOf(gaps),
-            List.copyOf(checkpoints.descendingMap().values()), List.copyOf(leftovers), List.copyOf(aside));
+        return new Layout(
+                List.copyOf(chain),
+                List.copyOf(gaps),
+                List.copyOf(checkpoints.descendingMap().values()),
+                List.copyOf(leftovers),
+                List.copyOf(aside));
     }
 
     /** The number that the next segment gets. */
--- a/server/src/main/java/wheatspread/store/Log.java
+++ b/server/src/main/java/wheatspread/store/Log.java
@@ -39,6 +39,7 @@
     private final GroupEncoder group = new GroupEncoder();
     /** Where segments without a seal end, to be said in the next group: number, length. */
     private final TreeMap<Integer, Integer> pendingCuts;
+
     private final Set<String> toDelete = new LinkedHashSet<>();
     private final Set<String> toSetAside = new LinkedHashSet<>();
     private final Map<String, Long> otherBytes = new TreeMap<>();
@@ -65,8 +66,8 @@
     private boolean changedSinceCheckpoint;
     private final StoreStats.Counters counters = new StoreStats.Counters();
 
-    private Log(Disk disk, StoreSettings settings, EventLog log, LongSupplier random, Closeable lock,
-        Recovery recovery) {
+    private Log(
+            Disk disk, StoreSettings settings, EventLog log, LongSupplier random, Closeable lock, Recovery recovery) {
         this.disk = disk;
         this.settings = settings;
         this.log = log;
@@ -89,8 +90,9 @@
      * @throws Disk.TakenException if another process has it
      * @throws StoreException if it holds what this program must not work on
      */
-    static Log open(Disk disk, StoreSettings settings, EventLog log, LongSupplier random, long nowMs,
-        Recovery.Purpose purpose) throws IOException {
+    static Log open(
+            Disk disk, StoreSettings settings, EventLog log, LongSupplier random, long nowMs, Recovery.Purpose purpose)
+            throws IOException {
         Closeable lock = disk.lock();
         try {
             Recovery recovery = new Recovery(disk, settings, log, nowMs, purpose);
@@ -184,8 +186,7 @@
             WriteState.Mode mode = state.mode();
             long size = write.room();
             if (state.mustRecover() || mode == WriteState.Mode.FULL && write.value != null) {
-                write.end(Store.Outcome.REFUSED, mode == WriteState.Mode.FULL ? "the disk is full"
-                    : "the disk fails");
+                write.end(Store.Outcome.REFUSED, mode == WriteState.Mode.FULL ? "the disk is full" : "the disk fails");
             } else if (write.value != null && used + size + settings.reserve() > settings.maxBytes()) {
                 state.room(false);
                 write.end(Store.Outcome.REFUSED, "the store is full");
@@ -310,8 +311,9 @@
         long at = Index.at(active.id, (int) (base + write.at));
         long[] old = new long[2];
         catalog.index.find(write.hash, (hash, there, length, expiry) -> {
-            boolean earlier = Index.file(there) == active.id && Index.offset(there) >= base
-                && isSame(write, taken, place, (int) (Index.offset(there) - base));
+            boolean earlier = Index.file(there) == active.id
+                    && Index.offset(there) >= base
+                    && isSame(write, taken, place, (int) (Index.offset(there) - base));
             if (there == write.replaces || earlier) {
                 old[0] = there;
                 old[1] = length;
@@ -349,8 +351,7 @@
     private void trouble(String doing, IOException e, long nowMs) {
         state.failed(nowMs, e instanceof Disk.NoSpaceException);
         counters.failures++;
-        log.error("store_write_failed", "doing", doing, "reason", e.toString(), "retry_ms",
-            state.retryAt() - nowMs);
+        log.error("store_write_failed", "doing", doing, "reason", e.toString(), "retry_ms", state.retryAt() - nowMs);
         abandon();
     }
 
@@ -392,8 +393,11 @@
             catalog.index.find(hash, (h, at, length, expiry) -> {
                 Segment segment = catalog.byId(Index.file(at));
                 segment.hold();
-                found.add(new Place(segment, Index.offset(at), length,
-                    catalog.doubts.aboutEntry(segment.name.first(), Index.offset(at), nowMs)));
+                found.add(new Place(
+                        segment,
+                        Index.offset(at),
+                        length,
+                        catalog.doubts.aboutEntry(segment.name.first(), Index.offset(at), nowMs)));
             });
             absentInDoubt = catalog.doubts.aboutAbsent(hash, nowMs);
         }
@@ -411,7 +415,7 @@
     }
 
     /** Where a record stands, and whether a newer one may have been lost. */
-    private record Place(Segment segment, int offset, int length, boolean inDoubt) { }
+    private record Place(Segment segment, int offset, int length, boolean inDoubt) {}
 
     private Store.Got look(byte[] key, Place place, long nowMs) throws IOException {
         Format.Record there = Catalog.read(place.segment(), place.offset(), place.length());
@@ -425,8 +429,10 @@
         if (Catalog.isOver(there.getExpiresMs(), nowMs)) {
             return place.inDoubt() ? Store.Got.DOUBTFUL : Store.Got.ABSENT;
         }
-        return new Store.Got(place.inDoubt() ? Store.Got.Kind.DOUBTFUL : Store.Got.Kind.VALUE,
-            there.getValue().toByteArray(), there.getExpiresMs());
+        return new Store.Got(
+                place.inDoubt() ? Store.Got.Kind.DOUBTFUL : Store.Got.Kind.VALUE,
+                there.getValue().toByteArray(),
+                there.getExpiresMs());
     }
 
     // ---- upkeep
@@ -436,8 +442,7 @@
         if (state.mayRetry(nowMs)) {
             recover(nowMs);
         }
-        if (dirty && settings.sync() == StoreSettings.Sync.INTERVAL
-            && nowMs - syncedAt >= settings.syncMs()) {
+        if (dirty && settings.sync() == StoreSettings.Sync.INTERVAL && nowMs - syncedAt >= settings.syncMs()) {
             try {
                 sync((int) active.bytes, nowMs);
             } catch (IOException e) {
@@ -476,11 +481,10 @@
         sweptAt = nowMs;
         int nowS = (int) Math.min(0xFFFF_FFFFL, nowMs / 1000);
         synchronized (catalog.index) {
-            sweepCell = catalog.index.sweep(sweepTable, sweepCell, SWEEP_CELLS, nowS,
-                (hash, at, length, expiry) -> {
-                    catalog.died(at, length);
-                    counters.expired++;
-                });
+            sweepCell = catalog.index.sweep(sweepTable, sweepCell, SWEEP_CELLS, nowS, (hash, at, length, expiry) -> {
+                catalog.died(at, length);
+                counters.expired++;
+            });
             if (sweepCell == 0) {
                 sweepTable = (sweepTable + 1) % Index.TABLES;
             }
@@ -501,8 +505,14 @@
         state.room(diskHasRoom && usedBytes() + settings.reserve() <= settings.maxBytes());
         boolean is = state.mode() == WriteState.Mode.FULL;
         if (was != is) {
-            log.warn(is ? "store_full" : "store_has_room", "used", usedBytes(), "live", catalog.liveBytes(),
-                "max", settings.maxBytes());
+            log.warn(
+                    is ? "store_full" : "store_has_room",
+                    "used",
+                    usedBytes(),
+                    "live",
+                    catalog.liveBytes(),
+                    "max",
+                    settings.maxBytes());
         }
     }
 
@@ -565,8 +575,9 @@
     private Job compactionOrNull(long nowMs) {
         boolean pressed = policy.isPressed(usedBytes());
         for (List<Segment> part : sealedRuns()) {
-            List<CompactionPolicy.Candidate> candidates = part.stream().map(one ->
-                new CompactionPolicy.Candidate(one.bytes, one.liveBytes, one.latestExpiryMs)).toList();
+            List<CompactionPolicy.Candidate> candidates = part.stream()
+                    .map(one -> new CompactionPolicy.Candidate(one.bytes, one.liveBytes, one.latestExpiryMs))
+                    .toList();
             CompactionPolicy.Run run = policy.choose(candidates, nowMs, pressed);
             if (run != null) {
                 return compaction(part.subList(run.from(), run.to() + 1), nowMs);
@@ -595,16 +606,25 @@
     private CompactionJob compaction(List<Segment> run, long nowMs) {
         int first = run.get(0).name.first();
         int last = run.get(run.size() - 1).name.last();
-        int generation = run.stream().mapToInt(one -> one.name.generation()).max().orElse(0) + 1;
+        int generation =
+                run.stream().mapToInt(one -> one.name.generation()).max().orElse(0) + 1;
         Set<Integer> cutsNeeded = new HashSet<>();
         for (Segment one : catalog.chain()) {
             if (one.name.isOriginal() && one.name.first() < first) {
                 cutsNeeded.add(one.name.first());
             }
         }
-        return new CompactionJob(disk, catalog, run, new CompactionJob.Terms(new SegmentName(first, last,
-            generation), newMark(), catalog.isClearBefore(first, nowMs), cutsNeeded, nowMs,
-            settings.lossUntil(nowMs)));
+        return new CompactionJob(
+                disk,
+                catalog,
+                run,
+                new CompactionJob.Terms(
+                        new SegmentName(first, last, generation),
+                        newMark(),
+                        catalog.isClearBefore(first, nowMs),
+                        cutsNeeded,
+                        nowMs,
+                        settings.lossUntil(nowMs)));
     }
 
     /** Rewrites everything now, in runs that make a segment each; the caller waits. */
@@ -693,8 +713,14 @@
             checkpointName = checkpoint.name();
             otherBytes.put(checkpointName, checkpoint.ownBytes());
             counters.checkpoints++;
-            log.info("store_checkpoint", "file", checkpointName, "keys", catalog.index.size(), "bytes",
-                checkpoint.ownBytes());
+            log.info(
+                    "store_checkpoint",
+                    "file",
+                    checkpointName,
+                    "keys",
+                    catalog.index.size(),
+                    "bytes",
+                    checkpoint.ownBytes());
         } else {
             kept((DeleteJob) job);
         }
@@ -737,8 +763,14 @@
         changedSinceCheckpoint = true;
         counters.compactions++;
         counters.compactedBytes += before;
-        log.info("store_compacted", "file", compaction.result().name, "from_bytes", before, "to_bytes",
-            compaction.ownBytes());
+        log.info(
+                "store_compacted",
+                "file",
+                compaction.result().name,
+                "from_bytes",
+                before,
+                "to_bytes",
+                compaction.ownBytes());
     }
 
     /** The job could not be done. What it may have left is taken away before any other. */
@@ -802,9 +834,16 @@
 
     StoreStats stats() {
         synchronized (catalog.index) {
-            return new StoreStats(catalog.index.size(), catalog.index.bytes(), catalog.chain().size(),
-                usedBytes(), catalog.liveBytes(), catalog.doubts.size(), catalog.doubts.all(), state.mode(),
-                counters.copy());
+            return new StoreStats(
+                    catalog.index.size(),
+                    catalog.index.bytes(),
+                    catalog.chain().size(),
+                    usedBytes(),
+                    catalog.liveBytes(),
+                    catalog.doubts.size(),
+                    catalog.doubts.all(),
+                    state.mode(),
+                    counters.copy());
         }
     }
 
--- a/server/src/main/java/wheatspread/store/Offline.java
+++ b/server/src/main/java/wheatspread/store/Offline.java
@@ -12,12 +12,10 @@
 public final class Offline {
     private static final SecureRandom RANDOM = new SecureRandom();
 
-    private Offline() { }
+    private Offline() {}
 
     /** A file of the log. */
-    public record FileLook(String name, long bytes, long liveBytes, long records, long latestExpiryMs,
-        int cut) {
-    }
+    public record FileLook(String name, long bytes, long liveBytes, long records, long latestExpiryMs, int cut) {}
 
     /**
      * What a store holds.
@@ -25,11 +23,10 @@
      * @param findings what is not as it was written, one line each; empty if nothing is wrong
      * @param damages places where acknowledged writes are lost
      */
-    public record Look(List<FileLook> files, StoreStats stats, List<String> findings, long damages,
-        long cutBytes) { }
+    public record Look(List<FileLook> files, StoreStats stats, List<String> findings, long damages, long cutBytes) {}
 
     /** An entry that lives. */
-    public record Entry(byte[] key, byte[] value, long expiresMs) { }
+    public record Entry(byte[] key, byte[] value, long expiresMs) {}
 
     /** What the newest checkpoint and the log behind it say. Changes nothing. */
     public static Look stat(Disk disk, long nowMs) throws IOException {
@@ -43,14 +40,19 @@
 
     private static Look look(Disk disk, long nowMs, Recovery.Purpose purpose) throws IOException {
         List<String> findings = new ArrayList<>();
-        Log log = Log.open(disk, StoreSettings.DEFAULT, EventLog.lines(findings::add), RANDOM::nextLong,
-            nowMs,
-            purpose);
+        Log log =
+                Log.open(disk, StoreSettings.DEFAULT, EventLog.lines(findings::add), RANDOM::nextLong, nowMs, purpose);
         try {
-            List<FileLook> files = log.catalog().chain().stream().map(one -> new FileLook(one.name.toString(),
-                one.bytes, one.liveBytes, one.records, one.latestExpiryMs, one.cut)).toList();
-            return new Look(files, log.stats(), findings, log.recovered().damages(),
-                log.recovered().cutBytes());
+            List<FileLook> files = log.catalog().chain().stream()
+                    .map(one -> new FileLook(
+                            one.name.toString(), one.bytes, one.liveBytes, one.records, one.latestExpiryMs, one.cut))
+                    .toList();
+            return new Look(
+                    files,
+                    log.stats(),
+                    findings,
+                    log.recovered().damages(),
+                    log.recovered().cutBytes());
         } finally {
             log.shut();
         }
@@ -58,22 +60,20 @@
 
     /** Gives every entry that lives, in no order, and returns how many could not be read. Changes nothing. */
     public static long dump(Disk disk, long nowMs, Consumer<Entry> to) throws IOException {
-        Log log = Log.open(disk, StoreSettings.DEFAULT, EventLog.NONE, RANDOM::nextLong, nowMs,
-            Recovery.Purpose.LOOK);
+        Log log = Log.open(disk, StoreSettings.DEFAULT, EventLog.NONE, RANDOM::nextLong, nowMs, Recovery.Purpose.LOOK);
         try {
             long[] unread = new long[1];
             for (int table = 0; table < Index.TABLES; table++) {
                 List<long[]> places = new ArrayList<>();
-                log.catalog().index.copy(table, (hash, at, length, expiry) ->
-                    places.add(new long[] {at, length}));
+                log.catalog().index.copy(table, (hash, at, length, expiry) -> places.add(new long[] {at, length}));
                 for (long[] place : places) {
-                    Format.Record record = Catalog.read(log.catalog().byId(Index.file(place[0])),
-                        Index.offset(place[0]), (int) place[1]);
+                    Format.Record record = Catalog.read(
+                            log.catalog().byId(Index.file(place[0])), Index.offset(place[0]), (int) place[1]);
                     if (record == null) {
                         unread[0]++;
                     } else if (!Catalog.isOver(record.getExpiresMs(), nowMs)) {
-                        to.accept(new Entry(record.getKey().toByteArray(), record.getValue().toByteArray(),
-                            record.getExpiresMs()));
+                        to.accept(new Entry(
+                                record.getKey().toByteArray(), record.getValue().toByteArray(), record.getExpiresMs()));
                     }
                 }
             }
@@ -89,9 +89,8 @@
      * @param acceptLoss forgets what is in doubt: a key that damage took is then absent, and an older value
      *     of it counts again
      */
-    public static Look compact(Disk disk, StoreSettings settings, long nowMs, boolean acceptLoss,
-        EventLog events)
-        throws IOException {
+    public static Look compact(Disk disk, StoreSettings settings, long nowMs, boolean acceptLoss, EventLog events)
+            throws IOException {
         Log log = Log.open(disk, settings, events, RANDOM::nextLong, nowMs, Recovery.Purpose.WORK);
         boolean done = false;
         try {
--- a/server/src/main/java/wheatspread/store/Recovery.java
+++ b/server/src/main/java/wheatspread/store/Recovery.java
@@ -108,8 +108,11 @@
     private Catalog catalog(long seed, List<DiskFile> files) throws IOException {
         Catalog fresh = new Catalog(seed);
         for (int i = 0; i < files.size(); i++) {
-            fresh.append(new Segment(fresh.newId(), layout.chain().get(i), files.get(i),
-                files.get(i).size()));
+            fresh.append(new Segment(
+                    fresh.newId(),
+                    layout.chain().get(i),
+                    files.get(i),
+                    files.get(i).size()));
         }
         return fresh;
     }
@@ -120,8 +123,7 @@
         while (last >= 0 && isUnbegun(chain.get(last))) {
             Segment one = chain.get(last--);
             if (one.bytes > Headers.SIZE) {
-                log.warn("store_torn_tail", "file", one.name, "at", Headers.SIZE, "bytes",
-                    one.bytes - Headers.SIZE);
+                log.warn("store_torn_tail", "file", one.name, "at", Headers.SIZE, "bytes", one.bytes - Headers.SIZE);
                 cutBytes += one.bytes - Headers.SIZE;
             }
             one.cut = 0;
@@ -165,8 +167,8 @@
             }
             SegmentScan scan = new SegmentScan(segment.file, segment.name, 0, SegmentScan.UNCUT, true);
             SegmentScan.Step step = scan.next();
-            while (step == SegmentScan.Step.GROUP || step == SegmentScan.Step.RECORD
-                && scan.record.getKind() == Format.Record.Kind.CUT) {
+            while (step == SegmentScan.Step.GROUP
+                    || step == SegmentScan.Step.RECORD && scan.record.getKind() == Format.Record.Kind.CUT) {
                 if (step == SegmentScan.Step.RECORD) {
                     scan.record.getCutsList().forEach(cut -> cuts.put(cut.getSegment(), cut.getLength()));
                 }
@@ -216,8 +218,7 @@
             segment.cut = (int) segment.bytes;
             pendingCuts.put(segment.name.first(), segment.cut);
             if (size > segment.bytes) {
-                log.warn("store_torn_tail", "file", segment.name, "at", segment.bytes, "bytes",
-                    size - segment.bytes);
+                log.warn("store_torn_tail", "file", segment.name, "at", segment.bytes, "bytes", size - segment.bytes);
             }
         }
     }
@@ -225,11 +226,22 @@
     private void damage(Segment segment, SegmentScan scan) {
         damages++;
         segment.damaged = true;
-        log.error("store_damage", "file", segment.name, "at", scan.at, "keys",
-            scan.lostAll ? "unknown" : scan.lost.size());
+        log.error(
+                "store_damage",
+                "file",
+                segment.name,
+                "at",
+                scan.at,
+                "keys",
+                scan.lostAll ? "unknown" : scan.lost.size());
         int offset = (int) scan.at;
-        catalog.lose(scan.lost, scan.lostAll, settings.lossUntil(now), Index.at(segment.id, offset),
-            segment.name.first(), offset);
+        catalog.lose(
+                scan.lost,
+                scan.lostAll,
+                settings.lossUntil(now),
+                Index.at(segment.id, offset),
+                segment.name.first(),
+                offset);
     }
 
     private void apply(Segment segment, SegmentScan scan, boolean again) throws IOException {
@@ -254,17 +266,15 @@
                 if (!Catalog.isOver(doubt.getUntilMs(), now)) {
                     LongArrayList hashes = new LongArrayList();
                     doubt.getHashesList().forEach(hashes::addLong);
-                    catalog.lose(hashes, doubt.getAll(), doubt.getUntilMs(), at, segment.name.first(),
-                        (int) scan.at);
+                    catalog.lose(hashes, doubt.getAll(), doubt.getUntilMs(), at, segment.name.first(), (int) scan.at);
                 }
             }
-            default -> { }
+            default -> {}
         }
     }
 
     /** A write of a key: it takes the place of an older one, and yields to a newer one. */
-    private void put(long hash, byte[] key, long at, int length, int expiry, boolean living)
-        throws IOException {
+    private void put(long hash, byte[] key, long at, int length, int expiry, boolean living) throws IOException {
         long there = 0;
         List<long[]> found = new ArrayList<>(1);
         catalog.index.find(hash, (h, place, size, e) -> found.add(new long[] {place, size}));
@@ -311,8 +321,15 @@
 
     /** What was done, for the log and the tools. */
     Report report() {
-        return new Report(catalog.chain().size(), catalog.index.size(), replayed, readBytes, cutBytes,
-            damages, voids, checkpoint != null);
+        return new Report(
+                catalog.chain().size(),
+                catalog.index.size(),
+                replayed,
+                readBytes,
+                cutBytes,
+                damages,
+                voids,
+                checkpoint != null);
     }
 
     /**
@@ -322,6 +339,13 @@
      * @param damages places where something was lost
      * @param voids files that were made and not begun
      */
-    record Report(int segments, int keys, long replayedRecords, long readBytes, long cutBytes, long damages,
-        int voids, boolean fromCheckpoint) { }
+    record Report(
+            int segments,
+            int keys,
+            long replayedRecords,
+            long readBytes,
+            long cutBytes,
+            long damages,
+            int voids,
+            boolean fromCheckpoint) {}
 }
--- a/server/src/main/java/wheatspread/store/Segment.java
+++ b/server/src/main/java/wheatspread/store/Segment.java
@@ -18,12 +18,14 @@
     int cut = SegmentScan.UNCUT;
     /** The bytes that count; what is behind them is void. */
     long bytes;
+
     long liveBytes;
     long records;
     /** When the last of the records has expired that it ever held, dead ones too; 0 if it holds none. */
     long latestExpiryMs;
     /** What of it is damaged was found: the file is kept aside when it has been rewritten. */
     boolean damaged;
+
     private int held;
     private boolean retired;
 
--- a/server/src/main/java/wheatspread/store/SegmentName.java
+++ b/server/src/main/java/wheatspread/store/SegmentName.java
@@ -10,11 +10,13 @@
  */
 record SegmentName(int first, int last, int generation) {
     static final Comparator<SegmentName> IN_ORDER = Comparator.comparingInt(SegmentName::first)
-        .thenComparingInt(SegmentName::last).thenComparingInt(SegmentName::generation);
+            .thenComparingInt(SegmentName::last)
+            .thenComparingInt(SegmentName::generation);
     /** Behind the name of what isn't whole yet. */
     static final String NEW = ".new";
     /** Behind the name of what was damaged and set aside. */
     static final String ASIDE = ".damaged";
+
     private static final Pattern FORM = Pattern.compile("(\\d{8,10})-(\\d{8,10})\\.(\\d{1,9})\\.log");
 
     static SegmentName original(int number) {
--- a/server/src/main/java/wheatspread/store/SegmentScan.java
+++ b/server/src/main/java/wheatspread/store/SegmentScan.java
@@ -41,6 +41,7 @@
 
     /** Nothing says where the segment is cut. */
     static final int UNCUT = -1;
+
     private static final int SEAL_SIZE = GroupEncoder.seal(1, 1).remaining();
     /** A seal holds nothing that could be lost: with so many wrong bits it can still be nothing else. */
     private static final int SEAL_TOLERANCE = 8;
@@ -134,8 +135,12 @@
         }
         Format.Record found = frame(next);
         if (next < groupEnd) {
-            return found != null && (found.getKind() != Format.Record.Kind.GROUP) && next + length <= groupEnd
-                && (!hashesKnown || index < hashes.size()) ? one(found) : badRecord();
+            return found != null
+                            && (found.getKind() != Format.Record.Kind.GROUP)
+                            && next + length <= groupEnd
+                            && (!hashesKnown || index < hashes.size())
+                    ? one(found)
+                    : badRecord();
         }
         return found != null && isGroup(found, next) ? group(found) : badGroup();
     }
@@ -189,9 +194,10 @@
         ByteBuffer head = window.at(next, Frames.HEAD);
         int told = head.remaining() < Frames.HEAD ? -1 : head.getInt(0);
         long behind = next + Frames.HEAD + told;
-        boolean lengthHolds = told >= 0 && told <= Frames.LONGEST && behind <= groupEnd
-            && (behind == groupEnd && index == hashes.size() - 1
-            || behind < groupEnd && frame(behind) != null);
+        boolean lengthHolds = told >= 0
+                && told <= Frames.LONGEST
+                && behind <= groupEnd
+                && (behind == groupEnd && index == hashes.size() - 1 || behind < groupEnd && frame(behind) != null);
         if (hashesKnown && lengthHolds && index < hashes.size()) {
             lost.addLong(hashes.getLong(index));
             index++;
@@ -268,8 +274,10 @@
         for (long place = from; place + SMALLEST_GROUP <= window.end(); place++) {
             ByteBuffer head = window.at(place, SMALLEST_GROUP);
             int told = head.getInt(0);
-            if (told >= SMALLEST_GROUP - Frames.HEAD && told <= Frames.LONGEST && head.get(Frames.HEAD) == 8
-                && head.get(Frames.HEAD + 1) == Format.Record.Kind.GROUP_VALUE) {
+            if (told >= SMALLEST_GROUP - Frames.HEAD
+                    && told <= Frames.LONGEST
+                    && head.get(Frames.HEAD) == 8
+                    && head.get(Frames.HEAD + 1) == Format.Record.Kind.GROUP_VALUE) {
                 Format.Record found = frame(place);
                 if (found != null && isGroup(found, place)) {
                     return place;
@@ -280,8 +288,9 @@
     }
 
     private boolean isGroup(Format.Record found, long place) {
-        return found.getKind() == Format.Record.Kind.GROUP && found.getGroup().getMark() == mark
-            && Integer.toUnsignedLong(found.getGroup().getAt()) == place;
+        return found.getKind() == Format.Record.Kind.GROUP
+                && found.getGroup().getMark() == mark
+                && Integer.toUnsignedLong(found.getGroup().getAt()) == place;
     }
 
     /** The record whose frame stands whole at a place, with {@link #length} set; null if none does. */
--- a/server/src/main/java/wheatspread/store/Store.java
+++ b/server/src/main/java/wheatspread/store/Store.java
@@ -93,7 +93,7 @@
         long nanos();
     }
 
-    private record Read(byte[] key, Consumer<Got> to) { }
+    private record Read(byte[] key, Consumer<Got> to) {}
 
     private final StoreSettings settings;
     private final Time time;
@@ -138,17 +138,29 @@
      * @throws StoreException if it holds what this program must not work on
      */
     public static Store open(Disk disk, StoreSettings settings, Time time, Executor callbacks, EventLog log)
-        throws IOException {
+            throws IOException {
         SecureRandom random = new SecureRandom();
         long begun = time.nanos();
-        Log files = Log.open(disk, settings, log, random::nextLong, time.nowMs(),
-            Recovery.Purpose.WORK);
+        Log files = Log.open(disk, settings, log, random::nextLong, time.nowMs(), Recovery.Purpose.WORK);
         Recovery.Report report = files.recovered();
-        log.info("store_opened", "keys", report.keys(), "segments", report.segments(), "replayed",
-            report.replayedRecords(), "read_bytes", report.readBytes(), "cut_bytes", report.cutBytes(),
+        log.info(
+                "store_opened",
+                "keys",
+                report.keys(),
+                "segments",
+                report.segments(),
+                "replayed",
+                report.replayedRecords(),
+                "read_bytes",
+                report.readBytes(),
+                "cut_bytes",
+                report.cutBytes(),
                 "damages",
-            report.damages(), "checkpoint", report.fromCheckpoint(), "ms",
-            (time.nanos() - begun) / 1_000_000);
+                report.damages(),
+                "checkpoint",
+                report.fromCheckpoint(),
+                "ms",
+                (time.nanos() - begun) / 1_000_000);
         return new Store(files, settings, time, callbacks, log);
     }
 
@@ -183,14 +195,15 @@
         private boolean puts;
         private Refusal wrong;
 
-        private Batch() { }
+        private Batch() {}
 
         /** As {@link Store#put}. */
         public Batch put(byte[] key, byte[] value, long expiresMs, Done done) {
             long life = settings.longestLifeMs();
             long now = expiresMs == 0 && life == 0 ? 0 : time.nowMs();
-            if (expiresMs < 0 || expiresMs > 0 && expiresMs <= now
-                || life > 0 && (expiresMs == 0 || expiresMs > now + life)) {
+            if (expiresMs < 0
+                    || expiresMs > 0 && expiresMs <= now
+                    || life > 0 && (expiresMs == 0 || expiresMs > now + life)) {
                 wrong = Refusal.BAD_EXPIRY;
             }
             puts = true;
@@ -213,8 +226,11 @@
 
         /** Hands them over; unless it returns null, none was taken and nobody is told anything. */
         public Refusal send() {
-            return wrong != null ? wrong : mode == WriteState.Mode.FAILED ? Refusal.FAILED
-                : puts && mode == WriteState.Mode.FULL ? Refusal.FULL : take(all, bytes);
+            return wrong != null
+                    ? wrong
+                    : mode == WriteState.Mode.FAILED
+                            ? Refusal.FAILED
+                            : puts && mode == WriteState.Mode.FULL ? Refusal.FULL : take(all, bytes);
         }
     }
 
@@ -223,8 +239,7 @@
             if (closing) {
                 return Refusal.CLOSED;
             }
-            if (writes.size() + some.size() > settings.queueRecords()
-                || waitingBytes + bytes > settings.queueBytes()) {
+            if (writes.size() + some.size() > settings.queueRecords() || waitingBytes + bytes > settings.queueBytes()) {
                 refusedFull += some.size();
                 return Refusal.QUEUE_FULL;
             }
@@ -270,7 +285,7 @@
     }
 
     /** See {@link #waiting}. */
-    public record Waiting(int writes, long bytes, int reads, long refused) { }
+    public record Waiting(int writes, long bytes, int reads, long refused) {}
 
     // ---- the writer's thread
 
@@ -283,8 +298,9 @@
                 turn(group);
             } catch (RuntimeException e) {
                 log.error("store_fault", "reason", e.toString());
-                group.stream().filter(write -> write.outcome == null)
-                    .forEach(write -> write.end(Outcome.IN_DOUBT, "a fault in the program: " + e));
+                group.stream()
+                        .filter(write -> write.outcome == null)
+                        .forEach(write -> write.end(Outcome.IN_DOUBT, "a fault in the program: " + e));
             }
             tell(group);
             group.clear();
@@ -309,8 +325,9 @@
                 pause(writes, Math.max(1, due - time.nowMs()));
             }
             long bytes = 0;
-            while (!writes.isEmpty() && group.size() < settings.groupRecords()
-                && (group.isEmpty() || bytes + writes.peek().size() <= settings.groupBytes())) {
+            while (!writes.isEmpty()
+                    && group.size() < settings.groupRecords()
+                    && (group.isEmpty() || bytes + writes.peek().size() <= settings.groupBytes())) {
                 Write next = writes.poll();
                 bytes += next.size();
                 group.add(next);
--- a/server/src/main/java/wheatspread/store/StoreSettings.java
+++ b/server/src/main/java/wheatspread/store/StoreSettings.java
@@ -20,10 +20,22 @@
  * @param longestLifeMs writes must expire within it; 0 is no bound. It tells when damage has lost its
  *     meaning
  */
-public record StoreSettings(Sync sync, long syncMs, int segmentBytes, long maxBytes, long minFreeBytes,
-    int recordBytes, int queueRecords, long queueBytes, int groupRecords, int groupBytes,
-    long compactBytesPerS,
-    double compactDeadShare, long compactWaitMs, long checkpointBytes, long longestLifeMs) {
+public record StoreSettings(
+        Sync sync,
+        long syncMs,
+        int segmentBytes,
+        long maxBytes,
+        long minFreeBytes,
+        int recordBytes,
+        int queueRecords,
+        long queueBytes,
+        int groupRecords,
+        int groupBytes,
+        long compactBytesPerS,
+        double compactDeadShare,
+        long compactWaitMs,
+        long checkpointBytes,
+        long longestLifeMs) {
     /** When a write is acknowledged. */
     public enum Sync {
         /** Behind the sync of its group: nothing that was acknowledged is lost. */
@@ -34,8 +46,22 @@
         NONE
     }
 
-    public static final StoreSettings DEFAULT = new StoreSettings(Sync.GROUP, 10, 16 << 20, 256L << 20,
-        64L << 20, 1 << 20, 10_000, 8L << 20, 1_024, 1 << 20, 16L << 20, 0.5, 60_000, 32L << 20, 0);
+    public static final StoreSettings DEFAULT = new StoreSettings(
+            Sync.GROUP,
+            10,
+            16 << 20,
+            256L << 20,
+            64L << 20,
+            1 << 20,
+            10_000,
+            8L << 20,
+            1_024,
+            1 << 20,
+            16L << 20,
+            0.5,
+            60_000,
+            32L << 20,
+            0);
 
     /** @throws IllegalArgumentException naming the value and what is allowed */
     public StoreSettings {
@@ -50,8 +76,8 @@
         within("group_bytes", groupBytes, recordBytes, segmentBytes);
         within("compact_bytes_per_s", compactBytesPerS, 1 << 10, 1L << 40);
         if (!(compactDeadShare > 0 && compactDeadShare < 1)) {
-            throw new IllegalArgumentException("compact_dead_share is " + compactDeadShare
-                + "; allowed is between 0 and 1");
+            throw new IllegalArgumentException(
+                    "compact_dead_share is " + compactDeadShare + "; allowed is between 0 and 1");
         }
         within("compact_wait_ms", compactWaitMs, 0, 86_400_000);
         within("checkpoint_bytes", checkpointBytes, 1 << 10, 1L << 40);
@@ -60,8 +86,7 @@
 
     private static void within(String name, long value, long least, long most) {
         if (value < least || value > most) {
-            throw new IllegalArgumentException(name + " is " + value + "; allowed is " + least + " to "
-                + most);
+            throw new IllegalArgumentException(name + " is " + value + "; allowed is " + least + " to " + most);
         }
     }
 
@@ -76,37 +101,98 @@
     }
 
     public StoreSettings withSync(Sync other, long everyMs) {
-        return new StoreSettings(other, everyMs, segmentBytes, maxBytes, minFreeBytes, recordBytes,
-            queueRecords,
-            queueBytes, groupRecords, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs,
-            checkpointBytes, longestLifeMs);
+        return new StoreSettings(
+                other,
+                everyMs,
+                segmentBytes,
+                maxBytes,
+                minFreeBytes,
+                recordBytes,
+                queueRecords,
+                queueBytes,
+                groupRecords,
+                groupBytes,
+                compactBytesPerS,
+                compactDeadShare,
+                compactWaitMs,
+                checkpointBytes,
+                longestLifeMs);
     }
 
     public StoreSettings withSizes(int segment, long max, long checkpoint) {
         int record = Math.min(recordBytes, segment / 4);
-        return new StoreSettings(sync, syncMs, segment, max, minFreeBytes, record, queueRecords, queueBytes,
-            groupRecords, Math.max(record, Math.min(groupBytes, segment)), compactBytesPerS, compactDeadShare,
-            compactWaitMs, checkpoint, longestLifeMs);
+        return new StoreSettings(
+                sync,
+                syncMs,
+                segment,
+                max,
+                minFreeBytes,
+                record,
+                queueRecords,
+                queueBytes,
+                groupRecords,
+                Math.max(record, Math.min(groupBytes, segment)),
+                compactBytesPerS,
+                compactDeadShare,
+                compactWaitMs,
+                checkpoint,
+                longestLifeMs);
     }
 
     public StoreSettings withCompaction(long bytesPerS, double deadShare, long waitMs) {
-        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes,
-            queueRecords,
-            queueBytes, groupRecords, groupBytes, bytesPerS, deadShare, waitMs, checkpointBytes,
+        return new StoreSettings(
+                sync,
+                syncMs,
+                segmentBytes,
+                maxBytes,
+                minFreeBytes,
+                recordBytes,
+                queueRecords,
+                queueBytes,
+                groupRecords,
+                groupBytes,
+                bytesPerS,
+                deadShare,
+                waitMs,
+                checkpointBytes,
                 longestLifeMs);
     }
 
     public StoreSettings withQueue(int records, long bytes, int perGroup) {
-        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes, records,
-            bytes,
-            perGroup, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs, checkpointBytes,
-            longestLifeMs);
+        return new StoreSettings(
+                sync,
+                syncMs,
+                segmentBytes,
+                maxBytes,
+                minFreeBytes,
+                recordBytes,
+                records,
+                bytes,
+                perGroup,
+                groupBytes,
+                compactBytesPerS,
+                compactDeadShare,
+                compactWaitMs,
+                checkpointBytes,
+                longestLifeMs);
     }
 
     public StoreSettings withLongestLife(long ms) {
-        return new StoreSettings(sync, syncMs, segmentBytes, maxBytes, minFreeBytes, recordBytes,
-            queueRecords,
-            queueBytes, groupRecords, groupBytes, compactBytesPerS, compactDeadShare, compactWaitMs,
-            checkpointBytes, ms);
+        return new StoreSettings(
+                sync,
+                syncMs,
+                segmentBytes,
+                maxBytes,
+                minFreeBytes,
+                recordBytes,
+                queueRecords,
+                queueBytes,
+                groupRecords,
+                groupBytes,
+                compactBytesPerS,
+                compactDeadShare,
+                compactWaitMs,
+                checkpointBytes,
+                ms);
     }
 }
--- a/server/src/main/java/wheatspread/store/StoreStats.java
+++ b/server/src/main/java/wheatspread/store/StoreStats.java
@@ -8,8 +8,16 @@
  * @param usedBytes of all files, {@code liveBytes} of the records that count
  * @param doubtfulKeys whose newest write is lost to damage; {@code allInDoubt} if their names are, too
  */
-public record StoreStats(int keys, long indexBytes, int segments, long usedBytes, long liveBytes,
-    int doubtfulKeys, boolean allInDoubt, WriteState.Mode mode, Counters counters) {
+public record StoreStats(
+        int keys,
+        long indexBytes,
+        int segments,
+        long usedBytes,
+        long liveBytes,
+        int doubtfulKeys,
+        boolean allInDoubt,
+        WriteState.Mode mode,
+        Counters counters) {
 
     /** Numbers that only grow. Sizes are bytes. */
     public static final class Counters {
--- a/server/src/main/java/wheatspread/store/Write.java
+++ b/server/src/main/java/wheatspread/store/Write.java
@@ -5,11 +5,13 @@
     final byte[] key;
     /** Null to delete. */
     final byte[] value;
+
     final long expiresMs;
     final Store.Done done;
     long hash;
     /** The entry that it takes the place of, 0 for none. */
     long replaces;
+
     int at;
     int length;
     Store.Outcome outcome;
--- a/server/src/main/java/wheatspread/supervisor/Checks.java
+++ b/server/src/main/java/wheatspread/supervisor/Checks.java
@@ -25,8 +25,7 @@
 final class Checks implements AutoCloseable {
     private static final int LONGEST_LINE = 16 * 1024;
 
-    private final MultiThreadIoEventLoopGroup group =
-        new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
+    private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final long timeoutMillis;
 
     Checks(long timeoutMillis) {
@@ -36,20 +35,28 @@
     /** Asks once; the answer is null where none came in time. It comes on the thread of the loop. */
     void ask(InetSocketAddress address, Consumer<Health> answer) {
         Asking asking = new Asking(answer);
-        new Bootstrap().group(group).channel(NioSocketChannel.class)
-            .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeoutMillis)
-            .handler(new ChannelInitializer<Channel>() {
-                @Override
-                protected void initChannel(Channel channel) {
-                    channel.pipeline().addLast(new ReadTimeoutHandler(timeoutMillis, TimeUnit.MILLISECONDS),
-                        new LineBasedFrameDecoder(LONGEST_LINE), new StringDecoder(StandardCharsets.UTF_8),
-                        new StringEncoder(StandardCharsets.UTF_8), asking);
-                }
-            }).connect(address).addListener(done -> {
-                if (!done.isSuccess()) {
-                    asking.end(null);
-                }
-            });
+        new Bootstrap()
+                .group(group)
+                .channel(NioSocketChannel.class)
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, (int) timeoutMillis)
+                .handler(new ChannelInitializer<Channel>() {
+                    @Override
+                    protected void initChannel(Channel channel) {
+                        channel.pipeline()
+                                .addLast(
+                                        new ReadTimeoutHandler(timeoutMillis, TimeUnit.MILLISECONDS),
+                                        new LineBasedFrameDecoder(LONGEST_LINE),
+                                        new StringDecoder(StandardCharsets.UTF_8),
+                                        new StringEncoder(StandardCharsets.UTF_8),
+                                        asking);
+                    }
+                })
+                .connect(address)
+                .addListener(done -> {
+                    if (!done.isSuccess()) {
+                        asking.end(null);
+                    }
+                });
     }
 
     @Override
@@ -81,9 +88,12 @@
             try {
                 JSONObject result = new JSONObject(line).optJSONObject("result");
                 if (result != null) {
-                    end(new Health(result.optBoolean("well"), result.optLong("served"),
-                        result.optLong("failed"),
-                        result.optLong("refused"), result.optLong("warm_in_ms") * 1_000));
+                    end(new Health(
+                            result.optBoolean("well"),
+                            result.optLong("served"),
+                            result.optLong("failed"),
+                            result.optLong("refused"),
+                            result.optLong("warm_in_ms") * 1_000));
                     context.close();
                 } else if (!line.contains("lastCall")) {
                     context.close();
--- a/server/src/main/java/wheatspread/supervisor/FleetRunner.java
+++ b/server/src/main/java/wheatspread/supervisor/FleetRunner.java
@@ -59,8 +59,8 @@
     /** Runs until the fleet is down, or until it is told to leave the members alone. */
     public void run() throws IOException, InterruptedException, Busy {
         Files.createDirectories(config.dir());
-        try (FileChannel lock = FileChannel.open(config.dir().resolve("supervisor.lock"),
-            StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
+        try (FileChannel lock = FileChannel.open(
+                config.dir().resolve("supervisor.lock"), StandardOpenOption.CREATE, StandardOpenOption.WRITE)) {
             if (lock.tryLock() == null) {
                 throw new Busy("a supervisor runs already for " + config.dir());
             }
@@ -78,7 +78,12 @@
         fleet = new Fleet(config.plan(), System.nanoTime(), log);
         supervisor = new Supervisor(fleet, machine, config.checkEvery(), log);
         supervisor.begin(LoopClock.unixMicros());
-        log.info("supervisor_began", "dir", config.dir(), "members", config.members().size());
+        log.info(
+                "supervisor_began",
+                "dir",
+                config.dir(),
+                "members",
+                config.members().size());
     }
 
     private void loop() throws IOException, InterruptedException {
@@ -116,10 +121,11 @@
                     String to = told.getString("to");
                     if (!config.builds().containsKey(to)) {
                         throw new IllegalArgumentException("there is no build " + to + "; known are "
-                            + config.builds().keySet());
+                                + config.builds().keySet());
                     }
-                    List<String> names = told.getJSONArray("names").toList().stream().map(String::valueOf)
-                        .toList();
+                    List<String> names = told.getJSONArray("names").toList().stream()
+                            .map(String::valueOf)
+                            .toList();
                     fleet.roll(to, names, told.getInt("count"), now);
                 }
                 case "stop-roll" -> fleet.stopRoll(now);
--- a/server/src/main/java/wheatspread/supervisor/Processes.java
+++ b/server/src/main/java/wheatspread/supervisor/Processes.java
@@ -52,7 +52,10 @@
     }
 
     private FleetConfig.MemberConfig member(String name) {
-        return config.members().stream().filter(one -> one.name().equals(name)).findFirst().orElse(null);
+        return config.members().stream()
+                .filter(one -> one.name().equals(name))
+                .findFirst()
+                .orElse(null);
     }
 
     @Override
@@ -70,16 +73,24 @@
         FleetConfig.Build build = config.builds().get(label);
         FleetConfig.MemberConfig member = member(name);
         if (build == null || member == null) {
-            throw new IOException(build == null ? "there is no build " + label : "there is no member "
-                + name);
+            throw new IOException(build == null ? "there is no build " + label : "there is no member " + name);
         }
         List<String> command = new ArrayList<>(build.command());
-        command.addAll(List.of("--lock-file", mark(name, "lock").toString(), "--ready-file",
-            mark(name, "ready").toString(), "--report-file", mark(name, "report").toString(), "--mark",
-            Integer.toString(generation), "--stats"));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true)
-            .redirectInput(ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()))
-            .redirectOutput(ProcessBuilder.Redirect.appendTo(mark(name, "log").toFile()));
+        command.addAll(List.of(
+                "--lock-file",
+                mark(name, "lock").toString(),
+                "--ready-file",
+                mark(name, "ready").toString(),
+                "--report-file",
+                mark(name, "report").toString(),
+                "--mark",
+                Integer.toString(generation),
+                "--stats"));
+        ProcessBuilder builder = new ProcessBuilder(command)
+                .redirectErrorStream(true)
+                .redirectInput(ProcessBuilder.Redirect.from(Path.of("/dev/null").toFile()))
+                .redirectOutput(
+                        ProcessBuilder.Redirect.appendTo(mark(name, "log").toFile()));
         builder.environment().putAll(build.environment());
         builder.environment().put("GW_CONFIG", member.config().toString());
         builder.environment().put("GW_NAME", name);
--- a/server/src/main/java/wheatspread/supervisor/Spool.java
+++ b/server/src/main/java/wheatspread/supervisor/Spool.java
@@ -28,14 +28,15 @@
     }
 
     /** One that waits. */
-    record Command(Path file, JSONObject told) { }
+    record Command(Path file, JSONObject told) {}
 
     /** Puts a command, and waits for the answer; null if none came in time. */
     public JSONObject ask(JSONObject command, long timeoutMillis) throws IOException, InterruptedException {
         if (waiting().size() >= MOST_WAITING) {
             throw new IOException(MOST_WAITING + " commands wait; nobody reads them");
         }
-        String name = String.format("%016d-%d", System.currentTimeMillis(), ProcessHandle.current().pid());
+        String name = String.format(
+                "%016d-%d", System.currentTimeMillis(), ProcessHandle.current().pid());
         Path answer = folder.resolve(name + ".done");
         WholeFile.write(folder.resolve(name + ".json"), command + "\n");
         long until = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(timeoutMillis);
@@ -53,7 +54,9 @@
 
     private List<Path> waiting() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
-            return files.filter(file -> file.toString().endsWith(".json")).sorted().toList();
+            return files.filter(file -> file.toString().endsWith(".json"))
+                    .sorted()
+                    .toList();
         }
     }
 
--- a/server/src/main/java/wheatspread/supervisor/StateFile.java
+++ b/server/src/main/java/wheatspread/supervisor/StateFile.java
@@ -51,23 +51,39 @@
     static JSONObject write(FleetState state) {
         JSONArray members = new JSONArray();
         for (FleetState.Of one : state.members()) {
-            members.put(new JSONObject().put("name", one.name()).put("state", one.state().name())
-                .put("wanted", one.wanted()).put("build", one.build()).put("generation", one.generation())
-                .put("pid", one.pid()).put("since", one.since()).put("started_at", one.startedAt())
-                .put("well_at", one.wellAt()).put("ends", one.ends()).put("ends_in_a_row", one.endsInARow())
-                .put("not_before", one.notBefore()).put("held_until", one.heldUntil()));
+            members.put(new JSONObject()
+                    .put("name", one.name())
+                    .put("state", one.state().name())
+                    .put("wanted", one.wanted())
+                    .put("build", one.build())
+                    .put("generation", one.generation())
+                    .put("pid", one.pid())
+                    .put("since", one.since())
+                    .put("started_at", one.startedAt())
+                    .put("well_at", one.wellAt())
+                    .put("ends", one.ends())
+                    .put("ends_in_a_row", one.endsInARow())
+                    .put("not_before", one.notBefore())
+                    .put("held_until", one.heldUntil()));
         }
-        JSONObject json = new JSONObject().put("version", VERSION).put("members", members)
-            .put("down", state.down());
+        JSONObject json =
+                new JSONObject().put("version", VERSION).put("members", members).put("down", state.down());
         FleetState.Roll roll = state.roll();
         if (roll != null) {
             JSONArray steps = new JSONArray();
-            roll.steps().forEach((name, step) -> steps.put(new JSONArray().put(name).put(step.name())));
-            json.put("roll", new JSONObject().put("from", roll.from()).put("to", roll.to())
-                .put("status", roll.status().name()).put("reason", roll.reason())
-                .put("failures", roll.failures()).put("began_at", roll.beganAt()).put("ended_at",
-                    roll.endedAt())
-                .put("steps", steps));
+            roll.steps()
+                    .forEach((name, step) -> steps.put(new JSONArray().put(name).put(step.name())));
+            json.put(
+                    "roll",
+                    new JSONObject()
+                            .put("from", roll.from())
+                            .put("to", roll.to())
+                            .put("status", roll.status().name())
+                            .put("reason", roll.reason())
+                            .put("failures", roll.failures())
+                            .put("began_at", roll.beganAt())
+                            .put("ended_at", roll.endedAt())
+                            .put("steps", steps));
         }
         return json;
     }
@@ -78,23 +94,41 @@
             JSONObject one = (JSONObject) told;
             List<Long> ends = new ArrayList<>();
             one.getJSONArray("ends").forEach(at -> ends.add(((Number) at).longValue()));
-            members.add(new FleetState.Of(one.getString("name"), Member.State.valueOf(one.getString("state")),
-                one.getBoolean("wanted"), one.getString("build"), one.getInt("generation"),
+            members.add(new FleetState.Of(
+                    one.getString("name"),
+                    Member.State.valueOf(one.getString("state")),
+                    one.getBoolean("wanted"),
+                    one.getString("build"),
+                    one.getInt("generation"),
                     one.getLong("pid"),
-                one.getLong("since"), one.getLong("started_at"), one.getLong("well_at"), ends,
-                one.getInt("ends_in_a_row"), one.getLong("not_before"), one.getLong("held_until")));
+                    one.getLong("since"),
+                    one.getLong("started_at"),
+                    one.getLong("well_at"),
+                    ends,
+                    one.getInt("ends_in_a_row"),
+                    one.getLong("not_before"),
+                    one.getLong("held_until")));
         }
         JSONObject roll = json.optJSONObject("roll");
         Map<String, Rollout.Step> steps = new LinkedHashMap<>();
         if (roll != null) {
             for (Object told : roll.getJSONArray("steps")) {
-                steps.put(((JSONArray) told).getString(0), Rollout.Step.valueOf(((JSONArray) told)
-                    .getString(1)));
+                steps.put(((JSONArray) told).getString(0), Rollout.Step.valueOf(((JSONArray) told).getString(1)));
             }
         }
-        return new FleetState(members, roll == null ? null : new FleetState.Roll(roll.getString("from"),
-            roll.getString("to"), Rollout.Status.valueOf(roll.getString("status")), roll.getString("reason"),
-            roll.getInt("failures"), roll.getLong("began_at"), roll.getLong("ended_at"), steps),
-            json.getBoolean("down"));
+        return new FleetState(
+                members,
+                roll == null
+                        ? null
+                        : new FleetState.Roll(
+                                roll.getString("from"),
+                                roll.getString("to"),
+                                Rollout.Status.valueOf(roll.getString("status")),
+                                roll.getString("reason"),
+                                roll.getInt("failures"),
+                                roll.getLong("began_at"),
+                                roll.getLong("ended_at"),
+                                steps),
+                json.getBoolean("down"));
     }
 }
--- a/server/src/main/java/wheatspread/supervisor/StatusFile.java
+++ b/server/src/main/java/wheatspread/supervisor/StatusFile.java
@@ -40,21 +40,32 @@
         JSONArray members = new JSONArray();
         for (Member one : fleet.roster().all()) {
             long age = one.age(now);
-            JSONObject told = new JSONObject().put("name", one.name()).put("state", one.state().name())
-                .put("stale", fleet.roster().isStale(one, now)).put("wanted", one.wanted())
-                .put("build", one.build()).put("generation", one.generation()).put("pid", one.pid())
-                .put("in_state_ms", one.inState(now) / 1_000).put("heard_ms", age < 0 ? -1 : age / 1_000);
+            JSONObject told = new JSONObject()
+                    .put("name", one.name())
+                    .put("state", one.state().name())
+                    .put("stale", fleet.roster().isStale(one, now))
+                    .put("wanted", one.wanted())
+                    .put("build", one.build())
+                    .put("generation", one.generation())
+                    .put("pid", one.pid())
+                    .put("in_state_ms", one.inState(now) / 1_000)
+                    .put("heard_ms", age < 0 ? -1 : age / 1_000);
             if (one.health() != null) {
-                told.put("served", one.health().served()).put("failed", one.health().failed())
-                    .put("refused", one.health().refused()).put("warm_in_ms", one.health().warmIn() / 1_000);
+                told.put("served", one.health().served())
+                        .put("failed", one.health().failed())
+                        .put("refused", one.health().refused())
+                        .put("warm_in_ms", one.health().warmIn() / 1_000);
             }
             if (one.lastCode() != null) {
                 told.put("last_code", one.lastCode());
             }
             members.put(told);
         }
-        JSONObject status = new JSONObject().put("at", now / 1_000).put("pid", ProcessHandle.current().pid())
-            .put("members", members).put("going_down", fleet.goingDown());
+        JSONObject status = new JSONObject()
+                .put("at", now / 1_000)
+                .put("pid", ProcessHandle.current().pid())
+                .put("members", members)
+                .put("going_down", fleet.goingDown());
         Rollout roll = fleet.roll();
         if (roll != null) {
             JSONObject steps = new JSONObject();
@@ -62,10 +73,17 @@
                 steps.put(step.name().toLowerCase(), roll.count(step));
             }
             long ended = roll.endedAt() == 0 ? now : roll.endedAt();
-            status.put("roll", new JSONObject().put("to", roll.to()).put("status", roll.status().name())
-                .put("paused", roll.paused()).put("reason", roll.reason()).put("steps", steps)
-                .put("members", roll.size()).put("began_at", roll.beganAt() / 1_000)
-                .put("took_ms", (ended - roll.beganAt()) / 1_000));
+            status.put(
+                    "roll",
+                    new JSONObject()
+                            .put("to", roll.to())
+                            .put("status", roll.status().name())
+                            .put("paused", roll.paused())
+                            .put("reason", roll.reason())
+                            .put("steps", steps)
+                            .put("members", roll.size())
+                            .put("began_at", roll.beganAt() / 1_000)
+                            .put("took_ms", (ended - roll.beganAt()) / 1_000));
         }
         return status;
     }
--- a/server/src/main/java/wheatspread/supervisor/Supervisor.java
+++ b/server/src/main/java/wheatspread/supervisor/Supervisor.java
@@ -87,8 +87,7 @@
     }
 
     private void check(Member one, long now) {
-        if (!one.lives() || one.state() == Member.State.LEAVING || nextCheck.getOrDefault(one.name(),
-            0L) > now) {
+        if (!one.lives() || one.state() == Member.State.LEAVING || nextCheck.getOrDefault(one.name(), 0L) > now) {
             return;
         }
         nextCheck.put(one.name(), now + checkEvery);
@@ -116,8 +115,7 @@
                     log.warn("member_found", "name", name, "generation", found.generation());
                     return;
                 }
-                fleet.spawned(name, start.generation(), machine.start(name, start.build(),
-                    start.generation()));
+                fleet.spawned(name, start.generation(), machine.start(name, start.build(), start.generation()));
             } catch (IOException e) {
                 log.error("spawn_failed", "name", name, "build", start.build(), "error", e.getMessage());
                 fleet.ended(name, start.generation(), Member.UNKNOWN_CODE, now);
--- a/server/src/main/java/wheatspread/timers/TimerWheel.java
+++ b/server/src/main/java/wheatspread/timers/TimerWheel.java
@@ -16,9 +16,11 @@
      * Slots of the first level, one for each tick; those above have fewer, each as wide as the level below.
      */
     private static final int[] BITS = {8, 6, 6, 6};
+
     private static final int[] SHIFT = {0, 8, 14, 20};
     /** What lies further ahead, some 18 hours, waits at the far end and is placed again from there. */
     private static final long FARTHEST = (1L << 26) - 1;
+
     private static final int DUE = -1;
     private static final int NOWHERE = -2;
 
@@ -48,11 +50,13 @@
 
     /** Ring lists with a sentinel each: those of all levels one after another, and the one of the due. */
     private final Timer[] slots;
+
     private final long[][] occupied = new long[BITS.length][];
     private final int[] first = new int[BITS.length];
     private final Timer due = sentinel();
     /** The tick up to which timers were taken out of their slots. */
     private long current;
+
     private int size;
 
     /** {@code now} is the time at which it starts, in microseconds. */
--- a/server/src/main/java/wheatspread/turns/ReadOrder.java
+++ b/server/src/main/java/wheatspread/turns/ReadOrder.java
@@ -34,8 +34,7 @@
         if (ready.queue != NONE) {
             return;
         }
-        int queue = ready.hasOpenRequests() ? OPEN : ready.usedAt() > now - limits.lately() ? LATELY
-            : SLEEPER;
+        int queue = ready.hasOpenRequests() ? OPEN : ready.usedAt() > now - limits.lately() ? LATELY : SLEEPER;
         ready.queue = queue;
         ready.sleeper = queue == SLEEPER;
         ready.next = null;
@@ -68,8 +67,9 @@
         if (isEmpty()) {
             return null;
         }
-        boolean over = bytes >= limits.mostBytes() || requests >= limits.mostRequests()
-            || now - startedAt >= limits.mostMicros();
+        boolean over = bytes >= limits.mostBytes()
+                || requests >= limits.mostRequests()
+                || now - startedAt >= limits.mostMicros();
         if (over && taken > 0) {
             exhausted++;
             return null;
--- a/server/src/main/java/wheatspread/uwsgi/Routes.java
+++ b/server/src/main/java/wheatspread/uwsgi/Routes.java
@@ -15,7 +15,7 @@
     private final Defaults defaults;
 
     /** A route, and whether it ends the search: a prefix does not, since a regular expression may follow. */
-    private record Found(Route route, boolean last) { }
+    private record Found(Route route, boolean last) {}
 
     Routes(List<Route> routes, Defaults defaults) {
         this.routes = routes;
@@ -34,8 +34,10 @@
             if (route.match() == Match.EXACT && path.equals(route.path())) {
                 return new Found(route, true);
             }
-            if (prefix && path.startsWith(route.path())
-                && (longest == null || route.path().length() > longest.path().length())) {
+            if (prefix
+                    && path.startsWith(route.path())
+                    && (longest == null
+                            || route.path().length() > longest.path().length())) {
                 longest = route;
             }
         }
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -16,12 +16,14 @@
     private final UwsgiFront front;
     /** The responses owed, in the order of their requests. */
     private Slot first;
+
     private Slot last;
     private int open;
     /** Reads the request that has begun; null at rest. */
     private UwsgiDecoder decoder;
     /** Once the slots are answered the connection is closed. */
     private boolean lastCall;
+
     private boolean answered;
     /** What is held may have whole requests in it. */
     private boolean stopped;
@@ -132,7 +134,7 @@
             slot.response = pong;
             writeReady();
         } else if (!front.config.healthPath().isEmpty()
-            && front.config.healthPath().equals(VarsReader.path(vars))) {
+                && front.config.healthPath().equals(VarsReader.path(vars))) {
             boolean well = front.core.well();
             respond(slot, well ? "200 OK" : "503 Service Unavailable", text(well ? "well" : "ill"), "");
         } else {
@@ -155,13 +157,17 @@
     }
 
     private void respond(Slot slot, Answer answer) {
-        String feedback = Double.isNaN(answer.feedback()) ? ""
-            : "X-Recipe-Feedback: " + answer.feedback() + "\r\n";
+        String feedback = Double.isNaN(answer.feedback()) ? "" : "X-Recipe-Feedback: " + answer.feedback() + "\r\n";
         switch (answer.kind()) {
             case SERVED -> respond(slot, "200 OK", answer.body(), feedback);
-            case REFUSED -> respond(slot, "503 Service Unavailable", text("refused"), feedback
-                + "Retry-After: " + retryAfter(answer.later()) + "\r\n"
-                + (answer.last() ? "X-Recipe-Give-Up: 1\r\n" : ""));
+            case REFUSED ->
+                respond(
+                        slot,
+                        "503 Service Unavailable",
+                        text("refused"),
+                        feedback
+                                + "Retry-After: " + retryAfter(answer.later()) + "\r\n"
+                                + (answer.last() ? "X-Recipe-Give-Up: 1\r\n" : ""));
             case OUT_OF_TIME -> respond(slot, "504 Gateway Timeout", text("out of time"), feedback);
             case CONFLICT -> respond(slot, "409 Conflict", text("key has another body"), feedback);
             default -> respond(slot, "500 Internal Server Error", text("failed"), feedback);
@@ -180,7 +186,8 @@
     private void respond(Slot slot, String status, byte[] body, String headers) {
         boolean end = leaving() || lastCall;
         byte[] head = ("HTTP/1.1 " + status + "\r\nContent-Length: " + body.length + "\r\n" + headers
-            + (end ? "Connection: close\r\n" : "") + "\r\n").getBytes(StandardCharsets.ISO_8859_1);
+                        + (end ? "Connection: close\r\n" : "") + "\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
         ByteBuf response = ctx.alloc().buffer(head.length + body.length);
         slot.response = response.writeBytes(head).writeBytes(body);
         writeReady();
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiDecoder.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiDecoder.java
@@ -17,10 +17,10 @@
     private int bodyLength;
 
     /** A packet and its body. */
-    record Request(UwsgiPacket packet, byte[] body) { }
+    record Request(UwsgiPacket packet, byte[] body) {}
 
     /** What was read is no request; {@code tooLarge} where it only breaks a bound. */
-    record Malformed(String complaint, boolean tooLarge) { }
+    record Malformed(String complaint, boolean tooLarge) {}
 
     UwsgiDecoder(int mostVars, int mostBody) {
         this.mostVars = mostVars;
@@ -103,7 +103,8 @@
             return null;
         }
         int size = in.readUnsignedShortLE();
-        return in.readableBytes() < size ? null
-            : in.readCharSequence(size, StandardCharsets.ISO_8859_1).toString();
+        return in.readableBytes() < size
+                ? null
+                : in.readCharSequence(size, StandardCharsets.ISO_8859_1).toString();
     }
 }
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiEncoder.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiEncoder.java
@@ -6,7 +6,7 @@
 
 /** Writes packets: both modifiers round the size, and sizes little-endian. */
 public final class UwsgiEncoder {
-    private UwsgiEncoder() { }
+    private UwsgiEncoder() {}
 
     public static void write(UwsgiPacket packet, ByteBuf out) {
         int start = out.writerIndex();
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
@@ -35,7 +35,8 @@
     @Override
     public byte[] refusal() {
         return ("HTTP/1.1 503 Service Unavailable\r\nContent-Length: 0\r\nRetry-After: 1\r\n"
-            + "Connection: close\r\n\r\n").getBytes(StandardCharsets.ISO_8859_1);
+                        + "Connection: close\r\n\r\n")
+                .getBytes(StandardCharsets.ISO_8859_1);
     }
 
     /** Reads the classes of a retuned site from now on; on the loop's thread. */
--- a/server/src/main/java/wheatspread/uwsgi/VarsReader.java
+++ b/server/src/main/java/wheatspread/uwsgi/VarsReader.java
@@ -45,8 +45,7 @@
         Defaults defaults = routes.find(path(vars));
         UwsgiConfig.Vars names = config.vars();
         int kind = index(vars, names.kind(), site.classes(), defaults.kind());
-        int tenant = site.tenants().isEmpty() ? 0
-            : index(vars, names.tenant(), site.tenants(), defaults.tenant());
+        int tenant = site.tenants().isEmpty() ? 0 : index(vars, names.tenant(), site.tenants(), defaults.tenant());
         RequestClass told = site.settings().classes().get(kind);
         long limit = micros(vars, names.limit(), defaults.limit());
         boolean limited = limit > 0;
@@ -67,8 +66,19 @@
         } else {
             item = text(vars, names.item());
         }
-        return new Submission(newJob.get(), kind, tenant, now, now + limit, limited, false, ram,
-            micros(vars, names.hint(), defaults.hint()), unique, item, body);
+        return new Submission(
+                newJob.get(),
+                kind,
+                tenant,
+                now,
+                now + limit,
+                limited,
+                false,
+                ram,
+                micros(vars, names.hint(), defaults.hint()),
+                unique,
+                item,
+                body);
     }
 
     private static String text(Map<String, String> vars, String name) {
--- a/server/src/test/java/wheatspread/PackagesTest.java
+++ b/server/src/test/java/wheatspread/PackagesTest.java
@@ -45,7 +45,8 @@
         List<String> order = new ArrayList<>();
         while (!left.isEmpty()) {
             List<String> free = left.keySet().stream()
-                .filter(name -> order.containsAll(left.get(name))).toList();
+                    .filter(name -> order.containsAll(left.get(name)))
+                    .toList();
             assertThat(free).as("packages in a circle: %s", left).isNotEmpty();
             order.addAll(free);
             free.forEach(left::remove);
@@ -59,8 +60,9 @@
         assertThat(imports().get("admission.choice")).containsExactly("admission");
         try (Stream<Path> files = Files.list(ROOT.resolve("core"))) {
             for (Path file : files.toList()) {
-                assertThat(Files.readString(file)).as(file.toString())
-                    .doesNotContain("io.netty", "org.json", "java.net", "java.nio.channels");
+                assertThat(Files.readString(file))
+                        .as(file.toString())
+                        .doesNotContain("io.netty", "org.json", "java.net", "java.nio.channels");
             }
         }
     }
@@ -70,8 +72,7 @@
         String deploy = Files.readString(Path.of("../deploy/balancer.toml"));
         for (String name : imports().keySet()) {
             if (!Set.of("admission", "sim").contains(name.split("\\.")[0])) {
-                assertThat(deploy).contains("\"server/src/main/java/wheatspread/" + name.replace('.', '/')
-                    + "\"");
+                assertThat(deploy).contains("\"server/src/main/java/wheatspread/" + name.replace('.', '/') + "\"");
             }
         }
     }
