--- a/server/src/test/java/wheatspread/admission/choice/ChoiceTest.java
+++ b/server/src/test/java/wheatspread/admission/choice/ChoiceTest.java
@@ -3,15 +3,6 @@
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
-import wheatspread.admission.Admission;
-import wheatspread.admission.Admission.Advice;
-import wheatspread.admission.Admission.Callers;
-import wheatspread.admission.Admission.Effect;
-import wheatspread.admission.Admission.Gauges;
-import wheatspread.admission.Admission.Outcome;
-import wheatspread.admission.Admission.RequestClass;
-import wheatspread.admission.Admission.Settings;
-import wheatspread.admission.Admission.Tenant;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
@@ -21,6 +12,15 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import wheatspread.admission.Admission;
+import wheatspread.admission.Admission.Advice;
+import wheatspread.admission.Admission.Callers;
+import wheatspread.admission.Admission.Effect;
+import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Admission.RequestClass;
+import wheatspread.admission.Admission.Settings;
+import wheatspread.admission.Admission.Tenant;
 
 class ChoiceTest {
     private static final List<Tenant> TWO = List.of(new Tenant(1), new Tenant(1));
@@ -28,7 +28,12 @@
     @Test
     void startsTheSmallestTagWhileFewerThanTheCoreCountRun() {
         Host host = new Host(Host.plain()).at(1010);
-        host.arrive(1, 0, 0).arrive(2, 0, 0).arrive(3, 0, 0).arrive(4, 0, 0).arrive(5, 1, 0).end();
+        host.arrive(1, 0, 0)
+                .arrive(2, 0, 0)
+                .arrive(3, 0, 0)
+                .arrive(4, 0, 0)
+                .arrive(5, 1, 0)
+                .end();
         assertThat(host.done).containsExactly("run 1", "run 5");
         host.at(1100).ended(1, Outcome.OK, 90).end();
         assertThat(host.done).containsExactly("run 2");
@@ -36,8 +41,13 @@
 
     @Test
     void weighsFlowsByTheirQuotas() {
-        Host host = new Host(Host.settings(false, 100_000, 0, List.of(new Tenant(3), new Tenant(1)),
-            Host.kind(9000, 9000, Effect.IDEMPOTENT, 0, 0))).at(1010);
+        Host host = new Host(Host.settings(
+                        false,
+                        100_000,
+                        0,
+                        List.of(new Tenant(3), new Tenant(1)),
+                        Host.kind(9000, 9000, Effect.IDEMPOTENT, 0, 0)))
+                .at(1010);
         for (int i = 0; i < 8; i++) {
             host.arrive(10 + i, 0, 0).arrive(20 + i, 1, 0);
         }
@@ -45,8 +55,9 @@
         host.at(1020).ended(10, Outcome.FAILED, 0).end();
         host.at(1030).ended(20, Outcome.FAILED, 0).end();
         host.at(1040).ended(11, Outcome.FAILED, 0).end();
-        assertThat(host.done).as("the third of the heavier flow before the second of the lighter")
-            .containsExactly("run 13");
+        assertThat(host.done)
+                .as("the third of the heavier flow before the second of the lighter")
+                .containsExactly("run 13");
     }
 
     @Test
@@ -56,17 +67,28 @@
             host.at(1010 + 10L * i).arrive(i + 1, 0, 0).end();
             host.at(1015 + 10L * i).ended(i + 1, Outcome.OK, 5).end();
         }
-        host.at(1200).arrive(20, 1, 0).arrive(21, 1, 0).arrive(22, 1, 0).arrive(23, 0, 0).end();
+        host.at(1200)
+                .arrive(20, 1, 0)
+                .arrive(21, 1, 0)
+                .arrive(22, 1, 0)
+                .arrive(23, 0, 0)
+                .end();
         host.at(1210).ended(20, Outcome.OK, 10).end();
-        assertThat(host.done).as("both flows start from v, so the other one's first comes next")
-            .isEqualTo(List.of("run 21"));
+        assertThat(host.done)
+                .as("both flows start from v, so the other one's first comes next")
+                .isEqualTo(List.of("run 21"));
     }
 
     @Test
     void aRefusedRequestTakesItsChargeOffTheTags() {
         Host host = new Host(Host.plain()).at(1010);
-        host.arrive(1, 0, 0).arrive(2, 0, 0).arrive(3, 0, 0, 990, 0).arrive(4, 0, 0).arrive(5, 1, 0)
-            .arrive(6, 1, 0).end();
+        host.arrive(1, 0, 0)
+                .arrive(2, 0, 0)
+                .arrive(3, 0, 0, 990, 0)
+                .arrive(4, 0, 0)
+                .arrive(5, 1, 0)
+                .arrive(6, 1, 0)
+                .end();
         assertThat(host.ticks(1060, Host.BUSY)).contains("refuse 3");
         host.at(1100).ended(1, Outcome.OK, 90).ended(5, Outcome.OK, 90).end();
         assertThat(host.done).containsExactly("run 2", "run 6");
@@ -79,11 +101,16 @@
         Host host = new Host(Host.fresh(Host.plain(), 1000)).at(1010);
         host.read(1, 0, 0).read(2, 0, 1).read(3, 1, 1).end();
         assertThat(host.done).containsExactly("pin 1", "join 2", "join 3", "run 1");
-        host.at(1100).ended(1, Outcome.OK, 90).ended(2, Outcome.OK, 90).ended(3, Outcome.OK, 90).end();
+        host.at(1100)
+                .ended(1, Outcome.OK, 90)
+                .ended(2, Outcome.OK, 90)
+                .ended(3, Outcome.OK, 90)
+                .end();
         host.at(1110).read(4, 0, 1).end();
         assertThat(host.done).as("the answer is fresh").containsExactly("join 4");
-        assertThat(host.ticks(2200, Host.IDLE)).as("the entry goes when the answer is stale")
-            .contains("unpin 1");
+        assertThat(host.ticks(2200, Host.IDLE))
+                .as("the entry goes when the answer is stale")
+                .contains("unpin 1");
     }
 
     @Test
@@ -103,8 +130,14 @@
         Host host = new Host(Host.fresh(Host.plain(), 1000)).at(1010);
         host.arrive(1, 0, 0).arrive(2, 0, 0).end();
         host.at(1410).ended(1, Outcome.OK, 400).ended(2, Outcome.OK, 400).end();
-        host.at(1420).read(9, 0, 0).read(10, 0, 0).read(11, 0, 0).read(12, 0, 0).read(13, 0, 0)
-            .read(20, 0, 13).end();
+        host.at(1420)
+                .read(9, 0, 0)
+                .read(10, 0, 0)
+                .read(11, 0, 0)
+                .read(12, 0, 0)
+                .read(13, 0, 0)
+                .read(20, 0, 13)
+                .end();
         assertThat(host.done).contains("refuse 12").doesNotContain("refuse 13");
     }
 
@@ -114,11 +147,14 @@
         for (int i = 0; i < 20; i++) {
             long hint = i % 2 == 0 ? 50 : 400;
             host.at(1010 + 1000L * i).hinted(i + 1, 0, hint).end();
-            host.at(1010 + 1000L * i + 2 * hint).ended(i + 1, Outcome.OK, 2 * hint).end();
+            host.at(1010 + 1000L * i + 2 * hint)
+                    .ended(i + 1, Outcome.OK, 2 * hint)
+                    .end();
         }
         host.at(30_000).hinted(50, 0, 100).hinted(51, 1, 600).hinted(52, 1, 60).end();
-        assertThat(host.done).as("600 of hint runs for 1200 ms and misses the aim at 1000")
-            .containsExactly("run 50", "refuse 51", "run 52");
+        assertThat(host.done)
+                .as("600 of hint runs for 1200 ms and misses the aim at 1000")
+                .containsExactly("run 50", "refuse 51", "run 52");
     }
 
     @Test
@@ -126,7 +162,9 @@
         Host host = new Host(Host.plain());
         for (int i = 0; i < 20; i++) {
             host.at(1010 + 1000L * i).hinted(i + 1, 0, i % 2 == 0 ? 50 : 400).end();
-            host.at(1011 + 1000L * i + (i % 2 == 0 ? 0 : 399)).ended(i + 1, Outcome.OK, 1).end();
+            host.at(1011 + 1000L * i + (i % 2 == 0 ? 0 : 399))
+                    .ended(i + 1, Outcome.OK, 1)
+                    .end();
         }
         host.at(30_000).hinted(50, 0, 50).hinted(51, 1, 800).end();
         assertThat(host.done).as("twice the hint of runs of 400 ms").containsExactly("run 50", "run 51");
@@ -154,8 +192,7 @@
 
     @Test
     void timeInCallsIsAddedToWhatHintsTell() {
-        Host host = new Host(Host.settings(false, 100_000, 9, TWO,
-            Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)));
+        Host host = new Host(Host.settings(false, 100_000, 9, TWO, Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)));
         for (int i = 0; i < 20; i++) {
             long hint = i % 2 == 0 ? 50 : 200;
             host.at(1010 + 1000L * i).hinted(i + 1, 0, hint).end();
@@ -163,26 +200,30 @@
             host.end();
             host.at(1510 + 1000L * i + hint).choice.called(i + 1, Outcome.OK, 500_000);
             host.end();
-            host.at(1512 + 1000L * i + hint).ended(i + 1, Outcome.OK, 502 + hint).end();
+            host.at(1512 + 1000L * i + hint)
+                    .ended(i + 1, Outcome.OK, 502 + hint)
+                    .end();
         }
         host.at(30_000).hinted(50, 0, 50).hinted(51, 1, 400).end();
-        assertThat(host.done).as("400 ms on the cores and 500 at a call fit 1000").containsExactly("run 50",
-            "run 51");
+        assertThat(host.done)
+                .as("400 ms on the cores and 500 at a call fit 1000")
+                .containsExactly("run 50", "run 51");
     }
 
     @Test
     void aColdProcessTakesHintsAtTheirWordOverItsLeastSpeed() {
-        Host host = new Host(Host.settings(true, 100_000, 0, TWO,
-            Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0))).at(1010);
+        Host host =
+                new Host(Host.settings(true, 100_000, 0, TWO, Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0))).at(1010);
         host.hinted(1, 0, 50).hinted(2, 1, 600).hinted(3, 1, 50).end();
-        assertThat(host.done).as("600 ms at a fifth of the speed miss the aim at 1000")
-            .containsExactly("run 1", "refuse 2", "run 3");
+        assertThat(host.done)
+                .as("600 ms at a fifth of the speed miss the aim at 1000")
+                .containsExactly("run 1", "refuse 2", "run 3");
     }
 
     @Test
     void anAtMostOnceRunPastItsAimIsFailedAndStoppedAtOnce() {
-        Host host = new Host(Host.settings(false, 100_000, 0, TWO,
-            Host.kind(1000, 3000, Effect.AT_MOST_ONCE, 0, 0))).at(1010);
+        Host host = new Host(Host.settings(false, 100_000, 0, TWO, Host.kind(1000, 3000, Effect.AT_MOST_ONCE, 0, 0)))
+                .at(1010);
         host.arrive(1, 0, 0).end();
         List<String> all = host.ticks(2110, Host.BUSY);
         assertThat(all).contains("fail 1", "stop 1");
@@ -203,18 +244,28 @@
 
     @Test
     void aFurtherTryWhoseClientsAimHasPassedIsRefusedUnheld() {
-        Host host = new Host(Host.settings(false, 100_000, 0, TWO,
-            Host.kind(1000, 4000, Effect.IDEMPOTENT, 0, 0),
-            Host.kind(1000, 3000, Effect.AT_MOST_ONCE, 0, 0)));
+        Host host = new Host(Host.settings(
+                false,
+                100_000,
+                0,
+                TWO,
+                Host.kind(1000, 4000, Effect.IDEMPOTENT, 0, 0),
+                Host.kind(1000, 3000, Effect.AT_MOST_ONCE, 0, 0)));
         host.at(1010).waits(1, 0, 2000, false).waits(2, 1, 3000, false).end();
         host.at(1020).ended(1, Outcome.OK, 10).ended(2, Outcome.OK, 10).end();
-        host.at(1030).waits(3, 0, 2500, true).waits(4, 0, 3500, true).waits(5, 1, 1600, true).end();
-        assertThat(host.done).as("3 has waited 1.5 s, 5 1.4 s; 4 only half a second")
-            .containsExactly("refuse 3", "refuse 5", "run 4");
+        host.at(1030)
+                .waits(3, 0, 2500, true)
+                .waits(4, 0, 3500, true)
+                .waits(5, 1, 1600, true)
+                .end();
+        assertThat(host.done)
+                .as("3 has waited 1.5 s, 5 1.4 s; 4 only half a second")
+                .containsExactly("refuse 3", "refuse 5", "run 4");
         host.at(1040).ended(4, Outcome.OK, 10).end();
         host.at(1050).waits(6, 0, 2000, true).end();
-        assertThat(host.done).as("cut like a first try, so what others had waited counts")
-            .containsExactly("refuse 6");
+        assertThat(host.done)
+                .as("cut like a first try, so what others had waited counts")
+                .containsExactly("refuse 6");
         host.at(1060).waits(7, 0, 2000, false).end();
         assertThat(host.done).containsExactly("run 7");
     }
@@ -222,8 +273,7 @@
     /** Guards against runs that end late for everybody where callers mark tries and tell no limit. */
     @Test
     void aFurtherTryThatTellsNoLimitIsTakenToHaveSpentMostOfItsAim() {
-        Host host = new Host(Host.settings(false, 100_000, 0, TWO,
-            Host.kind(1000, 4000, Effect.IDEMPOTENT, 0, 0)));
+        Host host = new Host(Host.settings(false, 100_000, 0, TWO, Host.kind(1000, 4000, Effect.IDEMPOTENT, 0, 0)));
         host.at(1000).waits(1, 0, 0, false).waits(2, 0, 0, false).end();
         host.at(1010).waits(3, 0, 0, false).waits(4, 0, 0, true).end();
         Gauges busy = new Gauges(1, 2, 0.1, 4);
@@ -239,8 +289,10 @@
         host.choice.retiring(6_000_000);
         host.end();
         host.at(2500).arrive(2, 0, 1, 0, 1).arrive(3, 0, 1).end();
-        assertThat(host.done).as("1 runs, so its repeat may not be turned away")
-            .startsWith("join 2", "refuse 3").doesNotContain("run 3");
+        assertThat(host.done)
+                .as("1 runs, so its repeat may not be turned away")
+                .startsWith("join 2", "refuse 3")
+                .doesNotContain("run 3");
     }
 
     @Test
@@ -259,14 +311,21 @@
 
     @Test
     void aSmallTenantsOnlyRequestIsNotRefusedForItsOwnCharge() {
-        Host host = new Host(Host.settings(false, 100_000, 0, List.of(new Tenant(5), new Tenant(1)),
-            Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0))).at(1010);
+        Host host = new Host(Host.settings(
+                        false,
+                        100_000,
+                        0,
+                        List.of(new Tenant(5), new Tenant(1)),
+                        Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)))
+                .at(1010);
         host.arrive(1, 0, 0).arrive(2, 0, 0).end();
         host.at(1410).ended(1, Outcome.OK, 400).ended(2, Outcome.OK, 400).end();
         host.at(1420).arrive(10, 0, 0).arrive(11, 0, 0).arrive(30, 1, 0).end();
         host.at(1430).arrive(12, 0, 0).arrive(13, 0, 0).arrive(14, 0, 0).end();
-        assertThat(host.done).as("one charge of the small tenant is worth five of the large")
-            .contains("refuse 14").doesNotContain("refuse 30");
+        assertThat(host.done)
+                .as("one charge of the small tenant is worth five of the large")
+                .contains("refuse 14")
+                .doesNotContain("refuse 30");
     }
 
     @Test
@@ -275,8 +334,9 @@
         host.arrive(1, 0, 0).arrive(2, 0, 0).end();
         host.at(1610).ended(1, Outcome.OK, 600).ended(2, Outcome.OK, 600).end();
         host.at(1620).arrive(3, 0, 0).arrive(4, 0, 0).arrive(5, 0, 0).end();
-        assertThat(host.done).as("one held drains in 300 ms, the bound is 240 ms").isEqualTo(
-            List.of("run 3", "run 4"));
+        assertThat(host.done)
+                .as("one held drains in 300 ms, the bound is 240 ms")
+                .isEqualTo(List.of("run 3", "run 4"));
         host.at(1630).arrive(6, 0, 0).end();
         assertThat(host.done).isEqualTo(List.of("refuse 6"));
     }
@@ -284,29 +344,41 @@
     @Test
     void ofTheTenantFurthestAheadTheLeastWorthIsRefused() {
         RequestClass dear = new RequestClass(1_000_000, 0, 3_000_000, Effect.IDEMPOTENT, 5, 0, 0, false, 0);
-        Host host = new Host(Host.settings(false, 100_000, 0, TWO,
-            Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0), dear)).at(1010);
+        Host host = new Host(
+                        Host.settings(false, 100_000, 0, TWO, Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0), dear))
+                .at(1010);
         host.arrive(1, 0, 0).arrive(2, 0, 0).end();
         host.at(1410).ended(1, Outcome.OK, 400).ended(2, Outcome.OK, 400).end();
-        host.at(1420).arrive(9, 0, 0).arrive(10, 0, 0).arrive(11, 0, 0).arrive(12, 0, 1).arrive(13, 0, 1)
-            .arrive(14, 0, 1).end();
+        host.at(1420)
+                .arrive(9, 0, 0)
+                .arrive(10, 0, 0)
+                .arrive(11, 0, 0)
+                .arrive(12, 0, 1)
+                .arrive(13, 0, 1)
+                .arrive(14, 0, 1)
+                .end();
         assertThat(host.done).contains("refuse 11").doesNotContain("refuse 12", "refuse 13", "refuse 14");
     }
 
     @Test
     void depthRisesWhileCoresIdleAndFallsToTheCoreCountWhenCrowded() {
-        Host host = new Host(Host.settings(false, 100_000, 0, TWO,
-            Host.kind(90_000, 90_000, Effect.IDEMPOTENT, 0, 0))).at(1010);
+        Host host = new Host(Host.settings(false, 100_000, 0, TWO, Host.kind(90_000, 90_000, Effect.IDEMPOTENT, 0, 0)))
+                .at(1010);
         for (int i = 0; i < 40; i++) {
             host.arrive(i + 1, 0, 0);
         }
         host.end();
         List<String> rise = ticksWithChange(host, 2000, 0.2, 1);
-        assertThat(rise.stream().filter(a -> a.startsWith("run")).count()).as("up to the ceiling of 0.6 x 10")
-            .isEqualTo(4);
+        assertThat(rise.stream().filter(a -> a.startsWith("run")).count())
+                .as("up to the ceiling of 0.6 x 10")
+                .isEqualTo(4);
         ticksWithChange(host, 5000, 1, 9);
-        host.at(5010).ended(1, Outcome.OK, 10).ended(2, Outcome.OK, 10).ended(3, Outcome.OK, 10)
-            .ended(4, Outcome.OK, 10).end();
+        host.at(5010)
+                .ended(1, Outcome.OK, 10)
+                .ended(2, Outcome.OK, 10)
+                .ended(3, Outcome.OK, 10)
+                .ended(4, Outcome.OK, 10)
+                .end();
         assertThat(host.done).as("two still run and the depth is two").noneMatch(a -> a.startsWith("run"));
         host.at(5020).ended(5, Outcome.OK, 10).end();
         assertThat(host.done).anyMatch(a -> a.startsWith("run"));
@@ -326,8 +398,9 @@
     @Test
     void missingOrStuckGaugesLeaveTheCoreCountAsDepth() {
         for (Gauges reading : List.of(new Gauges(Double.NaN, Double.NaN, 0, 0), new Gauges(0.1, 0, 0, 0))) {
-            Host host = new Host(Host.settings(false, 100_000, 0, TWO,
-                Host.kind(90_000, 90_000, Effect.IDEMPOTENT, 0, 0))).at(1010);
+            Host host = new Host(
+                            Host.settings(false, 100_000, 0, TWO, Host.kind(90_000, 90_000, Effect.IDEMPOTENT, 0, 0)))
+                    .at(1010);
             for (int i = 0; i < 20; i++) {
                 host.arrive(i + 1, 0, 0);
             }
@@ -338,46 +411,62 @@
                 host.ended(i, Outcome.OK, 10);
             }
             host.end();
-            assertThat(host.done.stream().filter(a -> a.startsWith("run")).count()).isLessThanOrEqualTo(2);
+            assertThat(host.done.stream().filter(a -> a.startsWith("run")).count())
+                    .isLessThanOrEqualTo(2);
         }
     }
 
     @Test
     void aColdServerRunsNoMoreThanItsSpeedFloorAllows() {
-        Host host = new Host(Host.settings(true, 100_000, 0, TWO,
-            Host.kind(90_000, 90_000, Effect.IDEMPOTENT, 0, 0))).at(1010);
+        Host host = new Host(Host.settings(true, 100_000, 0, TWO, Host.kind(90_000, 90_000, Effect.IDEMPOTENT, 0, 0)))
+                .at(1010);
         for (int i = 0; i < 40; i++) {
             host.arrive(i + 1, 0, 0);
         }
         host.end();
         List<String> all = ticksWithChange(host, 1500, 0.1, 1);
-        assertThat(all.stream().filter(a -> a.startsWith("run")).count()).as("0.6 x 2 x (1 + 4 x 0.24) is 2")
-            .isZero();
+        assertThat(all.stream().filter(a -> a.startsWith("run")).count())
+                .as("0.6 x 2 x (1 + 4 x 0.24) is 2")
+                .isZero();
     }
 
     @Test
     void aColdServerHoldsLittleBeforeAnyRunHasEnded() {
-        Host host = new Host(Host.settings(true, 100_000, 0, TWO,
-            Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0))).at(1010);
+        Host host =
+                new Host(Host.settings(true, 100_000, 0, TWO, Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0))).at(1010);
         for (int i = 0; i < 40; i++) {
             host.arrive(i + 1, i % 2, 0);
         }
         host.end();
-        assertThat(host.done.stream().filter(a -> a.startsWith("refuse")).count()).as("at a fifth of speed"
-            + " a run may take longer than the aim: two run, and the bound rounded up is one or two")
-            .isBetween(36L, 37L);
+        assertThat(host.done.stream().filter(a -> a.startsWith("refuse")).count())
+                .as("at a fifth of speed"
+                        + " a run may take longer than the aim: two run, and the bound rounded up is one or two")
+                .isBetween(36L, 37L);
     }
 
     @Test
     void aTenantServedLittleLatelyIsNotRefusedForItsSecondRequest() {
-        Host host = new Host(Host.settings(false, 100_000, 0, List.of(new Tenant(5), new Tenant(1)),
-            Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)));
+        Host host = new Host(Host.settings(
+                false,
+                100_000,
+                0,
+                List.of(new Tenant(5), new Tenant(1)),
+                Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)));
         for (int i = 0; i < 10; i++) {
             host.at(1010 + 410L * i).arrive(100 + i, 0, 0).arrive(200 + i, 0, 0).end();
-            host.at(1410 + 410L * i).ended(100 + i, Outcome.OK, 400).ended(200 + i, Outcome.OK, 400).end();
-        }
-        host.at(5150).arrive(1, 0, 0).arrive(2, 0, 0).arrive(3, 0, 0).arrive(4, 0, 0).arrive(10, 1, 0)
-            .arrive(11, 1, 0).end();
+            host.at(1410 + 410L * i)
+                    .ended(100 + i, Outcome.OK, 400)
+                    .ended(200 + i, Outcome.OK, 400)
+                    .end();
+        }
+        host.at(5150)
+                .arrive(1, 0, 0)
+                .arrive(2, 0, 0)
+                .arrive(3, 0, 0)
+                .arrive(4, 0, 0)
+                .arrive(10, 1, 0)
+                .arrive(11, 1, 0)
+                .end();
         assertThat(host.done).contains("run 10").doesNotContain("refuse 11");
         assertThat(host.done.stream().filter(a -> a.startsWith("refuse"))).isNotEmpty();
     }
@@ -385,13 +474,32 @@
     @Test
     void workThatCanBeSuspendedIsStoppedOnceItsAnswerIsGiven() {
         Settings plain = Host.plain();
-        Host host = new Host(new Settings(2, 4, false, Admission.Halt.SUSPEND, 0, 2000, plain.limits(),
-            plain.below(), plain.callers(), plain.classes(), plain.tenants())).at(1010).arrive(1, 0, 0).end();
+        Host host = new Host(new Settings(
+                        2,
+                        4,
+                        false,
+                        Admission.Halt.SUSPEND,
+                        0,
+                        2000,
+                        plain.limits(),
+                        plain.below(),
+                        plain.callers(),
+                        plain.classes(),
+                        plain.tenants()))
+                .at(1010)
+                .arrive(1, 0, 0)
+                .end();
         List<String> all = host.ticks(2560, Host.BUSY);
         assertThat(all).containsSubsequence("fail 1", "stop 1");
-        host.at(2570).ended(1, Outcome.CANCELED, 1560).arrive(2, 0, 0).arrive(3, 0, 0).end();
-        assertThat(host.done).as("its core is free and it gets no second answer").contains("run 2", "run 3")
-            .doesNotContain("fail 1");
+        host.at(2570)
+                .ended(1, Outcome.CANCELED, 1560)
+                .arrive(2, 0, 0)
+                .arrive(3, 0, 0)
+                .end();
+        assertThat(host.done)
+                .as("its core is free and it gets no second answer")
+                .contains("run 2", "run 3")
+                .doesNotContain("fail 1");
     }
 
     @Test
@@ -406,16 +514,17 @@
             stays.add(host.stays);
         }
         List<Long> told = stays.get(0).stream().filter(s -> s > 0).toList();
-        assertThat(told).hasSizeGreaterThan(20).allMatch(s -> s >= 333_333 && s <= 666_667)
-            .doesNotHaveDuplicates();
+        assertThat(told)
+                .hasSizeGreaterThan(20)
+                .allMatch(s -> s >= 333_333 && s <= 666_667)
+                .doesNotHaveDuplicates();
         assertThat(stays.get(1)).as("same seed, same events").isEqualTo(stays.get(0));
     }
 
     @ParameterizedTest
     @CsvSource({"1, refuse 30", "2, run 30"})
     void aSlowedTwoCoreServerProbesOnlyWhereNothingElseRuns(int ended, String wanted) {
-        Host host = new Host(Host.settings(false, 100_000, 0, TWO,
-            Host.kind(1000, 3000, Effect.IDEMPOTENT, 0.2, 0)));
+        Host host = new Host(Host.settings(false, 100_000, 0, TWO, Host.kind(1000, 3000, Effect.IDEMPOTENT, 0.2, 0)));
         for (int i = 0; i < 10; i++) {
             host.at(1010 + 110L * i).arrive(100 + i, 0, 0).end();
             host.at(1110 + 110L * i).ended(100 + i, Outcome.OK, 100).end();
@@ -427,13 +536,15 @@
             host.ended(i, Outcome.CANCELED, 950);
         }
         host.end();
-        assertThat(host.done).as("runs take nine times the usual and 400 ms are left").contains(wanted);
+        assertThat(host.done)
+                .as("runs take nine times the usual and 400 ms are left")
+                .contains(wanted);
     }
 
     @Test
     void everythingReadIsAnsweredWhenDue() {
-        Host host = new Host(Host.settings(false, 100_000, 0, TWO,
-            Host.kind(1000, 1500, Effect.IDEMPOTENT, 0.2, 0))).at(1010);
+        Host host = new Host(Host.settings(false, 100_000, 0, TWO, Host.kind(1000, 1500, Effect.IDEMPOTENT, 0.2, 0)))
+                .at(1010);
         host.arrive(1, 0, 0).arrive(2, 0, 0).arrive(3, 0, 0).end();
         List<String> all = host.ticks(2560, Host.BUSY);
         assertThat(all).contains("refuse 3", "fail 1", "stop 1", "fail 2", "stop 2");
@@ -451,11 +562,12 @@
 
     @Test
     void aRepeatOfOneRefusedInTheSameBatchMayRun() {
-        Host host = new Host(Host.settings(false, 45, 0, TWO, Host.kind(1000, 3000, Effect.KEYED, 0,
-            0))).at(1010);
+        Host host = new Host(Host.settings(false, 45, 0, TWO, Host.kind(1000, 3000, Effect.KEYED, 0, 0))).at(1010);
         host.arrive(1, 0, 0).arrive(2, 0, 0, 0, 1).end();
-        assertThat(host.done).as("no memory for the first one's key").contains("refuse 1", "pin 2")
-            .doesNotContain("join 2");
+        assertThat(host.done)
+                .as("no memory for the first one's key")
+                .contains("refuse 1", "pin 2")
+                .doesNotContain("join 2");
     }
 
     @Test
@@ -468,7 +580,9 @@
     @Test
     void repeatsThatPileUpBehindARunAreFailedNotRefusedBeforeMemoryRunsOut() {
         Host host = new Host(Host.settings(false, 500, 0, TWO, Host.kind(1000, 3000, Effect.KEYED, 0, 0)))
-            .at(1010).arrive(1, 0, 0).end();
+                .at(1010)
+                .arrive(1, 0, 0)
+                .end();
         int failed = 0;
         for (int i = 2; i < 40; i++) {
             host.at(1010 + i).arrive(i, 0, 0, 0, 1).end();
@@ -481,8 +595,7 @@
 
     @Test
     void memoryIsKeptThroughAClumpOfArrivals() {
-        Host host = new Host(Host.settings(false, 400, 0, TWO, Host.kind(1000, 3000, Effect.IDEMPOTENT, 0,
-            0)));
+        Host host = new Host(Host.settings(false, 400, 0, TWO, Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)));
         host.at(1010);
         for (int i = 0; i < 100; i++) {
             host.arrive(i + 1, i % 2, 0);
@@ -509,8 +622,13 @@
 
     @Test
     void callsStayUnderTheirBoundAndAreSkippedOrFailed() {
-        Host host = new Host(Host.settings(false, 100_000, 0.5, TWO,
-            Host.kind(1000, 3000, Effect.KEYED, 0.2, 0), Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0.5)));
+        Host host = new Host(Host.settings(
+                false,
+                100_000,
+                0.5,
+                TWO,
+                Host.kind(1000, 3000, Effect.KEYED, 0.2, 0),
+                Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0.5)));
         host.at(1010).arrive(1, 0, 0).arrive(2, 1, 1).end();
         host.at(1020);
         host.choice.blocked(1);
@@ -521,13 +639,14 @@
         host.at(1310);
         host.choice.called(1, Outcome.TIMED_OUT, 290_000);
         host.end();
-        assertThat(host.done).as("an effect may have happened, so no second call").containsExactly("fail 1");
+        assertThat(host.done)
+                .as("an effect may have happened, so no second call")
+                .containsExactly("fail 1");
     }
 
     @Test
     void callsThatHangLowerTheirBoundBeforeAnyEnds() {
-        Host host = new Host(Host.settings(false, 100_000, 5, TWO,
-            Host.kind(9000, 20_000, Effect.KEYED, 0, 0)));
+        Host host = new Host(Host.settings(false, 100_000, 5, TWO, Host.kind(9000, 20_000, Effect.KEYED, 0, 0)));
         long id = 0;
         for (int i = 0; i < 20; i++) {
             host.at(1010 + 50L * i).arrive(++id, 0, 0).end();
@@ -549,13 +668,14 @@
             host.end();
             calls += host.done.stream().filter(a -> a.startsWith("call")).count();
         }
-        assertThat(calls).as("of the 10 that a clump may have in hand; none has ended").isBetween(1, 6);
+        assertThat(calls)
+                .as("of the 10 that a clump may have in hand; none has ended")
+                .isBetween(1, 6);
     }
 
     @Test
     void oneCallThatNeverEndsDoesNotMakeTheOthersLookSlow() {
-        Host host = new Host(Host.settings(false, 100_000, 5, TWO,
-            Host.kind(9000, 20_000, Effect.KEYED, 0, 0)));
+        Host host = new Host(Host.settings(false, 100_000, 5, TWO, Host.kind(9000, 20_000, Effect.KEYED, 0, 0)));
         long id = 0;
         for (int i = 0; i < 60; i++) {
             host.at(1010 + 50L * i).arrive(++id, 0, 0);
@@ -585,8 +705,8 @@
     /** Guards against cores that stay idle since callers heed what they were told in a jam long over. */
     @Test
     void theWindowOpensAgainOnceNothingPresses() {
-        Host host = new Host(Host.with(Host.plain(),
-            new Callers(2, Advice.WINDOW, 1_000_000, 1_000_000, true, 15_000_000, 0, 0)));
+        Host host = new Host(
+                Host.with(Host.plain(), new Callers(2, Advice.WINDOW, 1_000_000, 1_000_000, true, 15_000_000, 0, 0)));
         for (int i = 0; i < 10; i++) {
             host.at(1010 + 10L * i).arrive(i + 1, 0, 0, 600, 0).end();
         }
@@ -600,15 +720,16 @@
         List<String> told = host.ticks(9000, Host.IDLE);
         told.removeIf(action -> !action.startsWith("advise"));
         assertThat(Double.parseDouble(told.get(told.size() - 1).substring(7)))
-            .as("four times what it is at rest").isGreaterThan(16);
+                .as("four times what it is at rest")
+                .isGreaterThan(16);
     }
 
     /** Guards against a cold server whose callers fill the whole window of a warm one at once. */
     @Test
     void aColdServersWindowRisesWithWhatItHasShown() {
         Callers callers = new Callers(2, Advice.WINDOW, 1_000_000, 1_000_000, true, 15_000_000, 0, 0);
-        Host host = new Host(Host.with(Host.settings(true, 100_000, 0, TWO, Host.kind(1000, 3000,
-            Effect.IDEMPOTENT, 0, 0)), callers));
+        Host host = new Host(Host.with(
+                Host.settings(true, 100_000, 0, TWO, Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)), callers));
         assertThat(lastAdvice(host.done)).as("a fifth of the speed, told").isLessThan(2);
         double later = lastAdvice(host.ticks(6000, Host.IDLE));
         assertThat(later).as("half of the time to warm").isBetween(3.0, 6.0);
@@ -620,12 +741,12 @@
             all.addAll(host.done);
         }
         all.addAll(host.ticks(7500, Host.IDLE));
-        assertThat(lastAdvice(all)).as("its runs took what their hints say")
-            .isGreaterThan(7);
+        assertThat(lastAdvice(all)).as("its runs took what their hints say").isGreaterThan(7);
     }
 
     private static double lastAdvice(List<String> all) {
-        List<String> told = all.stream().filter(action -> action.startsWith("advise")).toList();
+        List<String> told =
+                all.stream().filter(action -> action.startsWith("advise")).toList();
         return Double.parseDouble(told.get(told.size() - 1).substring(7));
     }
 
@@ -633,9 +754,18 @@
     @Test
     void aPausedRunThatOwesItsAnswerIsTakenUpOnce() {
         Settings plain = Host.plain();
-        Host host = new Host(new Settings(plain.cores(), plain.servers(), false, Admission.Halt.SUSPEND, 0,
-            plain.resolution(), plain.limits(), plain.below(), plain.callers(), plain.classes(),
-            plain.tenants()));
+        Host host = new Host(new Settings(
+                plain.cores(),
+                plain.servers(),
+                false,
+                Admission.Halt.SUSPEND,
+                0,
+                plain.resolution(),
+                plain.limits(),
+                plain.below(),
+                plain.callers(),
+                plain.classes(),
+                plain.tenants()));
         host.at(1010).arrive(1, 0, 1).end();
         host.at(1100).ended(1, Outcome.CANCELED, 90).end();
         assertThat(host.done).contains("run 1").doesNotContain("fail 1");
@@ -649,8 +779,7 @@
 
     @Test
     void aCallThatWasNeverSeenMayBeRepeated() {
-        Host host = new Host(Host.settings(false, 100_000, 2, TWO, Host.kind(1000, 3000, Effect.KEYED, 0.2,
-            0)));
+        Host host = new Host(Host.settings(false, 100_000, 2, TWO, Host.kind(1000, 3000, Effect.KEYED, 0.2, 0)));
         host.at(1010).arrive(1, 0, 0).end();
         host.at(1020);
         host.choice.blocked(1);
@@ -668,8 +797,12 @@
     @ParameterizedTest
     @CsvSource({"20, true", "2, false"})
     void aLineOfUnreadTriesTurnsCallersAwayUntilItIsReadOff(double quota, boolean leaves) {
-        Host host = new Host(Host.settings(false, 100_000, 0, List.of(new Tenant(quota), new Tenant(quota)),
-            Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)));
+        Host host = new Host(Host.settings(
+                false,
+                100_000,
+                0,
+                List.of(new Tenant(quota), new Tenant(quota)),
+                Host.kind(1000, 3000, Effect.IDEMPOTENT, 0, 0)));
         List<String> all = new ArrayList<>();
         for (int i = 0; i < 40; i++) {
             host.arrive(i + 1, 0, 0, 2000, 0);
@@ -678,8 +811,10 @@
         }
         host.end();
         assertThat(all).contains("advise 1.0", "log jam of unread tries begins");
-        assertThat(all.contains("health false")).as("7 tries a second come; of 4 servers, one that is slow"
-            + " leaves, all of a flooded fleet would not").isEqualTo(leaves);
+        assertThat(all.contains("health false"))
+                .as("7 tries a second come; of 4 servers, one that is slow"
+                        + " leaves, all of a flooded fleet would not")
+                .isEqualTo(leaves);
         all = host.ticks(host.now + 6000, Host.IDLE);
         assertThat(all).as("nothing comes any more").contains("log jam of unread tries ends");
         assertThat(all.contains("health true")).isEqualTo(leaves);
@@ -699,12 +834,18 @@
     }
 
     @ParameterizedTest
-    @CsvSource({"800, 60, 0, 0, true", "4, 4, 0, 0, false", "800, NaN, 0, 0, false", "800, 1, 0, 0, false",
-        "4, 4, 0.5, 9, false", "100, 60, 0.001, 0.5, true"})
-    void connectionsOfManySilentCallersAreClosedSoon(int callers, double links, double opening, double open,
-                                                     boolean closed) {
-        Host host = new Host(Host.with(Host.plain(), new Callers(callers, Advice.NONE, 1_000_000, 0, false,
-            15_000_000, opening, open)));
+    @CsvSource({
+        "800, 60, 0, 0, true",
+        "4, 4, 0, 0, false",
+        "800, NaN, 0, 0, false",
+        "800, 1, 0, 0, false",
+        "4, 4, 0.5, 9, false",
+        "100, 60, 0.001, 0.5, true"
+    })
+    void connectionsOfManySilentCallersAreClosedSoon(
+            int callers, double links, double opening, double open, boolean closed) {
+        Host host = new Host(Host.with(
+                Host.plain(), new Callers(callers, Advice.NONE, 1_000_000, 0, false, 15_000_000, opening, open)));
         List<String> all = new ArrayList<>();
         for (int i = 0; i < 100; i++) {
             host.at(1100 + 50L * i);
@@ -720,8 +861,8 @@
     @ParameterizedTest
     @CsvSource({"NaN, 0.001", "60, 0"})
     void aLinksGaugeThatFailsLaterLeavesConnectionsToTheCallers(double links, double change) {
-        Host host = new Host(Host.with(Host.plain(), new Callers(800, Advice.NONE, 1_000_000, 0, false,
-            15_000_000, 0, 0)));
+        Host host =
+                new Host(Host.with(Host.plain(), new Callers(800, Advice.NONE, 1_000_000, 0, false, 15_000_000, 0, 0)));
         List<String> all = new ArrayList<>();
         host.arrive(1, 0, 1).end();
         for (int i = 0; i < 120; i++) {
@@ -735,8 +876,8 @@
 
     @Test
     void connectionsAreKeptAgainOnceCallersSendOften() {
-        Host host = new Host(Host.with(Host.plain(), new Callers(100, Advice.NONE, 1_000_000, 0, false,
-            15_000_000, 0, 0)));
+        Host host =
+                new Host(Host.with(Host.plain(), new Callers(100, Advice.NONE, 1_000_000, 0, false, 15_000_000, 0, 0)));
         List<String> all = new ArrayList<>();
         for (int i = 0; i < 400; i++) {
             host.at(1100 + 50L * i);
@@ -764,31 +905,45 @@
     @Test
     void badSettingsAreNamed() {
         assertThatThrownBy(() -> Host.settings(false, -1, 0, TWO, Host.kind(1, 2, Effect.IDEMPOTENT, 0, 0)))
-            .isInstanceOf(IllegalArgumentException.class).hasMessageContaining("memoryKb");
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("memoryKb");
         assertThatThrownBy(() -> Host.kind(3, 2, Effect.IDEMPOTENT, 0, 0))
-            .isInstanceOf(IllegalArgumentException.class).hasMessageContaining("aim");
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("aim");
         assertThatThrownBy(() -> Host.kind(1, 2, Effect.KEYED, 1.5, 0)).hasMessageContaining("lateWorth");
         assertThatThrownBy(() -> Host.kind(1, 2, Effect.KEYED, 0, 1.5)).hasMessageContaining("skipWorth");
         assertThatThrownBy(() -> new Callers(1, Advice.NONE, 0, 0, true, -1, 0, 0))
-            .isInstanceOf(IllegalArgumentException.class).hasMessageContaining("idle");
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("idle");
         assertThatThrownBy(() -> Host.kind(1, 2, null, 0, 0))
-            .isInstanceOf(IllegalArgumentException.class).hasMessageContaining("effect");
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining("effect");
     }
 
     @Test
     void theModuleStaysWithinItsBound() throws Exception {
         String deploy = Files.readString(Path.of("../deploy/balancer.toml"));
-        String policy = deploy.lines().filter(line -> line.startsWith("policy = ")).findFirst().orElseThrow();
-        List<Path> named = Pattern.compile("\"([^\"]+)\"").matcher(policy).results()
-            .map(one -> Path.of("..", one.group(1))).toList();
+        String policy = deploy.lines()
+                .filter(line -> line.startsWith("policy = "))
+                .findFirst()
+                .orElseThrow();
+        List<Path> named = Pattern.compile("\"([^\"]+)\"")
+                .matcher(policy)
+                .results()
+                .map(one -> Path.of("..", one.group(1)))
+                .toList();
         long lines = 0;
         for (Path file : named) {
-            lines += Files.readAllLines(file).stream().filter(line -> !line.isBlank()).count();
+            lines += Files.readAllLines(file).stream()
+                    .filter(line -> !line.isBlank())
+                    .count();
         }
         assertThat(lines).isLessThanOrEqualTo(1010);
         try (Stream<Path> there = Files.list(Path.of("src/main/java/wheatspread/admission/choice"))) {
-            assertThat(there.map(Path::getFileName)).as("all of the module is named and counted")
-                .containsExactlyInAnyOrderElementsOf(named.stream().map(Path::getFileName).toList());
+            assertThat(there.map(Path::getFileName))
+                    .as("all of the module is named and counted")
+                    .containsExactlyInAnyOrderElementsOf(
+                            named.stream().map(Path::getFileName).toList());
         }
     }
 }
--- a/server/src/test/java/wheatspread/admission/choice/Host.java
+++ b/server/src/test/java/wheatspread/admission/choice/Host.java
@@ -2,6 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import java.util.ArrayList;
+import java.util.List;
 import wheatspread.admission.Admission;
 import wheatspread.admission.Admission.Advice;
 import wheatspread.admission.Admission.Below;
@@ -15,8 +17,6 @@
 import wheatspread.admission.Admission.RequestClass;
 import wheatspread.admission.Admission.Settings;
 import wheatspread.admission.Admission.Tenant;
-import java.util.ArrayList;
-import java.util.List;
 
 /** Feeds one {@link Choice} and writes down what it does; times in milliseconds. */
 final class Host implements Admission.Actions {
@@ -35,34 +35,64 @@
     }
 
     static RequestClass kind(long aim, long deadline, Effect effect, double lateWorth, double skipWorth) {
-        return new RequestClass(aim * 1000, 0, deadline * 1000, effect, 1, lateWorth, 5_000_000, true,
-            skipWorth);
+        return new RequestClass(aim * 1000, 0, deadline * 1000, effect, 1, lateWorth, 5_000_000, true, skipWorth);
     }
 
-    static Settings settings(boolean cold, double memoryKb, double callsOut, List<Tenant> tenants,
-                             RequestClass... kinds) {
-        return new Settings(2, 4, cold, Halt.ABORT, 0, 2000,
-            new Limits(memoryKb, 4, 10, 5, 0.2, 10_000_000, 60_000, 1_000_000),
-            new Below(callsOut > 0 ? Dependency.SHARED : Dependency.NONE, callsOut, 5_000_000, 200_000),
-            new Callers(2, Advice.THRESHOLD, 1_000_000, 1_000_000, true, 15_000_000, 0, 0),
-            List.of(kinds), tenants);
+    static Settings settings(
+            boolean cold, double memoryKb, double callsOut, List<Tenant> tenants, RequestClass... kinds) {
+        return new Settings(
+                2,
+                4,
+                cold,
+                Halt.ABORT,
+                0,
+                2000,
+                new Limits(memoryKb, 4, 10, 5, 0.2, 10_000_000, 60_000, 1_000_000),
+                new Below(callsOut > 0 ? Dependency.SHARED : Dependency.NONE, callsOut, 5_000_000, 200_000),
+                new Callers(2, Advice.THRESHOLD, 1_000_000, 1_000_000, true, 15_000_000, 0, 0),
+                List.of(kinds),
+                tenants);
     }
 
     static Settings with(Settings s, Callers callers) {
-        return new Settings(s.cores(), s.servers(),
-            s.cold(), s.halt(), s.fresh(), s.resolution(), s.limits(), s.below(),
-            callers, s.classes(), s.tenants());
+        return new Settings(
+                s.cores(),
+                s.servers(),
+                s.cold(),
+                s.halt(),
+                s.fresh(),
+                s.resolution(),
+                s.limits(),
+                s.below(),
+                callers,
+                s.classes(),
+                s.tenants());
     }
 
     /** The same with answers of reads that may be shared for this long. */
     static Settings fresh(Settings s, long fresh) {
-        return new Settings(s.cores(), s.servers(), s.cold(), s.halt(), fresh * 1000, s.resolution(),
-            s.limits(), s.below(), s.callers(), s.classes(), s.tenants());
+        return new Settings(
+                s.cores(),
+                s.servers(),
+                s.cold(),
+                s.halt(),
+                fresh * 1000,
+                s.resolution(),
+                s.limits(),
+                s.below(),
+                s.callers(),
+                s.classes(),
+                s.tenants());
     }
 
     static Settings plain() {
-        return settings(false, 100_000, 0, List.of(new Tenant(1), new Tenant(1)),
-            kind(1000, 3000, Effect.IDEMPOTENT, 0, 0), kind(1000, 3000, Effect.KEYED, 0.2, 0));
+        return settings(
+                false,
+                100_000,
+                0,
+                List.of(new Tenant(1), new Tenant(1)),
+                kind(1000, 3000, Effect.IDEMPOTENT, 0, 0),
+                kind(1000, 3000, Effect.KEYED, 0.2, 0));
     }
 
     Host at(long time) {
--- a/server/src/test/java/wheatspread/admission/choice/RandomEventsTest.java
+++ b/server/src/test/java/wheatspread/admission/choice/RandomEventsTest.java
@@ -2,15 +2,6 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import wheatspread.admission.Admission.Advice;
-import wheatspread.admission.Admission.Callers;
-import wheatspread.admission.Admission.Effect;
-import wheatspread.admission.Admission.Gauges;
-import wheatspread.admission.Admission.Halt;
-import wheatspread.admission.Admission.Outcome;
-import wheatspread.admission.Admission.Request;
-import wheatspread.admission.Admission.Settings;
-import wheatspread.admission.Admission.Tenant;
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Deque;
@@ -24,6 +15,15 @@
 import java.util.Set;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.ValueSource;
+import wheatspread.admission.Admission.Advice;
+import wheatspread.admission.Admission.Callers;
+import wheatspread.admission.Admission.Effect;
+import wheatspread.admission.Admission.Gauges;
+import wheatspread.admission.Admission.Halt;
+import wheatspread.admission.Admission.Outcome;
+import wheatspread.admission.Admission.Request;
+import wheatspread.admission.Admission.Settings;
+import wheatspread.admission.Admission.Tenant;
 
 /**
  * Seeded random events, checked against the rules: one answer in time for each, effects once, memory, crowd
@@ -103,15 +103,29 @@
     }
 
     private static Settings settings(long seed, double memory) {
-        Settings base = Host.settings(seed % 2 == 0, memory, CALLS, List.of(new Tenant(1), new Tenant(2)),
-            Host.kind(800, DEADLINES[0], EFFECTS[0], 0, 0.5),
-            Host.kind(900, DEADLINES[1], EFFECTS[1], 0.2, 0),
-            Host.kind(900, DEADLINES[2], EFFECTS[2], 0.2, 0));
-        Callers callers = new Callers(900, Advice.values()[(int) (seed % 4)], 1_000_000, 1_000_000,
-            seed % 2 == 0, 30_000_000, 0.01, 0);
+        Settings base = Host.settings(
+                seed % 2 == 0,
+                memory,
+                CALLS,
+                List.of(new Tenant(1), new Tenant(2)),
+                Host.kind(800, DEADLINES[0], EFFECTS[0], 0, 0.5),
+                Host.kind(900, DEADLINES[1], EFFECTS[1], 0.2, 0),
+                Host.kind(900, DEADLINES[2], EFFECTS[2], 0.2, 0));
+        Callers callers = new Callers(
+                900, Advice.values()[(int) (seed % 4)], 1_000_000, 1_000_000, seed % 2 == 0, 30_000_000, 0.01, 0);
         long fresh = seed % 4 < 2 ? 1_000_000 : 0;
-        return new Settings(base.cores(), base.servers(), base.cold(), Halt.values()[(int) (seed % 3)], fresh,
-            base.resolution(), base.limits(), base.below(), callers, base.classes(), base.tenants());
+        return new Settings(
+                base.cores(),
+                base.servers(),
+                base.cold(),
+                Halt.values()[(int) (seed % 3)],
+                fresh,
+                base.resolution(),
+                base.limits(),
+                base.below(),
+                callers,
+                base.classes(),
+                base.tenants());
     }
 
     private void arrive(Host host, long id, Random random) {
@@ -119,15 +133,17 @@
         long age = random.nextInt(60);
         long repeated = 0;
         if (kind < 2 && random.nextInt(4) == 0) {
-            repeated = pinnedUntil.keySet().stream().filter(pinned -> kinds.get(pinned) == kind
-                && (kind == 1 || !failed.contains(pinned))).findFirst().orElse(0L);
+            repeated = pinnedUntil.keySet().stream()
+                    .filter(pinned -> kinds.get(pinned) == kind && (kind == 1 || !failed.contains(pinned)))
+                    .findFirst()
+                    .orElse(0L);
         }
         boolean further = random.nextInt(3) == 0;
         long told = DEADLINES[kind] / (kind == 2 ? 1 : 2);
         long left = random.nextInt(5) == 0 ? 0 : further ? 1 + random.nextInt((int) DEADLINES[kind]) : told;
         double hint = random.nextInt(4) == 0 ? 0 : 20_000 * Math.exp(random.nextGaussian());
-        host.arrive(new Request(id, random.nextInt(2), kind, age * 1000, left * 1000, repeated, further,
-            kind == 0, false, 20, hint));
+        host.arrive(new Request(
+                id, random.nextInt(2), kind, age * 1000, left * 1000, repeated, further, kind == 0, false, 20, hint));
         kinds.put(id, kind);
         dueAt.put(id, (left > 0 ? clock + left : clock - age + DEADLINES[kind]) + 60);
         held.add(id);
@@ -179,8 +195,11 @@
                 continue;
             }
             calling.remove(id);
-            Outcome outcome = late ? Outcome.TIMED_OUT : random.nextInt(8) == 0 ? Outcome.QUEUE_FULL
-                : random.nextInt(8) == 0 ? Outcome.FAILED : Outcome.OK;
+            Outcome outcome = late
+                    ? Outcome.TIMED_OUT
+                    : random.nextInt(8) == 0
+                            ? Outcome.QUEUE_FULL
+                            : random.nextInt(8) == 0 ? Outcome.FAILED : Outcome.OK;
             if (!dueAt.containsKey(id)) {
                 end(host, id, Outcome.CANCELED);
                 continue;
@@ -196,8 +215,10 @@
         }
         for (long join : new ArrayList<>(joining)) {
             long first = joins.get(join);
-            if (!held.contains(first) && !running.contains(first) && !standing.contains(first)
-                && !calling.containsKey(first)) {
+            if (!held.contains(first)
+                    && !running.contains(first)
+                    && !standing.contains(first)
+                    && !calling.containsKey(first)) {
                 joining.remove(join);
                 if (held.remove(join) && dueAt.remove(join) != null) {
                     host.ended(join, ran.contains(first) ? Outcome.OK : Outcome.FAILED, 100);
@@ -244,7 +265,9 @@
             }
             case "call" -> {
                 assertThat(standing.remove(id)).as("stands at a call: " + id).isTrue();
-                assertThat(kinds.get(id) != 0 && callMayHaveActed.contains(id)).as("call repeated").isFalse();
+                assertThat(kinds.get(id) != 0 && callMayHaveActed.contains(id))
+                        .as("call repeated")
+                        .isFalse();
                 calling.put(id, clock + 600);
                 callsMade++;
             }
@@ -261,7 +284,7 @@
             }
             case "pin" -> pinnedUntil.put(id, clock + 5000);
             case "unpin" -> pinnedUntil.remove(id);
-            default -> { }
+            default -> {}
         }
     }
 
@@ -270,8 +293,9 @@
         pinnedUntil.values().removeIf(until -> until < clock);
         lingering.removeIf(until -> until < clock);
         int begun = running.size() + standing.size() + calling.size();
-        assertThat(held.size() * 20 + begun * 80 + pinnedUntil.size() * 10).as("memory at " + clock)
-            .isLessThanOrEqualTo((int) memory);
+        assertThat(held.size() * 20 + begun * 80 + pinnedUntil.size() * 10)
+                .as("memory at " + clock)
+                .isLessThanOrEqualTo((int) memory);
         assertThat(begun).as("crowd").isLessThanOrEqualTo(10);
         callsInHand.add(calling.size() + lingering.size());
         if (callsInHand.size() > WINDOW / 10) {
--- a/server/src/test/java/wheatspread/announce/AnnounceClientTest.java
+++ b/server/src/test/java/wheatspread/announce/AnnounceClientTest.java
@@ -39,8 +39,11 @@
     }
 
     private void report(ServerSocket to) {
-        client = new AnnounceClient(new Bootstrap().group(loop).channel(NioSocketChannel.class),
-            (InetSocketAddress) to.getLocalSocketAddress(), "w1", EventLog.lines(line -> { }));
+        client = new AnnounceClient(
+                new Bootstrap().group(loop).channel(NioSocketChannel.class),
+                (InetSocketAddress) to.getLocalSocketAddress(),
+                "w1",
+                EventLog.lines(line -> {}));
         loop.submit(() -> client.announce(true)).syncUninterruptibly();
     }
 
@@ -57,7 +60,7 @@
             }
         }
         char[] body = new char[length];
-        for (int got = 0; got < length;) {
+        for (int got = 0; got < length; ) {
             got += from.read(body, got, length - got);
         }
         return head + " " + new String(body);
@@ -108,7 +111,8 @@
         list.close();
         first.close();
         loop.submit(() -> client.announce(false)).sync(); // nobody hears of the change
-        try (ServerSocket again = list(list.getLocalPort()); Socket next = again.accept()) {
+        try (ServerSocket again = list(list.getLocalPort());
+                Socket next = again.accept()) {
             assertThat(read(reader(next))).endsWith("{\"accepting\":\"false\"}");
         }
     }
--- a/server/src/test/java/wheatspread/commands/CommandsTest.java
+++ b/server/src/test/java/wheatspread/commands/CommandsTest.java
@@ -19,6 +19,7 @@
 
     @TempDir
     private Path dir;
+
     private String out;
     private String err;
 
@@ -39,8 +40,11 @@
 
     @Test
     void everyFaultOfEveryFileIsNamedWithItsPlace() throws IOException {
-        Path config = file("config.json", Files.readString(CONFIG).replace("\"127.0.0.1:9\", \"records\"",
-            "\"nowhere\", \"records\"").replace("\"Halt\": \"suspend\"", "\"Halt\": \"melt\""));
+        Path config = file(
+                "config.json",
+                Files.readString(CONFIG)
+                        .replace("\"127.0.0.1:9\", \"records\"", "\"nowhere\", \"records\"")
+                        .replace("\"Halt\": \"suspend\"", "\"Halt\": \"melt\""));
         Path operator = file("operator.json", """
             // what an operator wrote
             {
@@ -49,42 +53,57 @@
               "log": {"format": 'xml', "repeats": -1},
             }
             """);
-        assertThat(run("check", "--config", config.toString(), operator.toString())).isEqualTo(Exit.CONFIG);
-        assertThat(out.lines()).contains(
-            config + ":1: kernel is not host:port: nowhere",
-            config + ":9: settings.FamilyInfo.Halt is an unknown word: melt; allowed are [abort, silent, "
-                + "suspend]",
-            operator + ":3: transport is an unknown word: pigeon; allowed are [auto, epoll, nio]",
-            operator + ":4: uwsgi.defaults.class is none of [stew, save]: soup",
-            operator + ":4: uwsgi.max_body is missing or not a number: big; allowed is 0 to 1048576",
-            operator + ":5: log.format is an unknown word: xml; allowed are [json, text]",
-            operator + ":5: log.repeats is -1, not from 0 to 1000000", "7 faults");
+        assertThat(run("check", "--config", config.toString(), operator.toString()))
+                .isEqualTo(Exit.CONFIG);
+        assertThat(out.lines())
+                .contains(
+                        config + ":1: kernel is not host:port: nowhere",
+                        config + ":9: settings.FamilyInfo.Halt is an unknown word: melt; allowed are [abort, silent, "
+                                + "suspend]",
+                        operator + ":3: transport is an unknown word: pigeon; allowed are [auto, epoll, nio]",
+                        operator + ":4: uwsgi.defaults.class is none of [stew, save]: soup",
+                        operator + ":4: uwsgi.max_body is missing or not a number: big; allowed is 0 to 1048576",
+                        operator + ":5: log.format is an unknown word: xml; allowed are [json, text]",
+                        operator + ":5: log.repeats is -1, not from 0 to 1000000",
+                        "7 faults");
         assertThat(run("check", "--config", CONFIG.toString())).isZero();
         assertThat(run("show-config", "--config", config.toString())).isEqualTo(Exit.CONFIG);
-        assertThat(err).startsWith("wheatspread: configuration: ").contains("(and 1 more").hasLineCount(1);
+        assertThat(err)
+                .startsWith("wheatspread: configuration: ")
+                .contains("(and 1 more")
+                .hasLineCount(1);
     }
 
     @Test
     void whatIsNoJsonIsToldWithItsLine() throws IOException {
-        for (String text : new String[] {"{\n \"report_s\": 1,\n \"report_s\": 2}", "{\n\n  \"log\" 3}",
-            "{\n\n",
-            "{}\n\n[]"}) {
-            assertThat(run("check", "--config", CONFIG.toString(), file("bad.json", text).toString()))
-                .isEqualTo(Exit.CONFIG);
+        for (String text :
+                new String[] {"{\n \"report_s\": 1,\n \"report_s\": 2}", "{\n\n  \"log\" 3}", "{\n\n", "{}\n\n[]"}) {
+            assertThat(run(
+                            "check",
+                            "--config",
+                            CONFIG.toString(),
+                            file("bad.json", text).toString()))
+                    .isEqualTo(Exit.CONFIG);
             assertThat(out).startsWith(dir.resolve("bad.json") + ":3: ").endsWith("1 fault\n");
         }
-        assertThat(run("check", "--config", CONFIG.toString(), dir.resolve("none.json").toString()))
-            .isEqualTo(Exit.CONFIG);
+        assertThat(run(
+                        "check",
+                        "--config",
+                        CONFIG.toString(),
+                        dir.resolve("none.json").toString()))
+                .isEqualTo(Exit.CONFIG);
         assertThat(out).contains("none.json cannot be read: there is no such file");
     }
 
     @Test
     void whatHoldsIsShownWithWhereItComesFrom() throws IOException {
         Path operator = file("operator.json", "{\n# nobody reads it\n\"report_s\": 7}");
-        assertThat(run("show-config", "--config", CONFIG.toString(), operator.toString())).isZero();
-        assertThat(out).containsPattern("report_s +7  \\(.*operator.json:3\\)")
-            .containsPattern("connections.accept_burst +\\d+  \\(default\\)")
-            .containsPattern("stop_ms +4000  \\(.*config.json:2\\)");
+        assertThat(run("show-config", "--config", CONFIG.toString(), operator.toString()))
+                .isZero();
+        assertThat(out)
+                .containsPattern("report_s +7  \\(.*operator.json:3\\)")
+                .containsPattern("connections.accept_burst +\\d+  \\(default\\)")
+                .containsPattern("stop_ms +4000  \\(.*config.json:2\\)");
         assertThat(run("show-config", "--json", "--config", CONFIG.toString())).isZero();
         assertThat(new JSONArray(out).getJSONObject(0).keySet()).contains("key", "value", "origin", "file");
     }
@@ -97,7 +116,8 @@
         assertThat(run("fleet")).isEqualTo(Exit.USAGE);
         assertThat(run("import-nginx", dir.resolve("none").toString(), "x")).isEqualTo(Exit.NO_INPUT);
         Path conf = file("bad.conf", "location { ");
-        assertThat(run("import-nginx", conf.toString(), dir.resolve("x").toString())).isEqualTo(Exit.DATA);
+        assertThat(run("import-nginx", conf.toString(), dir.resolve("x").toString()))
+                .isEqualTo(Exit.DATA);
         assertThat(run("--help")).isZero();
         assertThat(out).contains("Examples:", "import-nginx", "fleet").doesNotContain("train");
         assertThat(run("completion")).isZero();
@@ -123,11 +143,14 @@
                  "listen": "127.0.0.1:7001"}]}
             """);
         assertThat(run("check", "--fleet", bad.toString())).isEqualTo(Exit.CONFIG);
-        assertThat(out).contains("bad.json:1: build is none of [v1, v2]: v3",
-            "bad.json:1: builds.v1.command names no program", "builds.v2.comand is an unknown key",
-            "bad.json:3: roll.out_share is 2.0, not from 0.0 to 1.0",
-                "bad.json:4: members[1].name is no name: n 1",
-            "members[1].listen is that of another member too");
+        assertThat(out)
+                .contains(
+                        "bad.json:1: build is none of [v1, v2]: v3",
+                        "bad.json:1: builds.v1.command names no program",
+                        "builds.v2.comand is an unknown key",
+                        "bad.json:3: roll.out_share is 2.0, not from 0.0 to 1.0",
+                        "bad.json:4: members[1].name is no name: n 1",
+                        "members[1].listen is that of another member too");
     }
 
     @Test
@@ -135,19 +158,30 @@
         Path fleet = fleet();
         assertThat(run("fleet", "status", fleet.toString())).isEqualTo(Exit.TRY_LATER);
         Files.createDirectories(dir.resolve("run"));
-        JSONObject member = new JSONObject().put("name", "n1").put("state", "UP").put("stale", false)
-            .put("wanted", true).put("build", "v1").put("generation", 3).put("pid", 77).put("in_state_ms",
-                5_000)
-            .put("heard_ms", 120).put("served", 9);
-        JSONObject status = new JSONObject().put("at", System.currentTimeMillis()).put("pid", 5)
-            .put("going_down", false).put("members", new JSONArray().put(member));
+        JSONObject member = new JSONObject()
+                .put("name", "n1")
+                .put("state", "UP")
+                .put("stale", false)
+                .put("wanted", true)
+                .put("build", "v1")
+                .put("generation", 3)
+                .put("pid", 77)
+                .put("in_state_ms", 5_000)
+                .put("heard_ms", 120)
+                .put("served", 9);
+        JSONObject status = new JSONObject()
+                .put("at", System.currentTimeMillis())
+                .put("pid", 5)
+                .put("going_down", false)
+                .put("members", new JSONArray().put(member));
         Files.writeString(dir.resolve("run/status.json"), status.toString());
         assertThat(run("fleet", "status", "--once", fleet.toString())).isZero();
         assertThat(out).contains("supervisor 5").containsPattern("n1 +UP +v1 +3 +77 +5 +120 +9");
         Files.writeString(dir.resolve("run/status.json"), status.put("at", 1).toString());
         assertThat(run("fleet", "status", fleet.toString())).isEqualTo(Exit.UNAVAILABLE);
         assertThat(out).contains("what follows is old");
-        assertThat(new Spool(dir.resolve("run")).ask(new JSONObject().put("do", "down"), 0)).isNull();
+        assertThat(new Spool(dir.resolve("run")).ask(new JSONObject().put("do", "down"), 0))
+                .isNull();
         assertThat(dir.resolve("run/commands")).isDirectoryContaining("glob:**.json");
     }
 }
--- a/server/src/test/java/wheatspread/commands/StoreCommandTest.java
+++ b/server/src/test/java/wheatspread/commands/StoreCommandTest.java
@@ -25,28 +25,31 @@
 class StoreCommandTest {
     @TempDir
     private Path folder;
+
     private String out;
     private String err;
 
     @BeforeEach
     void fill() throws IOException {
         StoreSettings settings = StoreSettings.DEFAULT.withSizes(4_096, 1 << 20, 4_096);
-        Store store = Store.open(FolderDisk.make(folder), settings, Store.Time.SYSTEM, Runnable::run,
-            EventLog.NONE);
+        Store store = Store.open(FolderDisk.make(folder), settings, Store.Time.SYSTEM, Runnable::run, EventLog.NONE);
         for (int i = 0; i < 300; i++) {
-            store.put(("key " + i % 30).getBytes(StandardCharsets.UTF_8), ("value " + i).getBytes(
-                StandardCharsets.UTF_8), 0, (outcome, reason) -> { });
+            store.put(
+                    ("key " + i % 30).getBytes(StandardCharsets.UTF_8),
+                    ("value " + i).getBytes(StandardCharsets.UTF_8),
+                    0,
+                    (outcome, reason) -> {});
         }
-        store.put(new byte[] {(byte) 0xFF}, new byte[] {(byte) 0xFE}, 0, (outcome, reason) -> { });
+        store.put(new byte[] {(byte) 0xFF}, new byte[] {(byte) 0xFE}, 0, (outcome, reason) -> {});
         store.close();
     }
 
     private int run(String... args) {
         StringWriter told = new StringWriter();
         StringWriter complained = new StringWriter();
-        CommandLine line = Wheatspread.commands().setOut(new PrintWriter(told)).setErr(
-            new PrintWriter(complained));
-        int code = line.execute(Stream.concat(Stream.of("store"), Stream.of(args)).toArray(String[]::new));
+        CommandLine line = Wheatspread.commands().setOut(new PrintWriter(told)).setErr(new PrintWriter(complained));
+        int code =
+                line.execute(Stream.concat(Stream.of("store"), Stream.of(args)).toArray(String[]::new));
         out = told.toString();
         err = complained.toString();
         return code;
@@ -55,7 +58,8 @@
     private Path longestLog() throws IOException {
         try (Stream<Path> files = Files.list(folder)) {
             return files.filter(one -> one.toString().endsWith(".log"))
-                .max(Comparator.comparingLong(one -> one.toFile().length())).orElseThrow();
+                    .max(Comparator.comparingLong(one -> one.toFile().length()))
+                    .orElseThrow();
         }
     }
 
@@ -64,9 +68,8 @@
         assertThat(run("check", folder.toString())).isZero();
         assertThat(out).contains("31 keys, nothing is lost");
         assertThat(run("dump", folder.toString(), "--prefix", "key 7")).isZero();
-        assertThat(new org.json.JSONObject(out).toMap()).isEqualTo(Map.of("key", "key 7", "value",
-            "value 277",
-            "expires_ms", 0));
+        assertThat(new org.json.JSONObject(out).toMap())
+                .isEqualTo(Map.of("key", "key 7", "value", "value 277", "expires_ms", 0));
         assertThat(run("dump", folder.toString())).isZero();
         assertThat(out.lines()).hasSize(31).anyMatch(line -> line.contains("\"key64\":\"/w==\""));
         assertThat(run("compact", folder.toString())).isZero();
--- a/server/src/test/java/wheatspread/config/ConfigTest.java
+++ b/server/src/test/java/wheatspread/config/ConfigTest.java
@@ -19,8 +19,7 @@
     private static final Path PLATFORM = Path.of("src/test/resources/config.json");
     private static final Path OPERATOR = Path.of("src/test/resources/operator.json");
 
-    private static Map<String, Object> changed(Path file, String pointer, String key, String value)
-        throws IOException {
+    private static Map<String, Object> changed(Path file, String pointer, String key, String value) throws IOException {
         JSONObject json = new JSONObject(Files.readString(file));
         Object at = pointer.isEmpty() ? json : new JSONPointer(pointer).queryFrom(json);
         ((JSONObject) at).put(key, JSONObject.stringToValue(value));
@@ -28,24 +27,27 @@
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "|kernel|nowhere|kernel is not host:port: nowhere",
-        "|listen|127.0.0.1:70000|listen is not host:port",
-        "|records|null|records is missing or not text",
-        "|stop_ms|soon|stop_ms is missing or not a number",
-        "|stop_ms|5|stop_ms is 5, not from 100",
-        "|seed|xyz|seed is not up to 16 hex digits",
-        "|settings|3|settings is not an object",
-        "/limits|sockets|8|limits.sockets is 8",
-        "/settings/FamilyInfo|Halt|melt|settings.FamilyInfo.Halt is an unknown word: melt",
-        "/settings/FamilyInfo|MemoryKb|much|settings.FamilyInfo.MemoryKb is missing or not a number",
-        "/settings/Lanes/1|Deadline|null|settings.Lanes[1].Deadline is missing or not a number",
-        "/settings/Lanes/0|Name|7|settings.Lanes[0].Name is missing or not text"})
-    void aFaultyPlatformKeyIsNamed(String pointer, String key, String value, String complaint)
-        throws IOException {
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "|kernel|nowhere|kernel is not host:port: nowhere",
+                "|listen|127.0.0.1:70000|listen is not host:port",
+                "|records|null|records is missing or not text",
+                "|stop_ms|soon|stop_ms is missing or not a number",
+                "|stop_ms|5|stop_ms is 5, not from 100",
+                "|seed|xyz|seed is not up to 16 hex digits",
+                "|settings|3|settings is not an object",
+                "/limits|sockets|8|limits.sockets is 8",
+                "/settings/FamilyInfo|Halt|melt|settings.FamilyInfo.Halt is an unknown word: melt",
+                "/settings/FamilyInfo|MemoryKb|much|settings.FamilyInfo.MemoryKb is missing or not a number",
+                "/settings/Lanes/1|Deadline|null|settings.Lanes[1].Deadline is missing or not a number",
+                "/settings/Lanes/0|Name|7|settings.Lanes[0].Name is missing or not text"
+            })
+    void aFaultyPlatformKeyIsNamed(String pointer, String key, String value, String complaint) throws IOException {
         Map<String, Object> told = changed(PLATFORM, pointer == null ? "" : pointer, key, value);
-        assertThatThrownBy(() -> ServerConfig.read(Fields.of(told, ""))).isInstanceOf(Fields.BadValue.class)
-            .hasMessageContaining(complaint);
+        assertThatThrownBy(() -> ServerConfig.read(Fields.of(told, "")))
+                .isInstanceOf(Fields.BadValue.class)
+                .hasMessageContaining(complaint);
     }
 
     /** Guards against a start that ends for want of an address which nothing at this site would use. */
@@ -59,45 +61,56 @@
         ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
         assertThat(config.records()).isNull();
         assertThat(config.announce()).isNull();
-        told.getJSONObject("settings").getJSONObject("FamilyInfo").put("DependsOn", "shared")
-            .put("ClassCalls", List.of(false, false));
+        told.getJSONObject("settings")
+                .getJSONObject("FamilyInfo")
+                .put("DependsOn", "shared")
+                .put("ClassCalls", List.of(false, false));
         assertThat(ServerConfig.read(Fields.of(told.toMap(), "")).records()).isNull();
-        assertThatThrownBy(() -> calling.requireWhatItHad(config)).isInstanceOf(Fields.BadValue.class)
-            .hasMessageContaining("records is missing, and this server has used");
+        assertThatThrownBy(() -> calling.requireWhatItHad(config))
+                .isInstanceOf(Fields.BadValue.class)
+                .hasMessageContaining("records is missing, and this server has used");
     }
 
     @ParameterizedTest
-    @CsvSource(delimiter = '|', value = {
-        "/uwsgi|listen|null|uwsgi.listen is missing or not text",
-        "/uwsgi|max_conections|3|uwsgi.max_conections is an unknown key",
-        "/uwsgi|max_body|-1|uwsgi.max_body is -1, not from 0",
-        "/uwsgi|read_timeout_ms|1.5|uwsgi.read_timeout_ms is not an integer",
-        "/uwsgi/defaults|class|soup|uwsgi.defaults.class is none of [stew, save]: soup",
-        "/uwsgi/defaults|ram_kb|-2|uwsgi.defaults.ram_kb is out of range",
-        "/uwsgi/routes/1|match|like|uwsgi.routes[1].match is an unknown word: like",
-        "/uwsgi/routes/1|tenant|east|uwsgi.routes[1].tenant is none of [north, south]: east"})
-    void aFaultyOperatorKeyIsNamed(String pointer, String key, String value, String complaint)
-        throws IOException {
+    @CsvSource(
+            delimiter = '|',
+            value = {
+                "/uwsgi|listen|null|uwsgi.listen is missing or not text",
+                "/uwsgi|max_conections|3|uwsgi.max_conections is an unknown key",
+                "/uwsgi|max_body|-1|uwsgi.max_body is -1, not from 0",
+                "/uwsgi|read_timeout_ms|1.5|uwsgi.read_timeout_ms is not an integer",
+                "/uwsgi/defaults|class|soup|uwsgi.defaults.class is none of [stew, save]: soup",
+                "/uwsgi/defaults|ram_kb|-2|uwsgi.defaults.ram_kb is out of range",
+                "/uwsgi/routes/1|match|like|uwsgi.routes[1].match is an unknown word: like",
+                "/uwsgi/routes/1|tenant|east|uwsgi.routes[1].tenant is none of [north, south]: east"
+            })
+    void aFaultyOperatorKeyIsNamed(String pointer, String key, String value, String complaint) throws IOException {
         ServerConfig config = ServerConfig.read(Fields.of(changed(PLATFORM, "", "name", "w1"), ""));
         Fields told = Fields.of(changed(OPERATOR, pointer, key, value), "").object("uwsgi", false);
-        assertThatThrownBy(() -> UwsgiConfig.read(told, config.site())).isInstanceOf(Fields.BadValue.class)
-            .hasMessageContaining(complaint);
+        assertThatThrownBy(() -> UwsgiConfig.read(told, config.site()))
+                .isInstanceOf(Fields.BadValue.class)
+                .hasMessageContaining(complaint);
     }
 
     @Test
     void theOperatorsFileInDeployIsReadAndRoutesInheritItsDefaults() throws IOException {
         JSONObject platform = new JSONObject(Files.readString(PLATFORM));
         String[] classes = {"recipe-page", "search", "ingredients", "save-plan"};
-        JSONObject lane = platform.getJSONObject("settings").getJSONArray("Lanes").getJSONObject(0);
+        JSONObject lane =
+                platform.getJSONObject("settings").getJSONArray("Lanes").getJSONObject(0);
         for (int i = 0; i < classes.length; i++) {
-            platform.getJSONObject("settings").getJSONArray("Lanes")
-                .put(i, new JSONObject(lane.toString()).put("Name", classes[i]));
+            platform.getJSONObject("settings")
+                    .getJSONArray("Lanes")
+                    .put(i, new JSONObject(lane.toString()).put("Name", classes[i]));
         }
-        platform.getJSONObject("settings").getJSONArray("Parties").getJSONObject(0).put("Name", "main-site");
+        platform.getJSONObject("settings")
+                .getJSONArray("Parties")
+                .getJSONObject(0)
+                .put("Name", "main-site");
         ServerConfig config = ServerConfig.read(Fields.of(platform.toMap(), ""));
-        UwsgiConfig uwsgi = OperatorConfig.readFile(Path.of("../deploy/uwsgi.json"), config.site()).uwsgi();
-        assertThat(uwsgi.routes().get(0).defaults())
-            .isEqualTo(new UwsgiConfig.Defaults(3, 0, 0, 410_000, 24));
+        UwsgiConfig uwsgi = OperatorConfig.readFile(Path.of("../deploy/uwsgi.json"), config.site())
+                .uwsgi();
+        assertThat(uwsgi.routes().get(0).defaults()).isEqualTo(new UwsgiConfig.Defaults(3, 0, 0, 410_000, 24));
     }
 
     @Test
@@ -105,47 +118,50 @@
         JSONObject platform = new JSONObject(Files.readString(PLATFORM));
         ServerConfig config = ServerConfig.read(Fields.of(platform.toMap(), ""));
         Map<String, String> complaints = Map.of(
-            "{'connections': {'max_per_source': -1}}",
-                "connections.max_per_source is -1, not from 0 to 1048576",
-            "{'connections': {'idle_ms': 5}}",
-                "connections.idle_ms is an unknown key; known are [accept_burst",
-            "{'connections': {'refused': 'maybe'}}", "connections.refused is an unknown word: maybe",
-            "{'turns': {'read_us': 'much'}}", "turns.read_us is missing or not a number",
-            "{'transport': 'pigeon'}", "transport is an unknown word: pigeon",
-            "{'turns': {'expiring': 0}}", "turns.expiring is 0, not from 1 to 100000",
-            "{'upstream': {}}",
-                "upstream is an unknown key; known are [connections, life, log, membership, report_s");
+                "{'connections': {'max_per_source': -1}}", "connections.max_per_source is -1, not from 0 to 1048576",
+                "{'connections': {'idle_ms': 5}}", "connections.idle_ms is an unknown key; known are [accept_burst",
+                "{'connections': {'refused': 'maybe'}}", "connections.refused is an unknown word: maybe",
+                "{'turns': {'read_us': 'much'}}", "turns.read_us is missing or not a number",
+                "{'transport': 'pigeon'}", "transport is an unknown word: pigeon",
+                "{'turns': {'expiring': 0}}", "turns.expiring is 0, not from 1 to 100000",
+                "{'upstream': {}}",
+                        "upstream is an unknown key; known are [connections, life, log, membership, report_s");
         for (var one : complaints.entrySet()) {
-            Path file = Files.writeString(Files.createTempFile("operator", ".json"),
-                one.getKey().replace('\'', '"'));
+            Path file = Files.writeString(
+                    Files.createTempFile("operator", ".json"), one.getKey().replace('\'', '"'));
             assertThatThrownBy(() -> OperatorConfig.readFile(file, config.site()))
-                .hasMessageStartingWith(file + ":1: " + one.getValue());
+                    .hasMessageStartingWith(file + ":1: " + one.getValue());
             Files.delete(file);
         }
     }
 
     @Test
     void membershipIsOffWithoutItsKeyAndHasNoAddressOfItsOwn() throws Exception {
-        ServerConfig config = ServerConfig.read(Fields.of(new JSONObject(Files.readString(PLATFORM)).toMap(),
-            ""));
+        ServerConfig config = ServerConfig.read(Fields.of(new JSONObject(Files.readString(PLATFORM)).toMap(), ""));
         assertThat(OperatorConfig.NONE.membership()).isNull();
         assertThat(readOperator("{}", config).membership()).isNull();
         String whole = "'cluster': 'k', 'listen': '127.0.0.1:7400', 'seeds': ['127.0.0.1:7400']";
-        assertThat(readOperator("{'membership': {" + whole + "}}", config).membership()).isEqualTo(
-            new MembershipConfig("k", new InetSocketAddress("127.0.0.1", 7400), "127.0.0.1:7400",
-                List.of("127.0.0.1:7400"), ""));
+        assertThat(readOperator("{'membership': {" + whole + "}}", config).membership())
+                .isEqualTo(new MembershipConfig(
+                        "k",
+                        new InetSocketAddress("127.0.0.1", 7400),
+                        "127.0.0.1:7400",
+                        List.of("127.0.0.1:7400"),
+                        ""));
         Map<String, String> complaints = Map.of(
-            "{'membership': {}}", "membership.cluster is missing or not text",
-            "{'membership': true}", "membership is not an object: true",
-            "{'membership': {'cluster': 'k', 'seeds': ['127.0.0.1:1']}}",
+                "{'membership': {}}",
+                "membership.cluster is missing or not text",
+                "{'membership': true}",
+                "membership is not an object: true",
+                "{'membership': {'cluster': 'k', 'seeds': ['127.0.0.1:1']}}",
                 "membership.listen is missing or not text",
-            "{'membership': {'cluster': 'k', 'listen': 'here:1', 'seeds': ['127.0.0.1:1']}}",
+                "{'membership': {'cluster': 'k', 'listen': 'here:1', 'seeds': ['127.0.0.1:1']}}",
                 "membership.listen is no IPv4 address and port, as 10.0.0.7:7400: here:1",
-            "{'membership': {'cluster': 'k', 'listen': '0.0.0.0:1', 'seeds': ['127.0.0.1:1']}}",
+                "{'membership': {'cluster': 'k', 'listen': '0.0.0.0:1', 'seeds': ['127.0.0.1:1']}}",
                 "membership.advertise is missing; with listen on all addresses",
-            "{'membership': {'cluster': 'k', 'listen': '127.0.0.1:1'}}",
+                "{'membership': {'cluster': 'k', 'listen': '127.0.0.1:1'}}",
                 "membership.seeds holds 0 addresses; allowed are 1 to 32",
-            "{'membership': {" + whole + ", 'port': 5}}",
+                "{'membership': {" + whole + ", 'port': 5}}",
                 "membership.port is an unknown key; known are [advertise, cluster, listen, seeds, zone]");
         for (var one : complaints.entrySet()) {
             assertThatThrownBy(() -> readOperator(one.getKey(), config)).hasMessageContaining(one.getValue());
--- a/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
+++ b/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
@@ -23,13 +23,28 @@
     private final List<String> heard = new ArrayList<>();
     /** Those that take some of what waits for them whenever they are looked at. */
     private final Set<String> advancing = new HashSet<>();
+
     private long now = 50 * SECOND;
     private int changes;
     private ConnectionTable table = table(4, 0, 0);
 
     private ConnectionTable table(int most, int ofSource, long idle) {
-        return new ConnectionTable(new ConnectionLimits(most, ofSource, 100, 2, 2 * SECOND, 3 * SECOND, idle,
-            SECOND, SECOND / 5, 1_000, 1_000, Refusal.CLOSE), now, () -> changes++);
+        return new ConnectionTable(
+                new ConnectionLimits(
+                        most,
+                        ofSource,
+                        100,
+                        2,
+                        2 * SECOND,
+                        3 * SECOND,
+                        idle,
+                        SECOND,
+                        SECOND / 5,
+                        1_000,
+                        1_000,
+                        Refusal.CLOSE),
+                now,
+                () -> changes++);
     }
 
     private final class Named implements Caller {
@@ -129,15 +144,18 @@
         assertThat(expire(2 * SECOND)).containsExactly("silent leaves");
         table.read(half, now, false, 0, 6);
         table.read(used, now, true, 0, 0);
-        assertThat(expire(SECOND)).as("its time runs from its first byte, however it trickles")
-            .containsExactly("half leaves", "silent closed");
+        assertThat(expire(SECOND))
+                .as("its time runs from its first byte, however it trickles")
+                .containsExactly("half leaves", "silent closed");
         assertThat(expire(SECOND)).as("a caller that does not take the end").containsExactly("half closed");
         assertThat(expire(6 * SECOND)).containsExactly("rests leaves");
         assertThat(expire(2 * SECOND)).containsExactly("used leaves", "rests closed");
         assertThat(expire(SECOND)).containsExactly("used closed");
-        assertThat(table.soonest()).as("who waits for an answer has no limit here").isEqualTo(Long.MAX_VALUE);
-        assertThat(Arrays.toString(table.counters().fields())).contains("closed_silent, 1", "closed_half, 1",
-            "closed_idle, 2", "closed_lingering, 4");
+        assertThat(table.soonest())
+                .as("who waits for an answer has no limit here")
+                .isEqualTo(Long.MAX_VALUE);
+        assertThat(Arrays.toString(table.counters().fields()))
+                .contains("closed_silent, 1", "closed_half, 1", "closed_idle, 2", "closed_lingering, 4");
     }
 
     /** A slow reader gets its answers as long as it takes some; one that takes none is cut off. */
@@ -328,7 +346,10 @@
         }
         assertThat(heard).hasSize(19_000 - 25).containsOnly("c leaves");
         expire(SECOND);
-        assertThat(heard).as("who does not take the end is cut off").hasSize(100).containsOnly("c closed");
+        assertThat(heard)
+                .as("who does not take the end is cut off")
+                .hasSize(100)
+                .containsOnly("c closed");
     }
 
     @Test
@@ -359,8 +380,7 @@
         for (int step = 0; step < 400; step++) {
             now += random.nextInt(300_000);
             heard.clear();
-            Connection c = model.isEmpty() ? null
-                : new ArrayList<>(model.values()).get(random.nextInt(model.size()));
+            Connection c = model.isEmpty() ? null : new ArrayList<>(model.values()).get(random.nextInt(model.size()));
             switch (random.nextInt(8)) {
                 case 0, 1 -> {
                     String victim = model.size() < 12 ? null : victim(model);
@@ -392,7 +412,9 @@
             }
             model.values().removeIf(one -> one.state() == State.GONE);
             assertThat(table.size()).isEqualTo(model.size());
-            assertThat(table.held()).isEqualTo(model.values().stream().mapToLong(one -> one.held).sum());
+            assertThat(table.held())
+                    .isEqualTo(
+                            model.values().stream().mapToLong(one -> one.held).sum());
         }
     }
 
@@ -403,11 +425,11 @@
     }
 
     /** Those that had no time to speak, the silent ones first; null where all wait for answers. */
-    private static String young(Map<String, Connection> model,
-                                Comparator<Map.Entry<String, Connection>> longest) {
+    private static String young(Map<String, Connection> model, Comparator<Map.Entry<String, Connection>> longest) {
         for (State state : List.of(State.NEW, State.SPEAKING)) {
-            var found = model.entrySet().stream().filter(e -> e.getValue().state() == state
-                && e.getValue().open() == 0).min(longest);
+            var found = model.entrySet().stream()
+                    .filter(e -> e.getValue().state() == state && e.getValue().open() == 0)
+                    .min(longest);
             if (found.isPresent()) {
                 return found.get().getKey();
             }
@@ -419,27 +441,37 @@
     private String victim(Map<String, Connection> model) {
         long before = now - SECOND / 5;
         Comparator<Map.Entry<String, Connection>> longest = Comparator.comparingLong(e -> e.getValue().since);
-        var lingering = model.entrySet().stream().filter(e -> e.getValue().state() == State.LINGERING)
-            .toList();
+        var lingering = model.entrySet().stream()
+                .filter(e -> e.getValue().state() == State.LINGERING)
+                .toList();
         if (!lingering.isEmpty()) {
             // several may have ended at one time, so the list tells which was the first of them
-            var head = lingering.stream().filter(e -> e.getValue().previous == null).findFirst()
-                .orElseThrow();
-            assertThat(head.getValue().since).isEqualTo(lingering.stream().min(longest).orElseThrow()
-                .getValue().since);
+            var head = lingering.stream()
+                    .filter(e -> e.getValue().previous == null)
+                    .findFirst()
+                    .orElseThrow();
+            assertThat(head.getValue().since)
+                    .isEqualTo(lingering.stream().min(longest).orElseThrow().getValue().since);
             return head.getKey();
         }
-        var silent = model.entrySet().stream().filter(e -> e.getValue().state() == State.NEW).min(longest);
+        var silent = model.entrySet().stream()
+                .filter(e -> e.getValue().state() == State.NEW)
+                .min(longest);
         if (silent.isPresent() && silent.get().getValue().since < before) {
             return silent.get().getKey();
         }
-        var half = model.entrySet().stream().filter(e -> e.getValue().state() == State.SPEAKING).min(longest);
-        if (half.isPresent() && half.get().getValue().since < before && half.get().getValue().open() == 0) {
+        var half = model.entrySet().stream()
+                .filter(e -> e.getValue().state() == State.SPEAKING)
+                .min(longest);
+        if (half.isPresent()
+                && half.get().getValue().since < before
+                && half.get().getValue().open() == 0) {
             return half.get().getKey();
         }
         Map<Long, Integer> resting = new HashMap<>();
-        model.values().stream().filter(c -> c.state() == State.RESTING)
-            .forEach(c -> resting.merge(c.source.address, 1, Integer::sum));
+        model.values().stream()
+                .filter(c -> c.state() == State.RESTING)
+                .forEach(c -> resting.merge(c.source.address, 1, Integer::sum));
         int most = resting.values().stream().mapToInt(i -> i).max().orElse(0);
         Connection chosen = table.mostAtRest();
         if (chosen == null) {
@@ -447,7 +479,10 @@
             return young(model, longest);
         }
         assertThat(resting.get(chosen.source.address)).isEqualTo(most);
-        return model.entrySet().stream().filter(e -> e.getValue().state() == State.RESTING
-            && e.getValue().source == chosen.source).min(longest).orElseThrow().getKey();
+        return model.entrySet().stream()
+                .filter(e -> e.getValue().state() == State.RESTING && e.getValue().source == chosen.source)
+                .min(longest)
+                .orElseThrow()
+                .getKey();
     }
 }
--- a/server/src/test/java/wheatspread/core/CoreTest.java
+++ b/server/src/test/java/wheatspread/core/CoreTest.java
@@ -34,24 +34,36 @@
 
     @BeforeEach
     void start() {
-        RequestClass keyed = new RequestClass(3 * SECOND, 0, 9 * SECOND, Admission.Effect.KEYED, 5, 0,
-            20 * SECOND, true, 0);
-        Admission.Settings settings = new Admission.Settings(2, 1, false, Admission.Halt.SUSPEND, 0, 4_000,
-            new Admission.Limits(20_000, 8, 10, 6, 0.2, SECOND, 60_000, 5 * SECOND / 2),
-            new Admission.Below(Admission.Dependency.SHARED, 4, SECOND, 0),
-            new Admission.Callers(1, Admission.Advice.NONE, 0, 0, true, 0, 0, 0), List.of(keyed), List.of());
-        core = new Core(new Site(settings, List.of("save"), List.of(), List.of()), s -> new Scripted(),
-            new FakeClock(), (job, body, patience, listener) -> () -> { }, accepting -> { },
-            EventLog.lines(log::add));
+        RequestClass keyed =
+                new RequestClass(3 * SECOND, 0, 9 * SECOND, Admission.Effect.KEYED, 5, 0, 20 * SECOND, true, 0);
+        Admission.Settings settings = new Admission.Settings(
+                2,
+                1,
+                false,
+                Admission.Halt.SUSPEND,
+                0,
+                4_000,
+                new Admission.Limits(20_000, 8, 10, 6, 0.2, SECOND, 60_000, 5 * SECOND / 2),
+                new Admission.Below(Admission.Dependency.SHARED, 4, SECOND, 0),
+                new Admission.Callers(1, Admission.Advice.NONE, 0, 0, true, 0, 0, 0),
+                List.of(keyed),
+                List.of());
+        core = new Core(
+                new Site(settings, List.of("save"), List.of(), List.of()),
+                s -> new Scripted(),
+                new FakeClock(),
+                (job, body, patience, listener) -> () -> {},
+                accepting -> {},
+                EventLog.lines(log::add));
         core.attach(new FakeKernel());
         core.booted(false, 0);
         settle();
     }
 
     private Long submit(String job, String key) {
-        return core.submit(new Submission(job, 0, 0, now, now + 8 * SECOND, true, false, 20, 0, key, null,
-            new byte[0]),
-            answer -> answers.add(job + " " + answer.kind()));
+        return core.submit(
+                new Submission(job, 0, 0, now, now + 8 * SECOND, true, false, 20, 0, key, null, new byte[0]),
+                answer -> answers.add(job + " " + answer.kind()));
     }
 
     private void settle() {
@@ -74,8 +86,9 @@
     @Test
     void theModuleHearsWhatTheCallerTellsAndNoMore() {
         submit("a", "k");
-        core.submit(new Submission("b", 0, 0, now, now + 9 * SECOND, false, true, 20, 0, "m", null,
-            new byte[0]), answer -> { });
+        core.submit(
+                new Submission("b", 0, 0, now, now + 9 * SECOND, false, true, 20, 0, "m", null, new byte[0]),
+                answer -> {});
         settle();
         assertThat(told).extracting(Admission.Request::further).containsExactly(false, true);
         assertThat(told.get(0).left()).isEqualTo(8 * SECOND);
@@ -249,8 +262,9 @@
         long door = now + 5 * SECOND / 2 - 1;
         advance(5 * SECOND / 2 + 1);
         decisions.add(actions -> actions.run(1));
-        core.submit(new Submission("a", 0, 0, door, now + 8 * SECOND, true, false, 20, 0, null, null,
-            new byte[0]), answer -> answers.add("a " + answer.kind()));
+        core.submit(
+                new Submission("a", 0, 0, door, now + 8 * SECOND, true, false, 20, 0, null, null, new byte[0]),
+                answer -> answers.add("a " + answer.kind()));
         settle();
         assertThat(kernelSaid).isEmpty();
         assertThat(answers).containsExactly("a REFUSED");
@@ -285,8 +299,7 @@
             settle();
         }
         assertThat(kernelSaid).containsExactly("run a");
-        assertThat(answers).containsExactly("a SERVED", "b-1 SERVED", "b0 SERVED", "b1 SERVED",
-            "b50000 SERVED");
+        assertThat(answers).containsExactly("a SERVED", "b-1 SERVED", "b0 SERVED", "b1 SERVED", "b50000 SERVED");
         advance(1);
         Long anew = submit("c", "k");
         decisions.add(actions -> actions.run(anew));
@@ -365,7 +378,7 @@
         private boolean arrived;
 
         @Override
-        public void begin(long clock) { }
+        public void begin(long clock) {}
 
         @Override
         public void arrived(Request request) {
@@ -379,19 +392,19 @@
         }
 
         @Override
-        public void blocked(long id) { }
+        public void blocked(long id) {}
 
         @Override
-        public void called(long id, Outcome outcome, long elapsed) { }
+        public void called(long id, Outcome outcome, long elapsed) {}
 
         @Override
-        public void gone(long id) { }
+        public void gone(long id) {}
 
         @Override
-        public void retiring(long left) { }
+        public void retiring(long left) {}
 
         @Override
-        public void retuned(Admission.Settings next) { }
+        public void retuned(Admission.Settings next) {}
 
         @Override
         public void timer(Gauges gauges) {
--- a/server/src/test/java/wheatspread/core/RetuneSiteTest.java
+++ b/server/src/test/java/wheatspread/core/RetuneSiteTest.java
@@ -16,10 +16,18 @@
     }
 
     private static Site site(List<String> names, List<RequestClass> classes) {
-        Admission.Settings settings = new Admission.Settings(2, 1, false, Admission.Halt.SUSPEND, 0, 4_000,
-            new Admission.Limits(20_000, 8, 10, 6, 0.2, SECOND, 60_000, 5 * SECOND / 2),
-            new Admission.Below(Admission.Dependency.SHARED, 4, SECOND, 0),
-            new Admission.Callers(1, Admission.Advice.NONE, 0, 0, true, 0, 0, 0), classes, List.of());
+        Admission.Settings settings = new Admission.Settings(
+                2,
+                1,
+                false,
+                Admission.Halt.SUSPEND,
+                0,
+                4_000,
+                new Admission.Limits(20_000, 8, 10, 6, 0.2, SECOND, 60_000, 5 * SECOND / 2),
+                new Admission.Below(Admission.Dependency.SHARED, 4, SECOND, 0),
+                new Admission.Callers(1, Admission.Advice.NONE, 0, 0, true, 0, 0, 0),
+                classes,
+                List.of());
         return new Site(settings, names, List.of(), List.of());
     }
 
@@ -29,10 +37,12 @@
         Site next = site(List.of("plan-r2", "plan"), List.of(keyed(7 * SECOND), keyed(1 * SECOND)));
         Site merged = old.retunedTo(next);
         assertThat(merged.classes()).containsExactly("save", "plan", "plan-r2");
-        assertThat(merged.settings().classes()).extracting(RequestClass::window)
-            .containsExactly(20 * SECOND, 5 * SECOND, 7 * SECOND);
-        assertThat(merged.retunedTo(next).classes()).as("a second time, nothing new")
-            .containsExactly("save", "plan", "plan-r2");
+        assertThat(merged.settings().classes())
+                .extracting(RequestClass::window)
+                .containsExactly(20 * SECOND, 5 * SECOND, 7 * SECOND);
+        assertThat(merged.retunedTo(next).classes())
+                .as("a second time, nothing new")
+                .containsExactly("save", "plan", "plan-r2");
     }
 
     /** Seen on the bench: a request first tried as save-plan came again as save-plan-r2 and ran twice. */
@@ -40,8 +50,7 @@
     void triesOfOneRequestShareTheirKeyWhateverTheirClass() {
         byte[] body = {1, 2};
         Submission first = new Submission("a", 3, 0, 0, 9 * SECOND, true, false, 20, 0, "5c0f", null, body);
-        Submission again = new Submission("b", 4, 0, SECOND, 10 * SECOND, true, false, 20, 0, "5c0f", null,
-            body);
+        Submission again = new Submission("b", 4, 0, SECOND, 10 * SECOND, true, false, 20, 0, "5c0f", null, body);
         assertThat(KeyTable.keyOf(again)).isEqualTo(KeyTable.keyOf(first));
     }
 }
--- a/server/src/test/java/wheatspread/daemon/BothFrontsTest.java
+++ b/server/src/test/java/wheatspread/daemon/BothFrontsTest.java
@@ -19,7 +19,8 @@
 class BothFrontsTest {
     @Test
     void bothProtocolsSeeTheSameOutcomesAndCounts() throws Exception {
-        try (Stage stage = new Stage(); StandInProxy proxy = new StandInProxy(stage)) {
+        try (Stage stage = new Stage();
+                StandInProxy proxy = new StandInProxy(stage)) {
             StandInKernel kernel = new StandInKernel(stage);
             start(kernel);
             start(() -> answerCalls(stage));
@@ -33,9 +34,26 @@
             proxy.ask("save", "north", 8000, "k1", "other-4");
             proxy.ask("stew", "east", 5000, null, "ok-5");
             proxy.ask("save", "south", 8000, null, "ok-6");
-            expect(proxy, Map.of("ok-1", "served 1-ko", "error-2", "failed", "call-3", "served reply",
-                "ok-4", "served 4-ko", "other-4", "conflict", "ok-5", "malformed", "ok-6", "malformed"));
-            assertThat(Collections.frequency(kernel.runs, "ok-4")).as("runs of one key over both").isOne();
+            expect(
+                    proxy,
+                    Map.of(
+                            "ok-1",
+                            "served 1-ko",
+                            "error-2",
+                            "failed",
+                            "call-3",
+                            "served reply",
+                            "ok-4",
+                            "served 4-ko",
+                            "other-4",
+                            "conflict",
+                            "ok-5",
+                            "malformed",
+                            "ok-6",
+                            "malformed"));
+            assertThat(Collections.frequency(kernel.runs, "ok-4"))
+                    .as("runs of one key over both")
+                    .isOne();
             assertThat(Collections.frequency(kernel.runs, "ok-1")).isEqualTo(2);
 
             proxy.ask("stew", "north", 900, null, "hang-7");
@@ -56,7 +74,8 @@
             // each front: ok-1, call-3 and ok-4 twice served; error-2, other-4, hang-7 and hang-8 failed;
             // ok-9 refused
             assertThat(stage.server.counts().toString())
-                .startsWith("read 18, served 8, refused 2, failed 8").contains("gone 0, runs 10, joins 4");
+                    .startsWith("read 18, served 8, refused 2, failed 8")
+                    .contains("gone 0, runs 10, joins 4");
         }
     }
 
@@ -74,7 +93,8 @@
     @Test
     void theRehearsalServesWhatItAsks() throws Exception {
         JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
-        Rehearsal rehearsal = new Rehearsal(ServerConfig.read(Fields.of(told.toMap(), "")).site());
+        Rehearsal rehearsal =
+                new Rehearsal(ServerConfig.read(Fields.of(told.toMap(), "")).site());
         assertThat(rehearsal.play(Long.MAX_VALUE / 2, () -> false)).isBetween(390, 400);
     }
 
--- a/server/src/test/java/wheatspread/daemon/ControlDoorTest.java
+++ b/server/src/test/java/wheatspread/daemon/ControlDoorTest.java
@@ -19,7 +19,8 @@
     @Test
     @Timeout(30)
     void saysReadyOnlyWhenServingAndCountsEachClass() throws Exception {
-        try (Stage stage = new Stage(); StandInProxy proxy = new StandInProxy(stage)) {
+        try (Stage stage = new Stage();
+                StandInProxy proxy = new StandInProxy(stage)) {
             InetSocketAddress door = stage.server.doorAddress();
             assertThat(call(door, "GET /_ready HTTP/1.1\r\nHost: x\r\n\r\n")).startsWith("HTTP/1.1 503");
             StandInKernel kernel = new StandInKernel(stage);
@@ -33,20 +34,26 @@
             proxy.ask("stew", "south", 5000, null, "error-2");
             proxy.ask("stew", "north", 900, null, "hang-3");
             stage.clock().advance(900_000);
-            Map<String, String> ends = Map.of("ok-1", "served 1-ko", "error-2", "failed", "hang-3",
-                "out of time");
+            Map<String, String> ends = Map.of("ok-1", "served 1-ko", "error-2", "failed", "hang-3", "out of time");
             assertThat(proxy.overJsonRpc()).isEqualTo(ends);
             assertThat(proxy.overUwsgi()).isEqualTo(ends);
             // each over both fronts: two served, four failed, six runs
             String vars = call(door, "GET /_vars HTTP/1.1\r\n\r\n");
-            assertThat(vars).startsWith("HTTP/1.1 200").contains("\nedge_gw.replies.stew.success=2\n",
-                "\nedge_gw.replies.stew.error=4\n", "\nedge_gw.replies.stew.overload=0\n",
-                "\nedge_gw.replies.save.success=0\n", "\nedge_gw.dispatches=6\n", "\nedge_gw.concurrent=0\n",
-                "\nedge_gw.reload_success=0\n", "\nedge_gw.reload_failure=0\n");
+            assertThat(vars)
+                    .startsWith("HTTP/1.1 200")
+                    .contains(
+                            "\nedge_gw.replies.stew.success=2\n",
+                            "\nedge_gw.replies.stew.error=4\n",
+                            "\nedge_gw.replies.stew.overload=0\n",
+                            "\nedge_gw.replies.save.success=0\n",
+                            "\nedge_gw.dispatches=6\n",
+                            "\nedge_gw.concurrent=0\n",
+                            "\nedge_gw.reload_success=0\n",
+                            "\nedge_gw.reload_failure=0\n");
 
             stage.reload("stop_ms", "not a number");
-            assertThat(call(door, "GET /_vars HTTP/1.1\r\n\r\n")).contains("\nedge_gw.reload_failure=1\n",
-                "\nedge_gw.reload_success=0\n");
+            assertThat(call(door, "GET /_vars HTTP/1.1\r\n\r\n"))
+                    .contains("\nedge_gw.reload_failure=1\n", "\nedge_gw.reload_success=0\n");
         }
     }
 
@@ -61,18 +68,19 @@
             }
             assertThat(call(door, "GET /elsewhere HTTP/1.1\r\n\r\n")).startsWith("HTTP/1.1 404");
             assertThat(call(door, "POST /_vars HTTP/1.1\r\nContent-Length: 0\r\n\r\n"))
-                .startsWith("HTTP/1.1 405");
+                    .startsWith("HTTP/1.1 405");
             assertThat(call(door, "hello there\r\n\r\n")).startsWith("HTTP/1.1 400");
             assertThat(call(door, "GET /_vars HTTP/1.1\r\n" + "X: y\r\n".repeat(3000) + "\r\n"))
-                .startsWith("HTTP/1.1 431");
+                    .startsWith("HTTP/1.1 431");
             try (Socket pieces = new Socket(door.getAddress(), door.getPort())) {
                 OutputStream out = pieces.getOutputStream();
                 for (byte b : "GET /_vars HTTP/1.1\r\n\r\n".getBytes(StandardCharsets.US_ASCII)) {
                     out.write(b);
                     out.flush();
                 }
-                assertThat(read(pieces.getInputStream())).startsWith("HTTP/1.1 200")
-                    .contains("edge_gw.dispatches=0");
+                assertThat(read(pieces.getInputStream()))
+                        .startsWith("HTTP/1.1 200")
+                        .contains("edge_gw.dispatches=0");
             }
             for (Socket one : silent) {
                 one.close();
--- a/server/src/test/java/wheatspread/daemon/EndingsTest.java
+++ b/server/src/test/java/wheatspread/daemon/EndingsTest.java
@@ -34,7 +34,9 @@
     private int lastTxn;
 
     static List<String> transports() {
-        return List.of("nio", Transport.named("auto").name()).stream().distinct().toList();
+        return List.of("nio", Transport.named("auto").name()).stream()
+                .distinct()
+                .toList();
     }
 
     private Stage begin(String over, String transport) throws Exception {
@@ -48,17 +50,30 @@
     }
 
     private String ask(int id, String body) {
-        return new JSONObject().put("jsonrpc", "2.0").put("id", id).put("method", "stew").put("params",
-            new JSONObject().put("txn", String.format("%016x", ++lastTxn))
-                .put("door", stage.clock().now() / 1000).put("lb", 1).put("team", "north").put("limit", 5000)
-                .put("ram", 20).put("blob", StandInKernel.encode(body))) + "\n";
+        return new JSONObject()
+                        .put("jsonrpc", "2.0")
+                        .put("id", id)
+                        .put("method", "stew")
+                        .put(
+                                "params",
+                                new JSONObject()
+                                        .put("txn", String.format("%016x", ++lastTxn))
+                                        .put("door", stage.clock().now() / 1000)
+                                        .put("lb", 1)
+                                        .put("team", "north")
+                                        .put("limit", 5000)
+                                        .put("ram", 20)
+                                        .put("blob", StandInKernel.encode(body)))
+                + "\n";
     }
 
     /** A try of one keyed request that came to the machine so long ago. */
     private String save(int id, int agoMs) {
         JSONObject request = new JSONObject(ask(id, "ok-plan")).put("method", "save");
-        request.getJSONObject("params").put("unique", "key").put("limit", 8_000)
-            .put("door", stage.clock().now() / 1000 - agoMs);
+        request.getJSONObject("params")
+                .put("unique", "key")
+                .put("limit", 8_000)
+                .put("door", stage.clock().now() / 1000 - agoMs);
         return request + "\n";
     }
 
@@ -68,8 +83,10 @@
         for (String line : lines) {
             JSONObject answer = new JSONObject(line);
             if (!answer.has("method")) {
-                outcomes.add(answer.get("id") + (answer.has("result") ? " served"
-                    : " " + answer.getJSONObject("error").getInt("code")));
+                outcomes.add(answer.get("id")
+                        + (answer.has("result")
+                                ? " served"
+                                : " " + answer.getJSONObject("error").getInt("code")));
             }
         }
         Collections.sort(outcomes);
@@ -78,11 +95,14 @@
 
     /** Every request up to this id has one final answer: a result, or a refusal where it was too much. */
     private static void assertAnsweredOnce(List<String> outcomes, int count) {
-        List<Integer> ids = outcomes.stream().map(one -> Integer.valueOf(one.split(" ")[0])).sorted()
-            .toList();
+        List<Integer> ids = outcomes.stream()
+                .map(one -> Integer.valueOf(one.split(" ")[0]))
+                .sorted()
+                .toList();
         assertThat(ids).isEqualTo(IntStream.rangeClosed(1, count).boxed().toList());
-        assertThat(outcomes).allMatch(one -> one.matches("\\d+ (served|-32066)"))
-            .anyMatch(one -> one.endsWith(" served"));
+        assertThat(outcomes)
+                .allMatch(one -> one.matches("\\d+ (served|-32066)"))
+                .anyMatch(one -> one.endsWith(" served"));
     }
 
     /** Waits until so many answers have been given; the kernel's stand-in is not on the clock of the test. */
@@ -91,11 +111,15 @@
         long until = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
         int answered = 0;
         while (answered < count) {
-            assertThat(System.nanoTime()).as("%d of %d answered", answered, count).isLessThan(until);
+            assertThat(System.nanoTime())
+                    .as("%d of %d answered", answered, count)
+                    .isLessThan(until);
             stage.clock().advance(0);
             Matcher now = answers.matcher(stage.server.counts().toString());
             assertThat(now.find()).isTrue();
-            answered = IntStream.rangeClosed(1, 3).map(i -> Integer.parseInt(now.group(i))).sum();
+            answered = IntStream.rangeClosed(1, 3)
+                    .map(i -> Integer.parseInt(now.group(i)))
+                    .sum();
         }
     }
 
@@ -104,7 +128,7 @@
     @MethodSource("transports")
     void aRequestThatCrossesAnIdleCloseIsNotRunAndNotReset(String transport) throws Exception {
         try (Stage s = begin("{\"connections\":{\"idle_timeout_ms\":1000}}", transport);
-             ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
             peer.write(ask(1, "ok-1"));
             assertThat(outcomes(List.of(peer.line()))).containsExactly("1 served");
             s.clock().cross(1_000_000, () -> {
@@ -121,7 +145,7 @@
     @MethodSource("transports")
     void halfALineAtACloseTakesNoAnswerAlong(String transport) throws Exception {
         try (Stage s = begin("{\"connections\":{\"whole_request_ms\":100}}", transport);
-             ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
             peer.write(ask(1, "call-1") + "{\"jsonrpc\":\"2.0\",\"id\":2,");
             try (Wire records = new Wire(s.records.accept())) {
                 String job = records.line().split(" ")[1];
@@ -140,7 +164,8 @@
     @ParameterizedTest
     @MethodSource("transports")
     void aLineOverItsBoundResetsNothing(String transport) throws Exception {
-        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
+        try (Stage s = begin("{}", transport);
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
             peer.write(ask(1, "ok-1") + "x".repeat(100_000));
             assertThat(peer.readToEnd(1)).isEqualTo(End.CLOSED);
             assertThat(outcomes(peer.lines())).containsExactly("1 served", "null -32700");
@@ -156,12 +181,14 @@
     @ParameterizedTest
     @MethodSource("transports")
     void whoSendsWithoutEndAfterItsCloseIsCutOff(String transport) throws Exception {
-        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
+        try (Stage s = begin("{}", transport);
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
             assertThatThrownBy(() -> {
-                for (int i = 0; i < 1_000; i++) {
-                    peer.write("x".repeat(64 * 1024));
-                }
-            }).isInstanceOf(IOException.class);
+                        for (int i = 0; i < 1_000; i++) {
+                            peer.write("x".repeat(64 * 1024));
+                        }
+                    })
+                    .isInstanceOf(IOException.class);
         }
     }
 
@@ -169,7 +196,8 @@
     @MethodSource("transports")
     void manySmallAnswersReachASlowReaderThroughTheShutdown(String transport) throws Exception {
         int count = 32;
-        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc, 2_048)) {
+        try (Stage s = begin("{}", transport);
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc, 2_048)) {
             StringBuilder all = new StringBuilder();
             for (int id = 1; id <= count; id++) {
                 all.append(ask(id, "ok-" + "y".repeat(2_000) + id));
@@ -194,8 +222,9 @@
     @ParameterizedTest
     @MethodSource("transports")
     void whoNeverReadsHoldsTheProcessToItsBoundOnly(String transport) throws Exception {
-        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc, 2_048);
-             ScriptedPeer other = ScriptedPeer.to(s.jsonrpc)) {
+        try (Stage s = begin("{}", transport);
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc, 2_048);
+                ScriptedPeer other = ScriptedPeer.to(s.jsonrpc)) {
             for (int id = 1; id <= 32; id++) {
                 peer.write(ask(id, "ok-" + "z".repeat(2_000)));
             }
@@ -244,7 +273,8 @@
     @ParameterizedTest
     @MethodSource("transports")
     void whoSpeaksInTheMomentOfTheLastCloseIsNotReset(String transport) throws Exception {
-        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
+        try (Stage s = begin("{}", transport);
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
             s.clock().advance(0);
             s.server.drain();
             s.clock().advance(GRACE + Drain.LISTENER_GONE - 25_000);
@@ -262,7 +292,8 @@
     @ParameterizedTest
     @MethodSource("transports")
     void whoEndsItsStreamWithARequestOpenIsAnswered(String transport) throws Exception {
-        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
+        try (Stage s = begin("{}", transport);
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
             peer.write(ask(1, "call-1"));
             try (Wire records = new Wire(s.records.accept())) {
                 String job = records.line().split(" ")[1];
@@ -286,7 +317,8 @@
     @ParameterizedTest
     @MethodSource("transports")
     void triesOfAKeyThatAreReadTogetherRunOnce(String transport) throws Exception {
-        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
+        try (Stage s = begin("{}", transport);
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc)) {
             peer.write(save(1, 4_000) + save(2, 0) + save(3, 0));
             awaitAnswers(3);
             peer.shutOutput();
@@ -300,8 +332,9 @@
     @ParameterizedTest
     @MethodSource("transports")
     void aResetTouchesNobodyElse(String transport) throws Exception {
-        try (Stage s = begin("{}", transport); ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc);
-             ScriptedPeer other = ScriptedPeer.to(s.jsonrpc)) {
+        try (Stage s = begin("{}", transport);
+                ScriptedPeer peer = ScriptedPeer.to(s.jsonrpc);
+                ScriptedPeer other = ScriptedPeer.to(s.jsonrpc)) {
             peer.write(ask(1, "hang-1"));
             other.write(ask(1, "call-1"));
             try (Wire records = new Wire(s.records.accept())) {
--- a/server/src/test/java/wheatspread/daemon/GracefulShutdownTest.java
+++ b/server/src/test/java/wheatspread/daemon/GracefulShutdownTest.java
@@ -61,11 +61,16 @@
         JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
         ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
         Clock clock = new SetClock();
-        EventLog log = EventLog.lines(line -> { });
-        Core core = new Core(config.site(), settings -> new Choice(settings, 1), clock,
-            (job, body, patience, listener) -> () -> { }, accepting -> { }, log);
-        shutdown = new GracefulShutdown(core, List.of(), clock, new Marks(LifeConfig.USUAL, log), log,
-            () -> unread, heard::add);
+        EventLog log = EventLog.lines(line -> {});
+        Core core = new Core(
+                config.site(),
+                settings -> new Choice(settings, 1),
+                clock,
+                (job, body, patience, listener) -> () -> {},
+                accepting -> {},
+                log);
+        shutdown = new GracefulShutdown(
+                core, List.of(), clock, new Marks(LifeConfig.USUAL, log), log, () -> unread, heard::add);
     }
 
     /** What was written long ago and is not read yet would be lost with its connection. */
--- a/server/src/test/java/wheatspread/daemon/ManualClock.java
+++ b/server/src/test/java/wheatspread/daemon/ManualClock.java
@@ -16,7 +16,7 @@
     private final EventLoop loop;
     private final TreeMap<Long, Map<Integer, Runnable>> timers = new TreeMap<>();
     private volatile long now = START;
-    private Runnable roundTrip = () -> { };
+    private Runnable roundTrip = () -> {};
     private int set;
 
     ManualClock(EventLoop loop) {
@@ -58,13 +58,14 @@
         long until = now + micros;
         settle();
         loop.submit(() -> {
-            between.call();
-            boolean more = true;
-            while (more) {
-                more = step(until);
-            }
-            return null;
-        }).syncUninterruptibly();
+                    between.call();
+                    boolean more = true;
+                    while (more) {
+                        more = step(until);
+                    }
+                    return null;
+                })
+                .syncUninterruptibly();
         settle();
     }
 
@@ -76,7 +77,7 @@
     private void settle() {
         for (int round = 0; round < SETTLE_ROUNDS; round++) {
             roundTrip.run();
-            loop.submit(() -> { }).syncUninterruptibly();
+            loop.submit(() -> {}).syncUninterruptibly();
         }
     }
 
--- a/server/src/test/java/wheatspread/daemon/ReloadTest.java
+++ b/server/src/test/java/wheatspread/daemon/ReloadTest.java
@@ -13,16 +13,22 @@
     @Test
     @Timeout(30)
     void aClassAddedAtReloadIsServedAndABadFileChangesNothing() throws Exception {
-        try (Stage stage = new Stage(); StandInProxy proxy = new StandInProxy(stage)) {
+        try (Stage stage = new Stage();
+                StandInProxy proxy = new StandInProxy(stage)) {
             begin(stage);
-            stage.retune(settings -> settings.getJSONArray("Lanes").put(new JSONObject().put("Name", "soup")
-                .put("Deadline", 5000.0).put("Effect", "idempotent")));
+            stage.retune(settings -> settings.getJSONArray("Lanes")
+                    .put(new JSONObject()
+                            .put("Name", "soup")
+                            .put("Deadline", 5000.0)
+                            .put("Effect", "idempotent")));
             stage.awaitLogged("retuned");
             expect(proxy, "stew", "ok-1");
 
-            stage.retune(settings -> settings.getJSONArray("Lanes").getJSONObject(0).put("Deadline", 0));
+            stage.retune(
+                    settings -> settings.getJSONArray("Lanes").getJSONObject(0).put("Deadline", 0));
             stage.awaitLogged("reload_refused");
-            stage.retune(settings -> settings.getJSONArray("Lanes").getJSONObject(0).remove("Deadline"));
+            stage.retune(
+                    settings -> settings.getJSONArray("Lanes").getJSONObject(0).remove("Deadline"));
             stage.awaitLogged("reload_refused");
             expect(proxy, "soup", "ok-2");
             expect(proxy, "stew", "ok-3");
@@ -32,7 +38,8 @@
     @Test
     @Timeout(30)
     void runsGoOnWhileTheKernelMovesTwice() throws Exception {
-        try (Stage stage = new Stage(); StandInProxy proxy = new StandInProxy(stage)) {
+        try (Stage stage = new Stage();
+                StandInProxy proxy = new StandInProxy(stage)) {
             StandInKernel kernel = begin(stage);
             expect(proxy, "stew", "ok-1");
             for (int move = 0; move < 2; move++) {
--- a/server/src/test/java/wheatspread/daemon/SceneTest.java
+++ b/server/src/test/java/wheatspread/daemon/SceneTest.java
@@ -40,8 +40,9 @@
     static Stream<Arguments> scenes() throws IOException {
         try (Stream<Path> files = Files.list(Path.of("src/test/resources/scenes"))) {
             return files.sorted().toList().stream()
-                .flatMap(file -> Stream.of("nio", Transport.named("auto").name()).distinct()
-                    .map(transport -> Arguments.of(file, transport)));
+                    .flatMap(file -> Stream.of("nio", Transport.named("auto").name())
+                            .distinct()
+                            .map(transport -> Arguments.of(file, transport)));
         }
     }
 
@@ -49,9 +50,12 @@
     @MethodSource("scenes")
     void plays(Path scene, String transport) throws Exception {
         List<String> lines = Files.readAllLines(scene);
-        String over = lines.stream().filter(line
-            -> line.startsWith("operator ")).findFirst().orElse("operator {}");
-        try (Stage stage = new Stage(over.substring(9), transport); Parties parties = new Parties(stage)) {
+        String over = lines.stream()
+                .filter(line -> line.startsWith("operator "))
+                .findFirst()
+                .orElse("operator {}");
+        try (Stage stage = new Stage(over.substring(9), transport);
+                Parties parties = new Parties(stage)) {
             for (int i = 0; i < lines.size(); i++) {
                 if (!lines.get(i).isBlank() && !lines.get(i).matches("(#|operator ).*")) {
                     try {
@@ -103,8 +107,8 @@
                 }
             } else if (words[0].equals("logged")) {
                 barrier();
-                assertThat(stage.logged).contains(rest.replace("$kernel", "/127.0.0.1:"
-                    + stage.kernels.getLocalPort()));
+                assertThat(stage.logged)
+                        .contains(rest.replace("$kernel", "/127.0.0.1:" + stage.kernels.getLocalPort()));
             } else if (words[0].equals("mute")) {
                 stage.mute = true;
             } else if (words[0].equals("bytes")) {
@@ -112,13 +116,13 @@
                 wire(part[0]).write(part[1].getBytes(StandardCharsets.UTF_8));
             } else if (words[0].equals("stopped")) {
                 stage.clock().advance(Drain.LINGER); // the callers of a scene don't close their side
-                assertThat(stage.server.awaitStopped()).isEqualTo(rest.isEmpty() ? 0 : Integer.parseInt(
-                    rest));
+                assertThat(stage.server.awaitStopped()).isEqualTo(rest.isEmpty() ? 0 : Integer.parseInt(rest));
             } else if (words[0].equals("nogauges")) {
                 gauges = false;
             } else if (words[0].equals("quiet")) {
                 barrier();
-                assertThat(rest.equals("kernel") ? kernelLines() : wire(rest).available()).isZero();
+                assertThat(rest.equals("kernel") ? kernelLines() : wire(rest).available())
+                        .isZero();
             } else if (words[0].equals("down")) {
                 stage.down(rest);
             } else if (words[0].equals("up")) {
@@ -146,7 +150,9 @@
                 JSONObject got = new JSONObject(kernelLine());
                 String job = String.valueOf(got.remove("job"));
                 assertThat(jobs.computeIfAbsent(words[0], number -> job)).isEqualTo(job);
-                assertThat(got.similar(message)).as("wanted %s, got %s", message, got).isTrue();
+                assertThat(got.similar(message))
+                        .as("wanted %s, got %s", message, got)
+                        .isTrue();
             } else {
                 wire("kernel").line(message.put("job", jobs.get(words[0])).toString());
             }
@@ -160,9 +166,11 @@
         private Wire wire(String party) throws IOException {
             Wire wire = wires.get(party);
             if (wire == null) {
-                wire = party.equals("kernel") ? new Wire(stage.kernels.accept())
-                    : party.startsWith("records") ? new Wire(stage.records.accept())
-                    : Wire.to(party.startsWith("u") ? stage.uwsgi : stage.jsonrpc);
+                wire = party.equals("kernel")
+                        ? new Wire(stage.kernels.accept())
+                        : party.startsWith("records")
+                                ? new Wire(stage.records.accept())
+                                : Wire.to(party.startsWith("u") ? stage.uwsgi : stage.jsonrpc);
                 wires.put(party, wire);
             }
             return wire;
@@ -174,7 +182,8 @@
             } else if (party.contains("records")) {
                 wire(party).write(unescape(text));
             } else {
-                wire(party).line(text.replace("$now", Long.toString(stage.clock().now() / 1000)));
+                wire(party)
+                        .line(text.replace("$now", Long.toString(stage.clock().now() / 1000)));
             }
         }
 
@@ -219,7 +228,8 @@
             } else if (wanted.startsWith("{")) {
                 String text = wanted.replace("$now", Long.toString(stage.clock().now() / 1000));
                 assertThat(new JSONObject(got).similar(new JSONObject(text)))
-                    .as("wanted %s, got %s", text, got).isTrue();
+                        .as("wanted %s, got %s", text, got)
+                        .isTrue();
             } else {
                 assertThat(got).isEqualTo(wanted);
             }
--- a/server/src/test/java/wheatspread/daemon/ScriptedPeer.java
+++ b/server/src/test/java/wheatspread/daemon/ScriptedPeer.java
@@ -17,7 +17,11 @@
  */
 final class ScriptedPeer implements Closeable {
     /** How a connection ended, as its peer saw it. */
-    enum End { CLOSED, RESET, SILENT }
+    enum End {
+        CLOSED,
+        RESET,
+        SILENT
+    }
 
     /** A program that stays silent fails a test rather than hang it. */
     private static final long PATIENCE_NS = TimeUnit.SECONDS.toNanos(10);
--- a/server/src/test/java/wheatspread/daemon/SignalsTest.java
+++ b/server/src/test/java/wheatspread/daemon/SignalsTest.java
@@ -11,11 +11,10 @@
 class SignalsTest {
     /** Tells whether it will hear HUP. */
     static final class Heard {
-        private Heard() {
-        }
+        private Heard() {}
 
         public static void main(String[] args) {
-            System.out.println(Signals.handle("HUP", () -> { }));
+            System.out.println(Signals.handle("HUP", () -> {}));
         }
     }
 
@@ -30,10 +29,11 @@
 
     private static String started(String before) throws Exception {
         String java = Path.of(System.getProperty("java.home"), "bin", "java")
-            + " -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path") + "' '"
-            + Heard.class.getName() + "'";
-        Process process = new ProcessBuilder("/bin/sh", "-c", before + java).redirectErrorStream(true)
-            .start();
+                + " -XX:TieredStopAtLevel=1 -cp '" + System.getProperty("java.class.path") + "' '"
+                + Heard.class.getName() + "'";
+        Process process = new ProcessBuilder("/bin/sh", "-c", before + java)
+                .redirectErrorStream(true)
+                .start();
         String told = new String(process.getInputStream().readAllBytes()).strip();
         assertThat(process.waitFor(10, TimeUnit.SECONDS)).isTrue();
         return told;
--- a/server/src/test/java/wheatspread/daemon/Stage.java
+++ b/server/src/test/java/wheatspread/daemon/Stage.java
@@ -29,6 +29,7 @@
     volatile boolean mute;
     /** What was announced, repeats left out. */
     final BlockingQueue<String> announced = new LinkedBlockingQueue<>();
+
     final BlockingQueue<String> logged = new LinkedBlockingQueue<>();
     final Server server;
     final InetSocketAddress uwsgi;
@@ -47,16 +48,14 @@
         JSONObject more = new JSONObject(over).put("transport", transport);
         JSONObject uwsgiOver = more.optJSONObject("uwsgi", new JSONObject());
         uwsgiOver.keySet().forEach(key -> told.getJSONObject("uwsgi").put(key, uwsgiOver.get(key)));
-        more.keySet().stream().filter(key -> !key.equals("uwsgi")).forEach(key -> told.put(key,
-            more.get(key)));
+        more.keySet().stream().filter(key -> !key.equals("uwsgi")).forEach(key -> told.put(key, more.get(key)));
         Path file = Files.writeString(Files.createTempFile("operator", ".json"), told.toString());
         OperatorConfig front = OperatorConfig.readFile(file, config.site());
         Files.delete(file);
         Thread thread = new Thread(this::hearAnnouncements, "announce stand-in");
         thread.setDaemon(true);
         thread.start();
-        server = new Server(config, front, (loop, turns) -> clock = new ManualClock(loop),
-            EventLog.lines(logged::add));
+        server = new Server(config, front, (loop, turns) -> clock = new ManualClock(loop), EventLog.lines(logged::add));
         server.start();
         uwsgi = server.bound().get(0);
         jsonrpc = server.bound().get(1);
@@ -66,9 +65,10 @@
 
     private JSONObject configuration() throws IOException {
         return new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
-            .put("kernel", "127.0.0.1:" + kernels.getLocalPort())
-            .put("records", "127.0.0.1:" + records.getLocalPort())
-            .put("announce", "127.0.0.1:" + announce.getLocalPort()).put("control", "127.0.0.1:0");
+                .put("kernel", "127.0.0.1:" + kernels.getLocalPort())
+                .put("records", "127.0.0.1:" + records.getLocalPort())
+                .put("announce", "127.0.0.1:" + announce.getLocalPort())
+                .put("control", "127.0.0.1:0");
     }
 
     /**
@@ -109,8 +109,7 @@
 
     /** Waits for a line of the log with this text, those before it dropped; 10 s at most. */
     void awaitLogged(String text) throws InterruptedException {
-        for (String line = logged.poll(10, TimeUnit.SECONDS); line != null;
-             line = logged.poll(10, TimeUnit.SECONDS)) {
+        for (String line = logged.poll(10, TimeUnit.SECONDS); line != null; line = logged.poll(10, TimeUnit.SECONDS)) {
             if (line.contains(text)) {
                 return;
             }
--- a/server/src/test/java/wheatspread/daemon/StandInKernel.java
+++ b/server/src/test/java/wheatspread/daemon/StandInKernel.java
@@ -77,8 +77,8 @@
 
     private void carryOut(JSONObject command, String job) throws IOException {
         switch (command.getString("type")) {
-            case "SYSINFO" -> link.line("{\"type\":\"INFO\",\"gauges\":[0.2,1,0.1,2],\"ref\":\""
-                + command.getString("ref") + "\"}");
+            case "SYSINFO" ->
+                link.line("{\"type\":\"INFO\",\"gauges\":[0.2,1,0.1,2],\"ref\":\"" + command.getString("ref") + "\"}");
             case "SCHED" -> {
                 if (!bodies.containsKey(job)) {
                     start(job, decode(command.getString("data")));
--- a/server/src/test/java/wheatspread/daemon/StandInProxy.java
+++ b/server/src/test/java/wheatspread/daemon/StandInProxy.java
@@ -16,16 +16,17 @@
 
 /** A small proxy that asks for the same over both protocols at once and tells the outcomes alike. */
 final class StandInProxy implements AutoCloseable {
-    private static final Map<Integer, String> STATUSES = Map.of(200, "served", 503, "refused", 500, "failed",
-        504, "out of time", 400, "malformed", 409, "conflict");
-    private static final Map<Integer, String> CODES = Map.of(-32066, "refused", -32000, "failed", -32001,
-        "out of time", -32602, "malformed", -32002, "conflict");
+    private static final Map<Integer, String> STATUSES =
+            Map.of(200, "served", 503, "refused", 500, "failed", 504, "out of time", 400, "malformed", 409, "conflict");
+    private static final Map<Integer, String> CODES =
+            Map.of(-32066, "refused", -32000, "failed", -32001, "out of time", -32602, "malformed", -32002, "conflict");
 
     private final Stage stage;
     private final Wire jsonrpc;
     private final Wire uwsgi;
     /** What is asked and not answered, in order; JSON-RPC answers name theirs. */
     private final List<String> asked = new ArrayList<>();
+
     private final Map<String, String> idNames = new LinkedHashMap<>();
     private int lastId;
 
@@ -40,10 +41,16 @@
         asked.add(body);
         int id = ++lastId;
         idNames.put(Integer.toString(id), body);
-        JSONObject params = new JSONObject().put("txn", String.format("%016x", id))
-            .put("door", stage.clock().now() / 1000).put("lb", 1).put("team", tenant).put("limit", limitMs)
-            .put("ram", 20).put("standing", 0.5).putOpt("unique", unique)
-            .put("blob", StandInKernel.encode(body));
+        JSONObject params = new JSONObject()
+                .put("txn", String.format("%016x", id))
+                .put("door", stage.clock().now() / 1000)
+                .put("lb", 1)
+                .put("team", tenant)
+                .put("limit", limitMs)
+                .put("ram", 20)
+                .put("standing", 0.5)
+                .putOpt("unique", unique)
+                .put("blob", StandInKernel.encode(body));
         Map<String, String> vars = new LinkedHashMap<>();
         vars.put("PATH_INFO", "/");
         vars.put("RECIPE_CLASS", kind);
@@ -57,8 +64,12 @@
         UwsgiEncoder.write(new UwsgiPacket(UwsgiPacket.REQUEST, 0, vars), packet);
         packet.writeBytes(body.getBytes(StandardCharsets.UTF_8));
         uwsgi.write(ByteBufUtil.getBytes(packet));
-        jsonrpc.line(new JSONObject().put("jsonrpc", "2.0").put("id", id).put("method", kind)
-            .put("params", params).toString());
+        jsonrpc.line(new JSONObject()
+                .put("jsonrpc", "2.0")
+                .put("id", id)
+                .put("method", kind)
+                .put("params", params)
+                .toString());
     }
 
     /** Reads the answers to all that was asked since: by body, what became of it over JSON-RPC. */
@@ -71,8 +82,10 @@
             }
             JSONObject error = answer.optJSONObject("error");
             String outcome = error == null
-                ? "served " + StandInKernel.decode(answer.getJSONObject("result").getString("blob"))
-                : CODES.get(error.getInt("code"));
+                    ? "served "
+                            + StandInKernel.decode(
+                                    answer.getJSONObject("result").getString("blob"))
+                    : CODES.get(error.getInt("code"));
             outcomes.put(idNames.get(answer.get("id").toString()), outcome);
         }
         return outcomes;
--- a/server/src/test/java/wheatspread/daemon/StartTest.java
+++ b/server/src/test/java/wheatspread/daemon/StartTest.java
@@ -31,14 +31,17 @@
 class StartTest {
     @TempDir
     private Path dir;
+
     private final List<String> logged = Collections.synchronizedList(new ArrayList<>());
 
     private Server server(String listen, LifeConfig life) throws IOException {
-        JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
-            .put("listen", listen);
-        return new Server(ServerConfig.read(Fields.of(told.toMap(), "")), OperatorConfig.NONE.with(life,
-            true),
-            (loop, turns) -> new LoopClock(turns), EventLog.lines(logged::add));
+        JSONObject told =
+                new JSONObject(Files.readString(Path.of("src/test/resources/config.json"))).put("listen", listen);
+        return new Server(
+                ServerConfig.read(Fields.of(told.toMap(), "")),
+                OperatorConfig.NONE.with(life, true),
+                (loop, turns) -> new LoopClock(turns),
+                EventLog.lines(logged::add));
     }
 
     private static void await(BooleanSupplier what) {
@@ -54,8 +57,10 @@
         try (ServerSocket taken = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
             String address = "127.0.0.1:" + taken.getLocalPort();
             Server server = server(address, LifeConfig.USUAL);
-            assertThatThrownBy(server::start).isInstanceOf(IllegalStateException.class)
-                .hasMessageContaining("cannot listen on").hasMessageContaining(address);
+            assertThatThrownBy(server::start)
+                    .isInstanceOf(IllegalStateException.class)
+                    .hasMessageContaining("cannot listen on")
+                    .hasMessageContaining(address);
             assertThat(server.awaitStopped()).isEqualTo(69);
         }
     }
@@ -92,7 +97,8 @@
         try (ServerSocket moved = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             moved.setSoTimeout(10_000);
             JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
-                .put("listen", "127.0.0.1:0").put("kernel", "127.0.0.1:" + moved.getLocalPort());
+                    .put("listen", "127.0.0.1:0")
+                    .put("kernel", "127.0.0.1:" + moved.getLocalPort());
             Server server = server("127.0.0.1:0", LifeConfig.USUAL);
             Thread kernel = new Thread(() -> bootEveryLink(moved), "kernel");
             kernel.setDaemon(true);
@@ -129,9 +135,13 @@
         Path lock = dir.resolve("lock");
         Path ready = Files.writeString(dir.resolve("ready"), "of one that was killed");
         Path report = dir.resolve("report");
-        String over = new JSONObject().put("life", new JSONObject().put("ready_file", ready.toString())
-            .put("report_file", report.toString())).toString();
-        try (Stage stage = new Stage(over, "nio"); Wire kernel = new Wire(stage.kernels.accept())) {
+        String over = new JSONObject()
+                .put(
+                        "life",
+                        new JSONObject().put("ready_file", ready.toString()).put("report_file", report.toString()))
+                .toString();
+        try (Stage stage = new Stage(over, "nio");
+                Wire kernel = new Wire(stage.kernels.accept())) {
             kernel.line();
             kernel.line("{\"type\":\"BOOTED\",\"state\":\"WARM\",\"took\":10}");
             await(() -> stage.logged.stream().anyMatch(line -> line.contains("to=SERVING")));
@@ -140,14 +150,16 @@
             await(() -> !Files.exists(ready));
             stage.clock().advance(3_000_000 + Drain.LINGER);
             assertThat(stage.server.awaitStopped()).isZero();
-            assertThat(new JSONObject(Files.readString(report)).getInt("unanswered")).isZero();
+            assertThat(new JSONObject(Files.readString(report)).getInt("unanswered"))
+                    .isZero();
         }
         Server first = server("127.0.0.1:0", LifeConfig.USUAL.with(null, lock, null));
         first.lock("7");
         assertThat(new JSONObject(Files.readString(lock)).getString("mark")).isEqualTo("7");
         Server second = server("127.0.0.1:0", LifeConfig.USUAL.with(null, lock, null));
-        assertThatThrownBy(() -> second.lock("8")).isInstanceOf(Marks.Taken.class)
-            .hasMessageContaining("runs already");
+        assertThatThrownBy(() -> second.lock("8"))
+                .isInstanceOf(Marks.Taken.class)
+                .hasMessageContaining("runs already");
         assertThat(new JSONObject(Files.readString(lock)).getString("mark")).isEqualTo("7");
         first.kill();
         second.kill();
--- a/server/src/test/java/wheatspread/handover/SharedClaimsTest.java
+++ b/server/src/test/java/wheatspread/handover/SharedClaimsTest.java
@@ -18,19 +18,25 @@
 
     @Test
     void aKeyRunInOneProcessIsNotRunInTheOtherWithinItsWindow() throws IOException {
-        SharedClaims old = new SharedClaims(folder, 101, EventLog.lines(line -> { }));
-        SharedClaims next = new SharedClaims(folder, 202, EventLog.lines(line -> { }));
+        SharedClaims old = new SharedClaims(folder, 101, EventLog.lines(line -> {}));
+        SharedClaims next = new SharedClaims(folder, 202, EventLog.lines(line -> {}));
         assertThat(old.claim("u 3 k1", 1_000_000, WINDOW)).isTrue();
-        assertThat(next.claim("u 3 k1", 3_350_000, WINDOW)).as("a retry within the window").isFalse();
+        assertThat(next.claim("u 3 k1", 3_350_000, WINDOW))
+                .as("a retry within the window")
+                .isFalse();
         assertThat(next.claim("u 3 k2", 3_350_000, WINDOW)).as("another key").isTrue();
         assertThat(old.claim("u 3 k2", 3_400_000, WINDOW)).isFalse();
-        assertThat(next.claim("u 3 k1", 6_000_001, WINDOW)).as("after the window").isTrue();
-        assertThat(old.claim("u 3 k1", 6_500_000, WINDOW)).as("the newer claim stands").isFalse();
+        assertThat(next.claim("u 3 k1", 6_000_001, WINDOW))
+                .as("after the window")
+                .isTrue();
+        assertThat(old.claim("u 3 k1", 6_500_000, WINDOW))
+                .as("the newer claim stands")
+                .isFalse();
     }
 
     @Test
     void claimsAreDeletedByTheirMakerOnceTheirWindowIsOver() throws IOException {
-        SharedClaims one = new SharedClaims(folder, 7, EventLog.lines(line -> { }));
+        SharedClaims one = new SharedClaims(folder, 7, EventLog.lines(line -> {}));
         for (int i = 0; i < 100; i++) {
             assertThat(one.claim("u 0 key-" + i, 1_000_000 + i, WINDOW)).isTrue();
         }
@@ -48,7 +54,7 @@
     @Test
     void aFolderThatCannotBeWrittenGivesEveryClaim() throws IOException {
         Path file = Files.writeString(folder.resolve("not-a-folder"), "x");
-        SharedClaims one = new SharedClaims(folder, 7, EventLog.lines(line -> { }));
+        SharedClaims one = new SharedClaims(folder, 7, EventLog.lines(line -> {}));
         Files.delete(file);
         Files.delete(folder);
         assertThat(one.claim("u 0 k", 1, WINDOW)).isTrue();
--- a/server/src/test/java/wheatspread/kernel/KernelLinkTest.java
+++ b/server/src/test/java/wheatspread/kernel/KernelLinkTest.java
@@ -70,26 +70,31 @@
         }
 
         @Override
-        public void ended(String job, Kernel.End end, long took, byte[] result) { }
+        public void ended(String job, Kernel.End end, long took, byte[] result) {}
 
         @Override
-        public void blocked(String job, long notice, byte[] call) { }
+        public void blocked(String job, long notice, byte[] call) {}
 
         @Override
-        public void gauges(double[] row) { }
+        public void gauges(double[] row) {}
 
         @Override
-        public void notStarted(String job) { }
+        public void notStarted(String job) {}
     }
 
     @Test
     @Timeout(30)
     void aSecondMoveWhileTheOldLinkIsAskedForItsWordOpensOneLinkOnly() throws Exception {
         EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
-        try (Far old = new Far(); Far between = new Far(); Far last = new Far()) {
+        try (Far old = new Far();
+                Far between = new Far();
+                Far last = new Far()) {
             Up up = new Up(new CountDownLatch(1));
-            KernelLink link = new KernelLink(new Bootstrap().group(loop).channel(NioSocketChannel.class),
-                old.address(), up, EventLog.lines(line -> { }));
+            KernelLink link = new KernelLink(
+                    new Bootstrap().group(loop).channel(NioSocketChannel.class),
+                    old.address(),
+                    up,
+                    EventLog.lines(line -> {}));
             loop.submit(link::open).sync();
             Socket first = old.accept();
             BufferedReader fromFirst = reader(first);
--- a/server/src/test/java/wheatspread/life/LifeTest.java
+++ b/server/src/test/java/wheatspread/life/LifeTest.java
@@ -31,7 +31,9 @@
             }
             for (Event event : Event.values()) {
                 Phase next = Life.next(phase, event);
-                assertThat(next == null || next.compareTo(phase) >= 0).as("%s in %s", event, phase).isTrue();
+                assertThat(next == null || next.compareTo(phase) >= 0)
+                        .as("%s in %s", event, phase)
+                        .isTrue();
             }
         }
     }
@@ -56,15 +58,16 @@
                     seen.addAll(onward.get(one));
                 }
             }
-            assertThat(seen).as("after the notice in %s", phase).contains(Phase.STOPPED).doesNotContain(
-                Phase.SERVING);
+            assertThat(seen)
+                    .as("after the notice in %s", phase)
+                    .contains(Phase.STOPPED)
+                    .doesNotContain(Phase.SERVING);
         }
     }
 
     @Test
     void anOrdinaryLifeAndOneWhoseKernelIsQuick() {
-        for (Event event : List.of(Event.START, Event.REHEARSED, Event.KERNEL_UP, Event.BOUND,
-            Event.RELOAD)) {
+        for (Event event : List.of(Event.START, Event.REHEARSED, Event.KERNEL_UP, Event.BOUND, Event.RELOAD)) {
             life.on(event);
         }
         assertThat(life.phase()).isEqualTo(Phase.SERVING);
@@ -73,11 +76,11 @@
         assertThat(life.on(Event.NOTICE)).isFalse();
         life.on(Event.EMPTY);
         life.on(Event.CLOSED);
-        assertThat(entered).containsExactly("REHEARSING", "BINDING", "SERVING", "DRAINING", "CLOSING",
-            "STOPPED");
+        assertThat(entered).containsExactly("REHEARSING", "BINDING", "SERVING", "DRAINING", "CLOSING", "STOPPED");
         assertThat(life.exitCode()).isZero();
-        assertThatThrownBy(() -> life.on(Event.START)).isInstanceOf(IllegalStateException.class)
-            .hasMessage("START cannot happen in phase STOPPED");
+        assertThatThrownBy(() -> life.on(Event.START))
+                .isInstanceOf(IllegalStateException.class)
+                .hasMessage("START cannot happen in phase STOPPED");
     }
 
     @Test
@@ -88,7 +91,7 @@
         assertThat(life.phase()).isEqualTo(Phase.RETREATING);
         life.on(Event.BIND_FAILED);
         assertThat(life.exitCode()).isEqualTo(Life.UNAVAILABLE);
-        Life other = new Life((from, to, by) -> { });
+        Life other = new Life((from, to, by) -> {});
         other.on(Event.START);
         other.on(Event.REHEARSED);
         other.on(Event.BOUND);
@@ -105,10 +108,9 @@
         assertThat(drain.look(2_650_000, 1)).isEqualTo(Drain.Step.STOP_LISTENING);
         assertThat(drain.look(2_650_000, 0)).isEqualTo(Drain.Step.LEAVE_EMPTY);
         assertThat(drain.look(3_880_000, 1)).isEqualTo(Drain.Step.LEAVE_IN_TIME);
-        assertThat(new Drain(0, 1_000_000, 2_500_000, true).look(640_000, 0)).isEqualTo(
-            Drain.Step.STOP_LISTENING); // a short stop leaves time to answer
-        assertThat(new Drain(0, 4_000_000, 2_500_000, false).look(150_000, 0)).isEqualTo(
-            Drain.Step.LEAVE_EMPTY);
+        assertThat(new Drain(0, 1_000_000, 2_500_000, true).look(640_000, 0))
+                .isEqualTo(Drain.Step.STOP_LISTENING); // a short stop leaves time to answer
+        assertThat(new Drain(0, 4_000_000, 2_500_000, false).look(150_000, 0)).isEqualTo(Drain.Step.LEAVE_EMPTY);
         drain = new Drain(0, 4_000_000, 2_500_000, true);
         drain.hurry(100_000);
         drain.hurry(900_000);
--- a/server/src/test/java/wheatspread/logging/LoggingTest.java
+++ b/server/src/test/java/wheatspread/logging/LoggingTest.java
@@ -68,10 +68,14 @@
         assertThat(json).endsWith("\n").hasLineCount(1);
         JSONObject told = new JSONObject(json);
         assertThat(told.remove("at").toString()).startsWith("20").endsWith("Z");
-        assertThat(told.toMap()).containsEntry("event", "odd_thing").containsEntry("server", "n1")
-            .containsEntry("text", "a \"b\"\nc").containsEntry("count", 3).containsEntry("share", "NaN");
+        assertThat(told.toMap())
+                .containsEntry("event", "odd_thing")
+                .containsEntry("server", "n1")
+                .containsEntry("text", "a \"b\"\nc")
+                .containsEntry("count", 3)
+                .containsEntry("share", "NaN");
         assertThat(new EventLayout(false, null).doLayout(events.get(0)))
-            .contains("WARN odd_thing text=\"a \\\"b\\\"\\nc\" count=3 share=NaN empty=null\n");
+                .contains("WARN odd_thing text=\"a \\\"b\\\"\\nc\" count=3 share=NaN empty=null\n");
         assertThat(new EventLayout(false, "n1").doLayout(events.get(2))).contains("again=true left_out=1");
     }
 }
--- a/server/src/test/java/wheatspread/membership/AgreementSearchTest.java
+++ b/server/src/test/java/wheatspread/membership/AgreementSearchTest.java
@@ -29,11 +29,10 @@
     private static final Change Y = Change.of(List.of(new MemberId("y", 1)), List.of());
 
     /** What may be told: of a ballot, who says it, and what goes with it. */
-    private record Item(char kind, long ballot, int from, long votedIn, Change change) { }
+    private record Item(char kind, long ballot, int from, long votedIn, Change change) {}
 
     /** What a search may do. */
-    private record Bounds(int members, int rounds, int restarts, int classicQuorum, int fastQuorum,
-                          boolean swapped) { }
+    private record Bounds(int members, int rounds, int restarts, int classicQuorum, int fastQuorum, boolean swapped) {}
 
     /** All members at one moment, with all messages so far. */
     private static final class Moment {
@@ -64,8 +63,9 @@
         Moment with(int who, Agreement next) {
             Moment moment = new Moment(this);
             moment.members[who] = next;
-            next.fastVotes().forEach((change, voters) -> voters.stream().forEach(one ->
-                moment.votes.add(new Item('v', 0, one, 0, change))));
+            next.fastVotes()
+                    .forEach((change, voters) ->
+                            voters.stream().forEach(one -> moment.votes.add(new Item('v', 0, one, 0, change))));
             long ballot = next.ballot();
             if (ballot > Agreement.FAST) {
                 moment.sent.add(new Item('p', ballot, 0, 0, null));
@@ -75,8 +75,8 @@
                 }
                 if (next.asked() != null) {
                     moment.sent.add(new Item('a', ballot, 0, 0, next.asked()));
-                    next.accepted().stream().forEach(one -> moment.votes.add(new Item('v', ballot, one, 0,
-                        next.asked())));
+                    next.accepted().stream()
+                            .forEach(one -> moment.votes.add(new Item('v', ballot, one, 0, next.asked())));
                 }
             }
             return moment;
@@ -104,21 +104,24 @@
             sent.forEach(item -> all.add(item.toString()));
             votes.forEach(item -> all.add(item.toString()));
             all.sort(null);
-            return key.append(all).append(rounds).append(restarts).append(proposed).toString();
+            return key.append(all)
+                    .append(rounds)
+                    .append(restarts)
+                    .append(proposed)
+                    .toString();
         }
     }
 
     private static void hear(Agreement member, Item item) {
         switch (item.kind) {
             case 'p' -> member.heardPrepare(item.ballot);
-            case 'r' -> member.heardPromise(item.ballot, item.from, new Agreement.Promise(item.votedIn,
-                item.change));
+            case 'r' -> member.heardPromise(item.ballot, item.from, new Agreement.Promise(item.votedIn, item.change));
             default -> member.heardAccept(item.ballot, item.change);
         }
     }
 
     /** What a search found. */
-    private record Found(long states, String conflict, boolean whole) { }
+    private record Found(long states, String conflict, boolean whole) {}
 
     private static Found search(Bounds bounds, int mostStates) {
         List<Member> all = new ArrayList<>();
@@ -162,8 +165,7 @@
                 next.add(after);
             }
             if (moment.restarts < bounds.restarts) {
-                Moment after = moment.with(who, new Agreement(view, who, bounds.classicQuorum,
-                    bounds.fastQuorum));
+                Moment after = moment.with(who, new Agreement(view, who, bounds.classicQuorum, bounds.fastQuorum));
                 after.restarts++;
                 after.proposed &= ~(1 << who);
                 next.add(after);
@@ -206,8 +208,10 @@
     void aQuorumThatIsOneTooSmallIsFound() {
         assertThat(search(new Bounds(3, 2, 0, 1, 3, false), 200_000).conflict()).contains("x#1", "y#1");
         // which of two that might have been decided is taken is no more than the order of a map here
-        assertThat(Stream.of(false, true).map(swapped -> search(new Bounds(3, 2, 0, 2, 2, swapped), 200_000)
-            .conflict())).anyMatch(conflict -> conflict != null && conflict.contains("x#1"));
+        assertThat(Stream.of(false, true)
+                        .map(swapped -> search(new Bounds(3, 2, 0, 2, 2, swapped), 200_000)
+                                .conflict()))
+                .anyMatch(conflict -> conflict != null && conflict.contains("x#1"));
     }
 
     @Test
--- a/server/src/test/java/wheatspread/membership/AgreementTest.java
+++ b/server/src/test/java/wheatspread/membership/AgreementTest.java
@@ -31,7 +31,8 @@
             to.heardPrepare(from.ballot());
             from.promises().forEach((one, promise) -> to.heardPromise(from.ballot(), one, promise));
             if (from.asked() != null) {
-                to.heardAccepted(from.ballot(), from.asked(), (BitSet) from.accepted().clone());
+                to.heardAccepted(
+                        from.ballot(), from.asked(), (BitSet) from.accepted().clone());
             }
         }
     }
@@ -106,13 +107,16 @@
                 for (Agreement one : members) {
                     if (one.decided() != null) {
                         assertThat(decided == null || decided.equals(one.decided()))
-                            .as("seed %d: %s and %s", seed, decided, one.decided()).isTrue();
+                                .as("seed %d: %s and %s", seed, decided, one.decided())
+                                .isTrue();
                         decided = one.decided();
                     }
                     all &= one.decided() != null;
                 }
             }
-            assertThat(all).as("seed %d: all of %d in a view of %d know", seed, alive, size).isTrue();
+            assertThat(all)
+                    .as("seed %d: all of %d in a view of %d know", seed, alive, size)
+                    .isTrue();
             seen.add(decided);
         }
         assertThat(seen).hasSizeGreaterThan(2);
--- a/server/src/test/java/wheatspread/membership/CutTallyTest.java
+++ b/server/src/test/java/wheatspread/membership/CutTallyTest.java
@@ -42,8 +42,8 @@
             report(tally, 1, View.high(watchers) - 1);
             assertThat(tally.change(true)).isNull();
             report(tally, 1, View.high(watchers));
-            assertThat(tally.change(false)).isEqualTo(Change.of(List.of(view.members().get(1).id()),
-                List.of()));
+            assertThat(tally.change(false))
+                    .isEqualTo(Change.of(List.of(view.members().get(1).id()), List.of()));
         }
     }
 
@@ -54,12 +54,16 @@
         report(tally, 1, 10);
         report(tally, 2, 4);
         assertThat(tally.change(false)).isNull();
-        assertThat(tally.change(true).out()).containsExactly(view.members().get(1).id());
+        assertThat(tally.change(true).out())
+                .containsExactly(view.members().get(1).id());
         for (int slot = 0; slot < 4; slot++) {
             assertThat(tally.reported(2, slot, 2)).as("taken back").isTrue();
-            assertThat(tally.reported(2, slot, 1)).as("an old word that comes late").isFalse();
+            assertThat(tally.reported(2, slot, 1))
+                    .as("an old word that comes late")
+                    .isFalse();
         }
-        assertThat(tally.change(false).out()).containsExactly(view.members().get(1).id());
+        assertThat(tally.change(false).out())
+                .containsExactly(view.members().get(1).id());
     }
 
     /** Half of the watchers of a member of the zone are gone with it, and can't report it. */
@@ -75,7 +79,9 @@
                 }
             }
         }
-        assertThat(tally.change(false).out()).hasSize(10).allMatch(id -> id.name().compareTo("m010") < 0);
+        assertThat(tally.change(false).out())
+                .hasSize(10)
+                .allMatch(id -> id.name().compareTo("m010") < 0);
     }
 
     @Test
@@ -91,8 +97,8 @@
             assertThat(tally.change(true)).isNull();
             tally.heard(next.id(), slot, 1);
         }
-        assertThat(tally.change(true)).isEqualTo(Change.of(List.of(view.members().get(3).id()),
-            List.of(next)));
+        assertThat(tally.change(true))
+                .isEqualTo(Change.of(List.of(view.members().get(3).id()), List.of(next)));
         assertThat(tally.joins(member(20, 1))).isTrue();
         assertThat(tally.joins(member(21, 1))).as("beyond the bound").isFalse();
     }
@@ -103,13 +109,13 @@
         CutTally tally = new CutTally(view, 2);
         assertThat(tally.leaves(4)).isTrue();
         assertThat(tally.leaves(4)).isFalse();
-        assertThat(tally.change(false).out()).containsExactly(view.members().get(4).id());
+        assertThat(tally.change(false).out())
+                .containsExactly(view.members().get(4).id());
     }
 
     /** The order in which news comes changes nothing, and nobody goes whom few report. */
     @Property(tries = 300)
-    void theSameNewsInAnyOrderIsTheSameChange(@ForAll Random random,
-                                                  @ForAll @IntRange(min = 3, max = 40) int size) {
+    void theSameNewsInAnyOrderIsTheSameChange(@ForAll Random random, @ForAll @IntRange(min = 3, max = 40) int size) {
         View view = view(size);
         List<int[]> news = new ArrayList<>();
         for (int i = 0; i < random.nextInt(size * 6); i++) {
--- a/server/src/test/java/wheatspread/membership/FoundingTest.java
+++ b/server/src/test/java/wheatspread/membership/FoundingTest.java
@@ -35,7 +35,9 @@
         for (int seed = 0; seed < 10; seed++) {
             for (int size : new int[] {3, 4, 12, 40}) {
                 View view = founded(seed, size, 0).agreed(size);
-                assertThat(view.id().number()).as("seed %d, %d members", seed, size).isLessThanOrEqualTo(2);
+                assertThat(view.id().number())
+                        .as("seed %d, %d members", seed, size)
+                        .isLessThanOrEqualTo(2);
             }
             founded(seed, 12, 0.2).agreed(12);
         }
@@ -59,7 +61,9 @@
             net.kill("m001"); // a seed that comes back joins
             start(net, 1, 2, 2, 1);
             net.run(10 * SECOND);
-            assertThat(net.agreed(8).id().epoch()).as("seed %d", seed).isEqualTo(all.id().epoch());
+            assertThat(net.agreed(8).id().epoch())
+                    .as("seed %d", seed)
+                    .isEqualTo(all.id().epoch());
         }
     }
 
@@ -75,7 +79,9 @@
             start(net, 0, 12, 2, 3 * SECOND);
             net.run(25 * SECOND);
             View now = net.agreed(12);
-            assertThat(now.id().epoch()).as("seed %d", seed).isGreaterThan(old.id().epoch());
+            assertThat(now.id().epoch())
+                    .as("seed %d", seed)
+                    .isGreaterThan(old.id().epoch());
             assertThat(now.id().number()).as("seed %d", seed).isLessThanOrEqualTo(2);
         }
     }
@@ -94,9 +100,15 @@
             }
             start(net, 0, 4, 2, SECOND);
             net.run(20 * SECOND);
-            assertThat(net.members.get("m000").view().id().epoch()).as("seed %d", seed).isGreaterThan(first);
-            assertThat(net.members.get("m004").view().size()).as("m004 goes over to it").isEqualTo(5);
-            assertThat(net.members.get("m011").view().size()).as("seed %d", seed).isEqualTo(7);
+            assertThat(net.members.get("m000").view().id().epoch())
+                    .as("seed %d", seed)
+                    .isGreaterThan(first);
+            assertThat(net.members.get("m004").view().size())
+                    .as("m004 goes over to it")
+                    .isEqualTo(5);
+            assertThat(net.members.get("m011").view().size())
+                    .as("seed %d", seed)
+                    .isEqualTo(7);
             net.cut = (from, to) -> false;
             net.run(30 * SECOND);
             View healed = net.agreed(12);
@@ -118,8 +130,12 @@
             }
             net.run(12 * SECOND);
             for (int i = 0; i < 5; i++) {
-                assertThat(net.members.get(Net.name(i)).stands(net.now)).as("seed %d", seed).isFalse();
-                assertThat(net.members.get(Net.name(i)).view()).as("seed %d", seed).isEqualTo(old);
+                assertThat(net.members.get(Net.name(i)).stands(net.now))
+                        .as("seed %d", seed)
+                        .isFalse();
+                assertThat(net.members.get(Net.name(i)).view())
+                        .as("seed %d", seed)
+                        .isEqualTo(old);
             }
             assertThat(net.members.get("m004").found(net.now)).contains("only a seed");
             assertThat(net.members.get("m001").found(net.now)).isNull();
@@ -130,7 +146,9 @@
             assertThat(net.members.get("m003").stands(net.now)).isTrue();
             start(net, 5, 12, 2, SECOND);
             net.run(15 * SECOND);
-            assertThat(net.agreed(12).id().epoch()).as("seed %d", seed).isEqualTo(anew.id().epoch());
+            assertThat(net.agreed(12).id().epoch())
+                    .as("seed %d", seed)
+                    .isEqualTo(anew.id().epoch());
         }
     }
 
@@ -147,8 +165,11 @@
                     for (Map.Entry<String, Membership> one : net.members.entrySet()) {
                         boolean larger = one.getKey().compareTo(border) >= 0;
                         if (larger || second >= 9) {
-                            assertThat(one.getValue().stands(net.now)).as("%s of %d and %d, seed %d, at %d s",
-                                one.getKey(), sides[0], sides[1], seed, second).isEqualTo(larger);
+                            assertThat(one.getValue().stands(net.now))
+                                    .as(
+                                            "%s of %d and %d, seed %d, at %d s",
+                                            one.getKey(), sides[0], sides[1], seed, second)
+                                    .isEqualTo(larger);
                         }
                     }
                 }
@@ -193,10 +214,9 @@
         int whom = net.random.nextInt(12);
         int border = net.random.nextInt(12);
         switch (net.random.nextInt(6)) {
-            case 0 -> net.cut = (from, to) -> from.compareTo(Net.name(border)) < 0
-                != to.compareTo(Net.name(border)) < 0;
-            case 1 -> net.cut = (from, to) -> from.equals(Net.name(whom))
-                && to.compareTo(Net.name(border)) < 0;
+            case 0 ->
+                net.cut = (from, to) -> from.compareTo(Net.name(border)) < 0 != to.compareTo(Net.name(border)) < 0;
+            case 1 -> net.cut = (from, to) -> from.equals(Net.name(whom)) && to.compareTo(Net.name(border)) < 0;
             case 2 -> net.cut = (from, to) -> false;
             case 3 -> net.loss = net.random.nextDouble(0.4);
             case 4 -> net.stoppedUntil.put(Net.name(whom), net.now + net.random.nextLong(6 * SECOND));
@@ -217,8 +237,10 @@
                 for (boolean stands : either) {
                     for (boolean otherStands : either) {
                         assertThat(Precedence.goesBefore(one, stands, other, otherStands)
-                            && Precedence.goesBefore(other, otherStands, one, stands)).isFalse();
-                        assertThat(Precedence.goesBefore(one, stands, one, otherStands)).isFalse();
+                                        && Precedence.goesBefore(other, otherStands, one, stands))
+                                .isFalse();
+                        assertThat(Precedence.goesBefore(one, stands, one, otherStands))
+                                .isFalse();
                     }
                 }
             }
--- a/server/src/test/java/wheatspread/membership/MembershipTest.java
+++ b/server/src/test/java/wheatspread/membership/MembershipTest.java
@@ -26,7 +26,9 @@
                 Net net = fleet(seed, size);
                 net.kill(Net.name(seed % size));
                 net.run(5 * SECOND);
-                assertThat(net.agreed(size - 1).id().number()).as("size %d seed %d", size, seed).isEqualTo(2);
+                assertThat(net.agreed(size - 1).id().number())
+                        .as("size %d seed %d", size, seed)
+                        .isEqualTo(2);
             }
         }
     }
@@ -89,8 +91,9 @@
             Net net = fleet(seed, 12);
             net.cut = (from, to) -> from.compareTo("m005") < 0 != to.compareTo("m005") < 0;
             net.run(20 * SECOND);
-            assertThat(net.members.get("m000").view().id().number()).as("seed %d: five of twelve", seed)
-                .isEqualTo(1);
+            assertThat(net.members.get("m000").view().id().number())
+                    .as("seed %d: five of twelve", seed)
+                    .isEqualTo(1);
             assertThat(net.members.get("m011").view().size()).isEqualTo(7);
             net.cut = (from, to) -> false;
             net.run(12 * SECOND);
@@ -120,7 +123,8 @@
         assertThat(net.views.size()).isLessThanOrEqualTo(5);
         net.run(10 * SECOND);
         net.members.forEach((name, one) -> assertThat(net.dead.contains(name) || one.stands(net.now))
-            .as("%s goes on watching after others joined", name).isTrue());
+                .as("%s goes on watching after others joined", name)
+                .isTrue());
         net.kill("m002");
         net.run(5 * SECOND);
         net.agreed(16);
--- a/server/src/test/java/wheatspread/membership/Net.java
+++ b/server/src/test/java/wheatspread/membership/Net.java
@@ -47,34 +47,36 @@
 
     void add(Member member, List<String> seeds, View first) {
         String name = member.id().name();
-        Membership one = new Membership(member, seeds, DetectorSettings.USUAL, random.split(),
-            new Membership.Actions() {
-                @Override
-                public void send(String address, Message message) {
-                    messages++;
-                    if (random.nextDouble() >= loss && !cut.test(name, address)) {
-                        at(now + 200 + random.nextLong(3_000), address, () -> {
-                            Membership to = members.get(address);
-                            if (to != null) {
-                                to.received(name, message, now);
-                                plan(address);
-                            }
-                        });
+        Membership one =
+                new Membership(member, seeds, DetectorSettings.USUAL, random.split(), new Membership.Actions() {
+                    @Override
+                    public void send(String address, Message message) {
+                        messages++;
+                        if (random.nextDouble() >= loss && !cut.test(name, address)) {
+                            at(now + 200 + random.nextLong(3_000), address, () -> {
+                                Membership to = members.get(address);
+                                if (to != null) {
+                                    to.received(name, message, now);
+                                    plan(address);
+                                }
+                            });
+                        }
                     }
-                }
-
-                @Override
-                public void changed(View before, View next, List<Departure> gone) {
-                    View same = views.putIfAbsent(next.id(), next);
-                    assertThat(same == null || same.equals(next)).as("two views %s", next.id()).isTrue();
-                    seen.computeIfAbsent(name, none -> new ArrayList<>()).add(next);
-                }
-
-                @Override
-                public long unixMillis() {
-                    return 1_700_000_000_000L + now / 1_000;
-                }
-            });
+
+                    @Override
+                    public void changed(View before, View next, List<Departure> gone) {
+                        View same = views.putIfAbsent(next.id(), next);
+                        assertThat(same == null || same.equals(next))
+                                .as("two views %s", next.id())
+                                .isTrue();
+                        seen.computeIfAbsent(name, none -> new ArrayList<>()).add(next);
+                    }
+
+                    @Override
+                    public long unixMillis() {
+                        return 1_700_000_000_000L + now / 1_000;
+                    }
+                });
         dead.remove(name);
         members.put(name, one);
         if (first != null) {
--- a/server/src/test/java/wheatspread/membership/NewsQueueTest.java
+++ b/server/src/test/java/wheatspread/membership/NewsQueueTest.java
@@ -36,8 +36,7 @@
         queue.add(new News.Report(1, 2, 1));
         queue.add(new News.Report(1, 2, 2));
         queue.add(new News.Report(1, 3, 1));
-        assertThat(queue.take(16)).containsExactlyInAnyOrder(new News.Report(1, 2, 2),
-            new News.Report(1, 3, 1));
+        assertThat(queue.take(16)).containsExactlyInAnyOrder(new News.Report(1, 2, 2), new News.Report(1, 3, 1));
     }
 
     /** Where news never ends, what was replaced must not pile up behind it. */
--- a/server/src/test/java/wheatspread/membership/ViewTest.java
+++ b/server/src/test/java/wheatspread/membership/ViewTest.java
@@ -78,6 +78,7 @@
         assertThat(after.named(old.name())).isEqualTo(next);
         assertThat(after.id()).isGreaterThan(view.id());
         assertThatThrownBy(() -> view.after(Change.of(List.of(), List.of(next))))
-            .isInstanceOf(IllegalArgumentException.class).hasMessageContaining(old.name());
+                .isInstanceOf(IllegalArgumentException.class)
+                .hasMessageContaining(old.name());
     }
 }
--- a/server/src/test/java/wheatspread/membership/WatchTest.java
+++ b/server/src/test/java/wheatspread/membership/WatchTest.java
@@ -72,8 +72,7 @@
     void whoDistrustsItselfWaitsLonger() {
         health.turned(600_000);
         assertThat(health.times()).isEqualTo(2);
-        assertThat(run(watch, 0, 7_400_000)).containsSubsequence("ASK_AROUND@600", "SUSPECT@1400",
-            "REPORT@7400");
+        assertThat(run(watch, 0, 7_400_000)).containsSubsequence("ASK_AROUND@600", "SUSPECT@1400", "REPORT@7400");
         health.answered();
         assertThat(health.times()).isEqualTo(1);
         assertThat(health.turned(1_000)).isFalse();
--- a/server/src/test/java/wheatspread/nginx/ImporterTest.java
+++ b/server/src/test/java/wheatspread/nginx/ImporterTest.java
@@ -25,14 +25,17 @@
         Importer.Result result = Importer.read(FOLDER.resolve("site.conf"), "10.0.0.2:3031");
         JSONObject wanted = new JSONObject(Files.readString(FOLDER.resolve("site.json")));
         assertThat(result.file().similar(wanted)).as(result.file().toString(1)).isTrue();
-        List<String> report = result.report().stream().map(line -> line.replace(FOLDER + "/", "")).toList();
+        List<String> report = result.report().stream()
+                .map(line -> line.replace(FOLDER + "/", ""))
+                .toList();
         assertThat(report).containsExactlyElementsOf(Files.readAllLines(FOLDER.resolve("site.expected")));
     }
 
     @Test
     void whatIsWrittenIsAnOperatorsFile() throws IOException {
         Path written = folder.resolve("operator.json");
-        Files.writeString(written, Importer.read(FOLDER.resolve("site.conf"), null).file().toString());
+        Files.writeString(
+                written, Importer.read(FOLDER.resolve("site.conf"), null).file().toString());
         Site site = new Site(null, List.of("search", "save-plan"), List.of("school-feeding"), List.of());
         UwsgiConfig config = OperatorConfig.readFile(written, site).uwsgi();
         assertThat(config.mostConnections()).isEqualTo(120);
--- a/server/src/test/java/wheatspread/peers/MessageCodecTest.java
+++ b/server/src/test/java/wheatspread/peers/MessageCodecTest.java
@@ -31,8 +31,7 @@
     private static final MessageCodec CODEC = new MessageCodec("kitchen", HERE);
 
     private static Member member(int i) {
-        return new Member(new MemberId("m" + i, 1_000 + i), "10.0.0." + i + ":7400", "zone-" + i % 3, "b1",
-            7);
+        return new Member(new MemberId("m" + i, 1_000 + i), "10.0.0." + i + ":7400", "zone-" + i % 3, "b1", 7);
     }
 
     private static View view(int size) {
@@ -45,21 +44,34 @@
 
     private static List<News> news() {
         Change change = Change.of(List.of(member(1).id()), List.of(member(200)));
-        return List.of(new News.Report(3, 9, 5), new News.Suspicion(0, 0, 1), new News.Leaving(11),
-            new News.Joining(member(20)), new News.Heard(member(20).id(), 2, 1),
-            new News.FastVotes(change, BitSet.valueOf(new long[] {0b1011})), new News.Prepare(1 << 20),
-            new News.Promised(1 << 20, 4, new Agreement.Promise(Agreement.NEVER, null)),
-            new News.Promised(1 << 20, 5, new Agreement.Promise(Agreement.FAST, change)),
-            new News.Accepted(1 << 20, change, BitSet.valueOf(new long[] {0b11})));
+        return List.of(
+                new News.Report(3, 9, 5),
+                new News.Suspicion(0, 0, 1),
+                new News.Leaving(11),
+                new News.Joining(member(20)),
+                new News.Heard(member(20).id(), 2, 1),
+                new News.FastVotes(change, BitSet.valueOf(new long[] {0b1011})),
+                new News.Prepare(1 << 20),
+                new News.Promised(1 << 20, 4, new Agreement.Promise(Agreement.NEVER, null)),
+                new News.Promised(1 << 20, 5, new Agreement.Promise(Agreement.FAST, change)),
+                new News.Accepted(1 << 20, change, BitSet.valueOf(new long[] {0b11})));
     }
 
     private static List<Message> messages() {
         MemberId from = member(2).id();
-        return Stream.of(new Body.Ping(7, member(1).id()), new Body.Ack(7),
-            new Body.AskAround(8, member(1).id(), "10.0.0.1:7400"), new Body.Nack(8), new Body.Gossip(),
-            new Body.WhichView(), new Body.ViewIs(view(12)), new Body.Knock(member(30)),
-            new Body.Found(54_400_000_161_761L, true), new Body.Consent(54_400_000_161_761L, member(3)))
-            .map(body -> new Message(from, view(12).id(), true, -5, (Body) body, news())).toList();
+        return Stream.of(
+                        new Body.Ping(7, member(1).id()),
+                        new Body.Ack(7),
+                        new Body.AskAround(8, member(1).id(), "10.0.0.1:7400"),
+                        new Body.Nack(8),
+                        new Body.Gossip(),
+                        new Body.WhichView(),
+                        new Body.ViewIs(view(12)),
+                        new Body.Knock(member(30)),
+                        new Body.Found(54_400_000_161_761L, true),
+                        new Body.Consent(54_400_000_161_761L, member(3)))
+                .map(body -> new Message(from, view(12).id(), true, -5, (Body) body, news()))
+                .toList();
     }
 
     @Test
@@ -77,13 +89,14 @@
     void otherClustersAndMajorVersionsAreNotReadAndLaterMinorOnesAre() throws Exception {
         Message one = messages().get(0);
         assertThatThrownBy(() -> new MessageCodec("pantry", HERE).decode(CODEC.encode(one)))
-            .isInstanceOfSatisfying(Malformed.class, e -> assertThat(e.kind())
-                .isEqualTo(Malformed.Kind.FOREIGN));
+                .isInstanceOfSatisfying(
+                        Malformed.class, e -> assertThat(e.kind()).isEqualTo(Malformed.Kind.FOREIGN));
         Format.Envelope told = Format.Envelope.parseFrom(envelope(one));
-        byte[] next = MessageCodec.seal(told.toBuilder().setMajor(MessageCodec.MAJOR + 1).build()
-            .toByteArray());
-        assertThatThrownBy(() -> CODEC.decode(next)).isInstanceOfSatisfying(Malformed.class,
-            e -> assertThat(e.kind()).isEqualTo(Malformed.Kind.VERSION));
+        byte[] next = MessageCodec.seal(
+                told.toBuilder().setMajor(MessageCodec.MAJOR + 1).build().toByteArray());
+        assertThatThrownBy(() -> CODEC.decode(next))
+                .isInstanceOfSatisfying(
+                        Malformed.class, e -> assertThat(e.kind()).isEqualTo(Malformed.Kind.VERSION));
         // a piece of news and a field that this version has never heard of
         byte[] unknown = {(byte) 0x4a, 0x03, (byte) 0xa0, 0x06, 0x01, (byte) 0xa8, 0x06, 0x05};
         byte[] said = told.toBuilder().setMinor(MessageCodec.MINOR + 1).build().toByteArray();
@@ -102,9 +115,21 @@
         for (String good : List.of("10.0.0.7:7400", "255.255.255.255:65535", "0.0.0.0:1")) {
             assertThat(PeerAddress.text(PeerAddress.parse(good))).isEqualTo(good);
         }
-        for (String bad : List.of("", "localhost:1", "10.0.0.7", "10.0.0.7:", "10.0.0.7:0", "10.0.0.256:1",
-            "10.0.0:1", "1.2.3.4.5:6", "10.0.0.7:65536", "10.0.0.7:99999999999", "10..0.7:1", "::1:7",
-            "10.0.0.7:7x", " 10.0.0.7:7")) {
+        for (String bad : List.of(
+                "",
+                "localhost:1",
+                "10.0.0.7",
+                "10.0.0.7:",
+                "10.0.0.7:0",
+                "10.0.0.256:1",
+                "10.0.0:1",
+                "1.2.3.4.5:6",
+                "10.0.0.7:65536",
+                "10.0.0.7:99999999999",
+                "10..0.7:1",
+                "::1:7",
+                "10.0.0.7:7x",
+                " 10.0.0.7:7")) {
             assertThat(PeerAddress.isOne(bad)).as(bad).isFalse();
         }
     }
@@ -119,23 +144,27 @@
         View view = view(12);
         long[] sent = {0};
         List<View> views = new ArrayList<>();
-        Membership self = new Membership(member(2), List.of(member(0).address()), DetectorSettings.USUAL,
-            new SplittableRandom(1), new Membership.Actions() {
-                @Override
-                public void send(String address, Message message) {
-                    sent[0]++;
-                }
+        Membership self = new Membership(
+                member(2),
+                List.of(member(0).address()),
+                DetectorSettings.USUAL,
+                new SplittableRandom(1),
+                new Membership.Actions() {
+                    @Override
+                    public void send(String address, Message message) {
+                        sent[0]++;
+                    }
 
-                @Override
-                public void changed(View before, View now, List<Departure> gone) {
-                    views.add(now);
-                }
+                    @Override
+                    public void changed(View before, View now, List<Departure> gone) {
+                        views.add(now);
+                    }
 
-                @Override
-                public long unixMillis() {
-                    return 1_700_000_000_000L;
-                }
-            });
+                    @Override
+                    public long unixMillis() {
+                        return 1_700_000_000_000L;
+                    }
+                });
         self.begin(view, 0);
         List<byte[]> said = messages().stream().map(CODEC::encode).toList();
         List<byte[]> bare = messages().stream().map(MessageCodecTest::envelope).toList();
@@ -144,8 +173,9 @@
         int read = 0;
         for (int i = 0; i < 1_250_000; i++) {
             boolean sealed = i % 5 == 4;
-            byte[] spoilt = sealed ? MessageCodec.seal(spoil(bare.get(random.nextInt(bare.size())), random))
-                : spoil(said.get(random.nextInt(said.size())), random);
+            byte[] spoilt = sealed
+                    ? MessageCodec.seal(spoil(bare.get(random.nextInt(bare.size())), random))
+                    : spoil(said.get(random.nextInt(said.size())), random);
             try {
                 MessageCodec.Received told = CODEC.decode(spoilt);
                 read++;
--- a/server/src/test/java/wheatspread/sim/BenchLinkTest.java
+++ b/server/src/test/java/wheatspread/sim/BenchLinkTest.java
@@ -27,11 +27,9 @@
         String[] replies = exchange(recorded()).split("\n");
         assertThat(replies).hasSize((int) recorded().lines().count());
         assertThat(replies[0]).isEqualTo("{\"parts\":[]}");
-        assertThat(replies[1]).contains("\"WorkerId\":4",
-            "\"m\":\"ReportHealth\",\"Want\":true,\"Stored\":true");
+        assertThat(replies[1]).contains("\"WorkerId\":4", "\"m\":\"ReportHealth\",\"Want\":true,\"Stored\":true");
         assertThat(replies[2]).contains("{\"m\":\"Pin\",\"Tid\":14,", "{\"m\":\"Execute\",\"Tid\":11}");
-        assertThat(replies[3]).isEqualTo(
-            "{\"parts\":[{\"WorkerId\":4,\"cmds\":[{\"m\":\"Join\",\"Tid\":15}]}]}");
+        assertThat(replies[3]).isEqualTo("{\"parts\":[{\"WorkerId\":4,\"cmds\":[{\"m\":\"Join\",\"Tid\":15}]}]}");
     }
 
     @Test
@@ -46,18 +44,19 @@
         assertThatThrownBy(() -> exchange("{\"SimTime\":")).hasMessageContaining("line 1: not JSON");
         assertThatThrownBy(() -> exchange("{}")).hasMessageContaining("SimTime");
         assertThatThrownBy(() -> exchange(String.format(part, "{\"m\":\"Exit\"}")))
-            .hasMessageContaining("unknown instance 4");
+                .hasMessageContaining("unknown instance 4");
         assertThatThrownBy(() -> exchange(start + String.format(part, "{\"m\":\"Completed\",\"Tid\":3}")))
-            .hasMessageContaining("line 3").hasMessageContaining("Rc");
+                .hasMessageContaining("line 3")
+                .hasMessageContaining("Rc");
         assertThatThrownBy(() -> exchange(start + String.format(part, "{\"m\":\"Accept\",\"Tid\":3}")))
-            .hasMessageContaining("Band");
+                .hasMessageContaining("Band");
         assertThatThrownBy(() -> exchange(start.replace("\"NCores\": 2", "\"NCores\": 0")))
-            .hasMessageContaining("cores");
+                .hasMessageContaining("cores");
     }
 
     @Test
     void unknownFieldsAndSettingsAreSkipped() throws IOException {
         assertThat(exchange("{\"SimTime\":1.0,\"Novel\":{\"x\":[1,null]},\"parts\":[]}\n"))
-            .isEqualTo("{\"parts\":[]}\n");
+                .isEqualTo("{\"parts\":[]}\n");
     }
 }
--- a/server/src/test/java/wheatspread/sockets/ListenerTest.java
+++ b/server/src/test/java/wheatspread/sockets/ListenerTest.java
@@ -22,10 +22,9 @@
     private final List<Runnable> timers = new ArrayList<>();
     private final List<String> heard = new ArrayList<>();
     private long now = 100_000_000;
-    private final Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1,
-        EventLog.lines(heard::add));
-    private final Listener listener = new Listener(null, turns, new SetClock(), new Echo(),
-        ConnectionLimits.usual(100), EventLog.lines(heard::add));
+    private final Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1, EventLog.lines(heard::add));
+    private final Listener listener = new Listener(
+            null, turns, new SetClock(), new Echo(), ConnectionLimits.usual(100), EventLog.lines(heard::add));
 
     /** Keeps its timers for the test to ring. */
     private final class SetClock implements Clock {
@@ -147,8 +146,10 @@
         say(channel, "def");
         caller.done();
         assertThat(channel.isOpen()).isFalse();
-        assertThat(heard).hasSize(3).contains("abc", "gone with 0")
-            .anyMatch(line -> line.startsWith("caller_connection_failed"));
+        assertThat(heard)
+                .hasSize(3)
+                .contains("abc", "gone with 0")
+                .anyMatch(line -> line.startsWith("caller_connection_failed"));
     }
 
     /** Guards the heap against callers that ask and do not read their answers. */
@@ -190,8 +191,10 @@
     void sourcesAreToldApartByAddressOrNetwork() throws Exception {
         long one = source("127.0.0.1");
         assertThat(one).isEqualTo(source("127.0.0.1")).isNotEqualTo(source("127.0.0.2"));
-        assertThat(source("2001:db8::1")).isEqualTo(source("2001:db8::2")).isNotEqualTo(source("2001:db9::1"))
-            .isNotEqualTo(one);
+        assertThat(source("2001:db8::1"))
+                .isEqualTo(source("2001:db8::2"))
+                .isNotEqualTo(source("2001:db9::1"))
+                .isNotEqualTo(one);
     }
 
     private static long source(String address) throws Exception {
--- a/server/src/test/java/wheatspread/store/Bench.java
+++ b/server/src/test/java/wheatspread/store/Bench.java
@@ -47,8 +47,7 @@
     }
 
     void open() throws IOException {
-        log = Log.open(disk, settings, EventLog.lines(events::add), random::nextLong, now,
-            Recovery.Purpose.WORK);
+        log = Log.open(disk, settings, EventLog.lines(events::add), random::nextLong, now, Recovery.Purpose.WORK);
     }
 
     private Write write(String key, String value, long expires) {
@@ -66,7 +65,7 @@
             long expires = (int) turns[i + 2] == 0 ? 0 : now + (int) turns[i + 2];
             group.add(write((String) turns[i], (String) turns[i + 1], expires));
             possible.computeIfAbsent((String) turns[i], k -> new ArrayList<>())
-                .add(new Held((String) turns[i + 1], expires));
+                    .add(new Held((String) turns[i + 1], expires));
         }
         log.commit(group, now); // a crash leaves all of them possible
         for (int i = 0; i < turns.length; i += 3) {
@@ -143,9 +142,11 @@
         for (String key : keys()) {
             Store.Got got = log.get(bytes(key), now);
             assertThat(got.kind()).as(key).isIn(Store.Got.Kind.VALUE, Store.Got.Kind.ABSENT);
-            Held there = got.value() == null ? NOTHING
-                : new Held(new String(got.value(), StandardCharsets.UTF_8), got.expiresMs());
-            List<Held> allowed = new ArrayList<>(List.of(certain.getOrDefault(key, NOTHING).at(now)));
+            Held there = got.value() == null
+                    ? NOTHING
+                    : new Held(new String(got.value(), StandardCharsets.UTF_8), got.expiresMs());
+            List<Held> allowed =
+                    new ArrayList<>(List.of(certain.getOrDefault(key, NOTHING).at(now)));
             if (afterCrash) {
                 possible.getOrDefault(key, List.of()).forEach(one -> allowed.add(one.at(now)));
             }
@@ -166,8 +167,9 @@
             Held must = certain.getOrDefault(key, NOTHING).at(now);
             if (got.kind() == Store.Got.Kind.VALUE) {
                 if (!lossAllowed) {
-                    assertThat(new String(got.value(),
-                        StandardCharsets.UTF_8)).as(key).isEqualTo(must.value());
+                    assertThat(new String(got.value(), StandardCharsets.UTF_8))
+                            .as(key)
+                            .isEqualTo(must.value());
                 }
             } else if (got.kind() == Store.Got.Kind.ABSENT && !lossAllowed) {
                 assertThat(must).as(key).isEqualTo(NOTHING);
@@ -194,8 +196,17 @@
             switch (choices.nextInt(8)) {
                 case 0, 1 -> commit(key(choices), value(choices, i), 0);
                 case 2 -> commit(key(choices), value(choices, i), 1 + choices.nextInt(4_000));
-                case 3 -> commit(key(choices), value(choices, i), 0, key(choices), value(choices, i), 2_000,
-                    key(choices), null, 0);
+                case 3 ->
+                    commit(
+                            key(choices),
+                            value(choices, i),
+                            0,
+                            key(choices),
+                            value(choices, i),
+                            2_000,
+                            key(choices),
+                            null,
+                            0);
                 case 4 -> commit(key(choices), null, 0);
                 case 5 -> pass(choices.nextInt(1_500));
                 case 6 -> jobs();
--- a/server/src/test/java/wheatspread/store/CrashTest.java
+++ b/server/src/test/java/wheatspread/store/CrashTest.java
@@ -51,8 +51,8 @@
         bench.check(false);
         bench.restart(FaultyDisk.Unsynced.LOST, seed);
         bench.check(true);
-        assertThat(bench.events).noneMatch(line -> line.startsWith("store_damage")
-            || line.startsWith("store_file_lost"));
+        assertThat(bench.events)
+                .noneMatch(line -> line.startsWith("store_damage") || line.startsWith("store_file_lost"));
     }
 
     @Test
@@ -60,8 +60,9 @@
         Bench bench = whole();
         bench.check(false);
         assertThat(bench.refused + bench.inDoubt).isZero();
-        assertThat(bench.events).anyMatch(line -> line.startsWith("store_compacted"))
-            .anyMatch(line -> line.startsWith("store_checkpoint"));
+        assertThat(bench.events)
+                .anyMatch(line -> line.startsWith("store_compacted"))
+                .anyMatch(line -> line.startsWith("store_checkpoint"));
         assertThat(bench.log.stats().counters().expired()).isPositive();
     }
 
@@ -94,10 +95,9 @@
     void aCrashInTheRestartItselfChangesNothing() throws IOException {
         Bench bench = new Bench(Bench.small(), 1);
         bench.disk.atStep = each(place -> {
-            Bench again = bench.crashedHere(place % 2 == 0 ? FaultyDisk.Unsynced.PROCESS
-                : FaultyDisk.Unsynced.REORDERED, place);
-            again.disk.atStep = each(second -> goesOn(recovered(again, FaultyDisk.Unsynced.REORDERED, second),
-                place));
+            Bench again = bench.crashedHere(
+                    place % 2 == 0 ? FaultyDisk.Unsynced.PROCESS : FaultyDisk.Unsynced.REORDERED, place);
+            again.disk.atStep = each(second -> goesOn(recovered(again, FaultyDisk.Unsynced.REORDERED, second), place));
             again.open();
             again.commit("key 1", "after the first crash", 0);
             again.commit("key 2", null, 0);
--- a/server/src/test/java/wheatspread/store/DamageTest.java
+++ b/server/src/test/java/wheatspread/store/DamageTest.java
@@ -32,8 +32,9 @@
     }
 
     private static boolean isTold(Bench bench) {
-        return bench.events.stream().anyMatch(line -> line.matches(
-            "(store_damage|store_torn_tail|store_checkpoint_unusable|store_file_lost) .*"));
+        return bench.events.stream()
+                .anyMatch(line ->
+                        line.matches("(store_damage|store_torn_tail|store_checkpoint_unusable|store_file_lost) .*"));
     }
 
     @ParameterizedTest
@@ -49,8 +50,8 @@
                 wrong[at] ^= (byte) (1 << at % 8);
                 Bench bench = with(whole, name, wrong);
                 // the last group before a crash cannot be told from one that was never acknowledged
-                bench.checkDamaged(isTold(bench) && bench.events.stream().anyMatch(line ->
-                    line.startsWith("store_torn_tail")));
+                bench.checkDamaged(
+                        isTold(bench) && bench.events.stream().anyMatch(line -> line.startsWith("store_torn_tail")));
                 found += isTold(bench) ? 1 : 0;
                 flipped++;
             }
@@ -68,8 +69,10 @@
             for (int length = 0; length < bytes.length; length++) {
                 Bench bench = with(whole, name, Arrays.copyOf(bytes, length));
                 SegmentName segment = SegmentName.parse(name);
-                boolean newest = !ended && segment != null && segment.isOriginal()
-                    && segment.last() == Layout.of(whole.disk.list()).next() - 1;
+                boolean newest = !ended
+                        && segment != null
+                        && segment.isOriginal()
+                        && segment.last() == Layout.of(whole.disk.list()).next() - 1;
                 bench.checkDamaged(newest);
             }
         }
@@ -121,21 +124,25 @@
     @Test
     void anUnknownVersionOrAnotherStoresFileIsRefused() throws IOException {
         Bench whole = store(false);
-        String name = whole.disk.list().stream().filter(one -> SegmentName.parse(one) != null).findFirst()
-            .orElseThrow();
+        String name = whole.disk.list().stream()
+                .filter(one -> SegmentName.parse(one) != null)
+                .findFirst()
+                .orElseThrow();
         byte[] bytes = whole.disk.bytes(name).clone();
         bytes[11] = 2;
         bytes[Headers.SIZE / 2 + 11] = 2;
-        assertThatThrownBy(() -> with(whole, name, bytes)).isInstanceOf(StoreException.class)
-            .hasMessageContaining("is of version 2; this program reads version 1");
+        assertThatThrownBy(() -> with(whole, name, bytes))
+                .isInstanceOf(StoreException.class)
+                .hasMessageContaining("is of version 2; this program reads version 1");
         Bench other = new Bench(Bench.small(), 1);
         other.open();
         other.log.shut();
         other.disk = whole.disk.restarted(FaultyDisk.Unsynced.KEPT, 1);
         SegmentName next = SegmentName.original(Layout.of(other.disk.list()).next());
         other.disk.replace(next.toString(), Headers.write(next, 77, 5, 0).array());
-        assertThatThrownBy(other::open).isInstanceOf(StoreException.class)
-            .hasMessageContaining("belongs to another store");
+        assertThatThrownBy(other::open)
+                .isInstanceOf(StoreException.class)
+                .hasMessageContaining("belongs to another store");
     }
 
     @Test
--- a/server/src/test/java/wheatspread/store/FaultyDisk.java
+++ b/server/src/test/java/wheatspread/store/FaultyDisk.java
@@ -21,7 +21,12 @@
  */
 final class FaultyDisk implements Disk {
     /** What a crash does with what was not synced; PROCESS is that of the process alone. */
-    enum Unsynced { KEPT, LOST, REORDERED, PROCESS }
+    enum Unsynced {
+        KEPT,
+        LOST,
+        REORDERED,
+        PROCESS
+    }
 
     /** A change of names, on files that another disk has copies of. */
     private interface Change {
@@ -34,7 +39,7 @@
     }
 
     private static final int SECTOR = 64;
-    private static final Runnable NOTHING = () -> { };
+    private static final Runnable NOTHING = () -> {};
 
     private static final class Node {
         private byte[] bytes = new byte[0];
@@ -45,6 +50,7 @@
     private Map<String, Node> syncedNames = new TreeMap<>();
     /** What was done to names since they were synced: any part of it may last. */
     private final List<Change> unsyncedNames = new ArrayList<>();
+
     private final Random random;
     private boolean locked;
     private boolean crashed;
@@ -53,13 +59,16 @@
     long appended;
     /** The step that fails, and how; 0 is none. */
     int failAt;
+
     Supplier<IOException> failure = () -> new IOException("planned");
     /** From {@link #failAt} on every step fails. */
     boolean failsOn;
+
     int crashAt;
     long room = Long.MAX_VALUE;
     /** Runs before each step, and between any two bytes that are appended, with the disk as it is then. */
     Runnable atStep = NOTHING;
+
     Runnable atByte = NOTHING;
     /** Runs before each sync of a file. */
     Runnable beforeSync = NOTHING;
@@ -77,14 +86,15 @@
         boolean all = how == Unsynced.KEPT || how == Unsynced.PROCESS;
         (all ? names : syncedNames).forEach((name, node) -> left.put(name, copies.apply(node)));
         if (how == Unsynced.REORDERED) {
-            unsyncedNames.stream().filter(change -> disk.random.nextBoolean())
-                .forEach(change -> change.to(left, copies));
+            unsyncedNames.stream()
+                    .filter(change -> disk.random.nextBoolean())
+                    .forEach(change -> change.to(left, copies));
         }
         disk.names.putAll(left);
         if (how == Unsynced.PROCESS) {
             syncedNames.forEach((name, node) -> disk.syncedNames.put(name, copies.apply(node)));
-            unsyncedNames.forEach(change -> disk.unsyncedNames.add((names, further) ->
-                change.to(names, node -> further.apply(copies.apply(node)))));
+            unsyncedNames.forEach(change -> disk.unsyncedNames.add(
+                    (names, further) -> change.to(names, node -> further.apply(copies.apply(node)))));
         } else {
             disk.syncedNames = new TreeMap<>(left);
         }
--- a/server/src/test/java/wheatspread/store/FramesTest.java
+++ b/server/src/test/java/wheatspread/store/FramesTest.java
@@ -38,7 +38,8 @@
             List<String> read = new ArrayList<>();
             Found found = readAll(file.slice(0, cut), read);
             int length = cut;
-            int whole = (int) ends.stream().filter(end -> end > 0 && end <= length).count();
+            int whole =
+                    (int) ends.stream().filter(end -> end > 0 && end <= length).count();
             assertThat(read).as("cut at %d", cut).isEqualTo(BODIES.subList(0, whole));
             assertThat(found).as("cut at %d", cut).isEqualTo(ends.contains(cut) ? Found.END : Found.TORN);
         }
@@ -59,8 +60,7 @@
 
     @Test
     void aRecordThatIsTooLongIsRefused() {
-        assertThatThrownBy(() -> Frames.write(ByteBuffer.allocate(Frames.LONGEST + 1), ByteBuffer.allocate(
-            8)))
-            .hasMessageContaining("is over " + Frames.LONGEST);
+        assertThatThrownBy(() -> Frames.write(ByteBuffer.allocate(Frames.LONGEST + 1), ByteBuffer.allocate(8)))
+                .hasMessageContaining("is over " + Frames.LONGEST);
     }
 }
