--- a/server/src/test/java/wheatspread/store/GroupEncoderTest.java
+++ b/server/src/test/java/wheatspread/store/GroupEncoderTest.java
@@ -11,23 +11,34 @@
 
 class GroupEncoderTest {
     @Property(tries = 200)
-    void whatIsWrittenByHandIsWhatProtobufWrites(@ForAll byte[] key, @ForAll byte[] value,
-        @ForAll @LongRange(min = 0) long expires, @ForAll long mark) throws Exception {
+    void whatIsWrittenByHandIsWhatProtobufWrites(
+            @ForAll byte[] key, @ForAll byte[] value, @ForAll @LongRange(min = 0) long expires, @ForAll long mark)
+            throws Exception {
         GroupEncoder group = new GroupEncoder();
         group.begin(2);
         group.add(7, key, value, expires);
         group.add(-9, key, null, 0);
         ByteBuffer bytes = group.end(mark == 0 ? 1 : mark, 256, 256);
-        Format.Record put = Format.Record.newBuilder().setKind(Format.Record.Kind.PUT)
-
-                .setKey(ByteString.copyFrom(key)).setValue(ByteString.copyFrom(value)).setExpiresMs(expires)
-            .build();
-        Format.Record delete = Format.Record.newBuilder().setKind(Format.Record.Kind.DELETE)
-            .setKey(ByteString.copyFrom(key)).build();
+        Format.Record put = Format.Record.newBuilder()
+                .setKind(Format.Record.Kind.PUT)
+                .setKey(ByteString.copyFrom(key))
+                .setValue(ByteString.copyFrom(value))
+                .setExpiresMs(expires)
+                .build();
+        Format.Record delete = Format.Record.newBuilder()
+                .setKind(Format.Record.Kind.DELETE)
+                .setKey(ByteString.copyFrom(key))
+                .build();
         int length = Frames.sizeOf(put.getSerializedSize()) + Frames.sizeOf(delete.getSerializedSize());
-        Format.Record head = Format.Record.newBuilder().setKind(Format.Record.Kind.GROUP)
-            .setGroup(Format.Group.newBuilder().setMark(mark == 0 ? 1 : mark).setAt(256).setLength(length)
-                .setSynced(256).addAllHashes(List.of(7L, -9L))).build();
+        Format.Record head = Format.Record.newBuilder()
+                .setKind(Format.Record.Kind.GROUP)
+                .setGroup(Format.Group.newBuilder()
+                        .setMark(mark == 0 ? 1 : mark)
+                        .setAt(256)
+                        .setLength(length)
+                        .setSynced(256)
+                        .addAllHashes(List.of(7L, -9L)))
+                .build();
         for (Format.Record one : List.of(head, put, delete)) {
             ByteBuffer[] body = new ByteBuffer[1];
             assertThat(Frames.read(bytes, body)).isEqualTo(Frames.Found.WHOLE);
--- a/server/src/test/java/wheatspread/store/IndexTest.java
+++ b/server/src/test/java/wheatspread/store/IndexTest.java
@@ -37,11 +37,13 @@
                 assertThat(index.move(hash, from, Index.at(i, -i), i, i)).isTrue();
                 there.add(Index.at(i, -i));
             } else {
-                assertThat(index.remove(hash, there.remove(random.nextInt(there.size())))).isTrue();
+                assertThat(index.remove(hash, there.remove(random.nextInt(there.size()))))
+                        .isTrue();
                 size--;
             }
             List<Long> found = new ArrayList<>();
-            assertThat(index.find(hash, (h, at, length, expiry) -> found.add(at))).isEqualTo(there.size());
+            assertThat(index.find(hash, (h, at, length, expiry) -> found.add(at)))
+                    .isEqualTo(there.size());
             assertThat(found).containsExactlyInAnyOrderElementsOf(there);
         }
         assertThat(index.size()).isEqualTo(size);
--- a/server/src/test/java/wheatspread/store/StoreModelTest.java
+++ b/server/src/test/java/wheatspread/store/StoreModelTest.java
@@ -34,15 +34,14 @@
         Arbitrary<String> keys = Arbitraries.integers().between(0, 9).map(n -> "key " + n);
         Arbitrary<String> values = Arbitraries.strings().alpha().ofMaxLength(200);
         Arbitrary<Integer> lives = Arbitraries.integers().between(0, 4_000);
-        Arbitrary<Action<Bench>> put = Combinators.combine(keys, values, lives).as((key, value, life) ->
-            (Happening) bench -> bench.commit(key, value, life));
-        Arbitrary<Action<Bench>> several = Combinators.combine(keys, keys, values, lives).as(
-            (one, other, value, life) -> (Happening) bench -> bench.commit(one, value, life, other, "b", 0,
-                one,
-                null, 0, other, value, life));
+        Arbitrary<Action<Bench>> put = Combinators.combine(keys, values, lives)
+                .as((key, value, life) -> (Happening) bench -> bench.commit(key, value, life));
+        Arbitrary<Action<Bench>> several = Combinators.combine(keys, keys, values, lives)
+                .as((one, other, value, life) -> (Happening)
+                        bench -> bench.commit(one, value, life, other, "b", 0, one, null, 0, other, value, life));
         Arbitrary<Action<Bench>> delete = keys.map(key -> (Happening) bench -> bench.commit(key, null, 0));
-        Arbitrary<Action<Bench>> time = Arbitraries.integers().between(0, 3_000)
-            .map(ms -> (Happening) bench -> bench.pass(ms));
+        Arbitrary<Action<Bench>> time =
+                Arbitraries.integers().between(0, 3_000).map(ms -> (Happening) bench -> bench.pass(ms));
         Arbitrary<Action<Bench>> checkpoint = Arbitraries.just((Happening) bench -> {
             bench.log.finish(bench.now);
             bench.pass(1_000);
@@ -55,20 +54,24 @@
                 bench.pass(1_000);
             }
         });
-        Arbitrary<Action<Bench>> failure = Arbitraries.integers().between(1,
-            6).map(in -> (Happening) bench -> {
+        Arbitrary<Action<Bench>> failure = Arbitraries.integers().between(1, 6).map(in -> (Happening) bench -> {
             bench.disk.failAt = bench.disk.steps + in;
         });
-        Arbitrary<Action<Bench>> crash = Combinators.combine(Arbitraries.of(FaultyDisk.Unsynced.class),
-            Arbitraries.longs()).as((how, seed) -> (Happening) bench -> {
-                bench.restart(how, seed);
-                bench.check(true);
-            });
-        return Arbitraries.sequences(Arbitraries.frequencyOf(Tuple.of(8, put),
-            Tuple.of(3, several), Tuple.of(3, delete),
-            Tuple.of(3, time), Tuple.of(1, checkpoint),
-            Tuple.of(2, compaction), Tuple.of(1, failure),
-            Tuple.of(2, crash)));
+        Arbitrary<Action<Bench>> crash = Combinators.combine(
+                        Arbitraries.of(FaultyDisk.Unsynced.class), Arbitraries.longs())
+                .as((how, seed) -> (Happening) bench -> {
+                    bench.restart(how, seed);
+                    bench.check(true);
+                });
+        return Arbitraries.sequences(Arbitraries.frequencyOf(
+                Tuple.of(8, put),
+                Tuple.of(3, several),
+                Tuple.of(3, delete),
+                Tuple.of(3, time),
+                Tuple.of(1, checkpoint),
+                Tuple.of(2, compaction),
+                Tuple.of(1, failure),
+                Tuple.of(2, crash)));
     }
 
     @Property(tries = 300, seed = "20261201")
--- a/server/src/test/java/wheatspread/store/StoreTest.java
+++ b/server/src/test/java/wheatspread/store/StoreTest.java
@@ -41,8 +41,8 @@
 
     private CompletableFuture<Store.Outcome> put(String key, String value) {
         CompletableFuture<Store.Outcome> ended = new CompletableFuture<>();
-        assertThat(store.put(Bench.bytes(key), Bench.bytes(value), 0, (outcome, reason) ->
-            ended.complete(outcome))).isNull();
+        assertThat(store.put(Bench.bytes(key), Bench.bytes(value), 0, (outcome, reason) -> ended.complete(outcome)))
+                .isNull();
         return ended;
     }
 
@@ -59,9 +59,11 @@
             put("key " + i % 20, "value " + i);
         }
         assertThat(put("last", "one").join()).isEqualTo(Store.Outcome.HELD);
-        assertThatThrownBy(() -> Store.open(FolderDisk.of(folder), Bench.small(), Store.Time.SYSTEM, loop,
-            EventLog.NONE)).isInstanceOf(Disk.TakenException.class)
-            .hasMessageContaining("is in use by process " + ProcessHandle.current().pid());
+        assertThatThrownBy(
+                        () -> Store.open(FolderDisk.of(folder), Bench.small(), Store.Time.SYSTEM, loop, EventLog.NONE))
+                .isInstanceOf(Disk.TakenException.class)
+                .hasMessageContaining(
+                        "is in use by process " + ProcessHandle.current().pid());
         store.close();
         open(FolderDisk.of(folder), Bench.small());
         assertThat(get("last").value()).isEqualTo(Bench.bytes("one"));
@@ -90,9 +92,10 @@
         for (int i = 0; i < 100; i++) {
             waiting.add(put("key " + i, "x"));
         }
-        assertThat(store.put(Bench.bytes("k"), Bench.bytes("v"), 0, (outcome, reason) -> { }))
-            .isEqualTo(Store.Refusal.QUEUE_FULL);
-        assertThat(store.waiting()).isEqualTo(new Store.Waiting(100, store.waiting().bytes(), 0, 1));
+        assertThat(store.put(Bench.bytes("k"), Bench.bytes("v"), 0, (outcome, reason) -> {}))
+                .isEqualTo(Store.Refusal.QUEUE_FULL);
+        assertThat(store.waiting())
+                .isEqualTo(new Store.Waiting(100, store.waiting().bytes(), 0, 1));
         assertThat(get("read").value()).isEqualTo(Bench.bytes("meanwhile"));
         assertThat(get("one").kind()).isEqualTo(Store.Got.Kind.ABSENT);
         assertThat(first).isNotDone();
@@ -105,17 +108,15 @@
     @Test
     void refusesAtOnceWhatItCannotTake() throws IOException {
         open(disk, Bench.small().withLongestLife(10_000));
-        Store.Done none = (outcome, reason) -> { };
+        Store.Done none = (outcome, reason) -> {};
         long now = System.currentTimeMillis();
-        assertThat(store.put(new byte[1], new byte[300], now + 5_000,
-            none)).isEqualTo(Store.Refusal.TOO_LONG);
+        assertThat(store.put(new byte[1], new byte[300], now + 5_000, none)).isEqualTo(Store.Refusal.TOO_LONG);
         assertThat(store.put(new byte[1], new byte[3], 0, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
-        assertThat(store.put(new byte[1], new byte[3], now + 99_000,
-            none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
+        assertThat(store.put(new byte[1], new byte[3], now + 99_000, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
         assertThat(store.put(new byte[1], new byte[3], now - 1, none)).isEqualTo(Store.Refusal.BAD_EXPIRY);
         store.close();
         assertThat(store.delete(new byte[1], none)).isEqualTo(Store.Refusal.CLOSED);
-        assertThat(store.get(new byte[1], got -> { })).isEqualTo(Store.Refusal.CLOSED);
+        assertThat(store.get(new byte[1], got -> {})).isEqualTo(Store.Refusal.CLOSED);
     }
 
     @Test
--- a/server/src/test/java/wheatspread/store/UpkeepTest.java
+++ b/server/src/test/java/wheatspread/store/UpkeepTest.java
@@ -147,15 +147,14 @@
         index.add(hash, at[0], (int) at[1], 0);
         assertThat(bench.log.get(Bench.bytes("one"), bench.now).value()).isEqualTo(Bench.bytes("first"));
         bench.commit("one", "changed", 0);
-        assertThat(index.find(hash, (h, place, length, expiry) -> { })).isEqualTo(2);
+        assertThat(index.find(hash, (h, place, length, expiry) -> {})).isEqualTo(2);
         assertThat(bench.log.get(Bench.bytes("one"), bench.now).value()).isEqualTo(Bench.bytes("changed"));
     }
 
     @Test
     void thePolicyTakesTheRunThatFreesMostForItsCost() {
-        CompactionPolicy policy = new CompactionPolicy(StoreSettings.DEFAULT.withSizes(100_000, 1 << 20,
-            1_024)
-            .withCompaction(1 << 20, 0.5, 1_000));
+        CompactionPolicy policy = new CompactionPolicy(
+                StoreSettings.DEFAULT.withSizes(100_000, 1 << 20, 1_024).withCompaction(1 << 20, 0.5, 1_000));
         long never = Segment.NEVER;
         CompactionPolicy.Candidate full = new CompactionPolicy.Candidate(100_000, 99_000, never);
         CompactionPolicy.Candidate half = new CompactionPolicy.Candidate(100_000, 40_000, never);
@@ -163,15 +162,15 @@
         CompactionPolicy.Candidate soon = new CompactionPolicy.Candidate(100_000, 10_000, 5_600);
         CompactionPolicy.Candidate tiny = new CompactionPolicy.Candidate(1_000, 700, never);
         assertThat(policy.choose(List.of(full, full), 5_000, false)).isNull();
-        assertThat(policy.choose(List.of(full, half, full), 5_000, false))
-            .isEqualTo(new CompactionPolicy.Run(1, 1));
+        assertThat(policy.choose(List.of(full, half, full), 5_000, false)).isEqualTo(new CompactionPolicy.Run(1, 1));
         assertThat(policy.choose(List.of(half, full, dead, dead), 5_000, false))
-            .isEqualTo(new CompactionPolicy.Run(2, 3));
+                .isEqualTo(new CompactionPolicy.Run(2, 3));
         assertThat(policy.choose(List.of(full, soon), 5_000, false)).isNull();
         assertThat(policy.choose(List.of(full, soon), 5_000, true)).isEqualTo(new CompactionPolicy.Run(1, 1));
-        assertThat(policy.choose(List.of(tiny, tiny, tiny, tiny, tiny, tiny, tiny), 5_000, false)).isNull();
+        assertThat(policy.choose(List.of(tiny, tiny, tiny, tiny, tiny, tiny, tiny), 5_000, false))
+                .isNull();
         assertThat(policy.choose(List.of(tiny, tiny, tiny, tiny, tiny, tiny, tiny, tiny), 5_000, false))
-            .isEqualTo(new CompactionPolicy.Run(0, 7));
+                .isEqualTo(new CompactionPolicy.Run(0, 7));
     }
 
     @Test
--- a/server/src/test/java/wheatspread/supervisor/SimMachine.java
+++ b/server/src/test/java/wheatspread/supervisor/SimMachine.java
@@ -29,8 +29,7 @@
     }
 
     /** How processes of a build behave; times in microseconds after the start, 0 for never. */
-    record Behaviour(long locksAfter, long wellAfter, long diesAfter, int code, boolean deaf,
-        int failedPercent) {
+    record Behaviour(long locksAfter, long wellAfter, long diesAfter, int code, boolean deaf, int failedPercent) {
         static final Behaviour GOOD = new Behaviour(150 * MS, 800 * MS, 0, 0, false, 0);
     }
 
@@ -65,6 +64,7 @@
     private long lastPid = 100;
     /** The supervisor dies at this step; -1 for never. */
     int crashAt = -1;
+
     int steps;
     /** Health checks go unanswered. */
     boolean mute;
@@ -79,8 +79,7 @@
     void pass(long micros) {
         now += micros;
         for (Proc one : procs.values()) {
-            long dies = one.behaviour.diesAfter == 0 ? Long.MAX_VALUE : one.startedAt
-                + one.behaviour.diesAfter;
+            long dies = one.behaviour.diesAfter == 0 ? Long.MAX_VALUE : one.startedAt + one.behaviour.diesAfter;
             if (one.alive && now >= Math.min(dies, one.leavesAt)) {
                 one.alive = false;
                 one.code = dies <= one.leavesAt ? one.behaviour.code : 0;
@@ -97,8 +96,10 @@
 
     boolean serves(String name) {
         Proc one = procs.get(name);
-        return one != null && one.alive && one.leavesAt == Long.MAX_VALUE
-            && now >= one.startedAt + one.behaviour.wellAfter;
+        return one != null
+                && one.alive
+                && one.leavesAt == Long.MAX_VALUE
+                && now >= one.startedAt + one.behaviour.wellAfter;
     }
 
     void die(String name) {
@@ -132,8 +133,10 @@
         if (!started.add(name + "." + generation)) {
             faults.add(name + " generation " + generation + " was started twice");
         }
-        FleetState.Of written = disk.members().stream().filter(one -> one.name().equals(name)).findFirst()
-            .orElseThrow();
+        FleetState.Of written = disk.members().stream()
+                .filter(one -> one.name().equals(name))
+                .findFirst()
+                .orElseThrow();
         if (written.generation() != generation) {
             faults.add(name + " was started before that was written down");
         }
@@ -167,7 +170,8 @@
     public Found holder(String name) {
         Proc one = procs.get(name);
         return one != null && one.alive && now >= one.startedAt + one.behaviour.locksAfter
-            ? new Found(one.pid, one.generation) : null;
+                ? new Found(one.pid, one.generation)
+                : null;
     }
 
     @Override
--- a/server/src/test/java/wheatspread/supervisor/StateFileTest.java
+++ b/server/src/test/java/wheatspread/supervisor/StateFileTest.java
@@ -20,11 +20,22 @@
     private Path dir;
 
     private static FleetState state(int generation, boolean rolled) {
-        FleetState.Of one = new FleetState.Of("n1", Member.State.LEAVING, true, "v1", generation, 77, 5, 4, 3,
-            List.of(1L, 2L), 2, 9, Long.MAX_VALUE);
-        return new FleetState(List.of(one), rolled ? new FleetState.Roll("v1", "v2",
-            Rollout.Status.ROLLING_BACK,
-            "why", 1, 6, 0, Map.of("n1", Rollout.Step.GONE)) : null, true);
+        FleetState.Of one = new FleetState.Of(
+                "n1", Member.State.LEAVING, true, "v1", generation, 77, 5, 4, 3, List.of(1L, 2L), 2, 9, Long.MAX_VALUE);
+        return new FleetState(
+                List.of(one),
+                rolled
+                        ? new FleetState.Roll(
+                                "v1",
+                                "v2",
+                                Rollout.Status.ROLLING_BACK,
+                                "why",
+                                1,
+                                6,
+                                0,
+                                Map.of("n1", Rollout.Step.GONE))
+                        : null,
+                true);
     }
 
     @Test
--- a/server/src/test/java/wheatspread/supervisor/SupervisorTest.java
+++ b/server/src/test/java/wheatspread/supervisor/SupervisorTest.java
@@ -24,7 +24,7 @@
     private static final long MS = SimMachine.MS;
     private static final long TURN = 50 * MS;
     private static final FleetPlan.Backoff BACKOFF =
-        new FleetPlan.Backoff(200 * MS, 2, 5_000 * MS, 0.2, 60_000 * MS, 4, 60_000 * MS, 0);
+            new FleetPlan.Backoff(200 * MS, 2, 5_000 * MS, 0.2, 60_000 * MS, 4, 60_000 * MS, 0);
 
     private SimMachine machine = new SimMachine();
     private Fleet fleet;
@@ -32,6 +32,7 @@
     private int mostOut;
     /** Whether the fleet was whole once, after which its members out of service are counted. */
     private boolean whole;
+
     private int lost;
 
     private static FleetPlan plan(int size, double outShare) {
@@ -39,8 +40,18 @@
         for (int i = 1; i <= size; i++) {
             names.add("n" + i);
         }
-        return new FleetPlan(names, "v1", 8, 5_000 * MS, 4_000 * MS, 3_000 * MS, 3, 15_000 * MS, 2_000 * MS,
-            new FleetPlan.Rolling(outShare, 0, 5, 1_000 * MS, 8_000 * MS, 0.5, 1, true), BACKOFF);
+        return new FleetPlan(
+                names,
+                "v1",
+                8,
+                5_000 * MS,
+                4_000 * MS,
+                3_000 * MS,
+                3,
+                15_000 * MS,
+                2_000 * MS,
+                new FleetPlan.Rolling(outShare, 0, 5, 1_000 * MS, 8_000 * MS, 0.5, 1, true),
+                BACKOFF);
     }
 
     private FleetPlan plan = plan(6, 0.34);
@@ -62,7 +73,7 @@
 
     /** Turns until something holds or the time is over; a supervisor that dies comes back after 0.4 s. */
     private void turn(long most, java.util.function.BooleanSupplier until) {
-        for (long end = machine.now + most; machine.now < end && !until.getAsBoolean();) {
+        for (long end = machine.now + most; machine.now < end && !until.getAsBoolean(); ) {
             try {
                 supervisor.turn(machine.now);
             } catch (SimMachine.Crash crash) {
@@ -96,7 +107,9 @@
     }
 
     private long running(String build) {
-        return machine.procs.values().stream().filter(one -> one.alive && one.build.equals(build)).count();
+        return machine.procs.values().stream()
+                .filter(one -> one.alive && one.build.equals(build))
+                .count();
     }
 
     @Test
@@ -107,7 +120,8 @@
         assertThat(running("v2")).isEqualTo(5);
         assertThat(running("v1")).isOne();
         assertThat(mostOut).isEqualTo(2); // a third of six
-        assertThatThrownBy(() -> fleet.roll("v2", List.of("n9"), 0, machine.now)).hasMessageContaining("n9");
+        assertThatThrownBy(() -> fleet.roll("v2", List.of("n9"), 0, machine.now))
+                .hasMessageContaining("n9");
     }
 
     /** The supervisor dies before and after each thing it does, at every step of a start and a roll. */
@@ -138,7 +152,8 @@
                 assertThat(running("v2")).as("died at step %d", at).isEqualTo(5);
             }
             assertThat(mostOut).as("died at step %d", at).isLessThanOrEqualTo(2);
-            assertThat(machine.procs.values().stream().filter(one -> one.alive).count()).isEqualTo(6);
+            assertThat(machine.procs.values().stream().filter(one -> one.alive).count())
+                    .isEqualTo(6);
         }
     }
 
@@ -259,7 +274,8 @@
         machine.mute = true;
         turn(4_000 * MS, () -> false);
         assertThat(fleet.roster().get("n1").state()).isEqualTo(State.UNWELL);
-        assertThat(fleet.roster().isStale(fleet.roster().get("n1"), machine.now)).isTrue();
+        assertThat(fleet.roster().isStale(fleet.roster().get("n1"), machine.now))
+                .isTrue();
         int before = fleet.roster().get("n1").generation();
         turn(14_000 * MS, () -> false);
         assertThat(fleet.roster().get("n1").generation()).isGreaterThan(before);
@@ -270,7 +286,9 @@
         up();
         plan = plan(4, 0.34);
         supervise(); // another file, read by a later supervisor
-        turn(10_000 * MS, () -> machine.procs.values().stream().filter(one -> one.alive).count() == 4);
+        turn(
+                10_000 * MS,
+                () -> machine.procs.values().stream().filter(one -> one.alive).count() == 4);
         assertThat(machine.procs.get("n5").alive).isFalse();
         fleet.goDown(machine.now);
         turn(10_000 * MS, () -> fleet.isDown());
@@ -296,12 +314,13 @@
             lost = 6;
             turn(random.nextLong(4_000 * MS), () -> false);
         }
-        turn(300_000 * MS, () -> (fleet.roll() == null || fleet.roll().over())
-            && fleet.roster().all().stream().allMatch(one -> one.state() == State.UP || one.state(
-                ) == State.HELD));
+        turn(
+                300_000 * MS,
+                () -> (fleet.roll() == null || fleet.roll().over())
+                        && fleet.roster().all().stream()
+                                .allMatch(one -> one.state() == State.UP || one.state() == State.HELD));
         assertThat(fleet.roll() == null || fleet.roll().over()).isTrue();
-        assertThat(fleet.roster().all()).allMatch(one -> one.state() == State.UP || one.state(
-            ) == State.HELD);
+        assertThat(fleet.roster().all()).allMatch(one -> one.state() == State.UP || one.state() == State.HELD);
         for (Member one : fleet.roster().all()) {
             assertThat(machine.serves(one.name())).isEqualTo(one.state() == State.UP);
         }
--- a/server/src/test/java/wheatspread/timers/TimerWheelTest.java
+++ b/server/src/test/java/wheatspread/timers/TimerWheelTest.java
@@ -67,12 +67,15 @@
                 default -> {
                     long soonest = set.stream().mapToLong(b -> b.at).min().orElse(Long.MAX_VALUE);
                     boolean none = soonest == Long.MAX_VALUE;
-                    assertThat(wheel.nextLook()).as("nobody sleeps over a timer")
-                        .isLessThanOrEqualTo(none ? soonest : soonest + TICK);
+                    assertThat(wheel.nextLook())
+                            .as("nobody sleeps over a timer")
+                            .isLessThanOrEqualTo(none ? soonest : soonest + TICK);
                     now += random.nextLong(reach);
                     wheel.expire(now, Integer.MAX_VALUE);
                     for (Bell bell : rung) {
-                        assertThat(set.remove(bell)).as("rings once, and only if set").isTrue();
+                        assertThat(set.remove(bell))
+                                .as("rings once, and only if set")
+                                .isTrue();
                         assertThat(bell.at).isLessThanOrEqualTo(now);
                     }
                     rung.clear();
--- a/server/src/test/java/wheatspread/turns/CrowdGateTest.java
+++ b/server/src/test/java/wheatspread/turns/CrowdGateTest.java
@@ -60,7 +60,10 @@
 
     @Test
     void thoseTurnedAwayComeBackAtDifferentTimes() {
-        long[] times = LongStream.range(0, 1_000).map(i -> gate.later(4_000_000)).sorted().toArray();
+        long[] times = LongStream.range(0, 1_000)
+                .map(i -> gate.later(4_000_000))
+                .sorted()
+                .toArray();
         assertThat(times[0]).isBetween(1_000_000L, 1_100_000L);
         assertThat(times[999]).isBetween(3_900_000L, 4_000_000L);
         assertThat(times[500]).isBetween(2_300_000L, 2_700_000L);
--- a/server/src/test/java/wheatspread/turns/ReadOrderTest.java
+++ b/server/src/test/java/wheatspread/turns/ReadOrderTest.java
@@ -71,9 +71,8 @@
             add("busy" + i, 1, 0);
             add("asleep" + i, 0, 60_000_000);
         }
-        assertThat(turn(100, 1, 10).subList(0, 8)).containsExactly("busy0", "busy1", "busy2", "asleep0",
-            "busy3",
-            "busy4", "busy5", "asleep1");
+        assertThat(turn(100, 1, 10).subList(0, 8))
+                .containsExactly("busy0", "busy1", "busy2", "asleep0", "busy3", "busy4", "busy5", "asleep1");
     }
 
     @Test
--- a/server/src/test/java/wheatspread/uwsgi/RoutesTest.java
+++ b/server/src/test/java/wheatspread/uwsgi/RoutesTest.java
@@ -13,37 +13,54 @@
 
 class RoutesTest {
     /** The n-th route gives class n; none gives -1. */
-    private static final List<String> ROUTES = List.of("prefix /", "prefix /a/", "exact /a/",
-        "regex ^/a/.*x$", "prefix_first /a/first/", "regex_any_case \\.PNG$", "prefix /a/long/");
+    private static final List<String> ROUTES = List.of(
+            "prefix /",
+            "prefix /a/",
+            "exact /a/",
+            "regex ^/a/.*x$",
+            "prefix_first /a/first/",
+            "regex_any_case \\.PNG$",
+            "prefix /a/long/");
 
     @ParameterizedTest
-    @CsvSource({"/a/, 2", "/a/b, 1", "/a/bx, 3", "/a/first/bx, 4", "/a/b.png, 5", "/a/long/y, 6",
-        "/a/long/x, 3", "/q, 0", "q, -1", "/a/x.pngx, 3"})
+    @CsvSource({
+        "/a/, 2",
+        "/a/b, 1",
+        "/a/bx, 3",
+        "/a/first/bx, 4",
+        "/a/b.png, 5",
+        "/a/long/y, 6",
+        "/a/long/x, 3",
+        "/q, 0",
+        "q, -1",
+        "/a/x.pngx, 3"
+    })
     void takesTheRouteThatNginxWould(String path, int kind) {
         List<Route> routes = ROUTES.stream()
-            .map(text -> route(text.split(" "), ROUTES.indexOf(text))).toList();
+                .map(text -> route(text.split(" "), ROUTES.indexOf(text)))
+                .toList();
         assertThat(new Routes(routes, defaults(-1)).find(path).kind()).isEqualTo(kind);
     }
 
     /** Within a prefix that goes before regular expressions, regular expressions of its own still count. */
     @ParameterizedTest
-    @CsvSource({"/a/x, 2", "/a/in/y, 3", "/a/in/x, 2", "/a/y, 1", "/b/x, 4", "/b/y, 5",
-        "/b/in/x, 4", "/b/in/y, 6"})
+    @CsvSource({"/a/x, 2", "/a/in/y, 3", "/a/in/x, 2", "/a/y, 1", "/b/x, 4", "/b/y, 5", "/b/in/x, 4", "/b/in/y, 6"})
     void looksWithinTheLongestPrefix(String path, int kind) {
         Route inA = route("regex x$".split(" "), 2);
         Route prefixInA = route("prefix /a/in/".split(" "), 3);
         Route prefixInB = route("prefix /b/in/".split(" "), 6);
         List<Route> routes = List.of(
-            new Route(Match.PREFIX_FIRST, "/a/", null, defaults(1), List.of(inA, prefixInA)),
-            route("regex x$".split(" "), 4),
-            new Route(Match.PREFIX, "/b/", null, defaults(5), List.of(prefixInB)));
+                new Route(Match.PREFIX_FIRST, "/a/", null, defaults(1), List.of(inA, prefixInA)),
+                route("regex x$".split(" "), 4),
+                new Route(Match.PREFIX, "/b/", null, defaults(5), List.of(prefixInB)));
         assertThat(new Routes(routes, defaults(-1)).find(path).kind()).isEqualTo(kind);
     }
 
     private static Route route(String[] words, int kind) {
         Match match = Match.valueOf(words[0].toUpperCase(Locale.ROOT));
-        Pattern pattern = match == Match.REGEX ? Pattern.compile(words[1])
-            : match == Match.REGEX_ANY_CASE ? Pattern.compile(words[1], Pattern.CASE_INSENSITIVE) : null;
+        Pattern pattern = match == Match.REGEX
+                ? Pattern.compile(words[1])
+                : match == Match.REGEX_ANY_CASE ? Pattern.compile(words[1], Pattern.CASE_INSENSITIVE) : null;
         return new Route(match, words[1], pattern, defaults(kind), List.of());
     }
 
