Report files may hold series: one figure measured at several sizes

Need: the capacity page is to be recomputed from the report files of several commands (scale run, start and reload, JMH), so all write their points alike.

Change: lab.report.Series, written by Report under the key "series".

--- a/lab/src/main/java/wheatspread/lab/report/Report.java
+++ b/lab/src/main/java/wheatspread/lab/report/Report.java
@@ -21,6 +21,7 @@
 public final class Report {
     private final String name;
     private final Map<String, JSONObject> parts = new LinkedHashMap<>();
+    private final List<Series> series = new ArrayList<>();
 
     public Report(String name) {
         this.name = name;
@@ -30,6 +31,11 @@
         parts.put(part, figures);
     }
 
+    /** Adds a figure measured at several sizes, for the capacity page. */
+    public void add(Series measured) {
+        series.add(measured);
+    }
+
     /** The names of the parts, in their order. */
     public List<String> parts() {
         return List.copyOf(parts.keySet());
@@ -58,6 +64,9 @@
         Files.createDirectories(folder);
         JSONObject all = new JSONObject().put("machine", machine()).put("command", command());
         parts.forEach(all::put);
+        if (!series.isEmpty()) {
+            all.put(Series.KEY, series.stream().map(Series::toJson).toList());
+        }
         Files.writeString(folder.resolve(name + ".json"), all.toString(1) + "\n", StandardCharsets.UTF_8);
     }
 
