One search for the connection that makes room; no field named as a method

ConnectionTable walked two lists with the same loop: now one search with the link to follow as an argument. Those at rest have nothing open, so asking for it in both changes nothing. GracefulShutdown asked whether there is a drain in the closing phase; by the table of phases that is entered from the drain alone, so both questions go. CallerHandler had a field and a method called inputEnded; the field is inputShutdown now, as the event it notes.

--- a/server/src/main/java/wheatspread/connections/ConnectionTable.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionTable.java
@@ -1,6 +1,7 @@
 package wheatspread.connections;
 
 import java.util.function.Consumer;
+import java.util.function.UnaryOperator;
 import wheatspread.connections.Connection.State;
 
 /**
@@ -113,15 +114,15 @@
             counters.roomSpeaking++;
             return close(speaking);
         }
-        Connection resting = silentFrom(sources.longestOfMost());
+        Connection resting = restingOf(sources.longestOfMost());
         if (resting != null) {
             counters.roomResting++;
             return close(resting);
         }
         // a flood fills the table before anybody in it had the time to speak: the one that came last may be
         // a caller with a request or a check, and the others have said nothing yet
-        Connection young = untouched(State.NEW);
-        young = young == null ? untouched(State.SPEAKING) : young;
+        Connection young = quietIn(State.NEW);
+        young = young == null ? quietIn(State.SPEAKING) : young;
         if (young != null) {
             counters.roomYoung++;
             return close(young);
@@ -129,32 +130,37 @@
         return false;
     }
 
-    /** The longest in this state that has nothing open and nothing unread; null if none is near. */
-    private Connection untouched(State state) {
-        Connection c = first[state.ordinal()];
-        for (int i = 0; c != null && (c.unread || c.open > 0) && i < MOST_WOKEN; i++) {
-            c = c.next;
-        }
-        return c == null || c.unread || c.open > 0 ? null : c;
-    }
-
     /** The first of those that began a message before that time, as long as it has nothing open. */
     private Connection halfSpoken(long before) {
         Connection c = first[State.SPEAKING.ordinal()];
-        return c != null && c.since < before && c.open == 0 && !c.unread ? c : null;
+        return c != null && c.since < before && isQuiet(c) ? c : null;
+    }
+
+    /** The longest at rest of that source that can make room; null if none is near. */
+    private static Connection restingOf(Connection longest) {
+        return firstQuiet(longest, connection -> connection.nextOfSource);
+    }
+
+    /** The longest in this state that can make room; null if none is near. */
+    private Connection quietIn(State state) {
+        return firstQuiet(first[state.ordinal()], connection -> connection.next);
     }
 
-    /** The first from this one on, of its source at rest, that has written nothing; null if none is near. */
-    private static Connection silentFrom(Connection longest) {
-        Connection c = longest;
-        for (int i = 0; c != null && c.unread && i < MOST_WOKEN; i++) {
-            c = c.nextOfSource;
+    /** The first along a list that has nothing open and nothing unread; null if none is near its head. */
+    private static Connection firstQuiet(Connection head, UnaryOperator<Connection> next) {
+        Connection candidate = head;
+        for (int passed = 0; candidate != null && !isQuiet(candidate) && passed < MOST_WOKEN; passed++) {
+            candidate = next.apply(candidate);
         }
-        return c == null || c.unread ? null : c;
+        return candidate != null && isQuiet(candidate) ? candidate : null;
+    }
+
+    private static boolean isQuiet(Connection connection) {
+        return connection.open == 0 && !connection.unread;
     }
 
     private boolean makeRoomOf(long address) {
-        Connection resting = silentFrom(sources.of(address).first);
+        Connection resting = restingOf(sources.of(address).first);
         if (resting == null) {
             return false;
         }
--- a/server/src/main/java/wheatspread/daemon/GracefulShutdown.java
+++ b/server/src/main/java/wheatspread/daemon/GracefulShutdown.java
@@ -93,9 +93,6 @@
 
     /** What the drain answered, what it had to fail, and whether anything is left without an answer. */
     void tell() {
-        if (drain == null) {
-            return;
-        }
         List<Object> fields = new ArrayList<>(List.of(
                 "took_ms",
                 drain.took(clock.now()) / 1000,
@@ -131,9 +128,7 @@
 
     private void awaitClosed(List<Listener> all, long closingAt, Runnable ended) {
         long pending = all.stream().mapToLong(Listener::pendingBytes).sum();
-        if (all.stream().allMatch(Listener::isEmpty)
-                || drain == null
-                || !drain.lingers(clock.now(), closingAt, pending)) {
+        if (all.stream().allMatch(Listener::isEmpty) || !drain.lingers(clock.now(), closingAt, pending)) {
             all.forEach(Listener::cut);
             clock.soon(ended);
         } else {
--- a/server/src/main/java/wheatspread/sockets/CallerHandler.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandler.java
@@ -33,7 +33,7 @@
     Connection connection;
     private Phase phase = Phase.OPEN;
     /** The caller's side has ended its stream; it may still read. */
-    private boolean inputEnded;
+    private boolean inputShutdown;
     /** How the end goes on; null before the last answer. */
     private Lingering lingering;
 
@@ -54,7 +54,7 @@
         /** So often a caller that takes its answers slowly is given the time again. */
         static final int MOST_EXTENSIONS = 4;
 
-        boolean outputShut;
+        boolean outputShutdown;
         int discarded;
         int extensions;
         long pendingThen = Long.MAX_VALUE;
@@ -125,10 +125,10 @@
 
     @Override
     public final void userEventTriggered(ChannelHandlerContext context, Object event) {
-        if (!(event instanceof ChannelInputShutdownEvent) || inputEnded) {
+        if (!(event instanceof ChannelInputShutdownEvent) || inputShutdown) {
             return;
         }
-        inputEnded = true;
+        inputShutdown = true;
         if (phase == Phase.LINGERING) {
             closeIfDone();
         } else {
@@ -213,7 +213,7 @@
         phase = Phase.LINGERING;
         lingering = new Lingering();
         ctx.writeAndFlush(Unpooled.EMPTY_BUFFER).addListener(this::writtenOut);
-        if (!inputEnded && ctx.channel().isOpen()) {
+        if (!inputShutdown && ctx.channel().isOpen()) {
             ctx.channel().config().setAutoRead(true);
         }
     }
@@ -225,12 +225,12 @@
             return;
         }
         channel.shutdownOutput();
-        lingering.outputShut = true;
+        lingering.outputShutdown = true;
         closeIfDone();
     }
 
     private void closeIfDone() {
-        if (inputEnded && lingering.outputShut) {
+        if (inputShutdown && lingering.outputShutdown) {
             ctx.close();
         }
     }
