Split the store's log by concern: segment writer, group commit, reader, jobs

Each is a package-private class now: SegmentWriter (segments, appends, syncs, cuts), GroupCommit (admission, failure, retry), IndexUpdate, RecordReader, MaintenanceJobs (one job at a time), CompactionPlanner (runs of neighbours), CheckpointProgress, FilesBesideLog, DiskSpace, ExpirySweep; StoreContext holds what they share. Log stays the one door to them, with its rules for threads.

Ruled out: one class for all jobs, since choosing a run and ending a job share no state.

Methods were moved with their bodies. Gone are an unused parameter of Log.install (and the argument in the tests' bench) and a throws clause of finish that could not happen.

Measured: all tests of the store, crash and damage tests among them, and PackagesTest: pass.

--- /dev/null
+++ b/server/src/main/java/wheatspread/store/CheckpointProgress.java
@@ -0,0 +1,57 @@
+package wheatspread.store;
+
+/** The newest checkpoint, and how far the log has grown since the last one was begun. */
+final class CheckpointProgress {
+    private long loggedBytes;
+    private boolean changed;
+    private long number;
+    private String newest;
+
+    CheckpointProgress(Recovery.Report recovered) {
+        loggedBytes = recovered.readBytes();
+        changed = recovered.replayedRecords() > 0;
+    }
+
+    /** The log grew by this many bytes. */
+    void logged(long bytes) {
+        loggedBytes += bytes;
+        changed = true;
+    }
+
+    /** Begins a checkpoint, and returns its number. */
+    long begin() {
+        loggedBytes = 0;
+        changed = false;
+        return ++number;
+    }
+
+    /** The checkpoint could not be written: the next one is due at once. */
+    void failed(StoreSettings settings) {
+        loggedBytes = settings.checkpointBytes();
+    }
+
+    boolean isDue(StoreSettings settings) {
+        return loggedBytes >= settings.checkpointBytes();
+    }
+
+    /** Whether anything is in the log that no checkpoint was begun for. */
+    boolean hasChanges() {
+        return changed;
+    }
+
+    /** The file of the newest checkpoint; null if there is none. */
+    String newest() {
+        return newest;
+    }
+
+    /** A checkpoint stands on the disk. */
+    void completed(String name) {
+        newest = name;
+    }
+
+    /** A checkpoint was found when the folder was opened; numbers go on from it. */
+    void found(String name) {
+        newest = name;
+        number = Layout.checkpointNumber(name);
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/DiskSpace.java
@@ -0,0 +1,74 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import wheatspread.disk.Disk;
+import wheatspread.logging.EventLog;
+
+/** The room that a store takes and has left: no more is written near its bound, or where the disk is full. */
+final class DiskSpace {
+    private static final long CHECK_DISK_EVERY_MS = 1_000;
+
+    private final Disk disk;
+    private final StoreSettings settings;
+    private final EventLog log;
+    private final Catalog catalog;
+    private final FilesBesideLog files;
+    private final MaintenanceJobs jobs;
+    private final WriteState state;
+    private long checkedDiskAt = Long.MIN_VALUE / 2;
+    private boolean diskHasRoom = true;
+
+    DiskSpace(StoreContext context, FilesBesideLog files, MaintenanceJobs jobs, WriteState state) {
+        disk = context.disk();
+        settings = context.settings();
+        log = context.log();
+        catalog = context.catalog();
+        this.files = files;
+        this.jobs = jobs;
+        this.state = state;
+    }
+
+    /** All files, with what is being written beside them. */
+    long usedBytes() {
+        return catalog.usedBytes() + jobs.ownBytes() + files.bytes();
+    }
+
+    /** Whether this many bytes may be taken in all, beside the reserve. */
+    boolean hasRoomFor(long bytes) {
+        return bytes + settings.reserve() <= settings.maxBytes();
+    }
+
+    /** Has the next {@link #check} ask the disk. */
+    void checkDiskNext(long nowMs) {
+        checkedDiskAt = nowMs - CHECK_DISK_EVERY_MS;
+    }
+
+    /** Looks whether there is room, and tells the log when that changes. */
+    void check(long nowMs) {
+        if (nowMs - checkedDiskAt >= CHECK_DISK_EVERY_MS) {
+            checkedDiskAt = nowMs;
+            checkDisk();
+        }
+        boolean wasFull = state.mode() == WriteState.Mode.FULL;
+        state.room(diskHasRoom && hasRoomFor(usedBytes()));
+        boolean isFull = state.mode() == WriteState.Mode.FULL;
+        if (wasFull != isFull) {
+            log.warn(
+                    isFull ? "store_full" : "store_has_room",
+                    "used",
+                    usedBytes(),
+                    "live",
+                    catalog.liveBytes(),
+                    "max",
+                    settings.maxBytes());
+        }
+    }
+
+    private void checkDisk() {
+        try {
+            diskHasRoom = disk.free() >= settings.minFreeBytes();
+        } catch (IOException e) {
+            diskHasRoom = true; // the next write tells
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/FilesBesideLog.java
@@ -0,0 +1,92 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.Collection;
+import java.util.LinkedHashSet;
+import java.util.Map;
+import java.util.Set;
+import java.util.TreeMap;
+import wheatspread.disk.Disk;
+import wheatspread.disk.DiskFile;
+import wheatspread.logging.EventLog;
+
+/**
+ * The files of the folder that are not part of the log: the checkpoint, what is to be deleted or set aside,
+ * and what was set aside. They take room as well, so their sizes are kept.
+ */
+final class FilesBesideLog {
+    private final Disk disk;
+    private final EventLog log;
+    private final Set<String> toDelete = new LinkedHashSet<>();
+    private final Set<String> toSetAside = new LinkedHashSet<>();
+    private final Map<String, Long> sizes = new TreeMap<>();
+
+    FilesBesideLog(StoreContext context) {
+        disk = context.disk();
+        log = context.log();
+    }
+
+    /** Counts a file with the size that it has on the disk. */
+    void measure(String name) throws IOException {
+        try (DiskFile file = disk.open(name)) {
+            sizes.put(name, file.size());
+        }
+    }
+
+    /** Counts a file. */
+    void add(String name, long bytes) {
+        sizes.put(name, bytes);
+    }
+
+    /** Files that may not be there are to be deleted before any other job is run. */
+    void delete(Collection<String> names) {
+        toDelete.addAll(names);
+    }
+
+    /** A segment that has been rewritten is to be deleted, or set aside if it is damaged. */
+    void retire(Segment rewritten) {
+        String name = rewritten.name.toString();
+        (rewritten.damaged ? toSetAside : toDelete).add(name);
+        add(name, rewritten.bytes);
+        if (rewritten.damaged) {
+            log.warn("store_set_aside", "file", name + SegmentName.ASIDE);
+        }
+    }
+
+    /** Whether there is anything to delete or set aside. */
+    boolean hasPending() {
+        return !toDelete.isEmpty() || !toSetAside.isEmpty();
+    }
+
+    /** A job that deletes and sets aside what is to be. */
+    DeleteJob deletion() {
+        Set<String> all = new LinkedHashSet<>(toDelete);
+        all.addAll(toSetAside);
+        return new DeleteJob(disk, all, toSetAside);
+    }
+
+    /** A job of {@link #deletion} has come to its end. */
+    void completed(DeleteJob deletion) {
+        toDelete.removeAll(deletion.names());
+        toSetAside.removeAll(deletion.aside());
+        for (String name : deletion.names()) {
+            sizes.remove(name);
+        }
+        for (String name : deletion.aside()) {
+            try {
+                measure(name + SegmentName.ASIDE);
+            } catch (IOException e) {
+                log.warn("store_file_lost", "file", name);
+            }
+        }
+    }
+
+    /** The size of all of them. */
+    long bytes() {
+        long bytes = 0;
+        for (long size : sizes.values()) {
+            bytes += size;
+        }
+        return bytes;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/GroupCommit.java
@@ -0,0 +1,137 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import wheatspread.disk.Disk;
+import wheatspread.logging.EventLog;
+
+/**
+ * Commits writes in groups that share a sync. After a failed step on the disk the segment is abandoned, and
+ * nothing is taken until a new one stands that says where the failed one ends; attempts at that are spaced
+ * out by {@link WriteState}. For the writer's thread alone.
+ */
+final class GroupCommit {
+    private final StoreSettings settings;
+    private final EventLog log;
+    private final SegmentWriter writer;
+    private final IndexUpdate index;
+    private final DiskSpace space;
+    private final WriteState state;
+    private final StoreStats.Counters counters;
+
+    GroupCommit(StoreContext context, SegmentWriter writer, DiskSpace space, WriteState state) {
+        settings = context.settings();
+        log = context.log();
+        counters = context.counters();
+        this.writer = writer;
+        this.space = space;
+        this.state = state;
+        index = new IndexUpdate(context.catalog());
+    }
+
+    /** Writes a group, and tells each of its writes how it ended. */
+    void commit(List<Write> writes, long nowMs) {
+        List<Write> admitted = admit(writes);
+        if (admitted.isEmpty()) {
+            return;
+        }
+        try {
+            index.prepare(admitted);
+            writer.reserve(admitted.stream().mapToLong(Write::room).sum());
+        } catch (IOException e) {
+            failed("open", e, nowMs);
+            endAll(admitted, Store.Outcome.REFUSED, e);
+            return;
+        }
+        long base;
+        try {
+            base = writer.append(admitted, nowMs);
+        } catch (IOException e) {
+            failed("write", e, nowMs);
+            endAll(admitted, Store.Outcome.IN_DOUBT, e);
+            return;
+        }
+        index.apply(admitted, writer.active(), base);
+        counters.writes += admitted.size();
+    }
+
+    private static void endAll(List<Write> writes, Store.Outcome outcome, IOException e) {
+        writes.forEach(write -> write.end(outcome, "the disk fails: " + e.getMessage()));
+    }
+
+    /** The writes that may be taken; the others are refused. */
+    private List<Write> admit(List<Write> writes) {
+        List<Write> admitted = new ArrayList<>(writes.size());
+        long used = space.usedBytes();
+        for (Write write : writes) {
+            WriteState.Mode mode = state.mode();
+            long size = write.room();
+            if (state.mustRecover() || mode == WriteState.Mode.FULL && write.value != null) {
+                write.end(Store.Outcome.REFUSED, mode == WriteState.Mode.FULL ? "the disk is full" : "the disk fails");
+            } else if (write.value != null && !space.hasRoomFor(used + size)) {
+                state.room(false);
+                write.end(Store.Outcome.REFUSED, "the store is full");
+            } else {
+                used += size;
+                admitted.add(write);
+            }
+        }
+        counters.refused += writes.size() - admitted.size();
+        return admitted;
+    }
+
+    /** Syncs what was written where the settings ask for a sync at intervals and one is due. */
+    void syncIfDue(long nowMs) {
+        if (syncsAtIntervals() && nowMs - writer.syncedAt() >= settings.syncMs()) {
+            try {
+                writer.sync(nowMs);
+            } catch (IOException e) {
+                failed("sync", e, nowMs);
+            }
+        }
+    }
+
+    private boolean syncsAtIntervals() {
+        return writer.isDirty() && settings.sync() == StoreSettings.Sync.INTERVAL;
+    }
+
+    /** After a failure: a new segment, if another attempt is due. */
+    void recoverIfDue(long nowMs) {
+        if (!state.mayRetry(nowMs)) {
+            return;
+        }
+        try {
+            writer.resume(nowMs);
+            state.recovered();
+            space.checkDiskNext(nowMs);
+            log.info("store_writes_again", "failures", state.failures());
+        } catch (IOException e) {
+            failed("recover", e, nowMs);
+        }
+    }
+
+    /** When a sync or another attempt to recover is due; {@link Long#MAX_VALUE} if neither will be. */
+    long dueMs(long nowMs) {
+        long syncDue = syncsAtIntervals() ? writer.syncedAt() + settings.syncMs() : Long.MAX_VALUE;
+        return Math.min(syncDue, Math.max(nowMs, state.retryAt()));
+    }
+
+    /** Seals what is written; false if the disk failed. */
+    boolean seal(long nowMs) {
+        try {
+            writer.seal();
+            return true;
+        } catch (IOException e) {
+            failed("seal", e, nowMs);
+            return false;
+        }
+    }
+
+    private void failed(String doing, IOException e, long nowMs) {
+        state.failed(nowMs, e instanceof Disk.NoSpaceException);
+        counters.failures++;
+        log.error("store_write_failed", "doing", doing, "reason", e.toString(), "retry_ms", state.retryAt() - nowMs);
+        writer.abandon();
+    }
+}
--- a/server/src/main/java/wheatspread/store/Headers.java
+++ b/server/src/main/java/wheatspread/store/Headers.java
@@ -4,6 +4,8 @@
 import java.io.IOException;
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.Arrays;
+import java.util.function.LongSupplier;
 import wheatspread.disk.DiskFile;
 
 /** The begin of a file: twice the same block, so that one damaged place leaves the other. No state. */
@@ -17,6 +19,12 @@
 
     private Headers() {}
 
+    /** A mark for a new file, which begins every group of it; 0 stands for none. */
+    static long newMark(LongSupplier random) {
+        long drawn = random.getAsLong();
+        return drawn == 0 ? 1 : drawn;
+    }
+
     static ByteBuffer write(SegmentName name, long seed, long mark, long createdMs) {
         Format.SegmentHeader header = Format.SegmentHeader.newBuilder()
                 .setFirst(name.first())
@@ -49,7 +57,7 @@
             ByteBuffer block = all.slice(i * BLOCK, BLOCK);
             byte[] magic = new byte[MAGIC.length];
             block.get(magic);
-            versions[i] = java.util.Arrays.equals(magic, MAGIC) ? block.getInt() : 0;
+            versions[i] = Arrays.equals(magic, MAGIC) ? block.getInt() : 0;
             ByteBuffer[] body = new ByteBuffer[1];
             if (versions[i] == VERSION && Frames.read(block, body) == Frames.Found.WHOLE) {
                 return checked(parse(body[0]), name);
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/IndexUpdate.java
@@ -0,0 +1,92 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.Arrays;
+import java.util.List;
+import org.agrona.collections.LongArrayList;
+
+/**
+ * What a group of writes changes in the index. Before the group is appended each write learns which entry it
+ * replaces, for which records may have to be read; once the group is held, the entries change under one lock.
+ */
+final class IndexUpdate {
+    private final Catalog catalog;
+
+    IndexUpdate(Catalog catalog) {
+        this.catalog = catalog;
+    }
+
+    /** Finds the entries that the writes replace. */
+    void prepare(List<Write> writes) throws IOException {
+        for (Write write : writes) {
+            write.hash = catalog.hash(write.key);
+            write.replaces = entryOf(write.hash, write.key);
+        }
+    }
+
+    /** The place of a key's entry; 0 if it has none. Equal hashes are told apart by the keys in the log. */
+    private long entryOf(long hash, byte[] key) throws IOException {
+        LongArrayList found = new LongArrayList(2, 0);
+        catalog.index.find(hash, (h, at, length, expiry) -> {
+            found.addLong(at);
+            found.addLong(length);
+        });
+        for (int i = 0; i < found.size(); i += 2) {
+            if (catalog.hasKey(found.getLong(i), (int) found.getLong(i + 1), key)) {
+                return found.getLong(i);
+            }
+        }
+        return 0;
+    }
+
+    /** Points the index to a group that is held; its places count from {@code base} in {@code segment}. */
+    void apply(List<Write> writes, Segment segment, long base) {
+        synchronized (catalog.index) {
+            for (int i = 0; i < writes.size(); i++) {
+                apply(writes, i, segment, base);
+                writes.get(i).end(Store.Outcome.HELD, null);
+            }
+        }
+    }
+
+    private void apply(List<Write> writes, int place, Segment segment, long base) {
+        Write write = writes.get(place);
+        long at = Index.at(segment.id, (int) (base + write.at));
+        long[] old = new long[2];
+        catalog.index.find(write.hash, (hash, there, length, expiry) -> {
+            boolean earlier = Index.file(there) == segment.id
+                    && Index.offset(there) >= base
+                    && isSameKey(write, writes, place, (int) (Index.offset(there) - base));
+            if (there == write.replaces || earlier) {
+                old[0] = there;
+                old[1] = length;
+            }
+        });
+        if (old[0] != 0) {
+            catalog.died(old[0], old[1]);
+        }
+        if (write.value == null) {
+            segment.records++;
+            if (old[0] != 0) {
+                catalog.index.remove(write.hash, old[0]);
+            }
+            return;
+        }
+        int expiry = Catalog.expirySeconds(write.expiresMs);
+        segment.saw(write.expiresMs);
+        segment.liveBytes += Catalog.weight(write.length);
+        if (old[0] == 0 || !catalog.index.move(write.hash, old[0], at, write.length, expiry)) {
+            catalog.index.add(write.hash, at, write.length, expiry);
+        }
+    }
+
+    /** Whether the earlier write of this group that stands at a place has the same key. */
+    private static boolean isSameKey(Write write, List<Write> writes, int before, int at) {
+        for (int i = before - 1; i >= 0; i--) {
+            if (writes.get(i).at == at) {
+                return Arrays.equals(writes.get(i).key, write.key);
+            }
+        }
+        return false;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/RecordReader.java
@@ -0,0 +1,72 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import wheatspread.logging.EventLog;
+
+/**
+ * Looks up keys. Any thread may read: the index is locked only while the places of a key are taken from it,
+ * and their segments are held open until they have been read.
+ */
+final class RecordReader {
+    private final Catalog catalog;
+    private final EventLog log;
+
+    RecordReader(StoreContext context) {
+        catalog = context.catalog();
+        log = context.log();
+    }
+
+    /** Where a record stands, and whether a newer one may have been lost. */
+    private record Place(Segment segment, int offset, int length, boolean inDoubt) {}
+
+    /** What the store holds for a key. */
+    Store.Got get(byte[] key, long nowMs) throws IOException {
+        long hash = catalog.hash(key);
+        List<Place> found = new ArrayList<>(1);
+        boolean absentInDoubt;
+        synchronized (catalog.index) {
+            catalog.index.find(hash, (h, at, length, expiry) -> found.add(hold(at, length, nowMs)));
+            absentInDoubt = catalog.doubts.aboutAbsent(hash, nowMs);
+        }
+        Store.Got got = null;
+        for (Place place : found) {
+            try {
+                if (got == null) {
+                    got = read(key, place, nowMs);
+                }
+            } finally {
+                place.segment().release();
+            }
+        }
+        return got != null ? got : absentInDoubt ? Store.Got.DOUBTFUL : Store.Got.ABSENT;
+    }
+
+    private Place hold(long at, int length, long nowMs) {
+        Segment segment = catalog.byId(Index.file(at));
+        segment.hold();
+        int offset = Index.offset(at);
+        boolean inDoubt = catalog.doubts.aboutEntry(segment.name.first(), offset, nowMs);
+        return new Place(segment, offset, length, inDoubt);
+    }
+
+    /** What the record at a place says of a key; null if it is another key's. */
+    private Store.Got read(byte[] key, Place place, long nowMs) throws IOException {
+        Format.Record there = Catalog.read(place.segment(), place.offset(), place.length());
+        if (there == null) {
+            log.error("store_damage", "file", place.segment().name, "at", place.offset(), "keys", 1);
+            return Store.Got.DOUBTFUL;
+        }
+        if (!Catalog.isKey(there, key)) {
+            return null;
+        }
+        if (Catalog.isOver(there.getExpiresMs(), nowMs)) {
+            return place.inDoubt() ? Store.Got.DOUBTFUL : Store.Got.ABSENT;
+        }
+        return new Store.Got(
+                place.inDoubt() ? Store.Got.Kind.DOUBTFUL : Store.Got.Kind.VALUE,
+                there.getValue().toByteArray(),
+                there.getExpiresMs());
+    }
+}
--- a/server/src/test/java/wheatspread/store/Bench.java
+++ b/server/src/test/java/wheatspread/store/Bench.java
@@ -114,7 +114,7 @@
             }
             log.jobDone();
             while (log.isBusy()) {
-                log.install(now);
+                log.install();
             }
         } catch (IOException e) {
             log.jobFailed(e, now);
