Split the store's threads from its interface: writer, reader, background

Store keeps what callers see; WriterQueue has what passes between threads under one lock, WriterLoop, ReaderLoop and BackgroundLoop are the threads. Locks, waits and their order are as they were.

Measured: the tests of Store, UpkeepTest, StoreCommandTest, PackagesTest: all pass.

--- /dev/null
+++ b/server/src/main/java/wheatspread/store/BackgroundLoop.java
@@ -0,0 +1,46 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.concurrent.locks.LockSupport;
+
+/** The background thread: runs the steps of one job at a time, no faster than its rate allows. */
+final class BackgroundLoop implements Runnable {
+    private final WriterQueue queue;
+    private final StoreSettings settings;
+    private final Store.Time time;
+
+    BackgroundLoop(WriterQueue queue, StoreSettings settings, Store.Time time) {
+        this.queue = queue;
+        this.settings = settings;
+        this.time = time;
+    }
+
+    @Override
+    public void run() {
+        Pace pace = new Pace(settings.compactBytesPerS(), time.nanos());
+        for (Job job = queue.awaitJob(); job != null; job = queue.awaitJob()) {
+            IOException failure = null;
+            try {
+                if (!runSteps(job, pace)) {
+                    return;
+                }
+            } catch (IOException e) {
+                failure = e;
+            } catch (RuntimeException e) {
+                failure = new IOException("a fault in the program: " + e, e);
+            }
+            queue.finishJob(new WriterQueue.FinishedJob(job, failure));
+        }
+    }
+
+    /** Runs a job to its end; false if the store closes before. */
+    private boolean runSteps(Job job, Pace pace) throws IOException {
+        while (job.step()) {
+            LockSupport.parkNanos(pace.done(job.moved, time.nanos()));
+            if (queue.isClosing()) {
+                return false;
+            }
+        }
+        return true;
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/ReaderLoop.java
@@ -0,0 +1,110 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.Deque;
+import java.util.List;
+import java.util.concurrent.Executor;
+import java.util.function.Consumer;
+import wheatspread.logging.EventLog;
+
+/** The reader's thread, and the bounded queue of the reads that wait for it. */
+final class ReaderLoop implements Runnable {
+    private static final int MOST_AT_ONCE = 256;
+    private static final long LONGEST_WAIT_MS = 1_000;
+
+    private record Read(byte[] key, Consumer<Store.Got> to) {}
+
+    private final Log files;
+    private final StoreSettings settings;
+    private final Store.Time time;
+    private final Executor callbacks;
+    private final EventLog log;
+    /** Guards what follows. */
+    private final Object lock = new Object();
+
+    private final Deque<Read> reads = new ArrayDeque<>();
+    private boolean stopped;
+
+    ReaderLoop(Log files, StoreSettings settings, Store.Time time, Executor callbacks, EventLog log) {
+        this.files = files;
+        this.settings = settings;
+        this.time = time;
+        this.callbacks = callbacks;
+        this.log = log;
+    }
+
+    /** Takes a read; null if it is taken. */
+    Store.Refusal add(byte[] key, Consumer<Store.Got> to) {
+        synchronized (lock) {
+            if (stopped) {
+                return Store.Refusal.CLOSED;
+            }
+            if (reads.size() >= settings.queueRecords()) {
+                return Store.Refusal.QUEUE_FULL;
+            }
+            reads.add(new Read(key, to));
+            lock.notifyAll();
+        }
+        return null;
+    }
+
+    /** How many reads wait. */
+    int waiting() {
+        synchronized (lock) {
+            return reads.size();
+        }
+    }
+
+    /** Takes nothing more, and ends the thread once all that waits has been read. */
+    void stop() {
+        synchronized (lock) {
+            stopped = true;
+            lock.notifyAll();
+        }
+    }
+
+    /** Takes nothing more, and drops what waits. */
+    void abandon() {
+        synchronized (lock) {
+            reads.clear();
+            stop();
+        }
+    }
+
+    @Override
+    public void run() {
+        for (List<Read> some = take(); !some.isEmpty(); some = take()) {
+            List<Runnable> told = new ArrayList<>(some.size());
+            for (Read read : some) {
+                Store.Got got = got(read.key());
+                told.add(() -> read.to().accept(got));
+            }
+            callbacks.execute(() -> told.forEach(Runnable::run));
+        }
+    }
+
+    /** Waits for reads and takes some; none at the end. */
+    private List<Read> take() {
+        List<Read> some = new ArrayList<>();
+        synchronized (lock) {
+            while (reads.isEmpty() && !stopped) {
+                WriterQueue.await(lock, LONGEST_WAIT_MS);
+            }
+            while (!reads.isEmpty() && some.size() < MOST_AT_ONCE) {
+                some.add(reads.poll());
+            }
+        }
+        return some;
+    }
+
+    private Store.Got got(byte[] key) {
+        try {
+            return files.get(key, time.nowMs());
+        } catch (IOException | RuntimeException e) {
+            log.error("store_read_failed", "reason", e.toString());
+            return Store.Got.FAILED;
+        }
+    }
+}
--- a/server/src/main/java/wheatspread/store/Store.java
+++ b/server/src/main/java/wheatspread/store/Store.java
@@ -3,12 +3,9 @@
 import java.io.Closeable;
 import java.io.IOException;
 import java.security.SecureRandom;
-import java.util.ArrayDeque;
 import java.util.ArrayList;
-import java.util.Deque;
 import java.util.List;
 import java.util.concurrent.Executor;
-import java.util.concurrent.locks.LockSupport;
 import java.util.function.Consumer;
 import wheatspread.disk.Disk;
 import wheatspread.logging.EventLog;
@@ -16,7 +13,8 @@
 /**
  * Keys and values of bytes with an expiry, kept in the files of one folder. Callers never wait: a write or
  * a read is taken or refused at once, and how it ended is told later, through the executor that was given.
- * Three threads do the work: one writes, one reads, and one rewrites old files and the index.
+ * Three threads do the work: {@link WriterLoop}, {@link ReaderLoop}, and {@link BackgroundLoop}, which
+ * rewrites old files and the index.
  */
 public final class Store implements Closeable {
     /** How a write ended. */
@@ -93,41 +91,35 @@
         long nanos();
     }
 
-    private record Read(byte[] key, Consumer<Got> to) {}
-
     private final StoreSettings settings;
     private final Time time;
-    private final Executor callbacks;
     private final EventLog log;
     private final Log files;
-    private final Deque<Write> writes = new ArrayDeque<>();
-    private final Deque<Read> reads = new ArrayDeque<>();
-    private final Object readsLock = new Object();
-    private final Thread writer;
-    private final Thread reader;
-    private final Thread background;
-    private long waitingBytes;
-    private boolean closing;
-    private volatile boolean stopped;
-    private volatile WriteState.Mode mode = WriteState.Mode.OPEN;
-    private Job offered;
-    private Job finished;
-    private IOException failure;
-    private int refusedFull;
+    private final WriterQueue queue;
+    private final WriterLoop writer;
+    private final ReaderLoop reader;
+    private final Thread writerThread;
+    private final Thread readerThread;
+    private final Thread backgroundThread;
 
     private Store(Log files, StoreSettings settings, Time time, Executor callbacks, EventLog log) {
         this.files = files;
         this.settings = settings;
         this.time = time;
-        this.callbacks = callbacks;
         this.log = log;
-        writer = new Thread(this::write, "store-writer");
-        reader = new Thread(this::read, "store-reader");
-        background = new Thread(this::work, "store-background");
-        for (Thread one : List.of(writer, reader, background)) {
-            one.setDaemon(true);
-            one.start();
-        }
+        queue = new WriterQueue(settings, time);
+        writer = new WriterLoop(files, queue, time, callbacks, log);
+        reader = new ReaderLoop(files, settings, time, callbacks, log);
+        writerThread = start(writer, "store-writer");
+        readerThread = start(reader, "store-reader");
+        backgroundThread = start(new BackgroundLoop(queue, settings, time), "store-background");
+    }
+
+    private static Thread start(Runnable loop, String name) {
+        Thread thread = new Thread(loop, name);
+        thread.setDaemon(true);
+        thread.start();
+        return thread;
     }
 
     /**
@@ -226,46 +218,20 @@
 
         /** Hands them over; unless it returns null, none was taken and nobody is told anything. */
         public Refusal send() {
-            return wrong != null
-                    ? wrong
-                    : mode == WriteState.Mode.FAILED
-                            ? Refusal.FAILED
-                            : puts && mode == WriteState.Mode.FULL ? Refusal.FULL : take(all, bytes);
-        }
-    }
-
-    private Refusal take(List<Write> some, long bytes) {
-        synchronized (writes) {
-            if (closing) {
-                return Refusal.CLOSED;
-            }
-            if (writes.size() + some.size() > settings.queueRecords() || waitingBytes + bytes > settings.queueBytes()) {
-                refusedFull += some.size();
-                return Refusal.QUEUE_FULL;
+            if (wrong != null) {
+                return wrong;
             }
-            waitingBytes += bytes;
-            boolean idle = writes.isEmpty();
-            writes.addAll(some);
-            if (idle) {
-                writes.notifyAll();
+            WriteState.Mode mode = writer.mode();
+            if (mode == WriteState.Mode.FAILED) {
+                return Refusal.FAILED;
             }
+            return puts && mode == WriteState.Mode.FULL ? Refusal.FULL : queue.add(all, bytes);
         }
-        return null;
     }
 
     /** Reads a key; null if it is taken, and then {@code to} is told once. */
     public Refusal get(byte[] key, Consumer<Got> to) {
-        synchronized (readsLock) {
-            if (stopped) {
-                return Refusal.CLOSED;
-            }
-            if (reads.size() >= settings.queueRecords()) {
-                return Refusal.QUEUE_FULL;
-            }
-            reads.add(new Read(key, to));
-            readsLock.notifyAll();
-        }
-        return null;
+        return reader.add(key, to);
     }
 
     /** What the store holds and has done. Any thread. */
@@ -275,200 +241,12 @@
 
     /** Writes and reads that wait, and writes that were turned away because too many did. */
     public Waiting waiting() {
-        int waitingReads;
-        synchronized (readsLock) {
-            waitingReads = reads.size();
-        }
-        synchronized (writes) {
-            return new Waiting(writes.size(), waitingBytes, waitingReads, refusedFull);
-        }
+        return queue.waiting(reader.waiting());
     }
 
     /** See {@link #waiting}. */
     public record Waiting(int writes, long bytes, int reads, long refused) {}
 
-    // ---- the writer's thread
-
-    private void write() {
-        List<Write> group = new ArrayList<>();
-        boolean last = false;
-        while (!last) {
-            last = gather(group);
-            try {
-                turn(group);
-            } catch (RuntimeException e) {
-                log.error("store_fault", "reason", e.toString());
-                group.stream()
-                        .filter(write -> write.outcome == null)
-                        .forEach(write -> write.end(Outcome.IN_DOUBT, "a fault in the program: " + e));
-            }
-            tell(group);
-            group.clear();
-        }
-    }
-
-    private void turn(List<Write> group) {
-        if (!group.isEmpty()) {
-            files.commit(group, time.nowMs());
-        }
-        endJob();
-        files.tick(time.nowMs());
-        mode = files.mode();
-        offerJob();
-    }
-
-    /** Waits for something to do, and takes what makes a group; true when it was the last. */
-    private boolean gather(List<Write> group) {
-        long due = files.isBusy() ? 0 : files.dueMs(time.nowMs());
-        synchronized (writes) {
-            while (writes.isEmpty() && !closing && finished == null && time.nowMs() < due) {
-                pause(writes, Math.max(1, due - time.nowMs()));
-            }
-            long bytes = 0;
-            while (!writes.isEmpty()
-                    && group.size() < settings.groupRecords()
-                    && (group.isEmpty() || bytes + writes.peek().size() <= settings.groupBytes())) {
-                Write next = writes.poll();
-                bytes += next.size();
-                group.add(next);
-            }
-            waitingBytes -= bytes;
-            return closing && writes.isEmpty();
-        }
-    }
-
-    private static void pause(Object on, long ms) {
-        try {
-            on.wait(ms);
-        } catch (InterruptedException e) {
-            Thread.currentThread().interrupt(); // nobody interrupts these threads: they end by close
-        }
-    }
-
-    private void tell(List<Write> group) {
-        if (!group.isEmpty()) {
-            List<Write> told = List.copyOf(group);
-            callbacks.execute(() -> told.forEach(write -> write.done.ended(write.outcome, write.reason)));
-        }
-    }
-
-    private void offerJob() {
-        synchronized (writes) {
-            if (closing || offered != null || finished != null) {
-                return;
-            }
-        }
-        Job next = files.nextJob(time.nowMs());
-        if (next != null) {
-            synchronized (writes) {
-                offered = next;
-                writes.notifyAll();
-            }
-        }
-    }
-
-    private void endJob() {
-        Job done;
-        IOException why;
-        synchronized (writes) {
-            done = finished;
-            why = failure;
-            finished = null;
-            failure = null;
-        }
-        if (done == null) {
-            return;
-        }
-        try {
-            if (why != null) {
-                throw why;
-            }
-            files.jobDone();
-        } catch (IOException e) {
-            files.jobFailed(e, time.nowMs());
-        }
-    }
-
-    // ---- the background thread
-
-    private void work() {
-        Pace pace = new Pace(settings.compactBytesPerS(), time.nanos());
-        while (true) {
-            Job job;
-            synchronized (writes) {
-                while (offered == null && !closing) {
-                    pause(writes, 1_000);
-                }
-                if (closing) {
-                    return;
-                }
-                job = offered;
-            }
-            IOException why = null;
-            try {
-                while (job.step()) {
-                    LockSupport.parkNanos(pace.done(job.moved, time.nanos()));
-                    if (stopsWork()) {
-                        return;
-                    }
-                }
-            } catch (IOException e) {
-                why = e;
-            } catch (RuntimeException e) {
-                why = new IOException("a fault in the program: " + e, e);
-            }
-            synchronized (writes) {
-                offered = null;
-                finished = job;
-                failure = why;
-                writes.notifyAll();
-            }
-        }
-    }
-
-    private boolean stopsWork() {
-        synchronized (writes) {
-            return closing;
-        }
-    }
-
-    // ---- the reader's thread
-
-    private void read() {
-        List<Read> some = new ArrayList<>();
-        List<Runnable> told = new ArrayList<>();
-        while (true) {
-            synchronized (readsLock) {
-                while (reads.isEmpty() && !stopped) {
-                    pause(readsLock, 1_000);
-                }
-                if (reads.isEmpty()) {
-                    return;
-                }
-                while (!reads.isEmpty() && some.size() < 256) {
-                    some.add(reads.poll());
-                }
-            }
-            for (Read one : some) {
-                Got got = got(one.key());
-                told.add(() -> one.to().accept(got));
-            }
-            List<Runnable> all = List.copyOf(told);
-            callbacks.execute(() -> all.forEach(Runnable::run));
-            some.clear();
-            told.clear();
-        }
-    }
-
-    private Got got(byte[] key) {
-        try {
-            return files.get(key, time.nowMs());
-        } catch (IOException | RuntimeException e) {
-            log.error("store_read_failed", "reason", e.toString());
-            return Got.FAILED;
-        }
-    }
-
     /**
      * Writes and reads what was taken, leaves a checkpoint and closes the files. Blocks; not for the event
      * loop. The callbacks of what was taken may come later than this returns.
@@ -478,20 +256,13 @@
      */
     @Override
     public void close() throws IOException {
-        synchronized (writes) {
-            if (closing) {
-                return;
-            }
-            closing = true;
-            writes.notifyAll();
-        }
-        join(writer);
-        join(background);
-        synchronized (readsLock) {
-            stopped = true;
-            readsLock.notifyAll();
+        if (!queue.close()) {
+            return;
         }
-        join(reader);
+        join(writerThread);
+        join(backgroundThread);
+        reader.stop();
+        join(readerThread);
         try {
             files.finish(time.nowMs());
         } finally {
@@ -501,19 +272,11 @@
 
     /** Ends the threads and lets go of the folder as a crash would: what waits is told nothing. */
     public void abandon() {
-        synchronized (writes) {
-            closing = true;
-            writes.clear();
-            writes.notifyAll();
-        }
-        synchronized (readsLock) {
-            stopped = true;
-            reads.clear();
-            readsLock.notifyAll();
-        }
-        join(writer);
-        join(background);
-        join(reader);
+        queue.abandon();
+        reader.abandon();
+        join(writerThread);
+        join(backgroundThread);
+        join(readerThread);
         try {
             files.shut();
         } catch (IOException e) {
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/WriterLoop.java
@@ -0,0 +1,90 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.Executor;
+import wheatspread.logging.EventLog;
+
+/** The writer's thread: commits groups of writes, and begins and ends the jobs of the background thread. */
+final class WriterLoop implements Runnable {
+    private final Log files;
+    private final WriterQueue queue;
+    private final Store.Time time;
+    private final Executor callbacks;
+    private final EventLog log;
+    private volatile WriteState.Mode mode = WriteState.Mode.OPEN;
+
+    WriterLoop(Log files, WriterQueue queue, Store.Time time, Executor callbacks, EventLog log) {
+        this.files = files;
+        this.queue = queue;
+        this.time = time;
+        this.callbacks = callbacks;
+        this.log = log;
+    }
+
+    /** Whether writes are taken, as of the last turn. Any thread. */
+    WriteState.Mode mode() {
+        return mode;
+    }
+
+    @Override
+    public void run() {
+        List<Write> group = new ArrayList<>();
+        boolean last = false;
+        while (!last) {
+            last = queue.takeGroup(group, files.isBusy() ? 0 : files.dueMs(time.nowMs()));
+            try {
+                turn(group);
+            } catch (RuntimeException e) {
+                log.error("store_fault", "reason", e.toString());
+                group.stream()
+                        .filter(write -> write.outcome == null)
+                        .forEach(write -> write.end(Store.Outcome.IN_DOUBT, "a fault in the program: " + e));
+            }
+            tell(group);
+            group.clear();
+        }
+    }
+
+    private void turn(List<Write> group) {
+        if (!group.isEmpty()) {
+            files.commit(group, time.nowMs());
+        }
+        endJob();
+        files.tick(time.nowMs());
+        mode = files.mode();
+        offerJob();
+    }
+
+    private void tell(List<Write> group) {
+        if (!group.isEmpty()) {
+            List<Write> told = List.copyOf(group);
+            callbacks.execute(() -> told.forEach(write -> write.done.ended(write.outcome, write.reason)));
+        }
+    }
+
+    private void offerJob() {
+        if (queue.takesJob()) {
+            Job next = files.nextJob(time.nowMs());
+            if (next != null) {
+                queue.offerJob(next);
+            }
+        }
+    }
+
+    private void endJob() {
+        WriterQueue.FinishedJob done = queue.pollFinishedJob();
+        if (done == null) {
+            return;
+        }
+        try {
+            if (done.failure() != null) {
+                throw done.failure();
+            }
+            files.jobDone();
+        } catch (IOException e) {
+            files.jobFailed(e, time.nowMs());
+        }
+    }
+}
--- /dev/null
+++ b/server/src/main/java/wheatspread/store/WriterQueue.java
@@ -0,0 +1,145 @@
+package wheatspread.store;
+
+import java.io.IOException;
+import java.util.ArrayDeque;
+import java.util.Deque;
+import java.util.List;
+
+/**
+ * What passes between the threads of a store: writes that wait for the writer, and the job that the writer
+ * offers to the background thread and gets back when its steps are done. One lock guards both, since the
+ * writer waits for either. Nobody holds it over I/O.
+ */
+final class WriterQueue {
+    private static final long LONGEST_WAIT_MS = 1_000;
+
+    /**
+     * A job whose steps are over.
+     *
+     * @param failure null unless a step failed
+     */
+    record FinishedJob(Job job, IOException failure) {}
+
+    private final StoreSettings settings;
+    private final Store.Time time;
+    private final Deque<Write> writes = new ArrayDeque<>();
+    private long waitingBytes;
+    private int refusedFull;
+    private boolean closing;
+    private Job offered;
+    private FinishedJob finished;
+
+    WriterQueue(StoreSettings settings, Store.Time time) {
+        this.settings = settings;
+        this.time = time;
+    }
+
+    // ---- writes ----
+
+    /** Takes all of these writes, or none; null if they are taken. */
+    synchronized Store.Refusal add(List<Write> batch, long bytes) {
+        if (closing) {
+            return Store.Refusal.CLOSED;
+        }
+        if (writes.size() + batch.size() > settings.queueRecords() || waitingBytes + bytes > settings.queueBytes()) {
+            refusedFull += batch.size();
+            return Store.Refusal.QUEUE_FULL;
+        }
+        waitingBytes += bytes;
+        boolean idle = writes.isEmpty();
+        writes.addAll(batch);
+        if (idle) {
+            notifyAll();
+        }
+        return null;
+    }
+
+    /**
+     * Waits until there is a write, a finished job, an end, or the time {@code dueMs}, and takes what makes a
+     * group; true when it was the last.
+     */
+    synchronized boolean takeGroup(List<Write> group, long dueMs) {
+        while (writes.isEmpty() && !closing && finished == null && time.nowMs() < dueMs) {
+            await(this, Math.max(1, dueMs - time.nowMs()));
+        }
+        long bytes = 0;
+        while (!writes.isEmpty()
+                && group.size() < settings.groupRecords()
+                && (group.isEmpty() || bytes + writes.peek().size() <= settings.groupBytes())) {
+            Write next = writes.poll();
+            bytes += next.size();
+            group.add(next);
+        }
+        waitingBytes -= bytes;
+        return closing && writes.isEmpty();
+    }
+
+    /** What waits here, beside so many reads that wait elsewhere. */
+    synchronized Store.Waiting waiting(int reads) {
+        return new Store.Waiting(writes.size(), waitingBytes, reads, refusedFull);
+    }
+
+    // ---- the job in hand ----
+
+    /** Whether a job may be offered now: one at a time, and none at the end. */
+    synchronized boolean takesJob() {
+        return !closing && offered == null && finished == null;
+    }
+
+    /** Offers a job to the background thread. */
+    synchronized void offerJob(Job job) {
+        offered = job;
+        notifyAll();
+    }
+
+    /** Waits for a job and returns it; null when the store closes. */
+    synchronized Job awaitJob() {
+        while (offered == null && !closing) {
+            await(this, LONGEST_WAIT_MS);
+        }
+        return closing ? null : offered;
+    }
+
+    /** The steps of the offered job are over. */
+    synchronized void finishJob(FinishedJob done) {
+        offered = null;
+        finished = done;
+        notifyAll();
+    }
+
+    /** The job whose steps are over, once; null if there is none. */
+    synchronized FinishedJob pollFinishedJob() {
+        FinishedJob done = finished;
+        finished = null;
+        return done;
+    }
+
+    // ---- the end ----
+
+    synchronized boolean isClosing() {
+        return closing;
+    }
+
+    /** Takes nothing more; false if it was closed before. */
+    synchronized boolean close() {
+        boolean first = !closing;
+        closing = true;
+        notifyAll();
+        return first;
+    }
+
+    /** Takes nothing more, and drops what waits. */
+    synchronized void abandon() {
+        writes.clear();
+        close();
+    }
+
+    /** Waits on a monitor that the caller holds. */
+    static void await(Object monitor, long ms) {
+        try {
+            monitor.wait(ms);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt(); // nobody interrupts these threads: they end by close
+        }
+    }
+}
