Take the fleet's log lines and its written state out of its decisions

FleetLog has the lines, each with a name; FleetState, Member and Restarts copy their own fields to and from what a supervisor writes down. Lines and their order are as they were.

--- a/server/src/main/java/wheatspread/fleet/Fleet.java
+++ b/server/src/main/java/wheatspread/fleet/Fleet.java
@@ -21,7 +21,7 @@
  */
 public final class Fleet {
     private final FleetPlan plan;
-    private final EventLog log;
+    private final FleetLog log;
     private final Roster roster;
     private final Restarts restarts;
     private final List<Action> due = new ArrayList<>();
@@ -31,7 +31,7 @@
     /** {@code seed} spreads the pauses of restarts. */
     public Fleet(FleetPlan plan, long seed, EventLog log) {
         this.plan = plan;
-        this.log = log;
+        this.log = new FleetLog(log);
         roster = new Roster(plan);
         restarts = new Restarts(plan.backoff(), seed);
     }
@@ -83,16 +83,8 @@
         String from = roster.get(chosen.get(0)).build;
         roll = new Rollout(plan.rolling(), from, to, chosen, now);
         chosen.forEach(restarts::forgive);
-        log.info(
-                "roll_began",
-                "from",
-                from,
-                "to",
-                to,
-                "members",
-                chosen.size(),
-                "most_out",
-                plan.rolling().mostOut(roster.all().size()));
+        log.rollBegan(
+                from, to, chosen.size(), plan.rolling().mostOut(roster.all().size()));
     }
 
     /** Stops a roll where it stands. */
@@ -155,7 +147,7 @@
     public void heard(String name, int generation, Health health, long now) {
         Member one = roster.get(name);
         if (one != null && roster.heard(one, generation, health, now)) {
-            tell(one, now);
+            log.stateChanged(one, now);
         }
     }
 
@@ -163,25 +155,10 @@
     public void unheard(String name, int generation, long now) {
         Member one = roster.get(name);
         if (one != null && roster.unheard(one, generation, now)) {
-            tell(one, now);
+            log.stateChanged(one, now);
         }
     }
 
-    private void tell(Member one, long now) {
-        log.info(
-                "member",
-                "name",
-                one.name,
-                "state",
-                one.state,
-                "build",
-                one.build,
-                "generation",
-                one.generation,
-                "after_ms",
-                (now - one.startedAt) / 1_000);
-    }
-
     /** The process of a member ended; {@code code} is {@link Member#UNKNOWN_CODE} where nobody heard it. */
     public void ended(String name, int generation, int code, long now) {
         Member one = roster.get(name);
@@ -194,58 +171,25 @@
         one.pid = 0;
         one.unsureUntil = 0;
         one.enter(State.ABSENT, now);
-        log.log(
-                asked ? EventLog.Level.INFO : EventLog.Level.WARN,
-                "member_ended",
-                "name",
-                name,
-                "build",
-                one.build,
-                "generation",
-                generation,
-                "code",
-                code,
-                "asked",
-                asked,
-                "ran_ms",
-                (now - one.startedAt) / 1_000);
+        log.ended(one, asked, now);
         Rollout.Status before = roll == null ? null : roll.status();
         if (roll != null) {
             roll.ended(one, asked, now);
         }
         boolean turned = roll != null && roll.status() != before;
         if (turned) {
-            tellRoll();
+            log.rollChanged(roll);
         }
         if (!asked && !turned && restarts.ended(name, now - one.startedAt, now)) {
             one.enter(State.HELD, now);
-            log.error(
-                    "member_held",
-                    "name",
-                    name,
-                    "ends",
-                    plan.backoff().loopExits(),
-                    "within_ms",
-                    plan.backoff().loopWithin() / 1_000);
+            log.held(one, plan.backoff());
             if (roll != null && roll.leads(name)) {
                 roll.giveUp(one, now);
-                tellRoll();
+                log.rollChanged(roll);
             }
         }
     }
 
-    private void tellRoll() {
-        log.log(
-                roll.reason().isEmpty() ? EventLog.Level.INFO : EventLog.Level.ERROR,
-                "roll",
-                "to",
-                roll.to(),
-                "status",
-                roll.status(),
-                "reason",
-                roll.reason());
-    }
-
     // ---- decisions ----
 
     /** Looks at everything, and returns what is to be done, once the state is written down. */
@@ -273,7 +217,7 @@
             if (roll != null) {
                 roll.neverStarted(one.name);
             }
-            log.info("start_unseen", "name", one.name, "generation", one.generation);
+            log.startUnseen(one);
         } else if (one.state == State.STARTING && now - one.startedAt > plan.startTimeout()) {
             kill(one, "not well in time", now);
         } else if (one.state == State.LEAVING && now - one.since > plan.stopAfter()) {
@@ -288,7 +232,7 @@
                     "failed " + one.health.failed() + " of " + (one.health.served() + one.health.failed())
                             + " requests",
                     now);
-            tellRoll();
+            log.rollChanged(roll);
             if (roll.status() == Rollout.Status.RUNNING) {
                 leave(one, now); // another generation of the same build gets a try
                 roll.again(one);
@@ -300,7 +244,7 @@
         if (!one.killed) {
             one.killed = true;
             due.add(new Action.Kill(one.name, one.generation, why));
-            log.warn("member_killed", "name", one.name, "generation", one.generation, "why", why);
+            log.killed(one, why);
         }
     }
 
@@ -311,7 +255,7 @@
         }
         one.enter(State.LEAVING, now);
         due.add(new Action.Notice(one.name, one.generation));
-        log.info("member_leaves", "name", one.name, "build", one.build, "generation", one.generation);
+        log.leaves(one);
     }
 
     private void lookAtRoll(long now) {
@@ -321,15 +265,10 @@
             leave(one, now);
         }
         if (roll.paused() != paused) {
-            log.warn(
-                    roll.paused() ? "roll_paused" : "roll_goes_on",
-                    "to",
-                    roll.to(),
-                    "out",
-                    roster.out(now).size());
+            log.rollPaused(roll, roster.out(now).size());
         }
         if (roll.status() != before) {
-            tellRoll();
+            log.rollChanged(roll);
         }
     }
 
@@ -354,7 +293,7 @@
             }
             starting++;
             due.add(new Action.Start(one.name, one.build, one.generation));
-            log.info("member_starts", "name", one.name, "build", one.build, "generation", one.generation);
+            log.starts(one);
         }
     }
 
@@ -362,25 +301,7 @@
 
     /** What is to be written down before the actions that were last returned are carried out. */
     public FleetState state() {
-        List<FleetState.Of> members = new ArrayList<>();
-        for (Member one : roster.all()) {
-            Restarts.Ends ends = restarts.of(one.name);
-            members.add(new FleetState.Of(
-                    one.name,
-                    one.state,
-                    one.wanted,
-                    one.build,
-                    one.generation,
-                    one.pid,
-                    one.since,
-                    one.startedAt,
-                    one.wellAt,
-                    List.copyOf(ends.at),
-                    ends.inARow,
-                    ends.notBefore,
-                    ends.heldUntil));
-        }
-        return new FleetState(members, roll == null ? null : roll.state(), down);
+        return FleetState.of(roster, restarts, roll, down);
     }
 
     /**
@@ -399,31 +320,15 @@
             }
             boolean stranger = one == null;
             one = stranger ? roster.add(was.name(), was.build()) : one;
-            one.state = was.state();
+            one.restore(was);
             one.wanted = was.wanted() && !stranger;
-            one.build = was.build();
-            one.generation = was.generation();
-            one.since = was.since();
-            one.startedAt = was.startedAt();
-            one.wellAt = was.wellAt();
-            Restarts.Ends ends = restarts.of(was.name());
-            ends.at.addAll(was.ends());
-            ends.inARow = was.endsInARow();
-            ends.notBefore = was.notBefore();
-            ends.heldUntil = was.heldUntil();
+            restarts.restore(was);
             adopt(one, found, now);
             if (stranger) {
                 leave(one, now);
             }
         }
-        log.info(
-                "fleet_found",
-                "members",
-                told.members().size(),
-                "alive",
-                alive.size(),
-                "roll",
-                roll == null ? "none" : roll.status());
+        log.restored(told.members().size(), alive.size(), roll);
     }
 
     private void adopt(Member one, Found found, long now) {
--- a/server/src/main/java/wheatspread/fleet/FleetState.java
+++ b/server/src/main/java/wheatspread/fleet/FleetState.java
@@ -9,6 +9,14 @@
  * @param roll null where there was none
  */
 public record FleetState(List<Of> members, Roll roll, boolean down) {
+    /** What is to be written down of a fleet now; {@code roll} is null where there was none. */
+    static FleetState of(Roster roster, Restarts restarts, Rollout roll, boolean down) {
+        List<Of> members = roster.all().stream()
+                .map(member -> Of.of(member, restarts.of(member.name)))
+                .toList();
+        return new FleetState(members, roll == null ? null : roll.state(), down);
+    }
+
     /** One member. */
     public record Of(
             String name,
@@ -23,7 +31,25 @@
             List<Long> ends,
             int endsInARow,
             long notBefore,
-            long heldUntil) {}
+            long heldUntil) {
+
+        private static Of of(Member member, Restarts.Ends ends) {
+            return new Of(
+                    member.name,
+                    member.state,
+                    member.wanted,
+                    member.build,
+                    member.generation,
+                    member.pid,
+                    member.since,
+                    member.startedAt,
+                    member.wellAt,
+                    List.copyOf(ends.at),
+                    ends.inARow,
+                    ends.notBefore,
+                    ends.heldUntil);
+        }
+    }
 
     /** A roll. */
     public record Roll(
--- a/server/src/main/java/wheatspread/fleet/Member.java
+++ b/server/src/main/java/wheatspread/fleet/Member.java
@@ -111,6 +111,17 @@
         since = now;
     }
 
+    /** Takes over what an earlier supervisor wrote down. */
+    void restore(FleetState.Of written) {
+        state = written.state();
+        wanted = written.wanted();
+        build = written.build();
+        generation = written.generation();
+        since = written.since();
+        startedAt = written.startedAt();
+        wellAt = written.wellAt();
+    }
+
     void begin(String ofBuild, long now) {
         enter(State.STARTING, now);
         build = ofBuild;
--- a/server/src/main/java/wheatspread/fleet/Restarts.java
+++ b/server/src/main/java/wheatspread/fleet/Restarts.java
@@ -38,6 +38,15 @@
         return members.computeIfAbsent(name, key -> new Ends());
     }
 
+    /** Takes over what an earlier supervisor wrote down. */
+    void restore(FleetState.Of member) {
+        Ends ends = of(member.name());
+        ends.at.addAll(member.ends());
+        ends.inARow = member.endsInARow();
+        ends.notBefore = member.notBefore();
+        ends.heldUntil = member.heldUntil();
+    }
+
     /** It ended after so long; returns whether that makes it a crash loop. */
     boolean ended(String name, long ranFor, long now) {
         Ends ends = of(name);
