Read the kernel's notices in a class of their own

KernelLink.java had 414 lines: the links to the kernel and the reading of its notices. NoticeReader has the latter: the number of the last notice read, what a bad line costs, and what each notice tells. It tells KernelLink of the link's progress by an interface, in the same order as before towards the listener. Two classes and one interface are loaded where one was.

Ruled out: a result to be told later, since commands given by the listener must come behind a replaced link.

--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -15,8 +15,6 @@
 import java.nio.charset.StandardCharsets;
 import java.util.Base64;
 import java.util.concurrent.TimeUnit;
-import org.json.JSONArray;
-import org.json.JSONException;
 import org.json.JSONObject;
 import wheatspread.core.Kernel;
 import wheatspread.logging.EventLog;
@@ -35,7 +33,6 @@
     /** How long missed notices are waited for where the kernel does not say that they are through. */
     private static final long SYNC_MS = 1_000;
 
-    private static final String SYNC = "sync";
     /** How long the old link may take to vouch for what was said on it before a new one takes its place. */
     private static final long VOUCH_MS = 200;
     /** Questions for gauges in a row, one a tick of the module, without a line after which a link hangs. */
@@ -43,9 +40,9 @@
 
     private final EventLoopGroup loop;
     private final Bootstrap clients;
-    private final Listener listener;
     private final EventLog log;
     private final Unconfirmed unconfirmed = new Unconfirmed();
+    private final NoticeReader notices;
     private InetSocketAddress address;
     /** The link in use; what any other one still brings is dropped. */
     private Connection current;
@@ -62,18 +59,14 @@
     private boolean opened;
 
     private int unheard;
-    private long lastNotice;
-    /** The last notice before a line that was not understood and asked for again; -1 if there is none. */
-    private long askedAgain = -1;
-
     private long retryMs = FIRST_RETRY_MS;
 
     public KernelLink(Bootstrap clients, InetSocketAddress address, Listener listener, EventLog log) {
         loop = clients.config().group();
         this.clients = clients;
         this.address = address;
-        this.listener = listener;
         this.log = log;
+        notices = new NoticeReader(new Progress(), listener, unconfirmed, log);
     }
 
     public void open() {
@@ -246,10 +239,10 @@
         if (old != null) {
             old.channel.close();
         }
-        say(new JSONObject().put("type", "OPEN").put("n", lastNotice).toString());
+        say(new JSONObject().put("type", "OPEN").put("n", notices.last()).toString());
     }
 
-    // ---- notices ----
+    // ---- connections ----
 
     /** One connection to the kernel; a later one replaces it. */
     private final class Connection extends SimpleChannelInboundHandler<String> {
@@ -290,7 +283,7 @@
             ready = false;
             current = null;
             if (!closed) {
-                log.warn("kernel_lost", "notice", lastNotice);
+                log.warn("kernel_lost", "notice", notices.last());
                 if (opening == null) {
                     retry();
                 }
@@ -303,19 +296,8 @@
                 return;
             }
             unheard = 0;
-            try {
-                read(new JSONObject(line));
-            } catch (JSONException | IllegalArgumentException e) {
-                log.warn("kernel_line_bad", "error", e.getMessage());
-                askAgain();
-            }
-        }
-
-        /** Guards against a notice lost in a garbled line. Once only: the kernel may have nothing better. */
-        private void askAgain() {
-            if (askedAgain != lastNotice) {
-                askedAgain = lastNotice;
-                channel.close();
+            if (!notices.read(line)) {
+                channel.close(); // the next link asks for what this line may have hidden
             }
         }
 
@@ -324,91 +306,36 @@
             log.warn("kernel_link_failed", "error", cause);
             ctx.close();
         }
+    }
 
-        private void read(JSONObject notice) {
-            String type = notice.getString("type");
-            switch (type) {
-                case "BOOTED" -> booted(notice);
-                case "INFO" -> info(notice);
-                case "EINVAL" -> invalid(notice);
-                default -> {
-                    long n = notice.optLong("n", 0);
-                    if (n > lastNotice) {
-                        numbered(type, n, notice);
-                    }
-                }
-            }
-        }
-
-        private void booted(JSONObject notice) {
-            boolean cold = notice.getString("state").equals("COLD");
-            long age = micros(notice);
+    /** How far the link in use has come, as its notices tell. */
+    private final class Progress implements NoticeReader.Progress {
+        @Override
+        public void booted() {
             booted = true;
             retryMs = FIRST_RETRY_MS;
-            askGauges(SYNC);
+            askGauges(NoticeReader.SYNC);
+            Connection asked = current;
             loop.schedule(
                     () -> {
-                        if (current == this) {
+                        if (current == asked) {
                             becomeReady();
                         }
                     },
                     SYNC_MS,
                     TimeUnit.MILLISECONDS);
-            listener.booted(cold, age);
         }
 
-        private void info(JSONObject notice) {
-            String ref = notice.optString("ref");
-            if (ref.equals(SYNC)) {
-                becomeReady();
-            } else if (!ref.isEmpty()) {
-                if (unconfirmed.heard(Long.parseLong(ref)) && waiting != null) {
-                    use(waiting);
-                }
-            }
-            JSONArray row = notice.optJSONArray("gauges", new JSONArray());
-            double[] gauges = new double[row.length()];
-            for (int i = 0; i < gauges.length; i++) {
-                gauges[i] = row.optDouble(i, Double.NaN);
-            }
-            listener.gauges(gauges);
-        }
-
-        private void invalid(JSONObject notice) {
-            log.warn("kernel_refused", "command", notice.optString("state"), "job", notice.optString("job"));
-            String job = notice.optString("job");
-            unconfirmed.refused(job, notice.optString("state"));
-            if (notice.optString("state").equals("SCHED")
-                    || notice.optString("state").equals("RESCHED")) {
-                listener.notStarted(job);
-            }
+        @Override
+        public void caughtUp() {
+            becomeReady();
         }
 
-        /** A notice counts as read only once all of it is understood, or a new link would leave it out. */
-        private void numbered(String type, long n, JSONObject notice) {
-            String job = notice.optString("job");
-            if (type.equals("REAP")) {
-                End end = End.valueOf(notice.getString("state"));
-                byte[] result = end == End.OK ? body(notice) : null;
-                lastNotice = n;
-                unconfirmed.ended(job);
-                listener.ended(job, end, micros(notice), result);
-            } else if (type.equals("IOREQ")) {
-                byte[] call = body(notice);
-                lastNotice = n;
-                unconfirmed.blocked(job);
-                listener.blocked(job, n, call);
-            } else {
-                lastNotice = n;
+        @Override
+        public void allConfirmed() {
+            if (waiting != null) {
+                use(waiting);
             }
         }
-
-        private byte[] body(JSONObject notice) {
-            return Base64.getDecoder().decode(notice.optString("data"));
-        }
-
-        private long micros(JSONObject notice) {
-            return Math.round(notice.optDouble("took", 0) * 1000);
-        }
     }
 }
