--- a/lab/src/main/java/wheatspread/lab/deployments/Deployment.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/Deployment.java
@@ -6,6 +6,7 @@
 import java.util.SplittableRandom;
 import org.json.JSONArray;
 import org.json.JSONObject;
+import wheatspread.admission.Admission.Effect;
 
 /**
  * A deployment drawn over all fields that may differ from one site to the next, or be absent. It is made of
@@ -31,13 +32,6 @@
             "HangupSeen");
     private static final int FIRST_ABSENT = 26;
 
-    /** What may take effect how often. */
-    enum Effect {
-        SAFE,
-        KEYED,
-        ONCE
-    }
-
     /** One class of requests; times in milliseconds. */
     record Kind(String name, Effect effect, long aim, long deadline, long window, boolean calls, double skipWorth) {}
 
@@ -72,11 +66,11 @@
         int classes = pick(2, 3, 1, 2, 30);
         Effect[] effects = pick(
                 3,
-                new Effect[] {Effect.SAFE, Effect.KEYED},
-                new Effect[] {Effect.SAFE},
+                new Effect[] {Effect.IDEMPOTENT, Effect.KEYED},
+                new Effect[] {Effect.IDEMPOTENT},
                 new Effect[] {Effect.KEYED},
-                new Effect[] {Effect.ONCE},
-                new Effect[] {Effect.SAFE, Effect.ONCE, Effect.KEYED});
+                new Effect[] {Effect.AT_MOST_ONCE},
+                new Effect[] {Effect.IDEMPOTENT, Effect.AT_MOST_ONCE, Effect.KEYED});
         double skip = absent("ClassSkipWorth") ? 0 : pick(5, 0.4, 0.0);
         for (int i = 0; i < classes; i++) {
             long deadline = pick(4, 3_000, 1_500, 8_000) + 100 * (i % 5);
@@ -88,7 +82,7 @@
                     deadline,
                     pick(7, 10_000, 2_000, 40_000),
                     calls && i % 2 == 0,
-                    effect == Effect.SAFE && i % 3 == 0 ? skip : 0));
+                    effect == Effect.IDEMPOTENT && i % 3 == 0 ? skip : 0));
         }
         int parties = pick(8, 2, 0, 1, 12);
         for (int i = 0; i < parties; i++) {
@@ -172,7 +166,7 @@
                     .put("Deadline", (double) kind.deadline)
                     .put(
                             "Effect",
-                            kind.effect == Effect.SAFE
+                            kind.effect == Effect.IDEMPOTENT
                                     ? "idempotent"
                                     : kind.effect == Effect.KEYED ? "deduplicated" : "at_most_once");
             if (kind.aim < kind.deadline) {
--- a/lab/src/main/java/wheatspread/lab/deployments/DeploymentRun.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/DeploymentRun.java
@@ -1,23 +1,15 @@
 package wheatspread.lab.deployments;
 
-import java.io.BufferedReader;
 import java.io.IOException;
-import java.io.InputStream;
-import java.io.InputStreamReader;
 import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
-import java.net.Socket;
-import java.nio.ByteBuffer;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
-import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Comparator;
 import java.util.HashMap;
 import java.util.List;
 import java.util.Map;
-import java.util.PriorityQueue;
 import java.util.SplittableRandom;
 import java.util.function.UnaryOperator;
 import org.json.JSONObject;
@@ -25,8 +17,6 @@
 import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
 import wheatspread.daemon.Server;
-import wheatspread.lab.deployments.Deployment.Effect;
-import wheatspread.lab.deployments.Deployment.Kind;
 import wheatspread.lab.deployments.Judge.Try;
 import wheatspread.life.Life.Phase;
 import wheatspread.logging.EventLog;
@@ -52,37 +42,31 @@
         public static final Planted NONE = new Planted(told -> told, told -> told);
     }
 
-    private record Event(long at, long number, Runnable what) {}
-
     private final Deployment site;
     private final Planted planted;
     private final SplittableRandom random;
     private final Judge judge;
     private final Kernel kernel;
-    private final PriorityQueue<Event> events =
-            new PriorityQueue<>(Comparator.comparingLong(Event::at).thenComparingLong(Event::number));
-    private final List<Link> links = new ArrayList<>();
-    private final List<Socket> recordsCalls = new ArrayList<>();
-    private final Map<Socket, StringBuilder> read = new HashMap<>();
-    private final List<Try> keyed = new ArrayList<>();
+    private final RequestGenerator requests;
+    private final EventQueue events = new EventQueue();
+    private final HealthCheck healthCheck = new HealthCheck();
+    private final List<ClientConnection> clients = new ArrayList<>();
+    private final List<LineConnection> recordsCalls = new ArrayList<>();
     private ServerSocketChannel records;
-    private Socket kernelLink;
-    private Socket asking;
-    private BufferedReader askingIn;
+    private LineConnection kernelLink;
     private SteppedClock clock;
     private Server server;
     private long now = START;
-    private long numbers;
 
     /** A proxy's connection, with the tries that are open on it by their ids. */
-    private static final class Link {
-        final Socket socket;
+    private static final class ClientConnection {
+        final LineConnection lines;
         final Map<Integer, String> open = new HashMap<>();
         int lastId;
         boolean lastCall;
 
-        Link(Socket socket) {
-            this.socket = socket;
+        ClientConnection(LineConnection lines) {
+            this.lines = lines;
         }
     }
 
@@ -90,8 +74,9 @@
         this.site = site;
         this.planted = planted;
         random = new SplittableRandom(seed);
+        requests = new RequestGenerator(site, random);
         judge = new Judge(site);
-        kernel = new Kernel(site, judge, START + LIGHT_UNTIL, (micros, what) -> at(now + micros, what), this::toKernel);
+        kernel = new Kernel(site, judge, START + LIGHT_UNTIL, this::after, text -> kernelLink.write(text));
     }
 
     /** Plays it and returns the rules that were broken; empty where all held. */
@@ -116,8 +101,8 @@
             }
             server.start();
             kernels.setSoTimeout(PATIENCE_MS);
-            kernelLink = kernels.accept();
-            ask();
+            kernelLink = new LineConnection(kernels.accept());
+            healthCheck.await(server.bound().get(0));
             plan();
             run();
         }
@@ -131,100 +116,64 @@
         int asked = 3 * site.cores;
         long gap = Math.max(30_000, 400_000 / site.cores);
         for (long at = SECOND / 5; at < LIGHT_UNTIL; at += gap) {
-            at(START + at, () -> request(true));
+            events.add(START + at, () -> request(true));
         }
         for (int i = 0; i < Math.min(120, 12 * asked); i++) {
-            at(START + LIGHT_UNTIL + random.nextLong(CROWD_UNTIL - LIGHT_UNTIL), () -> request(false));
+            events.add(START + LIGHT_UNTIL + random.nextLong(CROWD_UNTIL - LIGHT_UNTIL), () -> request(false));
         }
         for (long at = CROWD_UNTIL; at < LAST_ASK; at += 2 * gap) {
-            at(START + at, () -> request(false));
+            events.add(START + at, () -> request(false));
         }
-        at(START + NOTICE, () -> {
+        events.add(START + NOTICE, () -> {
             judge.notice(now);
             server.drain();
         });
     }
 
     private void request(boolean light) {
-        Kind kind = site.kinds.get(random.nextInt(site.kinds.size()));
-        boolean repeats = kind.effect() == Effect.KEYED && !keyed.isEmpty() && random.nextInt(4) == 0;
-        Try first = repeats ? keyed.get(random.nextInt(keyed.size())) : null;
-        String txn = String.format("%016x", random.nextLong());
-        boolean mayShare = kind.effect() == Effect.SAFE && site.items && site.fresh > 0;
-        String key = kind.effect() == Effect.KEYED
-                ? first == null ? "unique-" + txn : first.key
-                : mayShare ? "item-" + random.nextInt(20) + kind.name() : null;
-        Kind asked = first == null ? kind : first.kind;
-        long limit = asked.deadline() - (site.limited ? random.nextLong(asked.deadline() / 4) : 0);
-        Try one = new Try(txn, asked, key, now, now + limit * 1_000, 20 + random.nextInt(10), light);
-        Link link = link();
-        if (link == null) {
+        RequestGenerator.Drawn drawn = requests.draw(now, light);
+        ClientConnection client = client();
+        if (client == null) {
             return; // refused: it proves that nothing ran
         }
-        if (asked.effect() == Effect.KEYED && first == null) {
-            keyed.add(one);
-        }
-        int id = ++link.lastId;
-        JSONObject params = new JSONObject()
-                .put("txn", txn)
-                .put("door", now / 1_000)
-                .put("ram", one.ram)
-                .put("blob", Kernel.encode(one.body()));
-        if (site.limited) {
-            params.put("limit", limit);
-        }
-        if (site.hinted) {
-            params.put("cpu", 30.5);
-        }
-        if (site.named) {
-            params.put("lb", 2).put("standing", random.nextDouble());
-        }
-        if (!site.tenants.isEmpty()) {
-            params.put("team", site.tenants.get(random.nextInt(site.tenants.size())));
-        }
-        if (site.marked && (repeats || random.nextInt(5) == 0)) {
-            params.put("second", 1);
-        }
-        if (asked.effect() == Effect.KEYED) {
-            params.put("unique", key);
-        } else if (site.items && asked.effect() == Effect.SAFE) {
-            params.put("item", key == null ? "item-of-" + txn : key);
-        }
+        requests.sent(drawn);
+        Try one = drawn.request();
+        int id = ++client.lastId;
+        JSONObject params = requests.params(drawn);
         judge.written(one);
-        link.open.put(id, txn);
-        write(
-                link.socket,
-                new JSONObject()
-                                .put("jsonrpc", "2.0")
-                                .put("id", id)
-                                .put("method", asked.name())
-                                .put("params", planted.params.apply(params))
-                        + "\n");
+        client.open.put(id, one.txn);
+        JSONObject message = new JSONObject()
+                .put("jsonrpc", "2.0")
+                .put("id", id)
+                .put("method", one.kind.name())
+                .put("params", planted.params.apply(params));
+        client.lines.write(message + "\n");
         if (site.tellsGone && !light && random.nextInt(8) == 0) {
-            at(now + 10_000 + random.nextLong(asked.deadline() * 500), () -> interrupt(link, id, one));
+            after(10_000 + random.nextLong(one.kind.deadline() * 500), () -> interrupt(client, id, one));
         }
     }
 
-    private void interrupt(Link link, int id, Try one) {
+    private void interrupt(ClientConnection client, int id, Try one) {
         if (one.answer == null) {
             one.gone = true;
-            write(link.socket, "{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{\"id\":" + id + "}}\n");
+            client.lines.write("{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{\"id\":" + id + "}}\n");
             kernel.gone(one.txn);
         }
     }
 
-    private Link link() {
-        for (Link link : links) {
-            if (!link.lastCall && link.open.size() < MOST_OPEN && random.nextInt(3) > 0) {
-                return link;
+    /** A connection that takes another request, or a new one; null if the server takes no connection. */
+    private ClientConnection client() {
+        for (ClientConnection client : clients) {
+            if (!client.lastCall && client.open.size() < MOST_OPEN && random.nextInt(3) > 0) {
+                return client;
             }
         }
         try {
             InetSocketAddress to = server.bound().get(0);
-            Link link = new Link(SocketChannel.open(new InetSocketAddress(to.getAddress(), to.getPort()))
-                    .socket());
-            links.add(link);
-            return link;
+            SocketChannel channel = SocketChannel.open(new InetSocketAddress(to.getAddress(), to.getPort()));
+            ClientConnection client = new ClientConnection(new LineConnection(channel.socket()));
+            clients.add(client);
+            return client;
         } catch (IOException e) {
             return null;
         }
@@ -232,21 +181,19 @@
 
     // ---- time ----
 
-    private void at(long time, Runnable what) {
-        events.add(new Event(time, ++numbers, what));
+    private void after(long micros, Runnable task) {
+        events.add(now + micros, task);
     }
 
     private void run() throws IOException {
         long end = START + NOTICE + STOP_MOST + SECOND;
         settle();
         while (now < end && server.phase() != Phase.STOPPED) {
-            long next = Math.min(clock.next(), events.isEmpty() ? Long.MAX_VALUE : events.peek().at);
+            long next = Math.min(clock.next(), events.next());
             now = Math.max(now, Math.min(next, end));
             kernel.at(now, START);
             clock.to(now);
-            while (!events.isEmpty() && events.peek().at <= now) {
-                events.poll().what.run();
-            }
+            events.runDue(now);
             settle();
         }
         if (server.phase() != Phase.STOPPED) {
@@ -257,7 +204,7 @@
     /** Reads and carries out all that comes until nothing more does. */
     private void settle() throws IOException {
         for (int quiet = 0; quiet < ROUNDS; quiet++) {
-            ask();
+            healthCheck.await(server.bound().get(0));
             clock.idle();
             if (pump()) {
                 quiet = -1;
@@ -265,62 +212,59 @@
         }
     }
 
-    /** A health check's answer stands behind all that was written before, in the order of the loopback. */
-    private void ask() {
-        try {
-            if (asking == null) {
-                InetSocketAddress to = server.bound().get(0);
-                asking = new Socket(to.getAddress(), to.getPort());
-                asking.setSoTimeout(PATIENCE_MS);
-                askingIn = new BufferedReader(new InputStreamReader(asking.getInputStream(), StandardCharsets.UTF_8));
-            }
-            write(asking, "{\"jsonrpc\":\"2.0\",\"id\":1,\"method\":\"check\"}\n");
-            for (String line = askingIn.readLine(); line != null && line.contains("lastCall"); ) {
-                line = askingIn.readLine();
-            }
-        } catch (IOException e) {
-            return; // it has closed: there is nothing left to settle
-        }
-    }
-
+    /** Carries out what has come on all connections; whether there was anything. */
     private boolean pump() throws IOException {
         boolean some = false;
-        for (String line : lines(kernelLink)) {
+        for (String line : kernelLink.lines()) {
             some = true;
             kernel.command(new JSONObject(line));
         }
+        some |= pumpRecords();
+        for (ClientConnection client : List.copyOf(clients)) {
+            some |= pump(client);
+        }
+        return some;
+    }
+
+    private boolean pumpRecords() throws IOException {
         for (SocketChannel call = records.accept(); call != null; call = records.accept()) {
-            recordsCalls.add(call.socket());
+            recordsCalls.add(new LineConnection(call.socket()));
         }
-        for (Socket call : List.copyOf(recordsCalls)) {
-            for (String line : lines(call)) {
+        boolean some = false;
+        for (LineConnection call : List.copyOf(recordsCalls)) {
+            for (String line : call.lines()) {
                 some = true;
                 String[] words = line.trim().split(" ");
                 if (words[0].equals("OP")) {
-                    kernel.called(words[1], text -> write(call, text));
+                    kernel.called(words[1], call::write);
                 }
             }
         }
-        for (Link link : List.copyOf(links)) {
-            for (String line : lines(link.socket)) {
-                some = true;
-                answer(link, new JSONObject(line));
-            }
-            if (!link.open.isEmpty() && ended(link)) {
-                link.open.values().forEach(txn -> judge.crossed(txn, now));
-                link.open.clear();
-                links.remove(link);
-            }
+        return some;
+    }
+
+    private boolean pump(ClientConnection client) {
+        boolean some = false;
+        for (String line : client.lines.lines()) {
+            some = true;
+            answer(client, new JSONObject(line));
+        }
+        if (!client.open.isEmpty() && client.lines.hasEnded()) {
+            // what crossed the end is sent again, anything older is lost
+            client.lines.closeQuietly();
+            client.open.values().forEach(txn -> judge.crossed(txn, now));
+            client.open.clear();
+            clients.remove(client);
         }
         return some;
     }
 
-    private void answer(Link link, JSONObject message) {
+    private void answer(ClientConnection client, JSONObject message) {
         if (message.optString("method").equals("lastCall")) {
-            link.lastCall = true;
+            client.lastCall = true;
             return;
         }
-        String txn = link.open.remove(message.optInt("id"));
+        String txn = client.open.remove(message.optInt("id"));
         if (txn == null) {
             judge.broken("duplicate: an answer to nothing open: " + message);
         } else {
@@ -329,79 +273,17 @@
         }
     }
 
-    // ---- bytes ----
-
-    /** A connection has ended: what crossed that is sent again, anything older is lost. */
-    private boolean ended(Link link) {
-        try {
-            ByteBuffer some = ByteBuffer.allocate(1);
-            link.socket.getChannel().configureBlocking(false);
-            boolean over = link.socket.getChannel().read(some) < 0;
-            if (some.position() > 0) {
-                read.get(link.socket).append((char) some.get(0));
-            }
-            link.socket.getChannel().configureBlocking(true);
-            if (!over) {
-                return false;
-            }
-        } catch (IOException e) {
-            // it was reset
-        }
-        close(link.socket);
-        return true;
-    }
-
-    private static void close(Socket socket) {
-        try {
-            socket.close();
-        } catch (IOException e) {
-            return; // it is closed
-        }
-    }
-
-    /** The whole lines that have come. */
-    private List<String> lines(Socket socket) throws IOException {
-        StringBuilder so = read.computeIfAbsent(socket, one -> new StringBuilder());
-        List<String> lines = new ArrayList<>();
-        try {
-            InputStream in = socket.getInputStream();
-            if (in.available() > 0) {
-                so.append(new String(in.readNBytes(in.available()), StandardCharsets.UTF_8));
-            }
-        } catch (IOException e) {
-            return lines;
-        }
-        for (int end = so.indexOf("\n"); end >= 0; end = so.indexOf("\n")) {
-            lines.add(so.substring(0, end));
-            so.delete(0, end + 1);
-        }
-        return lines;
-    }
-
-    private void toKernel(String text) {
-        write(kernelLink, text);
-    }
-
-    private static void write(Socket socket, String text) {
-        try {
-            socket.getOutputStream().write(text.getBytes(StandardCharsets.UTF_8));
-        } catch (IOException e) {
-            return; // it has closed; what it owes is judged all the same
-        }
-    }
-
     /** Ends the server; one that does not leave by itself is told to until it does. */
     @Override
     public void close() throws IOException {
-        for (Link link : links) {
-            link.socket.close();
+        for (ClientConnection client : clients) {
+            client.lines.close();
         }
-        for (Socket socket : new Socket[] {kernelLink, asking}) {
-            if (socket != null) {
-                socket.close();
-            }
+        if (kernelLink != null) {
+            kernelLink.close();
         }
-        for (Socket call : recordsCalls) {
+        healthCheck.close();
+        for (LineConnection call : recordsCalls) {
             call.close();
         }
         if (records != null) {
--- a/lab/src/main/java/wheatspread/lab/deployments/Judge.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/Judge.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.json.JSONObject;
-import wheatspread.lab.deployments.Deployment.Effect;
+import wheatspread.admission.Admission.Effect;
 import wheatspread.lab.deployments.Deployment.Kind;
 
 /** Books every try, run and answer, and names each rule that one of them breaks. Times in microseconds. */
@@ -42,7 +42,7 @@
         }
 
         String body() {
-            return "body of " + (kind.effect() == Effect.SAFE ? txn : key);
+            return "body of " + (kind.effect() == Effect.IDEMPOTENT ? txn : key);
         }
     }
 
@@ -85,7 +85,7 @@
             broken("changed: run of " + txn + " as " + kind);
             return false;
         }
-        boolean safe = one.kind.effect() == Effect.SAFE;
+        boolean safe = one.kind.effect() == Effect.IDEMPOTENT;
         if (one.ran && !(safe && "abort".equals(site.halt))) {
             broken("duplicate: a second run of " + txn);
         }
--- a/lab/src/main/java/wheatspread/lab/deployments/Kernel.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/Kernel.java
@@ -6,7 +6,7 @@
 import java.util.List;
 import java.util.Map;
 import org.json.JSONObject;
-import wheatspread.lab.deployments.Deployment.Effect;
+import wheatspread.admission.Admission.Effect;
 import wheatspread.lab.deployments.Judge.Try;
 
 /** The kernel and the records service of a run, on its time; what the site does not allow is a fault. */
@@ -193,7 +193,7 @@
     void called(String job, Out reply) {
         Run run = runs.get(job);
         String before = lastCall.get(job);
-        if (run != null && run.of.kind.effect() != Effect.SAFE && before != null && !before.equals("WAIT")) {
+        if (run != null && run.of.kind.effect() != Effect.IDEMPOTENT && before != null && !before.equals("WAIT")) {
             judge.broken("duplicate: a second call of " + job + " after " + before);
         }
         int how = now < wellUntil ? WORDS.size() : Math.floorMod(job.hashCode() >> 8, 20);
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/deployments/RequestGenerator.java
@@ -0,0 +1,87 @@
+package wheatspread.lab.deployments;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.SplittableRandom;
+import org.json.JSONObject;
+import wheatspread.admission.Admission.Effect;
+import wheatspread.lab.deployments.Deployment.Kind;
+import wheatspread.lab.deployments.Judge.Try;
+
+/** Draws requests that a deployment's clients may send, repeats of keyed ones among them. */
+final class RequestGenerator {
+    /**
+     * A request that was drawn.
+     *
+     * @param repeats whether another request with its key was sent before
+     */
+    record Drawn(Try request, boolean repeats) {}
+
+    private final Deployment site;
+    private final SplittableRandom random;
+    private final List<Try> keyed = new ArrayList<>();
+
+    RequestGenerator(Deployment site, SplittableRandom random) {
+        this.site = site;
+        this.random = random;
+    }
+
+    /** A request that comes now; {@code light} where the load is light. */
+    Drawn draw(long now, boolean light) {
+        Kind kind = site.kinds.get(random.nextInt(site.kinds.size()));
+        boolean repeats = kind.effect() == Effect.KEYED && !keyed.isEmpty() && random.nextInt(4) == 0;
+        Try first = repeats ? keyed.get(random.nextInt(keyed.size())) : null;
+        String txn = String.format("%016x", random.nextLong());
+        String key = first == null ? newKey(kind, txn) : first.key;
+        Kind asked = first == null ? kind : first.kind;
+        long limit = asked.deadline() - (site.limited ? random.nextLong(asked.deadline() / 4) : 0);
+        Try request = new Try(txn, asked, key, now, now + limit * 1_000, 20 + random.nextInt(10), light);
+        return new Drawn(request, repeats);
+    }
+
+    private String newKey(Kind kind, String txn) {
+        if (kind.effect() == Effect.KEYED) {
+            return "unique-" + txn;
+        }
+        boolean mayShare = kind.effect() == Effect.IDEMPOTENT && site.items && site.fresh > 0;
+        return mayShare ? "item-" + random.nextInt(20) + kind.name() : null;
+    }
+
+    /** The request is being sent: later ones may repeat it. */
+    void sent(Drawn drawn) {
+        if (drawn.request().kind.effect() == Effect.KEYED && !drawn.repeats()) {
+            keyed.add(drawn.request());
+        }
+    }
+
+    /** The parameters that go with a request. */
+    JSONObject params(Drawn drawn) {
+        Try request = drawn.request();
+        JSONObject params = new JSONObject()
+                .put("txn", request.txn)
+                .put("door", request.door / 1_000)
+                .put("ram", request.ram)
+                .put("blob", Kernel.encode(request.body()));
+        if (site.limited) {
+            params.put("limit", (request.due - request.door) / 1_000);
+        }
+        if (site.hinted) {
+            params.put("cpu", 30.5);
+        }
+        if (site.named) {
+            params.put("lb", 2).put("standing", random.nextDouble());
+        }
+        if (!site.tenants.isEmpty()) {
+            params.put("team", site.tenants.get(random.nextInt(site.tenants.size())));
+        }
+        if (site.marked && (drawn.repeats() || random.nextInt(5) == 0)) {
+            params.put("second", 1);
+        }
+        if (request.kind.effect() == Effect.KEYED) {
+            params.put("unique", request.key);
+        } else if (site.items && request.kind.effect() == Effect.IDEMPOTENT) {
+            params.put("item", request.key == null ? "item-of-" + request.txn : request.key);
+        }
+        return params;
+    }
+}
