One fake clock for the server's tests

CoreTest, ListenerTest, GracefulShutdownTest and ManualClock each had a clock of their own with the same ordered timers. core.FakeClock is the one now; ManualClock keeps what only it does, moving on the loop and settling between timers. What is asserted stays as it was.

--- a/server/src/test/java/wheatspread/core/CoreTest.java
+++ b/server/src/test/java/wheatspread/core/CoreTest.java
@@ -6,7 +6,6 @@
 import java.util.ArrayList;
 import java.util.Deque;
 import java.util.List;
-import java.util.TreeMap;
 import java.util.function.Consumer;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -21,9 +20,8 @@
 class CoreTest {
     private static final long SECOND = 1_000_000;
 
-    private long now = 1_700_000_000 * SECOND;
-    private final TreeMap<Long, List<Runnable>> timers = new TreeMap<>();
     private final Deque<Runnable> soon = new ArrayDeque<>();
+    private final FakeClock clock = new FakeClock(1_700_000_000 * SECOND, soon::add);
     private final List<String> log = new ArrayList<>();
     private final List<String> kernelSaid = new ArrayList<>();
     private final List<String> answers = new ArrayList<>();
@@ -51,7 +49,7 @@
         core = new Core(
                 new Site(settings, List.of("save"), List.of(), List.of()),
                 s -> new Scripted(),
-                new FakeClock(),
+                clock,
                 (job, body, patience, listener) -> () -> {},
                 accepting -> {},
                 EventLog.lines(log::add));
@@ -62,7 +60,8 @@
 
     private Long submit(String job, String key) {
         return core.submit(
-                new Submission(job, 0, 0, now, now + 8 * SECOND, true, false, 20, 0, key, null, new byte[0]),
+                new Submission(
+                        job, 0, 0, clock.now(), clock.now() + 8 * SECOND, true, false, 20, 0, key, null, new byte[0]),
                 answer -> answers.add(job + " " + answer.kind()));
     }
 
@@ -73,13 +72,7 @@
     }
 
     private void advance(long micros) {
-        long until = now + micros;
-        while (!timers.isEmpty() && timers.firstKey() <= until) {
-            now = timers.firstKey();
-            new ArrayList<>(timers.pollFirstEntry().getValue()).forEach(Runnable::run);
-            settle();
-        }
-        now = until;
+        clock.advance(micros, this::settle);
     }
 
     /** Guards against a module that plans with a limit nobody told, or takes a further try for a first. */
@@ -87,7 +80,8 @@
     void theModuleHearsWhatTheCallerTellsAndNoMore() {
         submit("a", "k");
         core.submit(
-                new Submission("b", 0, 0, now, now + 9 * SECOND, false, true, 20, 0, "m", null, new byte[0]),
+                new Submission(
+                        "b", 0, 0, clock.now(), clock.now() + 9 * SECOND, false, true, 20, 0, "m", null, new byte[0]),
                 answer -> {});
         settle();
         assertThat(told).extracting(Admission.Request::further).containsExactly(false, true);
@@ -246,7 +240,7 @@
 
     @Test
     void nothingRunsThatCameAfterTheGrace() {
-        core.drain(now, 10 * SECOND);
+        core.drain(clock.now(), 10 * SECOND);
         advance(5 * SECOND / 2 + 1);
         decisions.add(actions -> actions.run(1));
         submit("a", "k");
@@ -258,12 +252,12 @@
     /** It was begun within the grace and ended after it: its last byte counts, and that is not known. */
     @Test
     void nothingRunsWhoseLastByteCameAfterTheGrace() {
-        core.drain(now, 10 * SECOND);
-        long door = now + 5 * SECOND / 2 - 1;
+        core.drain(clock.now(), 10 * SECOND);
+        long door = clock.now() + 5 * SECOND / 2 - 1;
         advance(5 * SECOND / 2 + 1);
         decisions.add(actions -> actions.run(1));
         core.submit(
-                new Submission("a", 0, 0, door, now + 8 * SECOND, true, false, 20, 0, null, null, new byte[0]),
+                new Submission("a", 0, 0, door, clock.now() + 8 * SECOND, true, false, 20, 0, null, null, new byte[0]),
                 answer -> answers.add("a " + answer.kind()));
         settle();
         assertThat(kernelSaid).isEmpty();
@@ -273,7 +267,7 @@
     /** The loop may come to the notice late; the grace runs from the notice. */
     @Test
     void theGraceRunsFromTheNoticeAndNotFromItsReading() {
-        long noticeAt = now;
+        long noticeAt = clock.now();
         advance(SECOND);
         core.drain(noticeAt, 10 * SECOND);
         advance(3 * SECOND / 2 + 1);
@@ -291,9 +285,9 @@
         submit("a", "k");
         settle();
         core.ended("a", Kernel.End.OK, 20, new byte[0]);
-        long door = now;
+        long door = clock.now();
         for (long after : new long[] {-1, 0, 1, 50_000}) {
-            advance(door + 20 * SECOND + after - now);
+            advance(door + 20 * SECOND + after - clock.now());
             Long repeat = submit("b" + after, "k");
             decisions.add(actions -> actions.join(repeat));
             settle();
@@ -322,25 +316,6 @@
         assertThat(answers).containsExactly("b REFUSED", "a SERVED");
     }
 
-    private final class FakeClock implements Clock {
-        @Override
-        public long now() {
-            return now;
-        }
-
-        @Override
-        public Timer after(long micros, Runnable task) {
-            List<Runnable> at = timers.computeIfAbsent(now + micros, t -> new ArrayList<>());
-            at.add(task);
-            return () -> at.remove(task);
-        }
-
-        @Override
-        public void soon(Runnable task) {
-            soon.add(task);
-        }
-    }
-
     private final class FakeKernel implements Kernel {
         @Override
         public void run(String job, String kind, byte[] body) {
--- a/server/src/test/java/wheatspread/daemon/GracefulShutdownTest.java
+++ b/server/src/test/java/wheatspread/daemon/GracefulShutdownTest.java
@@ -6,7 +6,6 @@
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
-import java.util.TreeMap;
 import org.json.JSONObject;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -14,8 +13,8 @@
 import wheatspread.config.Fields;
 import wheatspread.config.LifeConfig;
 import wheatspread.config.ServerConfig;
-import wheatspread.core.Clock;
 import wheatspread.core.Core;
+import wheatspread.core.FakeClock;
 import wheatspread.life.Life.Event;
 import wheatspread.logging.EventLog;
 
@@ -23,44 +22,15 @@
 class GracefulShutdownTest {
     private static final long MS = 1_000;
 
-    private final TreeMap<Long, List<Runnable>> timers = new TreeMap<>();
     private final List<Event> heard = new ArrayList<>();
-    private long now = 1_700_000_000_000_000L;
+    private final FakeClock clock = new FakeClock(1_700_000_000_000_000L, Runnable::run);
     private boolean unread;
     private GracefulShutdown shutdown;
 
-    private final class SetClock implements Clock {
-        @Override
-        public long now() {
-            return now;
-        }
-
-        @Override
-        public Timer after(long micros, Runnable task) {
-            timers.computeIfAbsent(now + micros, at -> new ArrayList<>()).add(task);
-            return () -> timers.values().forEach(tasks -> tasks.remove(task));
-        }
-
-        @Override
-        public void soon(Runnable task) {
-            task.run();
-        }
-    }
-
-    private void advance(long micros) {
-        long until = now + micros;
-        while (!timers.isEmpty() && timers.firstKey() <= until) {
-            now = timers.firstKey();
-            timers.pollFirstEntry().getValue().forEach(Runnable::run);
-        }
-        now = until;
-    }
-
     @BeforeEach
     void begin() throws Exception {
         JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
         ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
-        Clock clock = new SetClock();
         EventLog log = EventLog.lines(line -> {});
         Core core = new Core(
                 config.site(),
@@ -77,29 +47,29 @@
     @Test
     void aBusyProcessReadsWhatWasWrittenBeforeItLeaves() {
         unread = true;
-        shutdown.begin(now, 4_000 * MS, 2_500 * MS, true);
-        advance(3_000 * MS);
+        shutdown.begin(clock.now(), 4_000 * MS, 2_500 * MS, true);
+        clock.advance(3_000 * MS);
         assertThat(heard).isEmpty();
         unread = false;
-        advance(25 * MS);
+        clock.advance(25 * MS);
         assertThat(heard).containsExactly(Event.EMPTY);
     }
 
     @Test
     void whatIsNeverReadHoldsNobodyPastTheStop() {
         unread = true;
-        shutdown.begin(now, 4_000 * MS, 2_500 * MS, true);
-        advance(3_900 * MS);
+        shutdown.begin(clock.now(), 4_000 * MS, 2_500 * MS, true);
+        clock.advance(3_900 * MS);
         assertThat(heard).containsExactly(Event.TIME_UP);
     }
 
     /** The clock of the drain runs from the notice, however late the loop comes to it. */
     @Test
     void theDrainRunsFromTheNotice() {
-        shutdown.begin(now - 1_000 * MS, 4_000 * MS, 2_500 * MS, true);
-        advance(1_640 * MS);
+        shutdown.begin(clock.now() - 1_000 * MS, 4_000 * MS, 2_500 * MS, true);
+        clock.advance(1_640 * MS);
         assertThat(heard).isEmpty();
-        advance(35 * MS);
+        clock.advance(35 * MS);
         assertThat(heard).containsExactly(Event.EMPTY);
     }
 }
--- a/server/src/test/java/wheatspread/daemon/ManualClock.java
+++ b/server/src/test/java/wheatspread/daemon/ManualClock.java
@@ -1,10 +1,9 @@
 package wheatspread.daemon;
 
 import io.netty.channel.EventLoop;
-import java.util.Map;
-import java.util.TreeMap;
 import java.util.concurrent.Callable;
 import wheatspread.core.Clock;
+import wheatspread.core.FakeClock;
 
 /** A clock that moves only when a test says so; its timers fire on the loop, in the order of their times. */
 final class ManualClock implements Clock {
@@ -14,38 +13,34 @@
     private static final int SETTLE_ROUNDS = 4;
 
     private final EventLoop loop;
-    private final TreeMap<Long, Map<Integer, Runnable>> timers = new TreeMap<>();
-    private volatile long now = START;
+    private final FakeClock clock;
     private Runnable roundTrip = () -> {};
-    private int set;
 
     ManualClock(EventLoop loop) {
         this.loop = loop;
+        clock = new FakeClock(START, loop);
     }
 
     @Override
     public long now() {
-        return now;
+        return clock.now();
     }
 
     @Override
     public Timer after(long micros, Runnable task) {
-        long at = now + micros;
-        int number = ++set;
-        timers.computeIfAbsent(at, t -> new TreeMap<>()).put(number, task);
-        return () -> timers.getOrDefault(at, new TreeMap<>()).remove(number);
+        return clock.after(micros, task);
     }
 
     @Override
     public void soon(Runnable task) {
-        loop.execute(task);
+        clock.soon(task);
     }
 
     /** Moves on; what a timer brings about is through before the next timer. */
     void advance(long micros) {
-        long until = now + micros;
+        long until = now() + micros;
         settle();
-        while (loop.submit(() -> step(until)).syncUninterruptibly().getNow()) {
+        while (loop.submit(() -> clock.fireNext(until)).syncUninterruptibly().getNow()) {
             settle();
         }
     }
@@ -55,13 +50,13 @@
      * before the timers that are due ring, so it crosses what they do, every time.
      */
     void cross(long micros, Callable<?> between) {
-        long until = now + micros;
+        long until = now() + micros;
         settle();
         loop.submit(() -> {
                     between.call();
                     boolean more = true;
                     while (more) {
-                        more = step(until);
+                        more = clock.fireNext(until);
                     }
                     return null;
                 })
@@ -85,16 +80,4 @@
     void settleWith(Runnable question) {
         roundTrip = question;
     }
-
-    private boolean step(long until) {
-        Map.Entry<Long, Map<Integer, Runnable>> first = timers.firstEntry();
-        if (first == null || first.getKey() > until) {
-            now = until;
-            return false;
-        }
-        timers.remove(first.getKey());
-        now = first.getKey();
-        first.getValue().values().forEach(Runnable::run);
-        return true;
-    }
 }
--- a/server/src/test/java/wheatspread/sockets/ListenerTest.java
+++ b/server/src/test/java/wheatspread/sockets/ListenerTest.java
@@ -12,38 +12,18 @@
 import java.util.List;
 import org.junit.jupiter.api.Test;
 import wheatspread.connections.ConnectionLimits;
-import wheatspread.core.Clock;
+import wheatspread.core.FakeClock;
 import wheatspread.logging.EventLog;
 import wheatspread.turns.TurnLimits;
 
 class ListenerTest {
     private static final int MEGABYTE = 1024 * 1024;
 
-    private final List<Runnable> timers = new ArrayList<>();
+    private final FakeClock clock = new FakeClock(100_000_000, Runnable::run);
     private final List<String> heard = new ArrayList<>();
-    private long now = 100_000_000;
     private final Turns turns = new Turns(Transport.named("nio"), TurnLimits.USUAL, 1, EventLog.lines(heard::add));
-    private final Listener listener = new Listener(
-            null, turns, new SetClock(), new Echo(), ConnectionLimits.usual(100), EventLog.lines(heard::add));
-
-    /** Keeps its timers for the test to ring. */
-    private final class SetClock implements Clock {
-        @Override
-        public long now() {
-            return now;
-        }
-
-        @Override
-        public Timer after(long micros, Runnable task) {
-            timers.add(task);
-            return () -> timers.remove(task);
-        }
-
-        @Override
-        public void soon(Runnable task) {
-            task.run();
-        }
-    }
+    private final Listener listener =
+            new Listener(null, turns, clock, new Echo(), ConnectionLimits.usual(100), EventLog.lines(heard::add));
 
     /** A front whose messages are words of three bytes; it owes an answer to each until it is told. */
     private final class Echo implements Front {
@@ -161,9 +141,7 @@
             channel.write(Unpooled.wrappedBuffer(new byte[size * MEGABYTE])); // not flushed: it waits
             channels.add(channel);
         }
-        List<Runnable> rings = new ArrayList<>(timers);
-        timers.clear();
-        rings.forEach(Runnable::run);
+        clock.fireAll();
         assertThat(channels).extracting(EmbeddedChannel::isOpen).containsExactly(true, false, true);
         channels.forEach(EmbeddedChannel::finishAndReleaseAll);
     }
@@ -182,9 +160,9 @@
     void connectionsHaveNoTimersOfTheirOwn() {
         for (int i = 0; i < 100; i++) {
             say(open(), "abc");
-            now += 1_000;
+            clock.skip(1_000);
         }
-        assertThat(timers).hasSizeLessThanOrEqualTo(1);
+        assertThat(clock.pending()).isLessThanOrEqualTo(1);
     }
 
     @Test
