--- a/server/src/main/java/wheatspread/admission/choice/Tags.java
+++ b/server/src/main/java/wheatspread/admission/choice/FairQueue.java
@@ -5,12 +5,12 @@
 import java.util.stream.Stream;
 
 /** The flows with the virtual clock: S = max(v, F_prev), F = S + c/phi. */
-abstract class Tags extends Memory {
+abstract class FairQueue extends Memory {
     final double quotas; // what the tenants' quotas come to, in requests a second over the fleet
     private final Flow[] flows;
     double virtualTime, largestServed;
 
-    Tags(Settings settings) {
+    FairQueue(Settings settings) {
         super(settings);
         List<Tenant> tenants = settings.tenants();
         flows = new Flow[Math.max(1, tenants.size())];
--- a/server/src/main/java/wheatspread/admission/choice/Memory.java
+++ b/server/src/main/java/wheatspread/admission/choice/Memory.java
@@ -4,7 +4,7 @@
 import java.util.Map;
 
 /** The one memory that held and running requests and kept keys share. */
-abstract class Memory extends Hand {
+abstract class Memory extends RequestsInHand {
     private static final double FOR_RUNS = 0.8; // what runs may fill; the rest is room for arrivals
     private static final double FULL = 0.95; // above it held requests are pushed out
 
--- a/server/src/main/java/wheatspread/admission/choice/Hand.java
+++ b/server/src/main/java/wheatspread/admission/choice/RequestsInHand.java
@@ -10,7 +10,7 @@
 /** What is in hand, with what all parts of the module share: settings, the clock, where actions go. The parts
  * are layers, each a file that decides one thing: memory, tags, run times, depth, calls, signals, and on top
  * what is taken in, started and turned away. A layer knows only those below it. */
-abstract class Hand implements Admission {
+abstract class RequestsInHand implements Admission {
     static final long TICK = 50_000; // between looks at the gauges; us: short to aims, long to a timer's cost
     static final long STOP_MARGIN = 300_000; // before this process is stopped; us
     private static final int DUE_TICKS = 2; // margin of a late answer, in ticks of the wire
@@ -36,7 +36,7 @@
     double heldRoom;
     int[] heldOf = new int[0];
 
-    Hand(Settings settings) {
+    RequestsInHand(Settings settings) {
         limits = settings.limits();
         settle = DUE_TICKS * Math.max(1, settings.resolution());
         take(settings);
--- a/server/src/main/java/wheatspread/admission/choice/RunTimes.java
+++ b/server/src/main/java/wheatspread/admission/choice/RunTimes.java
@@ -3,7 +3,7 @@
 import java.util.Arrays;
 
 /** What runs take, learned from those that ended: the cost of a request, and what it will need. */
-abstract class RunTimes extends Tags {
+abstract class RunTimes extends FairQueue {
     /** Until a run has ended, one is taken to last this share of the shortest aim, or all would be held. */
     private static final double UNKNOWN_RUN = 0.25;
     /** The median of run times as a share of their mean; it must fit before the aim for a run to start. */
