Fair queue: a decision costs by what waits, not by the number of tenants

Need: operators plan with 100,000 tenants. Each dispatch and each refusal walked the flows of all tenants, and each tenant had a flow with an array deque from the start on.

Change: the tenants that wait stand in two indexed heaps: by the start tag of their first request, and by how far ahead they are. A lead decays while nothing happens to its flow, so the one last computed is an upper bound; the first is computed anew until it stays first, which is exact. Ties go to the lowest index in both, as before. A flow is made at its tenant's first request, and its deque only while something waits.

Ruled out: dropping idle flows.

--- a/server/src/main/java/wheatspread/admission/choice/Choice.java
+++ b/server/src/main/java/wheatspread/admission/choice/Choice.java
@@ -227,7 +227,7 @@
     }
 
     private void forget(Job job) {
-        job.flow.remove(job);
+        dequeue(job);
         move(job, State.OVER);
         jobs.remove(job.id());
     }
--- a/server/src/main/java/wheatspread/admission/choice/FairQueue.java
+++ b/server/src/main/java/wheatspread/admission/choice/FairQueue.java
@@ -1,54 +1,78 @@
 package wheatspread.admission.choice;
 
-import java.util.Arrays;
 import java.util.List;
-import java.util.stream.Stream;
+import wheatspread.heap.IndexedHeap;
 
-/** The flows with the virtual clock: S = max(v, F_prev), F = S + c/phi. */
+/** The flows with the virtual clock: S = max(v, F_prev), F = S + c/phi. Heaps order those that wait. */
 abstract class FairQueue extends Memory {
     final double quotas; // what the tenants' quotas come to, in requests a second over the fleet
-    private final Flow[] flows;
+    private final boolean told; // whether each tenant has a quota
+    private final List<Tenant> tenants;
+    private final Flow[] flows; // by tenant; null until its first request
+    /** Tenants that wait, by the start tag of their first request, and by how far ahead they are, negated. */
+    private final IndexedHeap starts, leads;
     double virtualTime, largestServed;
 
     FairQueue(Settings settings) {
         super(settings);
-        List<Tenant> tenants = settings.tenants();
+        tenants = settings.tenants();
         flows = new Flow[Math.max(1, tenants.size())];
+        starts = new IndexedHeap(flows.length);
+        leads = new IndexedHeap(flows.length);
         quotas = tenants.stream().mapToDouble(Tenant::quota).sum();
-        boolean told = tenants.stream().allMatch(t -> t.quota() > 0) && quotas > 0;
-        for (int i = 0; i < flows.length; i++) {
-            flows[i] = new Flow(told ? tenants.get(i).quota() / quotas * flows.length : 1);
-        }
+        told = tenants.stream().allMatch(t -> t.quota() > 0) && quotas > 0;
     }
 
     Flow flow(int tenant) {
-        return flows[tenant < flows.length && tenant >= 0 ? tenant : 0];
+        int index = tenant < flows.length && tenant >= 0 ? tenant : 0;
+        if (flows[index] == null) {
+            flows[index] = new Flow(index, told ? tenants.get(index).quota() / quotas * flows.length : 1);
+        }
+        return flows[index];
     }
 
     void enqueue(Job job, double cost) {
         job.cost = cost;
         job.virtualAtArrival = virtualTime;
         job.flow.add(job);
+        reorder(job.flow);
     }
 
     /** The held request with the smallest start tag is dispatched, and v follows it. */
     void dispatched(Job job) {
         job.flow.poll(now);
         virtualTime = job.start;
+        reorder(job.flow);
+    }
+
+    /** Takes a request that never ran out of its queue. */
+    void dequeue(Job job) {
+        job.flow.remove(job);
+        reorder(job.flow);
     }
 
     /** The held request with the smallest start tag, or null. */
     Job smallestStart() {
-        return waiting().map(flow -> flow.queue.peek()).reduce((a, b) -> b.start < a.start ? b : a).orElse(
-            null);
+        return starts.size() == 0 ? null : flows[starts.first()].queue.peek();
     }
 
-    /** The flow furthest ahead of those that wait, or null. */
+    /** The flow furthest ahead of those that wait; there must be one. A lead only decays until its flow changes,
+     * so the first, once it stays first with its lead computed anew, is ahead of all others. */
     Flow furthestAhead() {
-        return waiting().reduce((a, b) -> b.ahead(now) > a.ahead(now) ? b : a).orElse(null);
+        Flow flow = flows[leads.first()];
+        while (leads.put(flow.tenant, -flow.ahead(now))) {
+            flow = flows[leads.first()];
+        }
+        return flow;
     }
 
-    private Stream<Flow> waiting() {
-        return Arrays.stream(flows).filter(flow -> !flow.queue.isEmpty());
+    private void reorder(Flow flow) {
+        if (flow.queue.isEmpty()) {
+            starts.remove(flow.tenant);
+            leads.remove(flow.tenant);
+        } else {
+            starts.put(flow.tenant, flow.queue.peek().start);
+            leads.put(flow.tenant, -flow.ahead(now));
+        }
     }
 }
--- a/server/src/main/java/wheatspread/admission/choice/Flow.java
+++ b/server/src/main/java/wheatspread/admission/choice/Flow.java
@@ -7,19 +7,24 @@
     /** How long what a tenant was served counts when one must be refused; us. Some tens of runs. */
     private static final double SERVED_LATELY = 2_000_000;
 
-    final ArrayDeque<Job> queue = new ArrayDeque<>();
+    /** The queue of all flows where none waits, so that idle ones take little memory; never added to. */
+    private static final ArrayDeque<Job> EMPTY = new ArrayDeque<>(0);
+
+    final int tenant;
     private final double weight;
-    private double dispatchedFinish; // finish tag of the last one dispatched, and of the last one queued
-    private double lastFinish;
+    ArrayDeque<Job> queue = EMPTY;
+    private double dispatchedFinish, lastFinish; // finish tags of the last one dispatched and the last one queued
     private double served; // charges of the lately dispatched, as of the time of the last one
     private long servedAt;
 
-    Flow(double weight) {
+    Flow(int tenant, double weight) {
+        this.tenant = tenant;
         this.weight = weight;
     }
 
     void add(Job job) {
         tag(job);
+        queue = queue.isEmpty() ? new ArrayDeque<>() : queue;
         queue.add(job);
     }
 
@@ -32,6 +37,7 @@
     /** The first of the queue is dispatched. */
     void poll(long now) {
         Job job = queue.poll();
+        queue = queue.isEmpty() ? EMPTY : queue;
         dispatchedFinish = job.finish;
         served = servedLately(now) + job.finish - job.start;
         servedAt = now;
@@ -56,6 +62,7 @@
     /** Takes a request that never ran out of the queue, and its charge off the later tags. */
     void remove(Job job) {
         if (queue.remove(job)) {
+            queue = queue.isEmpty() ? EMPTY : queue;
             lastFinish = dispatchedFinish;
             queue.forEach(this::tag);
         }
