Read tenants and routes as a stream into arrays and one table of names

Need: with 100,000 tenants the run line of deploy/balancer.toml (48 MB heap) did not start: JsonFile made a tree of maps of the file, with a line and a shown setting for each key. Seen first: `check` ended with an OutOfMemoryError trace at 100,000 and 50,000 tenants, and at 25,000 tenants with 16,000 routes.

Ruled out: a second pass over the file for routes that stand before the defaults they inherit (the file may change between the passes); a HashMap of names (an entry, a string and a boxed index for each); String.hashCode as the table's hash (names that collide on purpose make the reading quadratic).

Change: JsonFile hands `settings.Parties` and `uwsgi.routes` element by element to a ListReader; all else stays a tree, bounded to 4 MiB. Names stand as UTF-8 in core.NameTable behind one Int2IntHashMap, quotas in admission.TenantList. Routes fill what they do not say once the file has been read. Faults are kept up to 100 and then counted; names are 1 to 1,024 bytes and distinct, quotas up to 1e9, tenants up to 262,144, routes up to 65,536; a file that is changed in place while it is read is refused. OutOfMemoryError in the reading is a complaint. show-config shows the first 32 elements of a list, its size and its quotas' ends.

--- a/server/src/main/java/wheatspread/admission/Admission.java
+++ b/server/src/main/java/wheatspread/admission/Admission.java
@@ -169,7 +169,7 @@
             present("tenants", tenants);
             atLeast("number of classes", classes.size(), 1);
             classes = List.copyOf(classes);
-            tenants = List.copyOf(tenants);
+            tenants = TenantList.copyOf(tenants);
         }
     }
 
--- a/server/src/main/java/wheatspread/config/Configuration.java
+++ b/server/src/main/java/wheatspread/config/Configuration.java
@@ -45,7 +45,16 @@
      * whichever file, is in the one complaint.
      */
     public static Configuration load(Map<String, String> environment, Path operatorFile) {
-        List<String> faults = new ArrayList<>();
+        try {
+            return loadAll(environment, operatorFile);
+        } catch (OutOfMemoryError e) {
+            throw new Fields.BadValue("the settings take more memory than is left of "
+                    + (Runtime.getRuntime().maxMemory() >> 20) + " MiB");
+        }
+    }
+
+    private static Configuration loadAll(Map<String, String> environment, Path operatorFile) {
+        Faults faults = new Faults();
         List<Source> sources = new ArrayList<>();
         ServerConfig server = null;
         String file = environment.get("GW_CONFIG");
@@ -60,25 +69,25 @@
                 server = ServerConfig.read(told);
                 site = server.site();
             } catch (Fields.BadValue e) {
-                faults.addAll(e.faults());
+                faults.addAll(e);
                 site = told == null ? null : ServerConfig.siteOf(told);
             }
         }
         OperatorConfig operator = OperatorConfig.NONE;
         if (operatorFile != null) {
             try {
-                Fields told = JsonFile.read(operatorFile);
+                Fields told = OperatorConfig.fields(operatorFile, site);
                 sources.add(told.source());
                 operator = OperatorConfig.read(told, site);
             } catch (Fields.BadValue e) {
-                faults.addAll(e.faults());
+                faults.addAll(e);
             }
         }
         if (faults.isEmpty()) {
             try {
                 platformConnections(server, operator);
             } catch (Fields.BadValue e) {
-                faults.addAll(e.faults());
+                faults.addAll(e);
             }
         }
         if (!faults.isEmpty()) {
--- a/server/src/main/java/wheatspread/config/Fields.java
+++ b/server/src/main/java/wheatspread/config/Fields.java
@@ -5,6 +5,7 @@
 import java.util.Map;
 import java.util.Set;
 import java.util.TreeSet;
+import java.util.function.Supplier;
 
 /**
  * Typed access to one object of a message or a configuration; complaints name the faulty key by its path. Of
@@ -13,6 +14,8 @@
  */
 public final class Fields {
     private static final int HOUR_MS = 3_600_000;
+    /** Of a longer value, a complaint shows only the beginning; characters. */
+    private static final int LONGEST_SHOWN = 64;
 
     private final Map<String, Object> map;
     private final String path;
@@ -29,23 +32,40 @@
         private static final long serialVersionUID = 1L;
 
         private final transient List<String> faults;
+        private final long count;
 
         public BadValue(String message) {
             super(message);
             faults = List.of(message);
+            count = 1;
         }
 
         /** Several at once; the message tells the first, and how many there are besides. */
-        BadValue(List<String> faults) {
-            super(faults.get(0)
-                    + (faults.size() == 1 ? "" : " (and " + (faults.size() - 1) + " more; 'check' names them all)"));
-            this.faults = List.copyOf(faults);
+        BadValue(Faults faults) {
+            super(faults.kept().get(0) + besides(faults));
+            this.faults = faults.kept();
+            count = faults.count();
         }
 
-        /** Each of them by itself. */
+        private static String besides(Faults faults) {
+            if (faults.count() == 1) {
+                return "";
+            }
+            String named = faults.count() == faults.kept().size()
+                    ? "them all"
+                    : "the first " + faults.kept().size();
+            return " (and " + (faults.count() - 1) + " more; 'check' names " + named + ")";
+        }
+
+        /** Each of them by itself; of very many the first ones. */
         public List<String> faults() {
             return faults;
         }
+
+        /** How many there are, with those that {@link #faults} leaves out. */
+        public long count() {
+            return count;
+        }
     }
 
     public static Fields of(Object value, String path) {
@@ -96,17 +116,38 @@
     }
 
     private <T> T took(String name, T value) {
-        if (source != null) {
+        if (source != null && source.shows()) {
             source.took(key(name), value, map.get(name) != null);
         }
         return value;
     }
 
+    /** What operators are shown in place of the elements of a large list. */
+    void summary(String name, String text) {
+        took(name, text);
+    }
+
+    /** The line on which this object stands in its file; 0 where it is not known. */
+    int line() {
+        return source == null ? 0 : source.line(path);
+    }
+
     private String told(String name) {
         Object value = map.get(name);
-        return value == null
-                ? ""
-                : ": " + (value instanceof Map ? "an object" : value instanceof List ? "a list" : value);
+        return value == null ? "" : ": " + shown(value);
+    }
+
+    private static String shown(Object value) {
+        if (value instanceof Map) {
+            return "an object";
+        }
+        if (value instanceof List || value instanceof ListReader) {
+            return "a list";
+        }
+        String text = String.valueOf(value);
+        return text.length() <= LONGEST_SHOWN
+                ? text
+                : text.substring(0, LONGEST_SHOWN) + "... (" + text.length() + " characters)";
     }
 
     /** The object under a key; an empty one where it may be absent and is. */
@@ -139,6 +180,10 @@
 
     /** A number within bounds, or the value for an absent key. */
     public double number(String name, double absent, double least, double most) {
+        if (has(name) && !(map.get(name) instanceof Number)) {
+            return fault(
+                    name, "is missing or not a number" + told(name) + "; allowed is " + least + " to " + most, absent);
+        }
         double value = number(name, absent);
         return value >= least && value <= most
                 ? value
@@ -215,7 +260,7 @@
         String told = text(name);
         T known = words.get(told);
         if (known == null && map.get(name) instanceof String) {
-            fault(name, "is an unknown word: " + told + "; allowed are " + new TreeSet<>(words.keySet()), null);
+            fault(name, "is an unknown word: " + shown(told) + "; allowed are " + new TreeSet<>(words.keySet()), null);
         }
         return known == null ? words.values().iterator().next() : known;
     }
@@ -228,7 +273,7 @@
     public List<String> texts(String name) {
         List<String> texts = new ArrayList<>();
         for (Object one : list(name)) {
-            texts.add(one instanceof String s ? s : fault(name, "holds what is not text: " + one, ""));
+            texts.add(one instanceof String s ? s : fault(name, "holds what is not text: " + shown(one), ""));
         }
         took(name, texts);
         return texts;
@@ -254,7 +299,7 @@
             String at = name + "[" + index++ + "]";
             Fields inner = of(one, key(at), source);
             if (inner == null) {
-                fault(at, "is not an object: " + one, null);
+                fault(at, "is not an object: " + shown(one), null);
             } else {
                 objects.add(inner);
             }
@@ -262,6 +307,37 @@
         return objects;
     }
 
+    /**
+     * The large list under a key, read: by the reader that took it from the stream of the file, or now, by a
+     * fresh one, where it stands in memory.
+     */
+    <R extends ListReader> R large(String name, Class<R> type, Supplier<R> fresh) {
+        if (type.isInstance(map.get(name))) {
+            return type.cast(map.get(name));
+        }
+        R reader = fresh.get();
+        List<Object> list = list(name);
+        if (list.size() > reader.most()) {
+            return fault(name, "has more than " + reader.most() + " elements", reader);
+        }
+        for (int index = 0; index < list.size(); index++) {
+            read(list.get(index), key(name) + "[" + index + "]", source, index, reader);
+        }
+        return reader;
+    }
+
+    /** Hands an element of a large list to its reader. */
+    static void read(Object element, String path, Source source, int index, ListReader reader) {
+        Fields told = of(element, path, source);
+        if (told != null) {
+            reader.read(index, told);
+        } else if (source != null) {
+            source.fault(path, "is not an object: " + shown(element));
+        } else {
+            throw new BadValue(path + " is not an object: " + shown(element));
+        }
+    }
+
     public BadValue bad(String name, String complaint) {
         return new BadValue(key(name) + " " + complaint);
     }
--- a/server/src/main/java/wheatspread/config/JsonFile.java
+++ b/server/src/main/java/wheatspread/config/JsonFile.java
@@ -9,19 +9,39 @@
 import com.fasterxml.jackson.core.StreamReadFeature;
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
+import java.io.Reader;
 import java.nio.file.Files;
+import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
+import java.nio.file.attribute.BasicFileAttributes;
 import java.util.ArrayList;
-import java.util.HashMap;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
+import java.util.Objects;
+import java.util.function.Supplier;
 
 /**
  * Reads a settings file: JSON, in which comments, trailing commas and names without quotes are allowed. A key
- * that stands twice is a fault, since one of the two would be ignored.
+ * that stands twice is a fault, since one of the two would be ignored. The file is read as a stream: its
+ * large lists go element by element to their {@link ListReader}, and only the rest becomes a tree of maps,
+ * whose size is bounded.
  */
 public final class JsonFile {
+    /** The longest file that is read; bytes. */
+    static final long MOST_BYTES = 16L << 20;
+    /** The longest text in a file, in characters; longer ones are refused before a key could be named. */
+    private static final int LONGEST_TEXT = 128 << 10;
+
+    private static final int LONGEST_KEY = 1_024;
+    /**
+     * What a tree of maps may come to, in bytes: that of the file without its large lists, and that of one
+     * element of such a list.
+     */
+    private static final int MOST_TREE = 4 << 20;
+    /** What a value costs in the tree besides its text: entry, path and line; bytes, rounded up. */
+    private static final int VALUE_COST = 128;
+
     private static final JsonFactory FACTORY = new JsonFactoryBuilder()
             .enable(JsonReadFeature.ALLOW_JAVA_COMMENTS)
             .enable(JsonReadFeature.ALLOW_YAML_COMMENTS)
@@ -29,81 +49,153 @@
             .enable(JsonReadFeature.ALLOW_UNQUOTED_FIELD_NAMES)
             .enable(JsonReadFeature.ALLOW_SINGLE_QUOTES)
             .enable(StreamReadFeature.STRICT_DUPLICATE_DETECTION)
-            .streamReadConstraints(
-                    StreamReadConstraints.builder().maxNestingDepth(64).build())
+            .streamReadConstraints(StreamReadConstraints.builder()
+                    .maxNestingDepth(64)
+                    .maxDocumentLength(MOST_BYTES)
+                    .maxStringLength(LONGEST_TEXT)
+                    .maxNameLength(LONGEST_KEY)
+                    .build())
             .build();
-    private static final long MOST_BYTES = 16L << 20;
 
-    private final Map<String, Integer> lines = new HashMap<>();
+    private final JsonParser parser;
+    private final Source source;
+    private final Map<String, Supplier<? extends ListReader>> lists;
+    private int treeBytes;
 
-    private JsonFile() {}
+    private JsonFile(JsonParser parser, Source source, Map<String, Supplier<? extends ListReader>> lists) {
+        this.parser = parser;
+        this.source = source;
+        this.lists = lists;
+    }
 
     /** The object in a file; its complaints name file, line and key. */
     public static Fields read(Path file) {
-        String text;
+        return read(file, Map.of());
+    }
+
+    /** The same, where the lists under the keys of {@code lists} are read by what is made for each. */
+    static Fields read(Path file, Map<String, Supplier<? extends ListReader>> lists) {
         try {
-            if (Files.size(file) > MOST_BYTES) {
+            BasicFileAttributes before = Files.readAttributes(file, BasicFileAttributes.class);
+            if (before.size() > MOST_BYTES) {
                 throw new Fields.BadValue(file + " is longer than " + MOST_BYTES + " bytes");
             }
-            text = Files.readString(file);
+            Fields told;
+            try (Reader text = Files.newBufferedReader(file)) {
+                told = parse(file.toString(), text, lists);
+            }
+            requireUnchanged(file, before);
+            return told;
         } catch (IOException e) {
             throw new Fields.BadValue(file + " cannot be read: "
-                    + (e instanceof java.nio.file.NoSuchFileException ? "there is no such file" : e.toString()));
+                    + (e instanceof NoSuchFileException ? "there is no such file" : e.toString()));
+        } catch (OutOfMemoryError e) {
+            throw new Fields.BadValue(file + " takes more memory to read than is left of "
+                    + (Runtime.getRuntime().maxMemory() >> 20) + " MiB");
         }
-        return read(file.toString(), text);
     }
 
-    /** The same of a text; {@code name} is how complaints call it. */
-    public static Fields read(String name, String text) {
+    /** A file that is written in place while it is read may be half the old one and half the new one. */
+    private static void requireUnchanged(Path file, BasicFileAttributes before) throws IOException {
+        BasicFileAttributes after = Files.readAttributes(file, BasicFileAttributes.class);
+        boolean sameFile = before.isRegularFile() && Objects.equals(before.fileKey(), after.fileKey());
+        if (sameFile
+                && (before.size() != after.size() || !before.lastModifiedTime().equals(after.lastModifiedTime()))) {
+            throw new Fields.BadValue(file + " was changed while it was read; write it aside and rename it");
+        }
+    }
+
+    private static Fields parse(String name, Reader text, Map<String, Supplier<? extends ListReader>> lists)
+            throws IOException {
         try (JsonParser parser = FACTORY.createParser(text)) {
-            JsonFile reader = new JsonFile();
+            Source source = new Source(name);
             if (parser.nextToken() != JsonToken.START_OBJECT) {
                 throw new Fields.BadValue(name + ":1: is not a JSON object");
             }
-            Map<String, Object> map = reader.object(parser, "");
+            Map<String, Object> map = new JsonFile(parser, source, lists).object("");
             if (parser.nextToken() != null) {
                 throw new Fields.BadValue(
                         name + ":" + parser.currentTokenLocation().getLineNr() + ": something follows the object");
             }
-            return Fields.of(map, new Source(name, reader.lines));
+            return Fields.of(map, source);
         } catch (JsonProcessingException e) {
             throw new Fields.BadValue(name + ":"
                     + (e.getLocation() == null ? 1 : e.getLocation().getLineNr()) + ": is not a JSON object: "
                     + e.getOriginalMessage().split("\n")[0]);
-        } catch (IOException e) {
-            throw new IllegalStateException(e); // a text in memory
         }
     }
 
-    private Map<String, Object> object(JsonParser parser, String path) throws IOException {
+    private Map<String, Object> object(String path) throws IOException {
         Map<String, Object> map = new LinkedHashMap<>();
         while (parser.nextToken() == JsonToken.FIELD_NAME) {
             String name = parser.currentName();
             String key = path.isEmpty() ? name : path + "." + name;
-            lines.put(key, parser.currentTokenLocation().getLineNr());
+            keep(key);
             parser.nextToken();
-            map.put(name, value(parser, key));
+            map.put(name, value(key));
         }
         return map;
     }
 
-    private Object value(JsonParser parser, String path) throws IOException {
+    private Object value(String path) throws IOException {
         return switch (parser.currentToken()) {
-            case START_OBJECT -> object(parser, path);
-            case START_ARRAY -> {
-                List<Object> list = new ArrayList<>();
-                while (parser.nextToken() != JsonToken.END_ARRAY) {
-                    String key = path + "[" + list.size() + "]";
-                    lines.put(key, parser.currentTokenLocation().getLineNr());
-                    list.add(value(parser, key));
-                }
-                yield list;
-            }
-            case VALUE_STRING -> parser.getText();
+            case START_OBJECT -> object(path);
+            case START_ARRAY -> lists.containsKey(path) ? largeList(path) : list(path);
+            case VALUE_STRING -> text();
             case VALUE_TRUE -> Boolean.TRUE;
             case VALUE_FALSE -> Boolean.FALSE;
             case VALUE_NULL -> null;
             default -> parser.getNumberValue();
         };
     }
+
+    private List<Object> list(String path) throws IOException {
+        List<Object> list = new ArrayList<>();
+        while (parser.nextToken() != JsonToken.END_ARRAY) {
+            String key = path + "[" + list.size() + "]";
+            keep(key);
+            list.add(value(key));
+        }
+        return list;
+    }
+
+    private ListReader largeList(String path) throws IOException {
+        ListReader reader = lists.get(path).get();
+        int outside = treeBytes;
+        for (int index = 0; parser.nextToken() != JsonToken.END_ARRAY; index++) {
+            if (index == reader.most()) {
+                throw new Fields.BadValue(
+                        source.place(path) + ": " + path + " has more than " + reader.most() + " elements");
+            }
+            treeBytes = 0;
+            source.beginElement(index);
+            String key = path + "[" + index + "]";
+            keep(key);
+            Fields.read(value(key), key, source, index, reader);
+        }
+        source.endElements();
+        treeBytes = outside;
+        return reader;
+    }
+
+    private String text() throws IOException {
+        String text = parser.getText();
+        charge(text.length());
+        return text;
+    }
+
+    private void keep(String key) {
+        charge(VALUE_COST + key.length());
+        source.stands(key, parser.currentTokenLocation().getLineNr());
+    }
+
+    private void charge(int bytes) {
+        treeBytes += bytes;
+        if (treeBytes > MOST_TREE) {
+            throw new Fields.BadValue(source.file() + ":"
+                    + parser.currentTokenLocation().getLineNr() + ": the settings take over " + MOST_TREE
+                    + " bytes up to here; only "
+                    + (lists.isEmpty() ? "other files" : String.join(", ", lists.keySet())) + " may be large");
+        }
+    }
 }
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -50,7 +50,12 @@
 
     /** Complaints name the file and the key. */
     public static OperatorConfig readFile(Path file, Site site) {
-        return read(JsonFile.read(file), site);
+        return read(fields(file, site), site);
+    }
+
+    /** The file's keys; {@code site} may be null. */
+    static Fields fields(Path file, Site site) {
+        return JsonFile.read(file, Map.of("uwsgi.routes", () -> new RouteReader(site)));
     }
 
     static OperatorConfig read(Fields told, Site site) {
--- a/server/src/main/java/wheatspread/config/ServerConfig.java
+++ b/server/src/main/java/wheatspread/config/ServerConfig.java
@@ -48,7 +48,7 @@
 
     /** The file's keys, with what the environment puts over them. */
     static Fields fields(Path file, Map<String, String> environment) {
-        Fields told = JsonFile.read(file);
+        Fields told = JsonFile.read(file, Map.of("settings." + SettingsReader.TENANTS, () -> new TenantReader(true)));
         for (var key : Map.of("name", "GW_NAME", "listen", "GW_LISTEN", "control", "GW_CONTROL")
                 .entrySet()) {
             if (environment.get(key.getValue()) != null) {
@@ -129,10 +129,12 @@
     }
 
     private static Site site(Fields settings) {
+        TenantReader tenants = settings.large(SettingsReader.TENANTS, TenantReader.class, () -> new TenantReader(true));
+        settings.summary(SettingsReader.TENANTS, tenants.summary());
         Site site = new Site(
-                SettingsReader.read(settings),
+                SettingsReader.read(settings, tenants),
                 SettingsReader.names(settings, "Lanes"),
-                SettingsReader.names(settings, "Parties"),
+                tenants.names(),
                 SettingsReader.gauges(settings));
         if (site.classes().isEmpty()) {
             settings.fault("Lanes", "names no class of requests", null);
--- a/server/src/main/java/wheatspread/config/SettingsReader.java
+++ b/server/src/main/java/wheatspread/config/SettingsReader.java
@@ -10,7 +10,6 @@
 import wheatspread.admission.Admission.Halt;
 import wheatspread.admission.Admission.RequestClass;
 import wheatspread.admission.Admission.Settings;
-import wheatspread.admission.Admission.Tenant;
 
 /** The settings of one instance, the same on the simulator's wire and in a real server's configuration. */
 public final class SettingsReader {
@@ -23,9 +22,18 @@
     private static final Map<String, Advice> ADVICE = Map.of(
             "silent", Advice.NONE, "threshold", Advice.THRESHOLD, "window", Advice.WINDOW, "share_of", Advice.SHARE);
 
+    /** The key of the list of tenants. */
+    static final String TENANTS = "Parties";
+
     private SettingsReader() {}
 
+    /** The settings in a message, whose tenants need no names. */
     public static Settings read(Fields info) {
+        return read(info, info.large(TENANTS, TenantReader.class, () -> new TenantReader(false)));
+    }
+
+    /** The settings with tenants that have been read. */
+    static Settings read(Fields info, TenantReader tenants) {
         Fields family = info.object("FamilyInfo", false);
         Fields rules = info.object("Rules", false);
         Fields ceilings = info.object("Ceilings", true);
@@ -34,10 +42,6 @@
         for (Fields lane : info.objects("Lanes")) {
             classes.add(requestClass(lane, family, classes.size()));
         }
-        List<Tenant> tenants = new ArrayList<>();
-        for (Fields party : info.objects("Parties")) {
-            tenants.add(new Tenant(party.number("QuotaPerS", 0)));
-        }
         Admission.Limits limits = new Admission.Limits(
                 family.number("MemoryKb"),
                 family.number("RunFactor", 1),
@@ -72,7 +76,7 @@
                 below,
                 callers,
                 classes,
-                tenants);
+                tenants.tenants());
     }
 
     private static RequestClass requestClass(Fields lane, Fields family, int index) {
@@ -101,7 +105,7 @@
         return names;
     }
 
-    /** The names listed under a key, as those of classes and tenants are. */
+    /** The names listed under a key, as those of classes are. */
     static List<String> names(Fields info, String list) {
         return info.objects(list).stream().map(one -> one.text("Name")).toList();
     }
--- a/server/src/main/java/wheatspread/config/UwsgiConfig.java
+++ b/server/src/main/java/wheatspread/config/UwsgiConfig.java
@@ -2,10 +2,8 @@
 
 import java.net.InetSocketAddress;
 import java.util.List;
-import java.util.Map;
 import java.util.Set;
 import java.util.regex.Pattern;
-import java.util.regex.PatternSyntaxException;
 import wheatspread.core.Site;
 
 /**
@@ -35,18 +33,6 @@
             "defaults",
             "routes");
     private static final Set<String> DEFAULT_KEYS = Set.of("class", "tenant", "limit_ms", "cpu_ms", "ram_kb");
-    private static final Map<String, Match> MATCHES = Map.of(
-            "exact",
-            Match.EXACT,
-            "prefix",
-            Match.PREFIX,
-            "prefix_first",
-            Match.PREFIX_FIRST,
-            "regex",
-            Match.REGEX,
-            "regex_any_case",
-            Match.REGEX_ANY_CASE);
-
     /** The names of the vars that carry a request's particulars. */
     public record Vars(String kind, String tenant, String limit, String hint, String ram, String unique, String item) {
         /** What a proxy is asked to call them, unless the file says otherwise. */
@@ -92,7 +78,11 @@
                 names.text("unique", usual.unique),
                 names.text("item", usual.item));
         Defaults none = new Defaults(-1, -1, 0, 0, 24);
-        Defaults defaults = defaults(told.object("defaults", true), none, site, DEFAULT_KEYS);
+        Fields absent = told.object("defaults", true);
+        absent.only(DEFAULT_KEYS);
+        Defaults defaults = RouteReader.defaults(absent, none, site);
+        RouteReader routes = told.large("routes", RouteReader.class, () -> new RouteReader(site));
+        told.summary("routes", routes.size() + " routes");
         return new UwsgiConfig(
                 ServerConfig.address(told, "listen"),
                 told.integer("max_connections", 256, 1, 1 << 20),
@@ -103,60 +93,6 @@
                 told.text("health_path", ""),
                 vars,
                 defaults,
-                routes(told, defaults, site));
-    }
-
-    private static Defaults defaults(Fields told, Defaults outer, Site site, Set<String> keys) {
-        told.only(keys);
-        return new Defaults(
-                index(told, "class", site == null ? null : site.classes(), outer.kind),
-                index(told, "tenant", site == null ? null : site.tenants(), outer.tenant),
-                told.integer("limit_ms", (int) (outer.limit / 1000), 0, 3_600_000) * 1000L,
-                Math.round(positive(told, "cpu_ms", outer.hint / 1000.0) * 1000),
-                positive(told, "ram_kb", outer.ramKb));
-    }
-
-    private static double positive(Fields told, String key, double absent) {
-        double value = told.number(key, absent);
-        return value >= 0 && value < 1e6
-                ? value
-                : told.fault(key, "is out of range: " + value + "; allowed is 0 to under 1000000", absent);
-    }
-
-    private static int index(Fields told, String key, List<String> names, int absent) {
-        if (!told.has(key) || names == null) {
-            return absent; // without a site nothing can be said of its names
-        }
-        int index = names.indexOf(told.text(key));
-        return index >= 0 ? index : told.fault(key, "is none of " + names + ": " + told.text(key), absent);
-    }
-
-    private static List<Route> routes(Fields told, Defaults outer, Site site) {
-        return told.objects("routes").stream()
-                .map(one -> route(one, outer, site))
-                .toList();
-    }
-
-    private static Route route(Fields told, Defaults outer, Site site) {
-        Match match = told.word("match", MATCHES);
-        String path = told.text("path");
-        Pattern pattern = null;
-        try {
-            if (match == Match.REGEX || match == Match.REGEX_ANY_CASE) {
-                pattern = Pattern.compile(path, match == Match.REGEX ? 0 : Pattern.CASE_INSENSITIVE);
-            }
-        } catch (PatternSyntaxException e) {
-            told.fault("path", "is no regular expression: " + e.getDescription() + ": " + path, null);
-        }
-        return new Route(
-                match,
-                path,
-                pattern,
-                defaults(
-                        told,
-                        outer,
-                        site,
-                        Set.of("match", "path", "class", "tenant", "limit_ms", "cpu_ms", "ram_kb", "routes")),
-                routes(told, outer, site));
+                routes.routes(defaults));
     }
 }
--- a/server/src/main/java/wheatspread/core/Site.java
+++ b/server/src/main/java/wheatspread/core/Site.java
@@ -10,13 +10,17 @@
 import wheatspread.admission.Admission.Settings;
 
 /** The settings with the names of their classes and tenants, by index, and the order of the gauges. */
-public record Site(Settings settings, List<String> classes, List<String> tenants, List<String> gauges) {
+public record Site(Settings settings, List<String> classes, NameTable tenants, List<String> gauges) {
     public Site {
         classes = List.copyOf(classes);
-        tenants = List.copyOf(tenants);
         gauges = List.copyOf(gauges);
     }
 
+    /** The same of tenants' names that stand in any list; they must be distinct. */
+    public Site(Settings settings, List<String> classes, List<String> tenants, List<String> gauges) {
+        this(settings, classes, NameTable.copyOf(tenants), gauges);
+    }
+
     /**
      * This site retuned to the classes of {@code next}: a class it had keeps its index and its figures; a
      * class that {@code next} adds comes after all others; a class that
--- a/server/src/main/java/wheatspread/jsonrpc/RequestReader.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RequestReader.java
@@ -23,7 +23,6 @@
 
     private final Site site;
     private final Map<String, Integer> kinds;
-    private final Map<String, Integer> tenants;
 
     /** A parameter is missing, ill-typed or out of range. */
     static final class BadParameter extends RuntimeException {
@@ -37,7 +36,6 @@
     RequestReader(Site site) {
         this.site = site;
         kinds = indexes(site.classes());
-        tenants = indexes(site.tenants());
     }
 
     private static Map<String, Integer> indexes(List<String> names) {
@@ -96,11 +94,11 @@
     }
 
     private int tenant(JSONObject params) {
-        if (tenants.isEmpty()) {
+        if (site.tenants().isEmpty()) {
             return 0;
         }
-        Integer tenant = tenants.get(text(params, "team"));
-        if (tenant == null) {
+        int tenant = site.tenants().indexOf(text(params, "team"));
+        if (tenant < 0) {
             throw new BadParameter("team is unknown");
         }
         return tenant;
