Count every SIGHUP as taken or refused, and end a start without memory with 78

Need: a reload whose reading ended with an OutOfMemoryError was lost: its thread died, and neither `reload` nor `reload_refused` nor a count moved. Seen first at 25,000 tenants with the run line: the first of ten signals was lost with a trace of "SIGHUP handler". What failed on the loop behind the classes (a missing address) was lost as well. A start without memory ended with a trace and code 1.

Ruled out: one pending reload that later signals join (then a signal's own file may never be counted); reading on the loop (requests would wait for it).

Change: Reloads counts any Throwable of the reading or the taking over as a refusal, and the signal's thread waits for the loop, so that one configuration at a time stands beside the running one; one that comes while the process closes is a refusal too. daemon.TakeOver is what the loop does. `serve` and `check` end with one message and 78 where memory ends.

--- a/server/src/main/java/wheatspread/commands/CheckCommand.java
+++ b/server/src/main/java/wheatspread/commands/CheckCommand.java
@@ -1,9 +1,8 @@
 package wheatspread.commands;
 
+import java.io.PrintWriter;
 import java.nio.file.Path;
-import java.util.ArrayList;
 import java.util.HashMap;
-import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
 import picocli.CommandLine.Command;
@@ -13,6 +12,7 @@
 import picocli.CommandLine.Spec;
 import wheatspread.admission.choice.Choice;
 import wheatspread.config.Configuration;
+import wheatspread.config.Faults;
 import wheatspread.config.Fields;
 import wheatspread.config.FleetConfig;
 
@@ -44,7 +44,7 @@
     @Override
     public Integer call() {
         Map<String, String> environment = environment(config);
-        List<String> faults = new ArrayList<>();
+        Faults faults = new Faults();
         if (fleet != null) {
             gather(faults, () -> FleetConfig.readFile(fleet).checkMembers(faults::add));
         }
@@ -54,24 +54,26 @@
                 new Choice(all.server().site().settings(), 1); // the module's own complaints
             });
         }
-        faults.forEach(spec.commandLine().getOut()::println);
-        spec.commandLine()
-                .getOut()
-                .println(
-                        faults.isEmpty()
-                                ? "nothing is wrong"
-                                : faults.size() + (faults.size() == 1 ? " fault" : " faults"));
-        spec.commandLine().getOut().flush();
+        PrintWriter out = spec.commandLine().getOut();
+        faults.kept().forEach(out::println);
+        if (faults.count() > faults.kept().size()) {
+            out.println("and " + (faults.count() - faults.kept().size()) + " more, which are not named");
+        }
+        out.println(
+                faults.isEmpty() ? "nothing is wrong" : faults.count() + (faults.count() == 1 ? " fault" : " faults"));
+        out.flush();
         return faults.isEmpty() ? Exit.OK : Exit.CONFIG;
     }
 
-    private static void gather(List<String> faults, Runnable reading) {
+    private static void gather(Faults faults, Runnable reading) {
         try {
             reading.run();
         } catch (Fields.BadValue e) {
-            faults.addAll(e.faults());
+            faults.addAll(e);
         } catch (IllegalArgumentException e) {
             faults.add("settings: " + e.getMessage());
+        } catch (OutOfMemoryError e) {
+            faults.addAll(Fields.BadValue.outOfMemory("what the settings ask for"));
         }
     }
 
--- a/server/src/main/java/wheatspread/commands/ServeCommand.java
+++ b/server/src/main/java/wheatspread/commands/ServeCommand.java
@@ -9,6 +9,7 @@
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
 import wheatspread.config.Configuration;
+import wheatspread.config.Fields;
 import wheatspread.config.LogConfig;
 import wheatspread.config.OperatorConfig;
 import wheatspread.config.ServerConfig;
@@ -73,7 +74,7 @@
     private boolean stats;
 
     @Override
-    public Integer call() throws IOException, InterruptedException {
+    public Integer call() throws InterruptedException {
         Configuration all = Configuration.load(System.getenv(), operatorFile);
         ServerConfig config = all.server();
         OperatorConfig operator = all.operator()
@@ -94,12 +95,28 @@
     /** From the settings to the exit code; {@code whenListening} hears of a server that listens. */
     static int serve(
             ServerConfig config, OperatorConfig operator, String mark, EventLog log, Consumer<Server> whenListening)
-            throws IOException, InterruptedException {
+            throws InterruptedException {
+        Server server;
+        try {
+            server = started(config, operator, mark, log, whenListening);
+        } catch (OutOfMemoryError e) {
+            throw Fields.BadValue.outOfMemory("what the settings ask for");
+        }
+        int code = server.awaitStopped();
+        if (code == Server.LOOP_ENDED) {
+            log.error("loop_ended");
+        }
+        return code;
+    }
+
+    /** A server that listens, or that a notice to leave has kept from it. */
+    private static Server started(
+            ServerConfig config, OperatorConfig operator, String mark, EventLog log, Consumer<Server> whenListening) {
         Server server;
         try {
             server = new Server(config, operator, (loop, turns) -> new LoopClock(turns), log);
         } catch (IllegalArgumentException e) {
-            throw new wheatspread.config.Fields.BadValue("settings: " + e.getMessage());
+            throw new Fields.BadValue("settings: " + e.getMessage());
         }
         try {
             server.lock(mark);
@@ -117,11 +134,7 @@
         } catch (IllegalStateException e) {
             throw new Exit.Failure(Exit.UNAVAILABLE, e.getMessage());
         }
-        int code = server.awaitStopped();
-        if (code == Server.LOOP_ENDED) {
-            log.error("loop_ended");
-        }
-        return code;
+        return server;
     }
 
     /** From here on a notice to leave finds somebody, in every phase. */
--- a/server/src/main/java/wheatspread/config/Configuration.java
+++ b/server/src/main/java/wheatspread/config/Configuration.java
@@ -48,8 +48,7 @@
         try {
             return loadAll(environment, operatorFile);
         } catch (OutOfMemoryError e) {
-            throw new Fields.BadValue("the settings take more memory than is left of "
-                    + (Runtime.getRuntime().maxMemory() >> 20) + " MiB");
+            throw Fields.BadValue.outOfMemory("what the settings ask for");
         }
     }
 
--- a/server/src/main/java/wheatspread/config/Fields.java
+++ b/server/src/main/java/wheatspread/config/Fields.java
@@ -40,6 +40,12 @@
             count = 1;
         }
 
+        /** What {@code what} stands for does not go into the heap of this process. */
+        public static BadValue outOfMemory(String what) {
+            return new BadValue(what + " takes more memory than is left of a heap of "
+                    + (Runtime.getRuntime().maxMemory() >> 20) + " MiB");
+        }
+
         /** Several at once; the message tells the first, and how many there are besides. */
         BadValue(Faults faults) {
             super(faults.kept().get(0) + besides(faults));
--- a/server/src/main/java/wheatspread/config/JsonFile.java
+++ b/server/src/main/java/wheatspread/config/JsonFile.java
@@ -90,8 +90,7 @@
             throw new Fields.BadValue(file + " cannot be read: "
                     + (e instanceof NoSuchFileException ? "there is no such file" : e.toString()));
         } catch (OutOfMemoryError e) {
-            throw new Fields.BadValue(file + " takes more memory to read than is left of "
-                    + (Runtime.getRuntime().maxMemory() >> 20) + " MiB");
+            throw Fields.BadValue.outOfMemory(file.toString());
         }
     }
 
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -4,6 +4,7 @@
 import io.netty.channel.ChannelOption;
 import io.netty.channel.EventLoop;
 import io.netty.channel.MultiThreadIoEventLoopGroup;
+import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
 import java.util.ArrayList;
@@ -25,7 +26,6 @@
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
 import wheatspread.core.Counts;
-import wheatspread.core.Site;
 import wheatspread.handover.SharedClaims;
 import wheatspread.jsonrpc.RpcFront;
 import wheatspread.kernel.KernelLink;
@@ -47,7 +47,8 @@
     /** EX_SOFTWARE of sysexits.h. */
     public static final int LOOP_ENDED = 70;
 
-    private static final long DRAIN_LOOK = 25_000;
+    /** How often a thread that waits for the loop looks whether it has ended; ms. */
+    private static final long LOOP_LOOK_MS = 500;
 
     private final ServerConfig config;
     private final EventLog log;
@@ -64,10 +65,6 @@
     private final Map<Listener, InetSocketAddress> fronts = new LinkedHashMap<>();
 
     private final List<InetSocketAddress> bound = new ArrayList<>();
-    /** The protocols of the fronts, which read the classes of the site; null where uwsgi is off. */
-    private final RpcFront platformProtocol;
-
-    private final UwsgiFront uwsgiProtocol;
     /** The front of the platform's proxies, which may accept on a socket it was handed. */
     private final Listener platformFront;
     /** This server among its peers; null where the operator's file does not ask for that. */
@@ -76,6 +73,7 @@
     private final Listener door;
 
     private final Reloads reloads;
+    private final TakeOver takeOver;
     private volatile InetSocketAddress doorAddress;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Life life = new Life(this::entered);
@@ -120,16 +118,17 @@
         }
         core.whenUp(() -> on(Event.KERNEL_UP));
         marks = new Marks(operator.life(), log);
-        reloads = new Reloads(config, log);
+        reloads = new Reloads(config, next -> onLoop(() -> takeOver(next)), log);
         int sockets = Configuration.platformConnections(config, operator);
-        uwsgiProtocol = operator.uwsgi() == null ? null : new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
-        if (uwsgiProtocol != null) {
+        UwsgiFront uwsgi =
+                operator.uwsgi() == null ? null : new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
+        if (uwsgi != null) {
             fronts.put(
-                    new Listener(loop, turns, clock, uwsgiProtocol, operator.uwsgiLimits(), log),
+                    new Listener(loop, turns, clock, uwsgi, operator.uwsgiLimits(), log),
                     operator.uwsgi().listen());
         }
         RpcFront platform = new RpcFront(core, clock);
-        platformProtocol = platform;
+        takeOver = new TakeOver(config, core, kernel, records, announcer, platform, uwsgi, log);
         if (operator.stats()) {
             platform.tellStats(() -> life.phase().name());
         }
@@ -252,19 +251,18 @@
                 .put("mark", mark));
     }
 
-    /** Asks on the loop's thread and waits for it. */
+    /** Tells the loop's thread and waits for it. */
     private void ask(Event event) {
-        loop.submit(() -> on(event)).syncUninterruptibly();
+        onLoop(() -> on(event));
     }
 
     /** The start begins, unless it has begun or a notice to leave came before it. */
     private void begin() {
-        loop.submit(() -> {
-                    if (life.phase() == Phase.NEW) {
-                        on(Event.START);
-                    }
-                })
-                .syncUninterruptibly();
+        onLoop(() -> {
+            if (life.phase() == Phase.NEW) {
+                on(Event.START);
+            }
+        });
     }
 
     /** Warms the JVM before anybody can ask; a notice to leave ends it. */
@@ -345,44 +343,35 @@
 
     /**
      * Takes over the addresses and the classes of a new configuration while everything goes on; any thread
-     * may call. {@code reader} reads and checks it.
+     * may call, and returns when that is done. {@code reader} reads and checks it.
      */
     public void reload(Supplier<ServerConfig> reader) {
-        reloads.read(reader, next -> loop.execute(() -> takeOver(next)));
+        reloads.read(reader);
     }
 
-    /** On the loop's thread. The classes come first: they are what may yet be refused. */
-    private void takeOver(ServerConfig next) {
-        on(Event.RELOAD);
-        if (life.phase().compareTo(Phase.CLOSING) >= 0) {
+    /** Runs a task on the loop's thread and waits for it; what it throws, and a loop that has ended, is thrown. */
+    private void onLoop(Runnable task) {
+        if (loop.inEventLoop()) {
+            task.run();
             return;
         }
-        Site site;
-        try {
-            site = core.retune(next.site());
-        } catch (RuntimeException e) {
-            reloads.refuse(e);
-            return;
+        Future<?> done = loop.submit(task);
+        while (!done.awaitUninterruptibly(LOOP_LOOK_MS)) {
+            if (loop.isTerminated()) {
+                throw new IllegalStateException("the event loop has ended");
+            }
         }
-        log.info(
-                "reload",
-                "kernel",
-                next.kernel(),
-                "records",
-                next.records(),
-                "announce",
-                next.announce(),
-                "needs_start",
-                !next.withAddressesOf(config).equals(config));
-        kernel.moveTo(next.kernel());
-        records.moveTo(next.records());
-        announcer.moveTo(next.announce());
-        platformProtocol.retune(site);
-        if (uwsgiProtocol != null) {
-            uwsgiProtocol.retune(site);
+        done.syncUninterruptibly();
+    }
+
+    /** On the loop's thread. */
+    private void takeOver(ServerConfig next) {
+        on(Event.RELOAD);
+        if (life.phase().compareTo(Phase.CLOSING) >= 0) {
+            throw new IllegalStateException("this process is leaving");
         }
+        takeOver.of(next);
         reloads.taken();
-        log.info("retuned", "classes", site.classes());
     }
 
     /** The notice to leave; a second one changes nothing. */
--- a/server/src/test/java/wheatspread/config/SettingsAtSizeTest.java
+++ b/server/src/test/java/wheatspread/config/SettingsAtSizeTest.java
@@ -2,13 +2,14 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 import static org.assertj.core.api.Assertions.assertThatThrownBy;
+import static wheatspread.AtSize.TENANTS;
+import static wheatspread.AtSize.tenants;
 
 import java.io.IOException;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
 import java.util.ArrayList;
-import java.util.Arrays;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
@@ -20,36 +21,23 @@
 import org.junit.jupiter.api.io.TempDir;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import wheatspread.AtSize;
 import wheatspread.admission.Admission.Tenant;
 import wheatspread.config.UwsgiConfig.Defaults;
 
 /** Settings with as many tenants and routes as operators plan with, right and wrong. */
 class SettingsAtSizeTest {
-    private static final int TENANTS = 100_000;
     private static final int ROUTES = 16_000;
 
     @TempDir
     private Path dir;
 
-    private static String tenant(int i) {
-        return "{\"Name\": \"tenant-" + i + "\", \"QuotaPerS\": " + (i % 7 + 0.1) + "}";
-    }
-
-    private static Stream<String> tenants(int count) {
-        return IntStream.range(0, count).mapToObj(SettingsAtSizeTest::tenant);
-    }
-
-    /** A configuration whose list of tenants begins on line 17, one tenant a line. */
     private Path config(Stream<String> parties) throws IOException {
-        return config("[\n" + parties.collect(Collectors.joining(",\n")) + "\n]");
+        return Files.writeString(dir.resolve("config.json"), AtSize.config(parties));
     }
 
     private Path config(String parties) throws IOException {
-        String told = Files.readString(Path.of("src/test/resources/config.json"));
-        int from = told.indexOf("[{\"Name\": \"north\"");
-        return Files.writeString(
-                dir.resolve("config.json"),
-                told.substring(0, from) + parties + told.substring(told.indexOf(']', from) + 1));
+        return Files.writeString(dir.resolve("config.json"), AtSize.config(parties));
     }
 
     private Path operator() throws IOException {
@@ -117,23 +105,9 @@
         assertThat(told).hasSize(2).first().asString().contains("more memory");
     }
 
-    /** Runs the program as {@code run} of the deploy file starts it, but for the archive; returns what it said. */
-    private List<String> run(String heap, Path config, String... words) throws Exception {
-        String line = Files.readString(Path.of("../deploy/balancer.toml"))
-                .lines()
-                .filter(one -> one.startsWith("run = "))
-                .findFirst()
-                .orElseThrow();
-        List<String> command = new ArrayList<>(
-                List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
-        Arrays.stream(line.split(" "))
-                .filter(word -> word.matches("-[XD].*") && !word.matches("-X(log|m[sx]|share|X:SharedArchive).*"))
-                .forEach(command::add);
-        command.addAll(List.of(heap, "-cp", System.getProperty("java.class.path"), "wheatspread.commands.Wheatspread"));
-        command.addAll(List.of(words));
-        ProcessBuilder builder = new ProcessBuilder(command).redirectErrorStream(true);
-        builder.environment().put("GW_CONFIG", config.toString());
-        Process process = builder.start();
+    /** What the program said, and what it ended with. */
+    private static List<String> run(String heap, Path config, String... words) throws Exception {
+        Process process = AtSize.process(heap, config, words).start();
         List<String> told = new ArrayList<>(
                 new String(process.getInputStream().readAllBytes()).lines().toList());
         told.add("exit " + process.waitFor());
--- a/server/src/test/java/wheatspread/daemon/ControlDoorTest.java
+++ b/server/src/test/java/wheatspread/daemon/ControlDoorTest.java
@@ -89,7 +89,7 @@
     }
 
     /** One call on a connection of its own, and all that comes back until the server closes it. */
-    private static String call(InetSocketAddress door, String request) throws IOException {
+    static String call(InetSocketAddress door, String request) throws IOException {
         try (Socket socket = new Socket(door.getAddress(), door.getPort())) {
             socket.setSoTimeout(5_000);
             socket.getOutputStream().write(request.getBytes(StandardCharsets.US_ASCII));
--- /dev/null
+++ b/server/src/test/java/wheatspread/daemon/ReloadAtSizeTest.java
@@ -0,0 +1,172 @@
+package wheatspread.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.net.InetAddress;
+import java.net.ServerSocket;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.function.Supplier;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
+import wheatspread.AtSize;
+import wheatspread.config.Fields;
+import wheatspread.config.ServerConfig;
+import wheatspread.logging.EventLog;
+
+/** No SIGHUP is lost: each is taken or refused, and counted, whatever the file and the memory are like. */
+class ReloadAtSizeTest {
+    @TempDir
+    private Path dir;
+
+    private Path config(String name, String text) throws IOException {
+        return Files.writeString(dir.resolve(name), text);
+    }
+
+    private static Supplier<ServerConfig> reader(Path config) {
+        return () -> ServerConfig.fromEnvironment(Map.of("GW_CONFIG", config.toString()));
+    }
+
+    private static void expectCounts(Stage stage, int taken, int refused) throws IOException {
+        assertThat(ControlDoorTest.call(stage.server.doorAddress(), "GET /_vars HTTP/1.1\r\n\r\n"))
+                .contains("\nedge_gw.reload_success=" + taken + "\n", "\nedge_gw.reload_failure=" + refused + "\n");
+    }
+
+    @Test
+    @Timeout(60)
+    void tenReloadsAtOnceWithManyTenantsAreEachTakenOrRefused() throws Exception {
+        String whole = AtSize.config(AtSize.tenants(AtSize.TENANTS));
+        Path good = config("good.json", whole);
+        Path cut = config("cut.json", whole.substring(0, whole.length() / 2));
+        try (Stage stage = new Stage()) {
+            List<Thread> signals = new ArrayList<>();
+            for (int i = 0; i < 10; i++) {
+                Path file = i % 2 == 0 ? good : cut;
+                signals.add(new Thread(() -> stage.server.reload(reader(file)), "signal " + i));
+            }
+            signals.forEach(Thread::start);
+            for (Thread signal : signals) {
+                signal.join();
+            }
+            expectCounts(stage, 5, 5);
+        }
+    }
+
+    @Test
+    @Timeout(30)
+    void whateverTheReaderThrowsIsARefusal() throws Exception {
+        try (Stage stage = new Stage()) {
+            stage.server.reload(() -> {
+                throw new OutOfMemoryError("of the test");
+            });
+            stage.awaitLogged("reload_refused reason=\"java.lang.OutOfMemoryError: of the test\"");
+            stage.server.reload(() -> {
+                throw new NoClassDefFoundError("of the test");
+            });
+            expectCounts(stage, 0, 2);
+        }
+    }
+
+    @Test
+    @Timeout(30)
+    void whateverTheTakingOverThrowsIsARefusal() throws Exception {
+        JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
+        ServerConfig config = ServerConfig.read(Fields.of(told.toMap(), ""));
+        Reloads reloads = new Reloads(
+                config,
+                next -> {
+                    throw new StackOverflowError("of the test");
+                },
+                EventLog.NONE);
+        reloads.read(() -> config);
+        assertThat(reloads.refusedSoFar()).isEqualTo(1);
+        ServerConfig noKernel = new ServerConfig(
+                "w1",
+                config.listen(),
+                null,
+                config.records(),
+                config.announce(),
+                1,
+                1,
+                64,
+                config.site(),
+                null,
+                -1,
+                null);
+        try (Stage stage = new Stage()) { // on the loop's thread
+            stage.server.reload(() -> noKernel);
+            expectCounts(stage, 0, 1);
+            stage.server.kill();
+            stage.server.reload(() -> config);
+            stage.awaitLogged("reload_refused"); // the one before
+            stage.awaitLogged("reload_refused reason=\"event executor terminated\"");
+        }
+    }
+
+    /** Guards against the process that has no memory left for a second configuration beside its own. */
+    @Test
+    @Timeout(120)
+    void aProcessOfTheDeployedHeapHearsEverySignal() throws Exception {
+        try (ServerSocket kernels = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            Thread kernel = new Thread(() -> bootEveryLink(kernels), "kernel");
+            kernel.setDaemon(true);
+            kernel.start();
+            String whole = AtSize.config(AtSize.tenants(AtSize.TENANTS))
+                    .replace("\"kernel\": \"127.0.0.1:9\"", "\"kernel\": \"127.0.0.1:" + kernels.getLocalPort() + "\"");
+            Path file = config("config.json", whole);
+            Process process = AtSize.process("-Xmx48m", file, "serve").start();
+            try (BufferedReader log = process.inputReader()) {
+                await(log, "to=SERVING");
+                for (int i = 0; i < 10; i++) {
+                    boolean bad = i % 5 == 4;
+                    Files.writeString(file, bad ? whole.substring(0, whole.length() / 2) : whole);
+                    signal("HUP", process);
+                    await(log, bad ? "reload_refused" : "retuned");
+                }
+                signal("TERM", process);
+                await(log, "to=STOPPED");
+                assertThat(process.waitFor()).isZero();
+            } finally {
+                process.destroyForcibly();
+            }
+        }
+    }
+
+    private static void signal(String name, Process to) throws IOException, InterruptedException {
+        assertThat(new ProcessBuilder("kill", "-" + name, String.valueOf(to.pid()))
+                        .start()
+                        .waitFor())
+                .isZero();
+    }
+
+    private static void bootEveryLink(ServerSocket kernels) {
+        try {
+            while (true) {
+                Wire link = new Wire(kernels.accept());
+                link.line();
+                link.line("{\"type\":\"BOOTED\",\"state\":\"WARM\",\"took\":5}");
+            }
+        } catch (IOException e) {
+            // the test has ended
+        }
+    }
+
+    /** Reads on to a line with this text. */
+    private static void await(BufferedReader log, String text) throws IOException {
+        List<String> before = new ArrayList<>();
+        for (String line = log.readLine(); line != null; line = log.readLine()) {
+            if (line.contains(text)) {
+                return;
+            }
+            before.add(line);
+        }
+        throw new AssertionError("no line with " + text + ", but " + before);
+    }
+}
