Copy store settings in one place; a health check writes as other connections do

Five methods of StoreSettings each called its constructor with fifteen arguments in order; they change a draft now, and one place makes the settings of it. HealthCheck of drawn deployments repeated LineConnection.write.

--- a/lab/src/main/java/wheatspread/lab/deployments/HealthCheck.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/HealthCheck.java
@@ -26,7 +26,7 @@
                 socket.setSoTimeout(TIMEOUT_MS);
                 answers = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8));
             }
-            write();
+            new LineConnection(socket).write(REQUEST);
             for (String line = answers.readLine(); line != null && line.contains("lastCall"); ) {
                 line = answers.readLine();
             }
@@ -35,14 +35,6 @@
         }
     }
 
-    private void write() {
-        try {
-            socket.getOutputStream().write(REQUEST.getBytes(StandardCharsets.UTF_8));
-        } catch (IOException e) {
-            return; // it has closed; what it had written before is read all the same
-        }
-    }
-
     @Override
     public void close() throws IOException {
         if (socket != null) {
--- a/server/src/main/java/wheatspread/store/StoreSettings.java
+++ b/server/src/main/java/wheatspread/store/StoreSettings.java
@@ -1,5 +1,7 @@
 package wheatspread.store;
 
+import java.util.function.Consumer;
+
 /**
  * How a store works. Sizes are bytes, times milliseconds.
  *
@@ -101,98 +103,103 @@
     }
 
     public StoreSettings withSync(Sync other, long everyMs) {
-        return new StoreSettings(
-                other,
-                everyMs,
-                segmentBytes,
-                maxBytes,
-                minFreeBytes,
-                recordBytes,
-                queueRecords,
-                queueBytes,
-                groupRecords,
-                groupBytes,
-                compactBytesPerS,
-                compactDeadShare,
-                compactWaitMs,
-                checkpointBytes,
-                longestLifeMs);
+        return with(draft -> {
+            draft.sync = other;
+            draft.syncMs = everyMs;
+        });
     }
 
+    /** Records and groups become smaller where they would not fit a segment. */
     public StoreSettings withSizes(int segment, long max, long checkpoint) {
         int record = Math.min(recordBytes, segment / 4);
-        return new StoreSettings(
-                sync,
-                syncMs,
-                segment,
-                max,
-                minFreeBytes,
-                record,
-                queueRecords,
-                queueBytes,
-                groupRecords,
-                Math.max(record, Math.min(groupBytes, segment)),
-                compactBytesPerS,
-                compactDeadShare,
-                compactWaitMs,
-                checkpoint,
-                longestLifeMs);
+        return with(draft -> {
+            draft.segmentBytes = segment;
+            draft.maxBytes = max;
+            draft.recordBytes = record;
+            draft.groupBytes = Math.max(record, Math.min(groupBytes, segment));
+            draft.checkpointBytes = checkpoint;
+        });
     }
 
     public StoreSettings withCompaction(long bytesPerS, double deadShare, long waitMs) {
-        return new StoreSettings(
-                sync,
-                syncMs,
-                segmentBytes,
-                maxBytes,
-                minFreeBytes,
-                recordBytes,
-                queueRecords,
-                queueBytes,
-                groupRecords,
-                groupBytes,
-                bytesPerS,
-                deadShare,
-                waitMs,
-                checkpointBytes,
-                longestLifeMs);
+        return with(draft -> {
+            draft.compactBytesPerS = bytesPerS;
+            draft.compactDeadShare = deadShare;
+            draft.compactWaitMs = waitMs;
+        });
     }
 
     public StoreSettings withQueue(int records, long bytes, int perGroup) {
-        return new StoreSettings(
-                sync,
-                syncMs,
-                segmentBytes,
-                maxBytes,
-                minFreeBytes,
-                recordBytes,
-                records,
-                bytes,
-                perGroup,
-                groupBytes,
-                compactBytesPerS,
-                compactDeadShare,
-                compactWaitMs,
-                checkpointBytes,
-                longestLifeMs);
+        return with(draft -> {
+            draft.queueRecords = records;
+            draft.queueBytes = bytes;
+            draft.groupRecords = perGroup;
+        });
     }
 
     public StoreSettings withLongestLife(long ms) {
-        return new StoreSettings(
-                sync,
-                syncMs,
-                segmentBytes,
-                maxBytes,
-                minFreeBytes,
-                recordBytes,
-                queueRecords,
-                queueBytes,
-                groupRecords,
-                groupBytes,
-                compactBytesPerS,
-                compactDeadShare,
-                compactWaitMs,
-                checkpointBytes,
-                ms);
+        return with(draft -> draft.longestLifeMs = ms);
+    }
+
+    private StoreSettings with(Consumer<Draft> change) {
+        Draft draft = new Draft(this);
+        change.accept(draft);
+        return draft.settings();
+    }
+
+    /** A copy that may still be changed. */
+    private static final class Draft {
+        private Sync sync;
+        private long syncMs;
+        private int segmentBytes;
+        private long maxBytes;
+        private final long minFreeBytes;
+        private int recordBytes;
+        private int queueRecords;
+        private long queueBytes;
+        private int groupRecords;
+        private int groupBytes;
+        private long compactBytesPerS;
+        private double compactDeadShare;
+        private long compactWaitMs;
+        private long checkpointBytes;
+        private long longestLifeMs;
+
+        Draft(StoreSettings from) {
+            sync = from.sync;
+            syncMs = from.syncMs;
+            segmentBytes = from.segmentBytes;
+            maxBytes = from.maxBytes;
+            minFreeBytes = from.minFreeBytes;
+            recordBytes = from.recordBytes;
+            queueRecords = from.queueRecords;
+            queueBytes = from.queueBytes;
+            groupRecords = from.groupRecords;
+            groupBytes = from.groupBytes;
+            compactBytesPerS = from.compactBytesPerS;
+            compactDeadShare = from.compactDeadShare;
+            compactWaitMs = from.compactWaitMs;
+            checkpointBytes = from.checkpointBytes;
+            longestLifeMs = from.longestLifeMs;
+        }
+
+        StoreSettings settings() {
+            return new StoreSettings(
+                    sync,
+                    syncMs,
+                    segmentBytes,
+                    maxBytes,
+                    minFreeBytes,
+                    recordBytes,
+                    queueRecords,
+                    queueBytes,
+                    groupRecords,
+                    groupBytes,
+                    compactBytesPerS,
+                    compactDeadShare,
+                    compactWaitMs,
+                    checkpointBytes,
+                    longestLifeMs);
+        }
     }
 }
