Name the store's parts by the field's words

Renamed: Pace to RateLimiter, Job.undo, what and moved to abort, kind and bytesMoved, Terms to Parameters, Catalog's lives, died, lose and announce to addLive, subtractLive, markLost and register, Segment.saw and isClear to countRecord and isExpired, Write.room and end to maxFrameBytes and complete, WriteState.room to setHasRoom. No code changes.

Measured: all tests of the store, StoreCommandTest: all pass.

--- a/server/src/main/java/wheatspread/store/BackgroundLoop.java
+++ b/server/src/main/java/wheatspread/store/BackgroundLoop.java
@@ -17,11 +17,11 @@
 
     @Override
     public void run() {
-        Pace pace = new Pace(settings.compactBytesPerS(), time.nanos());
+        RateLimiter rateLimiter = new RateLimiter(settings.compactBytesPerS(), time.nanos());
         for (Job job = queue.awaitJob(); job != null; job = queue.awaitJob()) {
             IOException failure = null;
             try {
-                if (!runSteps(job, pace)) {
+                if (!runSteps(job, rateLimiter)) {
                     return;
                 }
             } catch (IOException e) {
@@ -34,9 +34,9 @@
     }
 
     /** Runs a job to its end; false if the store closes before. */
-    private boolean runSteps(Job job, Pace pace) throws IOException {
+    private boolean runSteps(Job job, RateLimiter rateLimiter) throws IOException {
         while (job.step()) {
-            LockSupport.parkNanos(pace.done(job.moved, time.nanos()));
+            LockSupport.parkNanos(rateLimiter.delayAfter(job.bytesMoved, time.nanos()));
             if (queue.isClosing()) {
                 return false;
             }
--- a/server/src/main/java/wheatspread/store/Catalog.java
+++ b/server/src/main/java/wheatspread/store/Catalog.java
@@ -69,7 +69,7 @@
     }
 
     /** Makes a file known that entries may point to, before it has its place in the chain. */
-    void announce(Segment segment) {
+    void register(Segment segment) {
         synchronized (index) {
             byId.put(segment.id, segment);
         }
@@ -109,7 +109,7 @@
     }
 
     /** An entry came to stand in a file. */
-    void lives(long at, long length) {
+    void addLive(long at, long length) {
         Segment segment = byId.get(Index.file(at));
         if (segment != null) {
             segment.liveBytes += weight(length);
@@ -117,7 +117,7 @@
     }
 
     /** An entry is gone from a file. */
-    void died(long at, long length) {
+    void subtractLive(long at, long length) {
         Segment segment = byId.get(Index.file(at));
         if (segment != null) {
             segment.liveBytes -= weight(length);
@@ -145,7 +145,7 @@
      * @param at up to there entries of the known keys go
      * @param segment where the doubt stands, with {@code offset}
      */
-    void lose(LongArrayList hashes, boolean all, long untilMs, long at, int segment, int offset) {
+    void markLost(LongArrayList hashes, boolean all, long untilMs, long at, int segment, int offset) {
         for (int i = 0; i < hashes.size(); i++) {
             dropUpTo(hashes.getLong(i), at);
         }
@@ -158,15 +158,15 @@
         index.find(hash, (h, place, length, expiry) -> {
             if (byId(Index.file(place)) == null || isBefore(place, at) || place == at) {
                 older.addLong(place);
-                died(place, length);
+                subtractLive(place, length);
             }
         });
         older.forEachOrderedLong(place -> index.remove(hash, place));
     }
 
     /** Whether nothing that stands before this number can come back to life. */
-    boolean isClearBefore(int number, long nowMs) {
-        return chain.stream().allMatch(one -> one.name.first() >= number || one.isClear(nowMs));
+    boolean isExpiredBefore(int number, long nowMs) {
+        return chain.stream().allMatch(one -> one.name.first() >= number || one.isExpired(nowMs));
     }
 
     /** The record at a place, or null if it is damaged. */
--- a/server/src/main/java/wheatspread/store/CheckpointJob.java
+++ b/server/src/main/java/wheatspread/store/CheckpointJob.java
@@ -47,7 +47,7 @@
 
     @Override
     boolean step() throws IOException {
-        moved = 0;
+        bytesMoved = 0;
         if (table < 0) {
             disk.delete(name + SegmentName.NEW);
             out = disk.create(name + SegmentName.NEW);
@@ -146,7 +146,7 @@
         int size = bytes.remaining();
         out.append(bytes);
         written += size;
-        moved += size;
+        bytesMoved += size;
     }
 
     String name() {
@@ -159,7 +159,7 @@
     }
 
     @Override
-    List<String> undo() {
+    List<String> abort() {
         try {
             if (out != null && !done) {
                 out.close();
@@ -171,7 +171,7 @@
     }
 
     @Override
-    String what() {
+    String kind() {
         return "checkpoint";
     }
 
--- a/server/src/main/java/wheatspread/store/CompactionJob.java
+++ b/server/src/main/java/wheatspread/store/CompactionJob.java
@@ -24,7 +24,8 @@
     private static final int MOST_RECORDS = 4_096;
 
     /** What a job has to know beside its run. */
-    record Terms(SegmentName name, long mark, boolean clear, Set<Integer> cutsNeeded, long nowMs, long lossUntil) {}
+    record Parameters(
+            SegmentName name, long mark, boolean clear, Set<Integer> cutsNeeded, long nowMs, long lossUntil) {}
 
     /** A record that has been copied into the group at {@code place}. */
     private record Copy(long hash, long from, int place, int length, int expiry) {}
@@ -35,7 +36,7 @@
     private final Disk disk;
     private final Catalog catalog;
     private final List<Segment> run;
-    private final Terms terms;
+    private final Parameters parameters;
     private final GroupEncoder group = new GroupEncoder();
     private final List<Copy> pending = new ArrayList<>();
     private final List<Loss> pendingLosses = new ArrayList<>();
@@ -55,11 +56,11 @@
     private boolean begun;
     private boolean dropsDoubts;
 
-    CompactionJob(Disk disk, Catalog catalog, List<Segment> run, Terms terms) {
+    CompactionJob(Disk disk, Catalog catalog, List<Segment> run, Parameters parameters) {
         this.disk = disk;
         this.catalog = catalog;
         this.run = List.copyOf(run);
-        this.terms = terms;
+        this.parameters = parameters;
         run.forEach(Segment::hold);
     }
 
@@ -69,28 +70,28 @@
     }
 
     private String newName() {
-        return terms.name() + SegmentName.NEW;
+        return parameters.name() + SegmentName.NEW;
     }
 
     @Override
     boolean step() throws IOException {
-        moved = 0;
+        bytesMoved = 0;
         if (!begun) {
             begun = true;
             disk.delete(newName());
             out = disk.create(newName());
-            write(Headers.write(terms.name(), catalog.seed, terms.mark(), terms.nowMs()));
+            write(Headers.write(parameters.name(), catalog.seed, parameters.mark(), parameters.nowMs()));
             group.begin(MOST_RECORDS);
             return true;
         }
-        while (moved < PIECE) {
+        while (bytesMoved < PIECE) {
             if (scan == null && !nextInput()) {
                 finish();
                 return false;
             }
             long before = scan.read();
             SegmentScan.Step step = scan.next();
-            moved += scan.read() - before;
+            bytesMoved += scan.read() - before;
             switch (step) {
                 case RECORD -> record(scan);
                 case DAMAGE -> damage();
@@ -121,7 +122,7 @@
                 long hash = catalog.hash(at);
                 long from = Index.at(run.get(input).id, (int) at.at);
                 long expires = record.getExpiresMs();
-                if (Catalog.isOver(expires, terms.nowMs())) {
+                if (Catalog.isOver(expires, parameters.nowMs())) {
                     // an older value must not come back, whether or not this one has been counted out
                     expired.addLong(hash);
                     expired.addLong(from);
@@ -137,14 +138,14 @@
             case CUT -> {
                 Map<Integer, Integer> kept = new TreeMap<>();
                 record.getCutsList().stream()
-                        .filter(cut -> terms.cutsNeeded().contains(cut.getSegment()))
+                        .filter(cut -> parameters.cutsNeeded().contains(cut.getSegment()))
                         .forEach(cut -> kept.put(cut.getSegment(), cut.getLength()));
                 if (!kept.isEmpty()) {
                     group.add(0, GroupEncoder.cuts(kept));
                 }
             }
             case DOUBT -> {
-                if (!dropsDoubts && !Catalog.isOver(record.getDoubt().getUntilMs(), terms.nowMs())) {
+                if (!dropsDoubts && !Catalog.isOver(record.getDoubt().getUntilMs(), parameters.nowMs())) {
                     group.add(0, record);
                 }
             }
@@ -154,7 +155,7 @@
 
     /** What says that a key is gone is needed while an older file may still hold it. */
     private void delete(SegmentScan at) {
-        if (!terms.clear()) {
+        if (!parameters.clear()) {
             group.add(catalog.hash(at), at.record.getKey().toByteArray(), null, 0);
         }
     }
@@ -164,13 +165,13 @@
         segment.damaged = true;
         LongArrayList lost = new LongArrayList();
         scan.lost.forEachOrderedLong(lost::addLong);
-        int place = group.add(0, GroupEncoder.doubt(lost, scan.lostAll, terms.lossUntil()));
+        int place = group.add(0, GroupEncoder.doubt(lost, scan.lostAll, parameters.lossUntil()));
         pendingLosses.add(new Loss(lost, scan.lostAll, place, Index.at(segment.id, (int) scan.at)));
     }
 
     private void flush() throws IOException {
         if (group.records() > 0) {
-            ByteBuffer bytes = group.end(terms.mark(), (int) written, (int) written);
+            ByteBuffer bytes = group.end(parameters.mark(), (int) written, (int) written);
             int base = (int) written + group.headSize();
             for (Copy one : pending) {
                 moves.addLong(one.hash());
@@ -196,32 +197,32 @@
         int size = bytes.remaining();
         out.append(bytes);
         written += size;
-        moved += size;
+        bytesMoved += size;
     }
 
     private void finish() throws IOException {
         flush();
-        write(GroupEncoder.seal(terms.mark(), (int) written));
+        write(GroupEncoder.seal(parameters.mark(), (int) written));
         out.sync();
         named = true; // from here on the file may have its name, whatever a failure says
-        disk.rename(newName(), terms.name().toString());
+        disk.rename(newName(), parameters.name().toString());
         disk.syncNames();
     }
 
     @Override
     boolean install() {
         if (result == null) {
-            result = new Segment(catalog.newId(), terms.name(), out, written);
+            result = new Segment(catalog.newId(), parameters.name(), out, written);
             result.records = records;
             result.latestExpiryMs = latestExpiry;
-            catalog.announce(result);
+            catalog.register(result);
             synchronized (catalog.index) {
-                losses.forEach(one -> catalog.lose(
+                losses.forEach(one -> catalog.markLost(
                         one.hashes(),
                         one.all(),
-                        terms.lossUntil(),
+                        parameters.lossUntil(),
                         one.from(),
-                        terms.name().first(),
+                        parameters.name().first(),
                         one.place()));
             }
             for (int i = 0; i < expired.size(); i += 2) {
@@ -256,7 +257,7 @@
     }
 
     @Override
-    List<String> undo() {
+    List<String> abort() {
         try {
             if (out != null) {
                 out.close();
@@ -264,12 +265,12 @@
         } catch (IOException e) {
             // what it held is deleted next
         }
-        letGo();
-        return named ? List.of(newName(), terms.name().toString()) : List.of(newName());
+        releaseRun();
+        return named ? List.of(newName(), parameters.name().toString()) : List.of(newName());
     }
 
     /** Lets the old files be closed. */
-    void letGo() {
+    void releaseRun() {
         for (Segment one : run) {
             try {
                 one.release();
@@ -280,7 +281,7 @@
     }
 
     @Override
-    String what() {
+    String kind() {
         return "compaction";
     }
 
--- a/server/src/main/java/wheatspread/store/CompactionPlanner.java
+++ b/server/src/main/java/wheatspread/store/CompactionPlanner.java
@@ -100,10 +100,10 @@
                 disk,
                 catalog,
                 run,
-                new CompactionJob.Terms(
+                new CompactionJob.Parameters(
                         new SegmentName(first, last, generation),
                         Headers.newMark(random),
-                        catalog.isClearBefore(first, nowMs),
+                        catalog.isExpiredBefore(first, nowMs),
                         originalsBefore(first),
                         nowMs,
                         settings.lossUntil(nowMs)));
--- a/server/src/main/java/wheatspread/store/DeleteJob.java
+++ b/server/src/main/java/wheatspread/store/DeleteJob.java
@@ -52,12 +52,12 @@
 
     /** To be tried again, all of it. */
     @Override
-    List<String> undo() {
+    List<String> abort() {
         return names;
     }
 
     @Override
-    String what() {
+    String kind() {
         return "deletion";
     }
 
--- a/server/src/main/java/wheatspread/store/DiskSpace.java
+++ b/server/src/main/java/wheatspread/store/DiskSpace.java
@@ -50,7 +50,7 @@
             checkDisk();
         }
         boolean wasFull = state.mode() == WriteState.Mode.FULL;
-        state.room(diskHasRoom && hasRoomFor(usedBytes()));
+        state.setHasRoom(diskHasRoom && hasRoomFor(usedBytes()));
         boolean isFull = state.mode() == WriteState.Mode.FULL;
         if (wasFull != isFull) {
             log.warn(
--- a/server/src/main/java/wheatspread/store/ExpirySweep.java
+++ b/server/src/main/java/wheatspread/store/ExpirySweep.java
@@ -28,7 +28,7 @@
         int nowS = (int) Math.min(0xFFFF_FFFFL, nowMs / 1000);
         synchronized (catalog.index) {
             cell = catalog.index.sweep(table, cell, CELLS_AT_ONCE, nowS, (hash, at, length, expiry) -> {
-                catalog.died(at, length);
+                catalog.subtractLive(at, length);
                 counters.expired++;
             });
             if (cell == 0) {
--- a/server/src/main/java/wheatspread/store/GroupCommit.java
+++ b/server/src/main/java/wheatspread/store/GroupCommit.java
@@ -38,7 +38,7 @@
         }
         try {
             index.prepare(admitted);
-            writer.reserve(admitted.stream().mapToLong(Write::room).sum());
+            writer.reserve(admitted.stream().mapToLong(Write::maxFrameBytes).sum());
         } catch (IOException e) {
             failed("open", e, nowMs);
             endAll(admitted, Store.Outcome.REFUSED, e);
@@ -57,7 +57,7 @@
     }
 
     private static void endAll(List<Write> writes, Store.Outcome outcome, IOException e) {
-        writes.forEach(write -> write.end(outcome, "the disk fails: " + e.getMessage()));
+        writes.forEach(write -> write.complete(outcome, "the disk fails: " + e.getMessage()));
     }
 
     /** The writes that may be taken; the others are refused. */
@@ -66,12 +66,13 @@
         long used = space.usedBytes();
         for (Write write : writes) {
             WriteState.Mode mode = state.mode();
-            long size = write.room();
+            long size = write.maxFrameBytes();
             if (state.mustRecover() || mode == WriteState.Mode.FULL && write.value != null) {
-                write.end(Store.Outcome.REFUSED, mode == WriteState.Mode.FULL ? "the disk is full" : "the disk fails");
+                write.complete(
+                        Store.Outcome.REFUSED, mode == WriteState.Mode.FULL ? "the disk is full" : "the disk fails");
             } else if (write.value != null && !space.hasRoomFor(used + size)) {
-                state.room(false);
-                write.end(Store.Outcome.REFUSED, "the store is full");
+                state.setHasRoom(false);
+                write.complete(Store.Outcome.REFUSED, "the store is full");
             } else {
                 used += size;
                 admitted.add(write);
--- a/server/src/main/java/wheatspread/store/IndexUpdate.java
+++ b/server/src/main/java/wheatspread/store/IndexUpdate.java
@@ -44,7 +44,7 @@
         synchronized (catalog.index) {
             for (int i = 0; i < writes.size(); i++) {
                 apply(writes, i, segment, base);
-                writes.get(i).end(Store.Outcome.HELD, null);
+                writes.get(i).complete(Store.Outcome.HELD, null);
             }
         }
     }
@@ -63,7 +63,7 @@
             }
         });
         if (old[0] != 0) {
-            catalog.died(old[0], old[1]);
+            catalog.subtractLive(old[0], old[1]);
         }
         if (write.value == null) {
             segment.records++;
@@ -73,7 +73,7 @@
             return;
         }
         int expiry = Catalog.expirySeconds(write.expiresMs);
-        segment.saw(write.expiresMs);
+        segment.countRecord(write.expiresMs);
         segment.liveBytes += Catalog.weight(write.length);
         if (old[0] == 0 || !catalog.index.move(write.hash, old[0], at, write.length, expiry)) {
             catalog.index.add(write.hash, at, write.length, expiry);
--- a/server/src/main/java/wheatspread/store/Job.java
+++ b/server/src/main/java/wheatspread/store/Job.java
@@ -5,7 +5,7 @@
 /** Work beside the writer's, done piece by piece on another thread, and ended on the writer's. */
 abstract class Job {
     /** Bytes read and written by the last piece. */
-    long moved;
+    long bytesMoved;
 
     /** Does a piece; false when all is done. */
     abstract boolean step() throws IOException;
@@ -14,9 +14,9 @@
     abstract boolean install();
 
     /** Gives up what it holds, after a failure; the names that must be deleted before any other job. */
-    abstract java.util.List<String> undo();
+    abstract java.util.List<String> abort();
 
-    abstract String what();
+    abstract String kind();
 
     /** Bytes that it takes on the disk beside the files of the log. */
     abstract long ownBytes();
--- a/server/src/main/java/wheatspread/store/MaintenanceJobs.java
+++ b/server/src/main/java/wheatspread/store/MaintenanceJobs.java
@@ -199,7 +199,7 @@
                 log.warn("store_close_failed", "file", one.name, "reason", e.toString());
             }
         }
-        compaction.letGo();
+        compaction.releaseRun();
         checkpoints.logged(compaction.ownBytes());
         counters.compactions++;
         counters.compactedBytes += before;
@@ -225,9 +225,9 @@
         counters.failures++;
         pause = Math.min(LONGEST_PAUSE_MS, Math.max(FIRST_PAUSE_MS, pause * 2));
         retryAt = nowMs + pause;
-        log.error("store_job_failed", "job", job.what(), "reason", reason.toString(), "retry_ms", pause);
+        log.error("store_job_failed", "job", job.kind(), "reason", reason.toString(), "retry_ms", pause);
         if (!(job instanceof DeleteJob)) {
-            files.delete(job.undo());
+            files.delete(job.abort());
         }
         if (job instanceof CheckpointJob) {
             checkpoints.failed(settings);
--- a/server/src/main/java/wheatspread/store/Recovery.java
+++ b/server/src/main/java/wheatspread/store/Recovery.java
@@ -235,7 +235,7 @@
                 "keys",
                 scan.lostAll ? "unknown" : scan.lost.size());
         int offset = (int) scan.at;
-        catalog.lose(
+        catalog.markLost(
                 scan.lost,
                 scan.lostAll,
                 settings.lossUntil(now),
@@ -249,7 +249,7 @@
         long at = Index.at(segment.id, (int) scan.at);
         switch (record.getKind()) {
             case PUT -> {
-                segment.saw(record.getExpiresMs());
+                segment.countRecord(record.getExpiresMs());
                 long hash = catalog.hash(scan);
                 boolean living = !Catalog.isOver(record.getExpiresMs(), now);
                 int expiry = Catalog.expirySeconds(record.getExpiresMs());
@@ -266,7 +266,8 @@
                 if (!Catalog.isOver(doubt.getUntilMs(), now)) {
                     LongArrayList hashes = new LongArrayList();
                     doubt.getHashesList().forEach(hashes::addLong);
-                    catalog.lose(hashes, doubt.getAll(), doubt.getUntilMs(), at, segment.name.first(), (int) scan.at);
+                    catalog.markLost(
+                            hashes, doubt.getAll(), doubt.getUntilMs(), at, segment.name.first(), (int) scan.at);
                 }
             }
             default -> {}
@@ -297,7 +298,7 @@
 
     private void count() {
         for (int table = 0; table < Index.TABLES; table++) {
-            catalog.index.copy(table, (hash, at, length, expiry) -> catalog.lives(at, length));
+            catalog.index.copy(table, (hash, at, length, expiry) -> catalog.addLive(at, length));
         }
     }
 
--- a/server/src/main/java/wheatspread/store/Segment.java
+++ b/server/src/main/java/wheatspread/store/Segment.java
@@ -37,13 +37,13 @@
     }
 
     /** Counts a record. */
-    void saw(long expiresMs) {
+    void countRecord(long expiresMs) {
         records++;
         latestExpiryMs = Math.max(latestExpiryMs, expiresMs == 0 ? NEVER : expiresMs);
     }
 
     /** Whether nothing in it can come back to life. */
-    boolean isClear(long nowMs) {
+    boolean isExpired(long nowMs) {
         return latestExpiryMs <= nowMs;
     }
 
--- a/server/src/main/java/wheatspread/store/Write.java
+++ b/server/src/main/java/wheatspread/store/Write.java
@@ -29,11 +29,11 @@
     }
 
     /** What it takes in a file at most, with its frame and its part of the group's. */
-    int room() {
+    int maxFrameBytes() {
         return size() + 64;
     }
 
-    void end(Store.Outcome how, String why) {
+    void complete(Store.Outcome how, String why) {
         outcome = how;
         reason = why;
     }
--- a/server/src/main/java/wheatspread/store/WriteState.java
+++ b/server/src/main/java/wheatspread/store/WriteState.java
@@ -61,7 +61,7 @@
     }
 
     /** Whether there is room, as last looked at. */
-    void room(boolean there) {
-        full = !there;
+    void setHasRoom(boolean hasRoom) {
+        full = !hasRoom;
     }
 }
--- a/server/src/main/java/wheatspread/store/WriterLoop.java
+++ b/server/src/main/java/wheatspread/store/WriterLoop.java
@@ -40,7 +40,7 @@
                 log.error("store_fault", "reason", e.toString());
                 group.stream()
                         .filter(write -> write.outcome == null)
-                        .forEach(write -> write.end(Store.Outcome.IN_DOUBT, "a fault in the program: " + e));
+                        .forEach(write -> write.complete(Store.Outcome.IN_DOUBT, "a fault in the program: " + e));
             }
             tell(group);
             group.clear();
--- a/server/src/test/java/wheatspread/store/UpkeepTest.java
+++ b/server/src/test/java/wheatspread/store/UpkeepTest.java
@@ -187,9 +187,9 @@
         assertThat(state.mode()).isEqualTo(WriteState.Mode.FULL);
         state.recovered();
         assertThat(state.mode()).isEqualTo(WriteState.Mode.OPEN);
-        Pace pace = new Pace(1_000_000, 0);
-        assertThat(pace.done(1_000, 0)).isEqualTo(1_000_000);
-        assertThat(pace.done(1_000, 1_500_000)).isEqualTo(500_000);
+        RateLimiter rateLimiter = new RateLimiter(1_000_000, 0);
+        assertThat(rateLimiter.delayAfter(1_000, 0)).isEqualTo(1_000_000);
+        assertThat(rateLimiter.delayAfter(1_000, 1_500_000)).isEqualTo(500_000);
     }
 
     @Test
