Name the kernel's link by the field's words

Renamed: Unconfirmed to UnconfirmedCommands, say and sayAgain to send and resendAll, heard to confirmUpTo, use to switchTo, the links opening and waiting to connecting and replacement, limits to MIN_, MAX_ and _TIMEOUT. No code changes; the fields of log lines keep their names, since they are read by others.

--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -21,35 +21,35 @@
 
 /**
  * The link to the kernel. Commands are kept until the kernel has shown that it read them: it reads a link in
- * order, so the answer to a question for gauges vouches for every command before it, and a notice of a job
- * vouches for what was said of that job. What a lost link may have swallowed is said again on the next one,
- * but only after all notices that were missed have been read, so that nothing is run a second time.
+ * order, so the answer to a question for gauges confirms every command before it, and a notice of a job
+ * confirms what was sent for that job. What a lost link may have swallowed is sent again on the next one, but
+ * only after all notices that were missed have been read, so that nothing is run a second time.
  */
 public final class KernelLink implements Kernel {
-    private static final int LONGEST_LINE = 256 * 1024;
-    private static final int CONNECT_MS = 1_000;
-    private static final long FIRST_RETRY_MS = 20;
-    private static final long LONGEST_RETRY_MS = 400;
+    private static final int MAX_LINE_BYTES = 256 * 1024;
+    private static final int CONNECT_TIMEOUT_MS = 1_000;
+    private static final long MIN_RETRY_MS = 20;
+    private static final long MAX_RETRY_MS = 400;
     /** How long missed notices are waited for where the kernel does not say that they are through. */
-    private static final long SYNC_MS = 1_000;
+    private static final long CATCH_UP_TIMEOUT_MS = 1_000;
 
-    /** How long the old link may take to vouch for what was said on it before a new one takes its place. */
-    private static final long VOUCH_MS = 200;
+    /** How long the old link may take to confirm what was sent on it before a new one takes its place. */
+    private static final long CONFIRM_TIMEOUT_MS = 200;
     /** Questions for gauges in a row, one a tick of the module, without a line after which a link hangs. */
-    private static final int UNHEARD_MOST = 100;
+    private static final int MAX_UNANSWERED = 100;
 
     private final EventLoopGroup loop;
     private final Bootstrap clients;
     private final EventLog log;
-    private final Unconfirmed unconfirmed = new Unconfirmed();
+    private final UnconfirmedCommands unconfirmed = new UnconfirmedCommands();
     private final NoticeReader notices;
     private InetSocketAddress address;
     /** The link in use; what any other one still brings is dropped. */
     private Connection current;
     /** The link that is to replace it, while it is being opened. */
-    private Connection opening;
-    /** The link that replaces it once it has vouched for every command that was said on it. */
-    private Connection waiting;
+    private Connection connecting;
+    /** The link that replaces it once every command that was sent on it has been confirmed. */
+    private Connection replacement;
     /** Commands may go out: the kernel is up and the notices missed have been read. */
     private boolean ready;
 
@@ -58,8 +58,8 @@
     /** The link was asked for; before that a new address is only noted. */
     private boolean opened;
 
-    private int unheard;
-    private long retryMs = FIRST_RETRY_MS;
+    private int unanswered;
+    private long retryMs = MIN_RETRY_MS;
 
     public KernelLink(Bootstrap clients, InetSocketAddress address, Listener listener, EventLog log) {
         loop = clients.config().group();
@@ -75,24 +75,24 @@
             return;
         }
         Connection next = new Connection(address);
-        opening = next;
-        ChannelFuture connecting = clients.clone()
-                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_MS)
+        connecting = next;
+        ChannelFuture connected = clients.clone()
+                .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
                         ch.pipeline()
                                 .addLast(
-                                        new LineBasedFrameDecoder(LONGEST_LINE),
+                                        new LineBasedFrameDecoder(MAX_LINE_BYTES),
                                         new StringDecoder(StandardCharsets.UTF_8),
                                         new StringEncoder(StandardCharsets.UTF_8),
                                         next);
                     }
                 })
                 .connect(next.to);
-        connecting.addListener(done -> {
-            if (!done.isSuccess() && opening == next) {
-                opening = null;
+        connected.addListener(done -> {
+            if (!done.isSuccess() && connecting == next) {
+                connecting = null;
                 retry();
             }
         });
@@ -100,15 +100,15 @@
 
     /**
      * The kernel is to be reached at another address from now on. The old link serves until the new one is
-     * there; commands that it may have swallowed are said again there, behind the missed notices.
+     * there; commands that it may have swallowed are sent again there, behind the missed notices.
      */
     public void moveTo(InetSocketAddress next) {
         if (!next.equals(address)) {
             address = next;
-            if (waiting != null) {
-                waiting.channel.close();
+            if (replacement != null) {
+                replacement.channel.close();
             }
-            retryMs = FIRST_RETRY_MS;
+            retryMs = MIN_RETRY_MS;
             if (opened) {
                 open();
             }
@@ -117,8 +117,8 @@
 
     public void close() {
         closed = true;
-        if (waiting != null) {
-            waiting.channel.close();
+        if (replacement != null) {
+            replacement.channel.close();
         }
         if (current != null) {
             current.channel.close();
@@ -130,13 +130,13 @@
                 () -> {
                     // an old address's link still serves, but only until its kernel closes it;
                     // one that waits for its word must not be overtaken by another
-                    if (opening == null && waiting == null && (current == null || !current.to.equals(address))) {
+                    if (connecting == null && replacement == null && (current == null || !current.to.equals(address))) {
                         open();
                     }
                 },
                 retryMs,
                 TimeUnit.MILLISECONDS);
-        retryMs = Math.min(LONGEST_RETRY_MS, retryMs * 2);
+        retryMs = Math.min(MAX_RETRY_MS, retryMs * 2);
     }
 
     // ---- commands ----
@@ -168,29 +168,29 @@
 
     @Override
     public void askGauges() {
-        if (current != null && booted && ++unheard > UNHEARD_MOST) {
-            // guards against a link that stays open and carries nothing: runs would end unheard
-            log.warn("kernel_silent", "unheard", unheard);
+        if (current != null && booted && ++unanswered > MAX_UNANSWERED) {
+            // guards against a link that stays open and carries nothing: the ends of runs would not be noticed
+            log.warn("kernel_silent", "unheard", unanswered);
             current.channel.close();
         } else if (ready) {
             askGauges(Long.toString(unconfirmed.last()));
         }
     }
 
-    /** The answer brings {@code ref} back, and vouches for all that was said before the question. */
+    /** The answer brings {@code ref} back, and confirms all that was sent before the question. */
     private void askGauges(String ref) {
-        say(new JSONObject().put("type", "SYSINFO").put("ref", ref).toString());
+        send(new JSONObject().put("type", "SYSINFO").put("ref", ref).toString());
     }
 
     private void command(String type, String job, JSONObject fields) {
         String line = fields.put("type", type).put("job", job).toString();
         unconfirmed.add(type, job, line);
         if (ready) {
-            unconfirmed.say(this::say);
+            unconfirmed.sendUnsent(this::send);
         }
     }
 
-    private void say(String line) {
+    private void send(String line) {
         current.channel.writeAndFlush(line + "\n", current.channel.voidPromise());
     }
 
@@ -198,48 +198,48 @@
         return Base64.getEncoder().encodeToString(bytes);
     }
 
-    /** All missed notices are read: says, or says again, what the kernel may not have heard on this link. */
+    /** All missed notices are read: sends, or resends, what the kernel may not have read on this link. */
     private void becomeReady() {
-        if (!ready && waiting == null) {
+        if (!ready && replacement == null) {
             ready = true;
-            unconfirmed.say(this::say);
+            unconfirmed.sendUnsent(this::send);
         }
     }
 
     /**
-     * A new link may take the place of one that still serves. What was said on the old one is vouched for
-     * first, and nothing more is said there: a command that was read must not be said again, since its run
+     * A new link may take the place of one that still serves. What was sent on the old one is confirmed
+     * first, and nothing more is sent there: a command that was read must not be sent again, since its run
      * may end at that moment, and would be a second one.
      */
     private void replace(Connection next) {
         if (current == null || !ready || unconfirmed.isEmpty()) {
-            use(next);
+            switchTo(next);
             return;
         }
-        waiting = next;
+        replacement = next;
         ready = false;
         askGauges(Long.toString(unconfirmed.last()));
         loop.schedule(
                 () -> {
-                    if (waiting == next) {
-                        use(next);
+                    if (replacement == next) {
+                        switchTo(next);
                     }
                 },
-                VOUCH_MS,
+                CONFIRM_TIMEOUT_MS,
                 TimeUnit.MILLISECONDS);
     }
 
-    private void use(Connection next) {
+    private void switchTo(Connection next) {
         Connection old = current;
-        waiting = null;
+        replacement = null;
         current = next;
         ready = false;
-        unheard = 0;
-        unconfirmed.sayAgain();
+        unanswered = 0;
+        unconfirmed.resendAll();
         if (old != null) {
             old.channel.close();
         }
-        say(new JSONObject().put("type", "OPEN").put("n", notices.last()).toString());
+        send(new JSONObject().put("type", "OPEN").put("n", notices.last()).toString());
     }
 
     // ---- connections ----
@@ -256,25 +256,25 @@
         @Override
         public void channelActive(ChannelHandlerContext ctx) {
             channel = ctx.channel();
-            if (opening != this || closed) {
+            if (connecting != this || closed) {
                 channel.close(); // the address changed while it was being opened
                 return;
             }
-            opening = null;
+            connecting = null;
             replace(this);
         }
 
         @Override
         public void channelInactive(ChannelHandlerContext ctx) {
-            if (waiting == this) {
-                waiting = null;
-                becomeReady(); // the old one goes on with what was not said there yet
+            if (replacement == this) {
+                replacement = null;
+                becomeReady(); // the old one goes on with what was not sent there yet
                 retry();
                 return;
             }
-            if (current == this && waiting != null && !closed) {
+            if (current == this && replacement != null && !closed) {
                 current = null;
-                use(waiting);
+                switchTo(replacement);
                 return;
             }
             if (current != this) {
@@ -284,7 +284,7 @@
             current = null;
             if (!closed) {
                 log.warn("kernel_lost", "notice", notices.last());
-                if (opening == null) {
+                if (connecting == null) {
                     retry();
                 }
             }
@@ -295,7 +295,7 @@
             if (current != this) {
                 return;
             }
-            unheard = 0;
+            unanswered = 0;
             if (!notices.read(line)) {
                 channel.close(); // the next link asks for what this line may have hidden
             }
@@ -313,7 +313,7 @@
         @Override
         public void booted() {
             booted = true;
-            retryMs = FIRST_RETRY_MS;
+            retryMs = MIN_RETRY_MS;
             askGauges(NoticeReader.SYNC);
             Connection asked = current;
             loop.schedule(
@@ -322,7 +322,7 @@
                             becomeReady();
                         }
                     },
-                    SYNC_MS,
+                    CATCH_UP_TIMEOUT_MS,
                     TimeUnit.MILLISECONDS);
         }
 
@@ -333,8 +333,8 @@
 
         @Override
         public void allConfirmed() {
-            if (waiting != null) {
-                use(waiting);
+            if (replacement != null) {
+                switchTo(replacement);
             }
         }
     }
--- a/server/src/main/java/wheatspread/kernel/NoticeReader.java
+++ b/server/src/main/java/wheatspread/kernel/NoticeReader.java
@@ -9,7 +9,7 @@
 
 /**
  * Reads the kernel's notices, and tells a listener of each numbered one once, whichever link brings it. What
- * they confirm is taken out of {@link Unconfirmed}.
+ * they confirm is taken out of {@link UnconfirmedCommands}.
  */
 final class NoticeReader {
     /** The reference of the question whose answer stands behind all missed notices. */
@@ -23,19 +23,19 @@
         /** All missed notices have been read. */
         void caughtUp();
 
-        /** All commands that were said on the link have been read. */
+        /** All commands that were sent on the link have been read. */
         void allConfirmed();
     }
 
     private final Progress progress;
     private final Kernel.Listener listener;
-    private final Unconfirmed unconfirmed;
+    private final UnconfirmedCommands unconfirmed;
     private final EventLog log;
     private long last;
     /** The last notice before a line that was not understood and asked for again; -1 if there is none. */
     private long askedAgain = -1;
 
-    NoticeReader(Progress progress, Kernel.Listener listener, Unconfirmed unconfirmed, EventLog log) {
+    NoticeReader(Progress progress, Kernel.Listener listener, UnconfirmedCommands unconfirmed, EventLog log) {
         this.progress = progress;
         this.listener = listener;
         this.unconfirmed = unconfirmed;
@@ -89,7 +89,7 @@
         String ref = notice.optString("ref");
         if (ref.equals(SYNC)) {
             progress.caughtUp();
-        } else if (!ref.isEmpty() && unconfirmed.heard(Long.parseLong(ref))) {
+        } else if (!ref.isEmpty() && unconfirmed.confirmUpTo(Long.parseLong(ref))) {
             progress.allConfirmed();
         }
         JSONArray row = notice.optJSONArray("gauges", new JSONArray());
--- a/server/src/main/java/wheatspread/kernel/UnconfirmedCommands.java
+++ b/server/src/main/java/wheatspread/kernel/UnconfirmedCommands.java
@@ -5,15 +5,15 @@
 import java.util.function.Consumer;
 
 /** The commands that the kernel has not shown to have read, in the order in which they were given. */
-final class Unconfirmed {
+final class UnconfirmedCommands {
     /** A command not known to be read; {@code number} counts commands. */
     private record Command(long number, String type, String job, String line) {}
 
     private final Deque<Command> commands = new ArrayDeque<>();
     /** The last command that was given. */
     private long last;
-    /** The last command said on the link in use. */
-    private long lastSaid;
+    /** The last command sent on the link in use. */
+    private long lastSent;
 
     void add(String type, String job, String line) {
         commands.add(new Command(++last, type, job, line));
@@ -28,39 +28,40 @@
         return last;
     }
 
-    /** Says all that has not been said on the link in use. */
-    void say(Consumer<String> link) {
+    /** Sends all that has not been sent on the link in use. */
+    void sendUnsent(Consumer<String> link) {
         commands.stream()
-                .filter(command -> command.number() > lastSaid)
+                .filter(command -> command.number() > lastSent)
                 .forEach(command -> link.accept(command.line()));
-        lastSaid = last;
+        lastSent = last;
     }
 
-    /** Another link is in use, and nothing has been said there. */
-    void sayAgain() {
-        lastSaid = 0;
+    /** Another link is in use, and nothing has been sent there. */
+    void resendAll() {
+        lastSent = 0;
     }
 
-    /** The kernel has read all up to this number; returns whether that is all that was said on the link. */
-    boolean heard(long number) {
+    /** The kernel has read all up to this number; returns whether that is all that was sent on the link. */
+    boolean confirmUpTo(long number) {
         while (!commands.isEmpty() && commands.peek().number() <= number) {
             commands.poll();
         }
-        return number >= lastSaid;
+        return number >= lastSent;
     }
 
-    /** A notice says that the run is over, so what was said of it has been read. */
+    /** A notice says that the run is over, so what was sent for it has been read. */
     void ended(String job) {
-        commands.removeIf(c -> c.job().equals(job));
+        commands.removeIf(command -> command.job().equals(job));
     }
 
     /** The run waits for a call: a pause may have crossed this notice, the rest has not. */
     void blocked(String job) {
-        commands.removeIf(c -> c.job().equals(job) && !c.type().equals("PREEMPT"));
+        commands.removeIf(
+                command -> command.job().equals(job) && !command.type().equals("PREEMPT"));
     }
 
     /** The kernel did not carry it out, so it has read it. */
     void refused(String job, String type) {
-        commands.removeIf(c -> c.job().equals(job) && c.type().equals(type));
+        commands.removeIf(command -> command.job().equals(job) && command.type().equals(type));
     }
 }
