Call eviction eviction in the connection table

Renamed: makeRoom to evictOne, makeRoomOf to evictFrom and what they search with; c to connection. No code changes; the counters keep their names, since reports have them.

Measured: ConnectionTableTest, ListenerTest, FloodTest, BothFrontsTest: all pass.

--- a/server/src/main/java/wheatspread/connections/ConnectionTable.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionTable.java
@@ -14,7 +14,7 @@
 public final class ConnectionTable {
     private static final int LISTS = State.GONE.ordinal();
     /** So many that have just woken are passed over in search of one that rests. */
-    private static final int MOST_WOKEN = 64;
+    private static final int MAX_PASSED_OVER = 64;
 
     private final ConnectionLimits limits;
     private final Sources sources = new Sources();
@@ -67,21 +67,21 @@
     public Connection admit(Caller caller, long address, long now) {
         if (limits.mostOfSource() > 0
                 && sources.connectionsOf(address) >= limits.mostOfSource()
-                && !makeRoomOf(address)) {
+                && !evictFrom(address)) {
             counters.refusedSource++;
             return null;
         }
-        if (size >= limits.mostConnections() && !makeRoom(now)) {
+        if (size >= limits.mostConnections() && !evictOne(now)) {
             counters.refusedFull++;
             return null;
         }
         counters.accepted++;
-        Connection c = new Connection(caller, sources.of(address));
-        sources.opened(c.source);
+        Connection connection = new Connection(caller, sources.of(address));
+        sources.opened(connection.source);
         size++;
-        c.usedAt = now;
-        place(c, State.NEW, now);
-        return c;
+        connection.usedAt = now;
+        place(connection, State.NEW, now);
+        return connection;
     }
 
     /** How long no further connection should be accepted after this one; 0 if one may be at once. */
@@ -98,7 +98,7 @@
      * and of these the longest at rest;
      * last those that had no time to speak yet.
      */
-    private boolean makeRoom(long now) {
+    private boolean evictOne(long now) {
         Connection lingering = first[State.LINGERING.ordinal()];
         if (lingering != null) {
             counters.roomLingering++;
@@ -109,58 +109,58 @@
             counters.roomSilent++;
             return close(silent);
         }
-        Connection speaking = halfSpoken(now - limits.toSpeak());
+        Connection speaking = firstSpeakingBefore(now - limits.toSpeak());
         if (speaking != null) {
             counters.roomSpeaking++;
             return close(speaking);
         }
-        Connection resting = restingOf(sources.longestOfMost());
+        Connection resting = evictableAtRest(sources.longestOfMost());
         if (resting != null) {
             counters.roomResting++;
             return close(resting);
         }
         // a flood fills the table before anybody in it had the time to speak: the one that came last may be
         // a caller with a request or a check, and the others have said nothing yet
-        Connection young = quietIn(State.NEW);
-        young = young == null ? quietIn(State.SPEAKING) : young;
-        if (young != null) {
+        Connection unheard = evictableIn(State.NEW);
+        unheard = unheard == null ? evictableIn(State.SPEAKING) : unheard;
+        if (unheard != null) {
             counters.roomYoung++;
-            return close(young);
+            return close(unheard);
         }
         return false;
     }
 
     /** The first of those that began a message before that time, as long as it has nothing open. */
-    private Connection halfSpoken(long before) {
-        Connection c = first[State.SPEAKING.ordinal()];
-        return c != null && c.since < before && isQuiet(c) ? c : null;
+    private Connection firstSpeakingBefore(long before) {
+        Connection connection = first[State.SPEAKING.ordinal()];
+        return connection != null && connection.since < before && isEvictable(connection) ? connection : null;
     }
 
     /** The longest at rest of that source that can make room; null if none is near. */
-    private static Connection restingOf(Connection longest) {
-        return firstQuiet(longest, connection -> connection.nextOfSource);
+    private static Connection evictableAtRest(Connection longest) {
+        return firstEvictable(longest, connection -> connection.nextOfSource);
     }
 
     /** The longest in this state that can make room; null if none is near. */
-    private Connection quietIn(State state) {
-        return firstQuiet(first[state.ordinal()], connection -> connection.next);
+    private Connection evictableIn(State state) {
+        return firstEvictable(first[state.ordinal()], connection -> connection.next);
     }
 
     /** The first along a list that has nothing open and nothing unread; null if none is near its head. */
-    private static Connection firstQuiet(Connection head, UnaryOperator<Connection> next) {
+    private static Connection firstEvictable(Connection head, UnaryOperator<Connection> next) {
         Connection candidate = head;
-        for (int passed = 0; candidate != null && !isQuiet(candidate) && passed < MOST_WOKEN; passed++) {
+        for (int passed = 0; candidate != null && !isEvictable(candidate) && passed < MAX_PASSED_OVER; passed++) {
             candidate = next.apply(candidate);
         }
-        return candidate != null && isQuiet(candidate) ? candidate : null;
+        return candidate != null && isEvictable(candidate) ? candidate : null;
     }
 
-    private static boolean isQuiet(Connection connection) {
+    private static boolean isEvictable(Connection connection) {
         return connection.open == 0 && !connection.unread;
     }
 
-    private boolean makeRoomOf(long address) {
-        Connection resting = restingOf(sources.of(address).first);
+    private boolean evictFrom(long address) {
+        Connection resting = evictableAtRest(sources.of(address).first);
         if (resting == null) {
             return false;
         }
@@ -173,9 +173,9 @@
         return sources.longestOfMost();
     }
 
-    private boolean close(Connection c) {
-        closed(c);
-        c.caller.close();
+    private boolean close(Connection connection) {
+        closed(connection);
+        connection.caller.close();
         return true;
     }
 
@@ -186,20 +186,20 @@
      * many bytes are held of a message that is not whole. Where all that is held is too much, the one that
      * has spoken for longest leaves.
      */
-    public void read(Connection c, long now, boolean whole, int open, int bytes) {
-        if (c.state == State.GONE) {
+    public void read(Connection connection, long now, boolean whole, int open, int bytes) {
+        if (connection.state == State.GONE) {
             return;
         }
-        held += bytes - c.held;
-        c.held = bytes;
-        c.open = open;
-        c.unread = false;
+        held += bytes - connection.held;
+        connection.held = bytes;
+        connection.open = open;
+        connection.unread = false;
         if (whole) {
-            c.asked = true;
-            c.usedAt = c.asleep ? c.usedAt : now;
+            connection.asked = true;
+            connection.usedAt = connection.asleep ? connection.usedAt : now;
         }
-        boolean goesOn = c.state == State.SPEAKING && !whole && bytes > 0;
-        settle(c, goesOn ? c.since : now);
+        boolean goesOn = connection.state == State.SPEAKING && !whole && bytes > 0;
+        settle(connection, goesOn ? connection.since : now);
         while (held > limits.mostHeld() && first[State.SPEAKING.ordinal()] != null) {
             Connection speaker = first[State.SPEAKING.ordinal()];
             counters.closedHeld++;
@@ -209,88 +209,90 @@
     }
 
     /** An answer went out, and so many requests are open now. */
-    public void answered(Connection c, long now, int open) {
-        if (c.state != State.GONE) {
-            c.open = open;
-            c.usedAt = c.asleep ? c.usedAt : now;
-            settle(c, c.state == State.SPEAKING ? c.since : now);
+    public void answered(Connection connection, long now, int open) {
+        if (connection.state != State.GONE) {
+            connection.open = open;
+            connection.usedAt = connection.asleep ? connection.usedAt : now;
+            settle(connection, connection.state == State.SPEAKING ? connection.since : now);
         }
     }
 
     /** Nothing more is read from it: its held bytes are dropped, and it closes once all is answered. */
-    public void leave(Connection c, long now) {
-        if (c.state != State.GONE && !c.leaving) {
-            c.leaving = true;
-            held -= c.held;
-            c.held = 0;
-            settle(c, now);
+    public void leave(Connection connection, long now) {
+        if (connection.state != State.GONE && !connection.leaving) {
+            connection.leaving = true;
+            held -= connection.held;
+            connection.held = 0;
+            settle(connection, now);
         }
     }
 
-    private void settle(Connection c, long since) {
-        State state = c.leaving
-                ? c.open > 0 ? State.LEAVING : State.LINGERING
-                : c.held > 0 ? State.SPEAKING : c.open > 0 ? State.ASKING : c.asked ? State.RESTING : State.NEW;
-        if (state == State.NEW && c.state == State.NEW) {
+    private void settle(Connection connection, long since) {
+        State state = connection.leaving
+                ? connection.open > 0 ? State.LEAVING : State.LINGERING
+                : connection.held > 0
+                        ? State.SPEAKING
+                        : connection.open > 0 ? State.ASKING : connection.asked ? State.RESTING : State.NEW;
+        if (state == State.NEW && connection.state == State.NEW) {
             return; // empty messages say nothing
         }
-        if (state != c.state || since != c.since) {
-            remove(c);
-            place(c, state, since);
+        if (state != connection.state || since != connection.since) {
+            remove(connection);
+            place(connection, state, since);
         }
     }
 
     /** It is no longer there; no matter who closed it. */
-    public void closed(Connection c) {
-        if (c.state != State.GONE) {
-            remove(c);
-            c.state = State.GONE;
+    public void closed(Connection connection) {
+        if (connection.state != State.GONE) {
+            remove(connection);
+            connection.state = State.GONE;
             size--;
-            held -= c.held;
-            c.held = 0;
-            sources.closed(c.source);
+            held -= connection.held;
+            connection.held = 0;
+            sources.closed(connection.source);
         }
     }
 
-    private void place(Connection c, State state, long since) {
+    private void place(Connection connection, State state, long since) {
         int list = state.ordinal();
         Connection after = last[list];
         latest = Math.max(latest, since); // a clock that was set back must not break the order of the lists
-        c.state = state;
-        c.since = latest;
-        c.previous = after;
+        connection.state = state;
+        connection.since = latest;
+        connection.previous = after;
         if (after == null) {
-            first[list] = c;
+            first[list] = connection;
         } else {
-            after.next = c;
+            after.next = connection;
         }
-        last[list] = c;
+        last[list] = connection;
         sizes[list]++;
         if (state == State.RESTING) {
-            sources.rests(c);
+            sources.rests(connection);
         }
-        if (first[list] == c && state != State.ASKING) {
+        if (first[list] == connection && state != State.ASKING) {
             changed.run();
         }
     }
 
-    private void remove(Connection c) {
-        int list = c.state.ordinal();
-        if (c.previous == null) {
-            first[list] = c.next;
+    private void remove(Connection connection) {
+        int list = connection.state.ordinal();
+        if (connection.previous == null) {
+            first[list] = connection.next;
         } else {
-            c.previous.next = c.next;
+            connection.previous.next = connection.next;
         }
-        if (c.next == null) {
-            last[list] = c.previous;
+        if (connection.next == null) {
+            last[list] = connection.previous;
         } else {
-            c.next.previous = c.previous;
+            connection.next.previous = connection.previous;
         }
-        c.previous = null;
-        c.next = null;
+        connection.previous = null;
+        connection.next = null;
         sizes[list]--;
-        if (c.state == State.RESTING) {
-            sources.restsNoMore(c);
+        if (connection.state == State.RESTING) {
+            sources.restsNoMore(connection);
         }
     }
 
@@ -315,9 +317,9 @@
     }
 
     private long endOf(State state) {
-        Connection c = first[state.ordinal()];
+        Connection connection = first[state.ordinal()];
         long limit = limitOf(state);
-        return c == null || limit == 0 ? Long.MAX_VALUE : c.since + limit;
+        return connection == null || limit == 0 ? Long.MAX_VALUE : connection.since + limit;
     }
 
     /** When the first limit ends; {@link Long#MAX_VALUE} if none will. */
@@ -342,30 +344,30 @@
         return looked;
     }
 
-    private void expire(Connection c, long now) {
-        if (c.unread || c.state == State.LINGERING && c.caller.advances()) {
-            remove(c);
-            place(c, c.state, now); // it waits for us, not we for it, or takes what it is owed
+    private void expire(Connection connection, long now) {
+        if (connection.unread || connection.state == State.LINGERING && connection.caller.advances()) {
+            remove(connection);
+            place(connection, connection.state, now); // it waits for us, not we for it, or takes what it is owed
             return;
         }
-        switch (c.state) {
+        switch (connection.state) {
             case NEW -> counters.closedSilent++;
             case SPEAKING -> counters.closedHalf++;
             case RESTING -> counters.closedIdle++;
             default -> counters.closedLingering++;
         }
-        if (c.state == State.LINGERING) {
-            close(c);
+        if (connection.state == State.LINGERING) {
+            close(connection);
         } else {
-            leave(c, now);
-            c.caller.leave(); // a request may cross this end, and must not have it reset
+            leave(connection, now);
+            connection.caller.leave(); // a request may cross this end, and must not have it reset
         }
     }
 
     /** One is closed because too much waits to be written to those that do not read, and most to it. */
-    public void stalls(Connection c) {
+    public void stalls(Connection connection) {
         counters.closedStalled++;
-        close(c);
+        close(connection);
     }
 
     /** Does something to every connection; it may be closed meanwhile. */
@@ -373,12 +375,12 @@
         Connection[] all = new Connection[size];
         int count = 0;
         for (Connection head : first) {
-            for (Connection c = head; c != null; c = c.next) {
-                all[count++] = c;
+            for (Connection connection = head; connection != null; connection = connection.next) {
+                all[count++] = connection;
             }
         }
-        for (Connection c : all) {
-            what.accept(c.caller);
+        for (Connection connection : all) {
+            what.accept(connection.caller);
         }
     }
 }
--- a/server/src/main/java/wheatspread/connections/Sources.java
+++ b/server/src/main/java/wheatspread/connections/Sources.java
@@ -59,32 +59,32 @@
     }
 
     /** A connection came to rest, the last one of its source to do so. */
-    void rests(Connection c) {
-        Source source = c.source;
-        c.previousOfSource = source.last;
+    void rests(Connection connection) {
+        Source source = connection.source;
+        connection.previousOfSource = source.last;
         if (source.last == null) {
-            source.first = c;
+            source.first = connection;
         } else {
-            source.last.nextOfSource = c;
+            source.last.nextOfSource = connection;
         }
-        source.last = c;
+        source.last = connection;
         move(source, 1);
     }
 
-    void restsNoMore(Connection c) {
-        Source source = c.source;
-        if (c.previousOfSource == null) {
-            source.first = c.nextOfSource;
+    void restsNoMore(Connection connection) {
+        Source source = connection.source;
+        if (connection.previousOfSource == null) {
+            source.first = connection.nextOfSource;
         } else {
-            c.previousOfSource.nextOfSource = c.nextOfSource;
+            connection.previousOfSource.nextOfSource = connection.nextOfSource;
         }
-        if (c.nextOfSource == null) {
-            source.last = c.previousOfSource;
+        if (connection.nextOfSource == null) {
+            source.last = connection.previousOfSource;
         } else {
-            c.nextOfSource.previousOfSource = c.previousOfSource;
+            connection.nextOfSource.previousOfSource = connection.previousOfSource;
         }
-        c.previousOfSource = null;
-        c.nextOfSource = null;
+        connection.previousOfSource = null;
+        connection.nextOfSource = null;
         move(source, -1);
     }
 
