Whole names for members and what is restored in the fleet's decisions

one is member; told, was and stranger in restore are saved, savedMember and unplanned. No code changes.

--- a/server/src/main/java/wheatspread/fleet/Fleet.java
+++ b/server/src/main/java/wheatspread/fleet/Fleet.java
@@ -68,10 +68,10 @@
             throw new IllegalArgumentException("a roll to " + roll.to() + " goes on");
         }
         List<String> chosen = new ArrayList<>();
-        for (Member one : roster.all()) {
-            boolean named = names.isEmpty() ? one.wanted : names.contains(one.name);
+        for (Member member : roster.all()) {
+            boolean named = names.isEmpty() ? member.wanted : names.contains(member.name);
             if (named && (count == 0 || chosen.size() < count)) {
-                chosen.add(one.name);
+                chosen.add(member.name);
             }
         }
         for (String name : names) {
@@ -97,21 +97,21 @@
 
     /** A member leaves and stays away. */
     public void drain(String name, long now) {
-        Member one = member(name);
-        one.wanted = false;
-        leave(one, now);
-        if (one.state == State.HELD) {
-            one.enter(State.ABSENT, now);
+        Member member = member(name);
+        member.wanted = false;
+        leave(member, now);
+        if (member.state == State.HELD) {
+            member.enter(State.ABSENT, now);
         }
     }
 
     /** A member that was drained or is held starts again. */
     public void start(String name, long now) {
-        Member one = member(name);
-        one.wanted = true;
+        Member member = member(name);
+        member.wanted = true;
         restarts.forgive(name);
-        if (one.state == State.HELD) {
-            one.enter(State.ABSENT, now);
+        if (member.state == State.HELD) {
+            member.enter(State.ABSENT, now);
         }
     }
 
@@ -121,70 +121,70 @@
         if (roll != null && !roll.over()) {
             roll.stop("the fleet went down", now);
         }
-        roster.all().forEach(one -> leave(one, now));
+        roster.all().forEach(member -> leave(member, now));
     }
 
     private Member member(String name) {
-        Member one = roster.get(name);
-        if (one == null) {
+        Member member = roster.get(name);
+        if (member == null) {
             throw new IllegalArgumentException("there is no member " + name);
         }
-        return one;
+        return member;
     }
 
     // ---- what the supervisor sees ----
 
     /** The process of a member has a number. */
     public void spawned(String name, int generation, long pid) {
-        Member one = roster.get(name);
-        if (one != null && one.generation == generation) {
-            one.pid = pid;
-            one.unsureUntil = 0;
+        Member member = roster.get(name);
+        if (member != null && member.generation == generation) {
+            member.pid = pid;
+            member.unsureUntil = 0;
         }
     }
 
     /** A check was answered; {@code generation} is the one that was asked. */
     public void heard(String name, int generation, Health health, long now) {
-        Member one = roster.get(name);
-        if (one != null && roster.heard(one, generation, health, now)) {
-            log.stateChanged(one, now);
+        Member member = roster.get(name);
+        if (member != null && roster.heard(member, generation, health, now)) {
+            log.stateChanged(member, now);
         }
     }
 
     /** A check was refused, or not answered in time. */
     public void unheard(String name, int generation, long now) {
-        Member one = roster.get(name);
-        if (one != null && roster.unheard(one, generation, now)) {
-            log.stateChanged(one, now);
+        Member member = roster.get(name);
+        if (member != null && roster.unheard(member, generation, now)) {
+            log.stateChanged(member, now);
         }
     }
 
     /** The process of a member ended; {@code code} is {@link Member#UNKNOWN_CODE} where nobody heard it. */
     public void ended(String name, int generation, int code, long now) {
-        Member one = roster.get(name);
-        if (one == null || one.generation != generation || !one.lives()) {
+        Member member = roster.get(name);
+        if (member == null || member.generation != generation || !member.lives()) {
             return;
         }
-        boolean asked = one.state == State.LEAVING;
-        one.lastCode = code;
-        one.everEnded = true;
-        one.pid = 0;
-        one.unsureUntil = 0;
-        one.enter(State.ABSENT, now);
-        log.ended(one, asked, now);
+        boolean asked = member.state == State.LEAVING;
+        member.lastCode = code;
+        member.everEnded = true;
+        member.pid = 0;
+        member.unsureUntil = 0;
+        member.enter(State.ABSENT, now);
+        log.ended(member, asked, now);
         Rollout.Status before = roll == null ? null : roll.status();
         if (roll != null) {
-            roll.ended(one, asked, now);
+            roll.ended(member, asked, now);
         }
         boolean turned = roll != null && roll.status() != before;
         if (turned) {
             log.rollChanged(roll);
         }
-        if (!asked && !turned && restarts.ended(name, now - one.startedAt, now)) {
-            one.enter(State.HELD, now);
-            log.held(one, plan.backoff());
+        if (!asked && !turned && restarts.ended(name, now - member.startedAt, now)) {
+            member.enter(State.HELD, now);
+            log.held(member, plan.backoff());
             if (roll != null && roll.leads(name)) {
-                roll.giveUp(one, now);
+                roll.giveUp(member, now);
                 log.rollChanged(roll);
             }
         }
@@ -194,8 +194,8 @@
 
     /** Looks at everything, and returns what is to be done, once the state is written down. */
     public List<Action> look(long now) {
-        for (Member one : roster.all()) {
-            watch(one, now);
+        for (Member member : roster.all()) {
+            watch(member, now);
         }
         if (roll != null && !roll.over()) {
             lookAtRoll(now);
@@ -208,61 +208,61 @@
         return actions;
     }
 
-    private void watch(Member one, long now) {
-        if (one.unsureUntil > 0 && now >= one.unsureUntil) {
+    private void watch(Member member, long now) {
+        if (member.unsureUntil > 0 && now >= member.unsureUntil) {
             // it never came about, or was gone at once; that is no fault of its build, and the next one will
             // tell
-            one.unsureUntil = 0;
-            one.enter(State.ABSENT, now);
+            member.unsureUntil = 0;
+            member.enter(State.ABSENT, now);
             if (roll != null) {
-                roll.neverStarted(one.name);
+                roll.neverStarted(member.name);
             }
-            log.startUnseen(one);
-        } else if (one.state == State.STARTING && now - one.startedAt > plan.startTimeout()) {
-            kill(one, "not well in time", now);
-        } else if (one.state == State.LEAVING && now - one.since > plan.stopAfter()) {
-            kill(one, "still there after its time to leave", now);
+            log.startUnseen(member);
+        } else if (member.state == State.STARTING && now - member.startedAt > plan.startTimeout()) {
+            kill(member, "not well in time", now);
+        } else if (member.state == State.LEAVING && now - member.since > plan.stopAfter()) {
+            kill(member, "still there after its time to leave", now);
         } else if (plan.hung() > 0
-                && (one.state == State.UP || one.state == State.UNWELL)
-                && now - Math.max(one.heardAt, one.wellAt) > plan.hung()) {
-            kill(one, "answers no check", now);
-        } else if (roll != null && roll.failing(one)) {
+                && (member.state == State.UP || member.state == State.UNWELL)
+                && now - Math.max(member.heardAt, member.wellAt) > plan.hung()) {
+            kill(member, "answers no check", now);
+        } else if (roll != null && roll.failing(member)) {
             roll.failed(
-                    one,
-                    "failed " + one.health.failed() + " of " + (one.health.served() + one.health.failed())
+                    member,
+                    "failed " + member.health.failed() + " of " + (member.health.served() + member.health.failed())
                             + " requests",
                     now);
             log.rollChanged(roll);
             if (roll.status() == Rollout.Status.RUNNING) {
-                leave(one, now); // another generation of the same build gets a try
-                roll.again(one);
+                leave(member, now); // another generation of the same build gets a try
+                roll.again(member);
             }
         }
     }
 
-    private void kill(Member one, String why, long now) {
-        if (!one.killed) {
-            one.killed = true;
-            due.add(new Action.Kill(one.name, one.generation, why));
-            log.killed(one, why);
+    private void kill(Member member, String why, long now) {
+        if (!member.killed) {
+            member.killed = true;
+            due.add(new Action.Kill(member.name, member.generation, why));
+            log.killed(member, why);
         }
     }
 
     /** The notice, where there is a process that has not had it. */
-    private void leave(Member one, long now) {
-        if (!one.lives() || one.state == State.LEAVING) {
+    private void leave(Member member, long now) {
+        if (!member.lives() || member.state == State.LEAVING) {
             return;
         }
-        one.enter(State.LEAVING, now);
-        due.add(new Action.Notice(one.name, one.generation));
-        log.leaves(one);
+        member.enter(State.LEAVING, now);
+        due.add(new Action.Notice(member.name, member.generation));
+        log.leaves(member);
     }
 
     private void lookAtRoll(long now) {
         boolean paused = roll.paused();
         Rollout.Status before = roll.status();
-        for (Member one : roll.look(roster, now)) {
-            leave(one, now);
+        for (Member member : roll.look(roster, now)) {
+            leave(member, now);
         }
         if (roll.paused() != paused) {
             log.rollPaused(roll, roster.out(now).size());
@@ -275,25 +275,25 @@
     /** Members that want a process and have none, as many at once as may start together. */
     private void startDue(long now) {
         int starting = roster.count(State.STARTING);
-        for (Member one : roster.all()) {
-            boolean led = roll != null && roll.leads(one.name);
-            if (one.state == State.HELD && one.wanted && !restarts.held(one.name, now)) {
-                one.enter(State.ABSENT, now);
+        for (Member member : roster.all()) {
+            boolean led = roll != null && roll.leads(member.name);
+            if (member.state == State.HELD && member.wanted && !restarts.held(member.name, now)) {
+                member.enter(State.ABSENT, now);
             }
-            if (one.state != State.ABSENT
-                    || !one.wanted && !led
+            if (member.state != State.ABSENT
+                    || !member.wanted && !led
                     || !led && starting >= plan.startAtOnce()
-                    || !restarts.mayStart(one.name, now)) {
+                    || !restarts.mayStart(member.name, now)) {
                 continue;
             }
-            String told = roll == null ? null : roll.buildOf(one.name);
-            one.begin(told == null ? one.build : told, now);
+            String build = roll == null ? null : roll.buildOf(member.name);
+            member.begin(build == null ? member.build : build, now);
             if (roll != null) {
-                roll.started(one.name);
+                roll.started(member.name);
             }
             starting++;
-            due.add(new Action.Start(one.name, one.build, one.generation));
-            log.starts(one);
+            due.add(new Action.Start(member.name, member.build, member.generation));
+            log.starts(member);
         }
     }
 
@@ -308,53 +308,53 @@
      * Goes on from what an earlier supervisor wrote down and from the processes that were found alive, by
      * name. Members that the plan no longer has are told to leave, and stay in the roster until they did.
      */
-    public void restore(FleetState told, Map<String, Found> alive, long now) {
-        down = told.down();
-        roll = told.roll() == null ? null : new Rollout(plan.rolling(), told.roll());
+    public void restore(FleetState saved, Map<String, Found> alive, long now) {
+        down = saved.down();
+        roll = saved.roll() == null ? null : new Rollout(plan.rolling(), saved.roll());
         Map<String, Found> left = new LinkedHashMap<>(alive);
-        for (FleetState.Of was : told.members()) {
-            Found found = left.remove(was.name());
-            Member one = roster.get(was.name());
-            if (one == null && found == null) {
+        for (FleetState.Of savedMember : saved.members()) {
+            Found found = left.remove(savedMember.name());
+            Member member = roster.get(savedMember.name());
+            if (member == null && found == null) {
                 continue;
             }
-            boolean stranger = one == null;
-            one = stranger ? roster.add(was.name(), was.build()) : one;
-            one.restore(was);
-            one.wanted = was.wanted() && !stranger;
-            restarts.restore(was);
-            adopt(one, found, now);
-            if (stranger) {
-                leave(one, now);
+            boolean unplanned = member == null;
+            member = unplanned ? roster.add(savedMember.name(), savedMember.build()) : member;
+            member.restore(savedMember);
+            member.wanted = savedMember.wanted() && !unplanned;
+            restarts.restore(savedMember);
+            adopt(member, found, now);
+            if (unplanned) {
+                leave(member, now);
             }
         }
-        log.restored(told.members().size(), alive.size(), roll);
+        log.restored(saved.members().size(), alive.size(), roll);
     }
 
-    private void adopt(Member one, Found found, long now) {
+    private void adopt(Member member, Found found, long now) {
         if (found != null) {
-            one.pid = found.pid();
-            one.generation = Math.max(one.generation, found.generation());
-            if (!one.lives()) {
-                one.enter(State.STARTING, now);
-                one.startedAt = now;
+            member.pid = found.pid();
+            member.generation = Math.max(member.generation, found.generation());
+            if (!member.lives()) {
+                member.enter(State.STARTING, now);
+                member.startedAt = now;
             }
-            if (one.state == State.LEAVING) {
+            if (member.state == State.LEAVING) {
                 // the notice may not have been given; a second one does no harm
-                due.add(new Action.Notice(one.name, one.generation));
-                one.since = now;
+                due.add(new Action.Notice(member.name, member.generation));
+                member.since = now;
             }
-            one.heardAt = now - plan.stale() - 1; // stale until it is heard, but not taken for hung
-        } else if (one.state == State.STARTING) {
-            one.unsureUntil = now + plan.settle();
-        } else if (one.lives()) {
-            ended(one.name, one.generation, Member.UNKNOWN_CODE, now);
+            member.heardAt = now - plan.stale() - 1; // stale until it is heard, but not taken for hung
+        } else if (member.state == State.STARTING) {
+            member.unsureUntil = now + plan.settle();
+        } else if (member.lives()) {
+            ended(member.name, member.generation, Member.UNKNOWN_CODE, now);
         }
     }
 
     /** Whether an earlier supervisor wrote a start of it down, and nobody knows yet whether it came about. */
     public boolean isUnsure(String name) {
-        Member one = roster.get(name);
-        return one != null && one.unsureUntil > 0;
+        Member member = roster.get(name);
+        return member != null && member.unsureUntil > 0;
     }
 }
--- a/server/src/main/java/wheatspread/fleet/Rollout.java
+++ b/server/src/main/java/wheatspread/fleet/Rollout.java
@@ -103,7 +103,7 @@
 
     /** How many of its members have come so far. */
     public int count(Step step) {
-        return (int) steps.values().stream().filter(one -> one == step).count();
+        return (int) steps.values().stream().filter(current -> current == step).count();
     }
 
     public int size() {
@@ -129,37 +129,38 @@
     }
 
     /** A process of a member ended; {@code asked} says whether it had got its notice. */
-    void ended(Member one, boolean asked, long now) {
-        Step step = steps.get(one.name);
+    void ended(Member member, boolean asked, long now) {
+        Step step = steps.get(member.name);
         if (over() || step == null) {
             return;
         }
         if (step == Step.LEAVING) {
-            steps.put(one.name, Step.GONE);
+            steps.put(member.name, Step.GONE);
             return;
         }
-        boolean successor = one.build.equals(to) && step != Step.WAITING;
+        boolean successor = member.build.equals(to) && step != Step.WAITING;
         if (status == Status.ROLLING_BACK) {
-            steps.put(one.name, Step.GONE); // whichever build it was, the old one is next
+            steps.put(member.name, Step.GONE); // whichever build it was, the old one is next
         } else if (successor && !asked) {
-            steps.put(one.name, Step.GONE);
+            steps.put(member.name, Step.GONE);
             failed(
-                    one,
-                    "ended with " + (one.lastCode == Member.UNKNOWN_CODE ? "an unknown code" : "code " + one.lastCode)
-                            + " " + when(one, now),
+                    member,
+                    "ended with "
+                            + (member.lastCode == Member.UNKNOWN_CODE ? "an unknown code" : "code " + member.lastCode)
+                            + " " + when(member, now),
                     now);
         }
     }
 
-    private static String when(Member one, long now) {
-        return one.wellAt == 0 ? "before it was well" : (now - one.wellAt) / 1_000 + " ms after it was well";
+    private static String when(Member member, long now) {
+        return member.wellAt == 0 ? "before it was well" : (now - member.wellAt) / 1_000 + " ms after it was well";
     }
 
     /** It was not well in time, or fails too much of what it is asked. */
-    void failed(Member one, String how, long now) {
+    void failed(Member member, String how, long now) {
         failures++;
         if (status == Status.RUNNING && failures >= rules.mostFailures()) {
-            reason = one.name + ": generation " + one.generation + " of build " + to + " " + how;
+            reason = member.name + ": generation " + member.generation + " of build " + to + " " + how;
             if (rules.rollBack()) {
                 status = Status.ROLLING_BACK;
                 steps.replaceAll((name, step) -> step == Step.WAITING
@@ -172,20 +173,20 @@
     }
 
     /** A successor that was failing got its notice, and another generation gets a try. */
-    void again(Member one) {
-        if (steps.containsKey(one.name)) {
-            steps.put(one.name, Step.LEAVING);
+    void again(Member member) {
+        if (steps.containsKey(member.name)) {
+            steps.put(member.name, Step.LEAVING);
         }
     }
 
     /** A member of it is held as a crash loop: that ends the roll, or the way back as far as it goes. */
-    void giveUp(Member one, long now) {
+    void giveUp(Member member, long now) {
         if (status == Status.ROLLING_BACK) {
-            reason += "; " + one.name + " is held";
-            steps.put(one.name, Step.DONE);
+            reason += "; " + member.name + " is held";
+            steps.put(member.name, Step.DONE);
         } else {
             failures = rules.mostFailures() - 1;
-            failed(one, "is held as a crash loop", now);
+            failed(member, "is held as a crash loop", now);
         }
     }
 
@@ -226,11 +227,11 @@
             return List.of();
         }
         for (Map.Entry<String, Step> entry : steps.entrySet()) {
-            Member one = roster.get(entry.getKey());
-            if (one == null || !one.wanted && entry.getValue() == Step.WAITING) {
+            Member member = roster.get(entry.getKey());
+            if (member == null || !member.wanted && entry.getValue() == Step.WAITING) {
                 entry.setValue(Step.DONE); // it left the fleet, or an operator has taken it out
             } else {
-                entry.setValue(advance(entry.getValue(), one, now));
+                entry.setValue(advance(entry.getValue(), member, now));
             }
         }
         List<Member> next = next(roster, now);
@@ -240,52 +241,52 @@
         return next;
     }
 
-    private Step advance(Step step, Member one, long now) {
-        if (step == Step.STARTING && one.state == State.UP) {
+    private Step advance(Step step, Member member, long now) {
+        if (step == Step.STARTING && member.state == State.UP) {
             return status == Status.ROLLING_BACK ? Step.DONE : Step.PROVING;
         }
-        if (step == Step.PROVING && proven(one, now)) {
+        if (step == Step.PROVING && proven(member, now)) {
             return Step.DONE;
         }
         if (step == Step.WAITING
                 && status == Status.ROLLING_BACK
-                && one.build.equals(from)
-                && one.state != State.LEAVING) {
+                && member.build.equals(from)
+                && member.state != State.LEAVING) {
             return Step.DONE; // it never left the old build
         }
         return step;
     }
 
     /** Well for long enough, and with answers to show or well for so long that nobody asks. */
-    private boolean proven(Member one, long now) {
-        if (one.state != State.UP || one.health == null || one.wellAt == 0) {
+    private boolean proven(Member member, long now) {
+        if (member.state != State.UP || member.health == null || member.wellAt == 0) {
             return false;
         }
-        long well = now - one.wellAt;
+        long well = now - member.wellAt;
         return well >= rules.provenAfter()
-                && (one.health.served() >= rules.provenAnswers() || well >= rules.provenPatience());
+                && (member.health.served() >= rules.provenAnswers() || well >= rules.provenPatience());
     }
 
     /** Whether a successor fails more of what it is asked than is allowed, by enough answers to tell. */
-    boolean failing(Member one) {
+    boolean failing(Member member) {
         if (over()
                 || status == Status.ROLLING_BACK
-                || one.health == null
-                || !one.build.equals(to)
-                || steps.get(one.name) != Step.PROVING) {
+                || member.health == null
+                || !member.build.equals(to)
+                || steps.get(member.name) != Step.PROVING) {
             return false;
         }
-        long answers = one.health.served() + one.health.failed();
-        return answers >= Math.max(10, rules.provenAnswers()) && one.health.failed() > rules.failedShare() * answers;
+        long answers = member.health.served() + member.health.failed();
+        return answers >= Math.max(10, rules.provenAnswers()) && member.health.failed() > rules.failedShare() * answers;
     }
 
     private List<Member> next(Roster roster, long now) {
         int most = rules.mostOut(roster.all().size());
         int out = 0;
         int strangers = 0;
-        for (Member one : roster.all()) {
-            boolean led = leads(one.name);
-            if (led || one.wanted && !roster.inService(one, now)) {
+        for (Member member : roster.all()) {
+            boolean led = leads(member.name);
+            if (led || member.wanted && !roster.inService(member, now)) {
                 out++;
                 strangers += led ? 0 : 1;
             }
@@ -296,14 +297,14 @@
             if (entry.getValue() != Step.WAITING) {
                 continue;
             }
-            Member one = roster.get(entry.getKey());
+            Member member = roster.get(entry.getKey());
             // one that is known to be out loses nothing by its change; one not heard lately may well serve
-            boolean free = one.wanted && one.state != State.UP;
+            boolean free = member.wanted && member.state != State.UP;
             if (out < most || free) {
                 out += free ? 0 : 1;
-                entry.setValue(one.lives() ? Step.LEAVING : Step.GONE);
-                if (one.lives() && one.state != State.LEAVING) {
-                    next.add(one);
+                entry.setValue(member.lives() ? Step.LEAVING : Step.GONE);
+                if (member.lives() && member.state != State.LEAVING) {
+                    next.add(member);
                 }
             } else {
                 waiting = true;
--- a/server/src/main/java/wheatspread/fleet/Roster.java
+++ b/server/src/main/java/wheatspread/fleet/Roster.java
@@ -31,9 +31,9 @@
 
     /** One that a plan no longer has, but that lives. */
     Member add(String name, String build) {
-        Member one = new Member(name, build);
-        members.put(name, one);
-        return one;
+        Member member = new Member(name, build);
+        members.put(name, member);
+        return member;
     }
 
     public Collection<Member> all() {
@@ -42,64 +42,66 @@
 
     /** How many are in a state. */
     public int count(State state) {
-        return (int) members.values().stream().filter(one -> one.state == state).count();
+        return (int) members.values().stream()
+                .filter(member -> member.state == state)
+                .count();
     }
 
     /** Whether what is known of it is too old to go by. */
-    public boolean isStale(Member one, long now) {
-        boolean checked = one.state == State.UP || one.state == State.UNWELL;
-        return checked && now - Math.max(one.heardAt, one.wellAt) > stale;
+    public boolean isStale(Member member, long now) {
+        boolean checked = member.state == State.UP || member.state == State.UNWELL;
+        return checked && now - Math.max(member.heardAt, member.wellAt) > stale;
     }
 
     /** Whether it takes work, as far as is known. */
-    public boolean inService(Member one, long now) {
-        return one.state == State.UP && !isStale(one, now);
+    public boolean inService(Member member, long now) {
+        return member.state == State.UP && !isStale(member, now);
     }
 
     /** Those wanted that are not in service. */
     public List<Member> out(long now) {
         List<Member> out = new ArrayList<>();
-        for (Member one : members.values()) {
-            if (one.wanted && !inService(one, now)) {
-                out.add(one);
+        for (Member member : members.values()) {
+            if (member.wanted && !inService(member, now)) {
+                out.add(member);
             }
         }
         return out;
     }
 
     /** A check was answered. Checks of an earlier generation say nothing. */
-    boolean heard(Member one, int generation, Health health, long now) {
-        if (one.generation != generation || !one.lives()) {
+    boolean heard(Member member, int generation, Health health, long now) {
+        if (member.generation != generation || !member.lives()) {
             return false;
         }
-        one.heardAt = now;
-        one.health = health;
-        one.unsureUntil = 0;
-        State before = one.state;
+        member.heardAt = now;
+        member.health = health;
+        member.unsureUntil = 0;
+        State before = member.state;
         if (health.well()) {
-            one.badChecks = 0;
-            if (one.state == State.STARTING || one.state == State.UNWELL) {
-                one.enter(State.UP, now);
-                one.wellAt = one.wellAt == 0 ? now : one.wellAt;
+            member.badChecks = 0;
+            if (member.state == State.STARTING || member.state == State.UNWELL) {
+                member.enter(State.UP, now);
+                member.wellAt = member.wellAt == 0 ? now : member.wellAt;
             }
         } else {
-            bad(one, now);
+            bad(member, now);
         }
-        return one.state != before;
+        return member.state != before;
     }
 
     /** A check was not answered in time, or refused. */
-    boolean unheard(Member one, int generation, long now) {
-        State before = one.state;
-        if (one.generation == generation) {
-            bad(one, now);
+    boolean unheard(Member member, int generation, long now) {
+        State before = member.state;
+        if (member.generation == generation) {
+            bad(member, now);
         }
-        return one.state != before;
+        return member.state != before;
     }
 
-    private void bad(Member one, long now) {
-        if (one.state == State.UP && ++one.badChecks >= badAfter) {
-            one.enter(State.UNWELL, now);
+    private void bad(Member member, long now) {
+        if (member.state == State.UP && ++member.badChecks >= badAfter) {
+            member.enter(State.UNWELL, now);
         }
     }
 }
