--- a/lab/src/main/java/wheatspread/lab/deployments/DeploymentRun.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/DeploymentRun.java
@@ -31,18 +31,18 @@
     private static final long LIGHT_UNTIL = 2 * SECOND;
     private static final long CROWD_UNTIL = 5 * SECOND / 2;
     private static final long NOTICE = 5 * SECOND;
-    private static final long LAST_ASK = 8 * SECOND;
-    private static final long STOP_MOST = 4 * SECOND;
-    private static final int MOST_OPEN = 32;
-    private static final int ROUNDS = 4;
-    private static final int PATIENCE_MS = 10_000;
+    private static final long LAST_REQUEST = 8 * SECOND;
+    private static final long STOP_TIMEOUT = 4 * SECOND;
+    private static final int MAX_OPEN_REQUESTS = 32;
+    private static final int QUIET_ROUNDS = 4;
+    private static final int ACCEPT_TIMEOUT_MS = 10_000;
 
     /** What a demand for a field would make of a configuration or of a request's parameters: for tests. */
     public record Planted(UnaryOperator<JSONObject> config, UnaryOperator<JSONObject> params) {
         public static final Planted NONE = new Planted(told -> told, told -> told);
     }
 
-    private final Deployment site;
+    private final Deployment deployment;
     private final Planted planted;
     private final SplittableRandom random;
     private final Judge judge;
@@ -70,13 +70,13 @@
         }
     }
 
-    public DeploymentRun(Deployment site, long seed, Planted planted) {
-        this.site = site;
+    public DeploymentRun(Deployment deployment, long seed, Planted planted) {
+        this.deployment = deployment;
         this.planted = planted;
         random = new SplittableRandom(seed);
-        requests = new RequestGenerator(site, random);
-        judge = new Judge(site);
-        kernel = new Kernel(site, judge, START + LIGHT_UNTIL, this::after, text -> kernelLink.write(text));
+        requests = new RequestGenerator(deployment, random);
+        judge = new Judge(deployment);
+        kernel = new Kernel(deployment, judge, START + LIGHT_UNTIL, this::after, text -> kernelLink.write(text));
     }
 
     /** Plays it and returns the rules that were broken; empty where all held. */
@@ -84,7 +84,7 @@
         try (ServerSocket kernels = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             records = ServerSocketChannel.open().bind(new InetSocketAddress("127.0.0.1", 0));
             records.configureBlocking(false);
-            JSONObject told = planted.config.apply(site.config(
+            JSONObject told = planted.config.apply(deployment.config(
                     "127.0.0.1:" + kernels.getLocalPort(),
                     "127.0.0.1:" + records.socket().getLocalPort(),
                     "127.0.0.1:9"));
@@ -100,7 +100,7 @@
                 return judge.broken;
             }
             server.start();
-            kernels.setSoTimeout(PATIENCE_MS);
+            kernels.setSoTimeout(ACCEPT_TIMEOUT_MS);
             kernelLink = new LineConnection(kernels.accept());
             healthCheck.await(server.bound().get(0));
             plan();
@@ -113,15 +113,15 @@
     // ---- what is asked ----
 
     private void plan() {
-        int asked = 3 * site.cores;
-        long gap = Math.max(30_000, 400_000 / site.cores);
+        int asked = 3 * deployment.cores;
+        long gap = Math.max(30_000, 400_000 / deployment.cores);
         for (long at = SECOND / 5; at < LIGHT_UNTIL; at += gap) {
             events.add(START + at, () -> request(true));
         }
         for (int i = 0; i < Math.min(120, 12 * asked); i++) {
             events.add(START + LIGHT_UNTIL + random.nextLong(CROWD_UNTIL - LIGHT_UNTIL), () -> request(false));
         }
-        for (long at = CROWD_UNTIL; at < LAST_ASK; at += 2 * gap) {
+        for (long at = CROWD_UNTIL; at < LAST_REQUEST; at += 2 * gap) {
             events.add(START + at, () -> request(false));
         }
         events.add(START + NOTICE, () -> {
@@ -137,34 +137,34 @@
             return; // refused: it proves that nothing ran
         }
         requests.sent(drawn);
-        Try one = drawn.request();
+        Try request = drawn.request();
         int id = ++client.lastId;
         JSONObject params = requests.params(drawn);
-        judge.written(one);
-        client.open.put(id, one.txn);
+        judge.written(request);
+        client.open.put(id, request.txn);
         JSONObject message = new JSONObject()
                 .put("jsonrpc", "2.0")
                 .put("id", id)
-                .put("method", one.kind.name())
+                .put("method", request.kind.name())
                 .put("params", planted.params.apply(params));
         client.lines.write(message + "\n");
-        if (site.tellsGone && !light && random.nextInt(8) == 0) {
-            after(10_000 + random.nextLong(one.kind.deadline() * 500), () -> interrupt(client, id, one));
+        if (deployment.tellsGone && !light && random.nextInt(8) == 0) {
+            after(10_000 + random.nextLong(request.kind.deadline() * 500), () -> interrupt(client, id, request));
         }
     }
 
-    private void interrupt(ClientConnection client, int id, Try one) {
-        if (one.answer == null) {
-            one.gone = true;
+    private void interrupt(ClientConnection client, int id, Try request) {
+        if (request.answer == null) {
+            request.gone = true;
             client.lines.write("{\"jsonrpc\":\"2.0\",\"method\":\"interrupt\",\"params\":{\"id\":" + id + "}}\n");
-            kernel.gone(one.txn);
+            kernel.gone(request.txn);
         }
     }
 
     /** A connection that takes another request, or a new one; null if the server takes no connection. */
     private ClientConnection client() {
         for (ClientConnection client : clients) {
-            if (!client.lastCall && client.open.size() < MOST_OPEN && random.nextInt(3) > 0) {
+            if (!client.lastCall && client.open.size() < MAX_OPEN_REQUESTS && random.nextInt(3) > 0) {
                 return client;
             }
         }
@@ -186,7 +186,7 @@
     }
 
     private void run() throws IOException {
-        long end = START + NOTICE + STOP_MOST + SECOND;
+        long end = START + NOTICE + STOP_TIMEOUT + SECOND;
         settle();
         while (now < end && server.phase() != Phase.STOPPED) {
             long next = Math.min(clock.next(), events.next());
@@ -203,7 +203,7 @@
 
     /** Reads and carries out all that comes until nothing more does. */
     private void settle() throws IOException {
-        for (int quiet = 0; quiet < ROUNDS; quiet++) {
+        for (int quiet = 0; quiet < QUIET_ROUNDS; quiet++) {
             healthCheck.await(server.bound().get(0));
             clock.idle();
             if (pump()) {
--- a/lab/src/main/java/wheatspread/lab/deployments/Judge.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/Judge.java
@@ -46,7 +46,7 @@
         }
     }
 
-    private final Deployment site;
+    private final Deployment deployment;
     final List<String> broken = new ArrayList<>();
     private final Map<String, Try> tries = new HashMap<>();
     private final Map<String, Long> ranAt = new HashMap<>();
@@ -55,17 +55,17 @@
     private int light;
     private int lightServed;
 
-    Judge(Deployment site) {
-        this.site = site;
+    Judge(Deployment deployment) {
+        this.deployment = deployment;
     }
 
     void broken(String what) {
         broken.add(what);
     }
 
-    void written(Try one) {
-        tries.put(one.txn, one);
-        light += one.light ? 1 : 0;
+    void written(Try request) {
+        tries.put(request.txn, request);
+        light += request.light ? 1 : 0;
     }
 
     Try find(String txn) {
@@ -78,66 +78,66 @@
 
     /** The kernel is told to run a try; false where it is none, or was begun already and may not run anew. */
     boolean begins(String txn, String kind, String data) {
-        Try one = tries.get(txn);
-        if (one == null
-                || !one.kind.name().equals(kind)
-                || !new String(Base64.getDecoder().decode(data)).equals(one.body())) {
+        Try request = tries.get(txn);
+        if (request == null
+                || !request.kind.name().equals(kind)
+                || !new String(Base64.getDecoder().decode(data)).equals(request.body())) {
             broken("changed: run of " + txn + " as " + kind);
             return false;
         }
-        boolean safe = one.kind.effect() == Effect.IDEMPOTENT;
-        if (one.ran && !(safe && "abort".equals(site.halt))) {
+        boolean safe = request.kind.effect() == Effect.IDEMPOTENT;
+        if (request.ran && !(safe && "abort".equals(deployment.halt))) {
             broken("duplicate: a second run of " + txn);
         }
-        if (one.kind.effect() == Effect.KEYED) {
-            Long before = ranAt.get(one.key);
-            if (before != null && !one.ran && one.door <= before + one.kind.window() * 1_000) {
-                broken("duplicate: " + txn + " of key " + one.key + " runs within the window");
+        if (request.kind.effect() == Effect.KEYED) {
+            Long before = ranAt.get(request.key);
+            if (before != null && !request.ran && request.door <= before + request.kind.window() * 1_000) {
+                broken("duplicate: " + txn + " of key " + request.key + " runs within the window");
             }
-            ranAt.put(one.key, one.door);
+            ranAt.put(request.key, request.door);
         }
-        if (one.door - site.grace * 1_000 > noticeAt) {
-            broken("drain: " + txn + " runs, " + (one.door - noticeAt) / 1_000 + " ms after the notice");
+        if (request.door - deployment.grace * 1_000 > noticeAt) {
+            broken("drain: " + txn + " runs, " + (request.door - noticeAt) / 1_000 + " ms after the notice");
         }
-        one.ran = true;
+        request.ran = true;
         return true;
     }
 
     /** A run made this result, for its try and for those that may share it. */
-    void made(Try one, String result) {
-        results.computeIfAbsent(one.key == null ? one.txn : one.key, key -> new ArrayList<>())
+    void made(Try request, String result) {
+        results.computeIfAbsent(request.key == null ? request.txn : request.key, key -> new ArrayList<>())
                 .add(result);
     }
 
     void answered(String txn, JSONObject answer, long now) {
-        Try one = tries.get(txn);
+        Try request = tries.get(txn);
         JSONObject error = answer.optJSONObject("error");
         JSONObject fields = error == null ? answer.optJSONObject("result") : error.optJSONObject("data");
-        if (one.answer != null) {
+        if (request.answer != null) {
             broken("duplicate: two answers to " + txn);
         }
-        one.answer = error == null ? "served" : Integer.toString(error.getInt("code"));
-        if (!one.gone && now > one.due + SLACK) {
-            broken("lost: " + txn + " answered " + (now - one.due) / 1_000 + " ms after it was due");
+        request.answer = error == null ? "served" : Integer.toString(error.getInt("code"));
+        if (!request.gone && now > request.due + SLACK) {
+            broken("lost: " + txn + " answered " + (now - request.due) / 1_000 + " ms after it was due");
         }
         if (error == null) {
             String result = new String(
                     Base64.getDecoder().decode(answer.getJSONObject("result").getString("blob")));
-            if (!results.getOrDefault(one.key == null ? one.txn : one.key, List.of())
+            if (!results.getOrDefault(request.key == null ? request.txn : request.key, List.of())
                     .contains(result)) {
                 broken("lost: " + txn + " served with what no run made");
             }
-            lightServed += one.light ? 1 : 0;
-        } else if (error.getInt("code") == REFUSED && one.ran) {
+            lightServed += request.light ? 1 : 0;
+        } else if (error.getInt("code") == REFUSED && request.ran) {
             broken("duplicate: " + txn + " ran and was refused");
         } else if (MALFORMED.contains(error.getInt("code"))) {
             broken("not taken: " + txn + ": " + error.getString("message"));
         }
-        if (fields != null && fields.has("feedback") && (!site.advises() || fields.getDouble("feedback") < 0)) {
+        if (fields != null && fields.has("feedback") && (!deployment.advises() || fields.getDouble("feedback") < 0)) {
             broken("advice: a free value " + fields.get("feedback") + " where none is used");
         }
-        if (fields != null && fields.optDouble("later", 0) > site.mostStayAway) {
-            broken("advice: later " + fields.get("later") + " of " + site.mostStayAway);
+        if (fields != null && fields.optDouble("later", 0) > deployment.mostStayAway) {
+            broken("advice: later " + fields.get("later") + " of " + deployment.mostStayAway);
         }
     }
 
@@ -146,9 +146,9 @@
      * connection that is refused since the server leaves.
      */
     void crossed(String txn, long now) {
-        Try one = tries.get(txn);
-        if (!one.gone && (one.ran || now - one.door > CROSSED || noticeAt == Long.MAX_VALUE)) {
-            broken("lost: the connection of " + txn + " ended after " + (now - one.door) / 1_000 + " ms");
+        Try request = tries.get(txn);
+        if (!request.gone && (request.ran || now - request.door > CROSSED || noticeAt == Long.MAX_VALUE)) {
+            broken("lost: the connection of " + txn + " ended after " + (now - request.door) / 1_000 + " ms");
         }
         tries.remove(txn);
     }
@@ -156,11 +156,13 @@
     /** What is held and runs needs memory. */
     void memory(double runningKb, long now) {
         double held = 0;
-        for (Try one : tries.values()) {
-            held += one.answer == null && !one.gone && !one.ran && now > one.door + 100_000 ? one.ram : 0;
+        for (Try request : tries.values()) {
+            held += request.answer == null && !request.gone && !request.ran && now > request.door + 100_000
+                    ? request.ram
+                    : 0;
         }
-        if (held + runningKb > site.memoryKb) {
-            broken("fall-over: " + held + " and " + runningKb + " of " + site.memoryKb + " KB");
+        if (held + runningKb > deployment.memoryKb) {
+            broken("fall-over: " + held + " and " + runningKb + " of " + deployment.memoryKb + " KB");
         }
     }
 
@@ -170,15 +172,16 @@
      */
     void end(long leftAt) {
         tries.values().stream()
-                .filter(one -> one.answer == null && !one.gone)
-                .filter(one -> one.ran || one.door < leftAt - CROSSED)
-                .forEach(one -> broken("lost: " + one.txn + " has no answer, came " + (leftAt - one.door) / 1_000
-                        + " ms before the server left, " + (one.ran ? "ran" : "never ran")));
-        if (lightServed < light * (site.cold ? 0.2 : 0.6)) {
+                .filter(request -> request.answer == null && !request.gone)
+                .filter(request -> request.ran || request.door < leftAt - CROSSED)
+                .forEach(request ->
+                        broken("lost: " + request.txn + " has no answer, came " + (leftAt - request.door) / 1_000
+                                + " ms before the server left, " + (request.ran ? "ran" : "never ran")));
+        if (lightServed < light * (deployment.cold ? 0.2 : 0.6)) {
             broken("not served: " + lightServed + " of " + light + " under a light load: "
                     + tries.values().stream()
-                            .filter(one -> one.light)
-                            .map(one -> one.answer)
+                            .filter(request -> request.light)
+                            .map(request -> request.answer)
                             .toList());
         }
     }
--- a/lab/src/main/java/wheatspread/lab/deployments/Kernel.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/Kernel.java
@@ -35,7 +35,7 @@
         boolean waits;
     }
 
-    private final Deployment site;
+    private final Deployment deployment;
     private final Judge judge;
     private final long wellUntil;
     private final Later later;
@@ -48,9 +48,9 @@
     private long crowdAt;
 
     /** {@code wellUntil}: calls go well up to this time. */
-    Kernel(Deployment site, Judge judge, long wellUntil, Later later, Out out) {
+    Kernel(Deployment deployment, Judge judge, long wellUntil, Later later, Out out) {
         this.wellUntil = wellUntil;
-        this.site = site;
+        this.deployment = deployment;
         this.judge = judge;
         this.later = later;
         this.out = out;
@@ -62,10 +62,10 @@
 
     /** The speed a cold process has at least, of 1. */
     double speed(long start) {
-        double warmed = site.cold && site.coldFor > 0 && now < start + site.coldFor * 1_000
-                ? (double) (now - start) / (site.coldFor * 1_000)
+        double warmed = deployment.cold && deployment.coldFor > 0 && now < start + deployment.coldFor * 1_000
+                ? (double) (now - start) / (deployment.coldFor * 1_000)
                 : 1;
-        return site.coldFrom + (1 - site.coldFrom) * warmed;
+        return deployment.coldFrom + (1 - deployment.coldFrom) * warmed;
     }
 
     /** Moves the time on: the crowd on the cores is averaged over the 2 s of the rule. */
@@ -74,12 +74,12 @@
         crowd = crowd * weight + onCores() * (1 - weight);
         crowdAt = time;
         now = time;
-        if (crowd > site.cores * (1 + (site.tip - 1) * speed(start)) + 0.5) {
-            judge.broken("fall-over: " + crowd + " on " + site.cores + " cores");
+        if (crowd > deployment.cores * (1 + (deployment.tip - 1) * speed(start)) + 0.5) {
+            judge.broken("fall-over: " + crowd + " on " + deployment.cores + " cores");
         }
         judge.memory(
                 runs.values().stream()
-                        .mapToDouble(run -> run.of.ram * site.runFactor)
+                        .mapToDouble(run -> run.of.ram * deployment.runFactor)
                         .sum(),
                 now);
     }
@@ -91,8 +91,8 @@
             case "OPEN" ->
                 send(new JSONObject()
                         .put("type", "BOOTED")
-                        .put("state", site.cold ? "COLD" : "WARM")
-                        .put("took", site.cold ? 1 : 60_000));
+                        .put("state", deployment.cold ? "COLD" : "WARM")
+                        .put("took", deployment.cold ? 1 : 60_000));
             case "SYSINFO" -> info(command.getString("ref"));
             case "SCHED" -> {
                 if (run == null && judge.begins(job, command.getString("kind"), command.getString("data"))) {
@@ -101,8 +101,8 @@
             }
             case "PREEMPT" -> preempt(job, run);
             case "RESCHED" -> {
-                if (!"suspend".equals(site.halt)) {
-                    judge.broken("not allowed: RESCHED with halt " + site.halt);
+                if (!"suspend".equals(deployment.halt)) {
+                    judge.broken("not allowed: RESCHED with halt " + deployment.halt);
                 } else if (run != null && run.paused) {
                     run.paused = false;
                     work(job, run);
@@ -114,9 +114,9 @@
     }
 
     private void info(String ref) {
-        List<Object> row = site.gauges.stream()
+        List<Object> row = deployment.gauges.stream()
                 .map(name -> switch (name) {
-                    case "core_use" -> (Object) Math.min(1, (double) onCores() / site.cores);
+                    case "core_use" -> (Object) Math.min(1, (double) onCores() / deployment.cores);
                     case "on_cores" -> onCores();
                     case "links" -> 4;
                     default -> 0.1;
@@ -138,7 +138,8 @@
         run.onCores = true;
         run.began = now;
         int turn = ++run.turn;
-        double slower = Math.max(1, (double) onCores() / site.cores) / (site.cold ? site.coldFrom : 1);
+        double slower =
+                Math.max(1, (double) onCores() / deployment.cores) / (deployment.cold ? deployment.coldFrom : 1);
         later.after((long) (run.left * slower), () -> {
             if (runs.get(job) == run && run.turn == turn && run.onCores) {
                 run.onCores = false;
@@ -159,13 +160,13 @@
     }
 
     private void preempt(String job, Run run) {
-        if (site.halt == null || site.halt.equals("silent")) {
+        if (deployment.halt == null || deployment.halt.equals("silent")) {
             judge.broken("not allowed: PREEMPT");
         } else if (run != null && run.onCores) {
             run.onCores = false;
             run.turn++;
             boolean owed = run.of.answer == null && !run.of.gone;
-            if (owed && site.halt.equals("suspend")) {
+            if (owed && deployment.halt.equals("suspend")) {
                 run.paused = true;
                 run.left = Math.max(1_000, run.left - (now - run.began));
             } else {
--- a/lab/src/main/java/wheatspread/lab/deployments/RequestGenerator.java
+++ b/lab/src/main/java/wheatspread/lab/deployments/RequestGenerator.java
@@ -17,24 +17,24 @@
      */
     record Drawn(Try request, boolean repeats) {}
 
-    private final Deployment site;
+    private final Deployment deployment;
     private final SplittableRandom random;
     private final List<Try> keyed = new ArrayList<>();
 
-    RequestGenerator(Deployment site, SplittableRandom random) {
-        this.site = site;
+    RequestGenerator(Deployment deployment, SplittableRandom random) {
+        this.deployment = deployment;
         this.random = random;
     }
 
     /** A request that comes now; {@code light} where the load is light. */
     Drawn draw(long now, boolean light) {
-        Kind kind = site.kinds.get(random.nextInt(site.kinds.size()));
+        Kind kind = deployment.kinds.get(random.nextInt(deployment.kinds.size()));
         boolean repeats = kind.effect() == Effect.KEYED && !keyed.isEmpty() && random.nextInt(4) == 0;
         Try first = repeats ? keyed.get(random.nextInt(keyed.size())) : null;
         String txn = String.format("%016x", random.nextLong());
         String key = first == null ? newKey(kind, txn) : first.key;
         Kind asked = first == null ? kind : first.kind;
-        long limit = asked.deadline() - (site.limited ? random.nextLong(asked.deadline() / 4) : 0);
+        long limit = asked.deadline() - (deployment.limited ? random.nextLong(asked.deadline() / 4) : 0);
         Try request = new Try(txn, asked, key, now, now + limit * 1_000, 20 + random.nextInt(10), light);
         return new Drawn(request, repeats);
     }
@@ -43,7 +43,7 @@
         if (kind.effect() == Effect.KEYED) {
             return "unique-" + txn;
         }
-        boolean mayShare = kind.effect() == Effect.IDEMPOTENT && site.items && site.fresh > 0;
+        boolean mayShare = kind.effect() == Effect.IDEMPOTENT && deployment.items && deployment.fresh > 0;
         return mayShare ? "item-" + random.nextInt(20) + kind.name() : null;
     }
 
@@ -62,24 +62,24 @@
                 .put("door", request.door / 1_000)
                 .put("ram", request.ram)
                 .put("blob", Kernel.encode(request.body()));
-        if (site.limited) {
+        if (deployment.limited) {
             params.put("limit", (request.due - request.door) / 1_000);
         }
-        if (site.hinted) {
+        if (deployment.hinted) {
             params.put("cpu", 30.5);
         }
-        if (site.named) {
+        if (deployment.named) {
             params.put("lb", 2).put("standing", random.nextDouble());
         }
-        if (!site.tenants.isEmpty()) {
-            params.put("team", site.tenants.get(random.nextInt(site.tenants.size())));
+        if (!deployment.tenants.isEmpty()) {
+            params.put("team", deployment.tenants.get(random.nextInt(deployment.tenants.size())));
         }
-        if (site.marked && (drawn.repeats() || random.nextInt(5) == 0)) {
+        if (deployment.marked && (drawn.repeats() || random.nextInt(5) == 0)) {
             params.put("second", 1);
         }
         if (request.kind.effect() == Effect.KEYED) {
             params.put("unique", request.key);
-        } else if (site.items && request.kind.effect() == Effect.IDEMPOTENT) {
+        } else if (deployment.items && request.kind.effect() == Effect.IDEMPOTENT) {
             params.put("item", request.key == null ? "item-of-" + request.txn : request.key);
         }
         return params;
