Add lab settings: one server against tenants, routes, held requests, connections

The command starts the platform's own line with generated files, and reports start, reloads under load, and what is added to a request. What is added is the time to the answer less the run time that the stand-in kernel booked for this very request; a fixed run time would count the stand-in's own timer as the server's. The kernel of lab.standins was ruled out for that, and the rig's world, which has no tenants of its own and may start six servers at once.

Every SIGHUP is counted at the operators' door, a wrong file must be refused, and an answer that is late or lost is a fault; a server that does not start is reported with its exit code and message.

--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -23,7 +23,8 @@
             FaultsCommand.class,
             ModelCommand.class,
             CostCommand.class,
-            DeploymentsCommand.class
+            DeploymentsCommand.class,
+            SettingsCommand.class
         })
 public final class Lab implements Runnable {
     @CommandLine.Spec
--- a/lab/src/main/java/wheatspread/lab/Sites.java
+++ b/lab/src/main/java/wheatspread/lab/Sites.java
@@ -20,8 +20,41 @@
     private static final double[] SHARES = {0.51, 0.35, 0.14};
     private static final double QUOTA = 400;
 
+    /** Digits of a generated tenant's number. */
+    private static final String TENANT_NAME = "kitchen-%06d";
+
     private Sites() {}
 
+    /** The name of a generated tenant by its number, which counts from 0. */
+    public static String tenantName(int number) {
+        return String.format(TENANT_NAME, number);
+    }
+
+    /**
+     * So many generated tenants as a configuration lists them. Their quotas sum up to that of the usual site and
+     * fall as the reciprocals of their ranks do, as the sizes of customers use to.
+     */
+    public static JSONArray tenants(int count) {
+        double sum = 0;
+        for (int rank = 1; rank <= count; rank++) {
+            sum += 1.0 / rank;
+        }
+        JSONArray tenants = new JSONArray(count);
+        for (int number = 0; number < count; number++) {
+            double share = 1 / ((number + 1) * sum);
+            tenants.put(new JSONObject()
+                    .put("Name", tenantName(number))
+                    .put("QuotaPerS", rounded(QUOTA * share))
+                    .put("Share", rounded(share)));
+        }
+        return tenants;
+    }
+
+    /** To six digits behind the point, as configurations have figures. */
+    private static double rounded(double value) {
+        return Math.max(1, Math.round(value * 1e6)) / 1e6;
+    }
+
     /** The configuration of one server with so many descriptors. */
     public static JSONObject config(Parties parties, int sockets) {
         return config(parties.kernel(), parties.records(), parties.announce(), sockets, 12);
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/settings/CheckProbe.java
@@ -0,0 +1,84 @@
+package wheatspread.lab.settings;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStreamReader;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.locks.LockSupport;
+import org.HdrHistogram.Histogram;
+import org.json.JSONObject;
+
+/**
+ * Sends the request that a server answers at once a hundred times a second, and measures the time of its answer from
+ * when it should have been sent: what is seen from outside of a loop that does something else for long.
+ */
+final class CheckProbe implements AutoCloseable {
+    private static final long EVERY_NANOS = TimeUnit.MILLISECONDS.toNanos(10);
+    private static final int PATIENCE_MS = 30_000;
+
+    private final Socket socket;
+    private final Thread thread;
+    private Histogram times = newHistogram();
+    private volatile boolean closed;
+
+    CheckProbe(InetSocketAddress to) throws IOException {
+        socket = new Socket(to.getAddress(), to.getPort());
+        socket.setTcpNoDelay(true);
+        socket.setSoTimeout(PATIENCE_MS);
+        thread = new Thread(this::run, "check probe");
+        thread.setDaemon(true);
+        thread.start();
+    }
+
+    private static Histogram newHistogram() {
+        return new Histogram(1, TimeUnit.MINUTES.toMicros(1), 3);
+    }
+
+    private void run() {
+        byte[] check = JsonRpcWire.CHECK.getBytes(StandardCharsets.US_ASCII);
+        try (BufferedReader in =
+                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.UTF_8))) {
+            for (long due = System.nanoTime(); !closed; due += EVERY_NANOS) {
+                LockSupport.parkNanos(due - System.nanoTime());
+                socket.getOutputStream().write(check);
+                if (in.readLine() == null) {
+                    return;
+                }
+                record((System.nanoTime() - due) / 1_000);
+            }
+        } catch (IOException e) {
+            closed = true; // the server has gone, or answers nothing any more
+        }
+    }
+
+    private synchronized void record(long micros) {
+        times.recordValue(Math.max(1, micros));
+    }
+
+    /** Begins to measure anew. */
+    synchronized void begin() {
+        times = newHistogram();
+    }
+
+    /** A quantile of the answers since {@link #begin}, in milliseconds. */
+    synchronized double millis(double percent) {
+        return times.getValueAtPercentile(percent) / 1e3;
+    }
+
+    synchronized JSONObject figures() {
+        return new JSONObject()
+                .put("answered", times.getTotalCount())
+                .put("ms_p50", millis(50))
+                .put("ms_p99", millis(99))
+                .put("ms_max", times.getMaxValue() / 1e3);
+    }
+
+    @Override
+    public void close() throws IOException {
+        closed = true;
+        socket.close();
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/settings/ServerMeasurement.java
@@ -0,0 +1,115 @@
+package wheatspread.lab.settings;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import org.json.JSONArray;
+import org.json.JSONObject;
+
+/** The measurements of one server of a size, from its start to its end; what was broken stands in the figures. */
+public final class ServerMeasurement {
+    private static final long RUN_MICROS = 15_000;
+    /** Of a run while requests are held: so many fit into the bound on what is held. */
+    private static final long HELD_RUN_MICROS = 50_000;
+
+    private static final int FEW_CONNECTIONS = 10;
+    private static final int UWSGI_CONNECTIONS = 32;
+    /** An idle connection is greeted and forgotten by then. */
+    private static final long IDLE_MS = 1_000;
+
+    private final List<String> command;
+    private final Load load;
+
+    /**
+     * How much is asked.
+     *
+     * @param rate requests a second
+     * @param millis how long each point is measured
+     * @param reloads SIGHUPs in a row
+     * @param seed draws tenants, routes, classes and times
+     */
+    public record Load(double rate, long millis, int reloads, long seed) {}
+
+    /** {@code command} starts the program up to {@code serve}. */
+    public ServerMeasurement(List<String> command, Load load) {
+        this.command = List.copyOf(command);
+        this.load = load;
+    }
+
+    /** Start, delay on the platform's front, and reloads with so many tenants. */
+    public JSONObject ofTenants(int tenants, int routes) throws IOException, InterruptedException {
+        return played(new Stage.Size(tenants, routes, RUN_MICROS), (stage, drawn, figures, faults) -> {
+            try (Callers callers = jsonRpc(stage, drawn, FEW_CONNECTIONS);
+                    CheckProbe probe = new CheckProbe(stage.listen())) {
+                figures.put("delay", DelayMeasurement.measure(callers, load.rate, load.millis, faults));
+                figures.put(
+                        "reload",
+                        new ReloadMeasurement(stage.server(), stage.configuration(), callers, faults)
+                                .measure(load.reloads, load.rate, probe));
+            }
+        });
+    }
+
+    /** Start and delay on the uwsgi front with so many routes. */
+    public JSONObject ofRoutes(int tenants, int routes) throws IOException, InterruptedException {
+        return played(new Stage.Size(tenants, routes, RUN_MICROS), (stage, drawn, figures, faults) -> {
+            try (Callers callers =
+                    new Callers(new UwsgiWire(), stage.uwsgi(), UWSGI_CONNECTIONS, stage.kernel(), drawn)) {
+                figures.put("delay", DelayMeasurement.measure(callers, load.rate, load.millis, faults));
+            }
+        });
+    }
+
+    /** What is added while so many requests are open, most of them held. */
+    public JSONObject ofHeld(int tenants, int routes, int open) throws IOException, InterruptedException {
+        return played(new Stage.Size(tenants, routes, HELD_RUN_MICROS), (stage, drawn, figures, faults) -> {
+            try (Callers callers = jsonRpc(stage, drawn, FEW_CONNECTIONS);
+                    CheckProbe probe = new CheckProbe(stage.listen())) {
+                figures.put("held", HeldMeasurement.measure(callers, stage.kernel(), probe, open, load.millis));
+            }
+        });
+    }
+
+    /** Delay with so many connections, and the heap that each of them takes. */
+    public JSONObject ofConnections(int tenants, int routes, int connections) throws IOException, InterruptedException {
+        return played(new Stage.Size(tenants, routes, RUN_MICROS), (stage, drawn, figures, faults) -> {
+            long before = stage.server().liveHeapBytes();
+            try (Callers callers = jsonRpc(stage, drawn, connections)) {
+                TimeUnit.MILLISECONDS.sleep(IDLE_MS);
+                long after = stage.server().liveHeapBytes();
+                figures.put("idle_connection_bytes", (after - before) / (double) connections);
+                figures.put("delay", DelayMeasurement.measure(callers, load.rate, load.millis, faults));
+            }
+        });
+    }
+
+    /** What is measured once a server serves. */
+    private interface Act {
+        void play(Stage stage, Callers.Drawn drawn, JSONObject figures, List<String> faults)
+                throws IOException, InterruptedException;
+    }
+
+    private JSONObject played(Stage.Size size, Act act) throws IOException, InterruptedException {
+        JSONObject figures = new JSONObject().put("tenants", size.tenants()).put("routes", size.routes());
+        List<String> faults = new ArrayList<>();
+        try (Stage stage = new Stage(command, size)) {
+            JSONObject start = StartMeasurement.measure(stage.server());
+            figures.put("start", start);
+            if (start.getBoolean("started")) {
+                act.play(stage, new Callers.Drawn(size.tenants(), size.routes(), load.seed), figures, faults);
+                int code = stage.server().leave();
+                if (code != 0) {
+                    faults.add("left with " + code);
+                }
+            } else {
+                faults.add("did not start: " + start.getString("message"));
+            }
+        }
+        return figures.put("faults", new JSONArray(faults));
+    }
+
+    private static Callers jsonRpc(Stage stage, Callers.Drawn drawn, int connections) {
+        return new Callers(new JsonRpcWire(stage.runMillis()), stage.listen(), connections, stage.kernel(), drawn);
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/settings/UwsgiWire.java
@@ -0,0 +1,62 @@
+package wheatspread.lab.settings;
+
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.Unpooled;
+import io.netty.channel.Channel;
+import io.netty.handler.codec.http.FullHttpResponse;
+import io.netty.handler.codec.http.HttpObjectAggregator;
+import io.netty.handler.codec.http.HttpResponseDecoder;
+import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import wheatspread.uwsgi.UwsgiEncoder;
+import wheatspread.uwsgi.UwsgiPacket;
+
+/** The uwsgi front: packets of vars with a body behind them, answered in their order as HTTP. */
+final class UwsgiWire implements Callers.Wire {
+    private static final int LONGEST_ANSWER = 1 << 16;
+    private static final int OK = 200;
+    private static final int UNAVAILABLE = 503;
+
+    @Override
+    public void decodeInto(Channel channel) {
+        channel.pipeline().addLast(new HttpResponseDecoder(), new HttpObjectAggregator(LONGEST_ANSWER));
+    }
+
+    @Override
+    public ByteBuf greeting() {
+        return packet(Map.of("PATH_INFO", SettingsFiles.HEALTH_PATH));
+    }
+
+    /** The class comes from the route, as an operator's file has it, and the rest from the request. */
+    @Override
+    public ByteBuf encode(Callers.Request request) {
+        String number = Long.toString(request.number());
+        Map<String, String> vars = new LinkedHashMap<>();
+        vars.put("PATH_INFO", request.path());
+        vars.put("RECIPE_TENANT", request.tenant());
+        vars.put("RECIPE_UNIQUE", "r" + number);
+        vars.put("RECIPE_ITEM", "r" + number);
+        vars.put("CONTENT_LENGTH", Integer.toString(number.length()));
+        return packet(vars).writeBytes(number.getBytes(StandardCharsets.US_ASCII));
+    }
+
+    private static ByteBuf packet(Map<String, String> vars) {
+        ByteBuf out = Unpooled.buffer();
+        UwsgiEncoder.write(new UwsgiPacket(UwsgiPacket.REQUEST, 0, vars), out);
+        return out;
+    }
+
+    @Override
+    public long answers(Object message) {
+        return 0;
+    }
+
+    @Override
+    public Callers.Outcome outcome(Object message) {
+        int status = ((FullHttpResponse) message).status().code();
+        return status == OK
+                ? Callers.Outcome.SERVED
+                : status == UNAVAILABLE ? Callers.Outcome.REFUSED : Callers.Outcome.FAILED;
+    }
+}
