Name benchmark results by all their params, with bytes per operation and series

A result's part was named by its param "size" alone, so a benchmark with other params overwrote its own results, and nothing said what an operation allocates.

An only param still stands as its bare value, so the names in old reports stay; several stand as name=value. JMH's gc profiler runs along. Each numeric param gives a series for the capacity page, whose plain name, such as routes.find_us, holds the slowest of all combinations of the other params.

--- a/lab/src/main/java/wheatspread/lab/BenchCommand.java
+++ b/lab/src/main/java/wheatspread/lab/BenchCommand.java
@@ -1,10 +1,9 @@
 package wheatspread.lab;
 
 import java.nio.file.Path;
-import java.util.Collection;
+import java.util.List;
 import java.util.concurrent.Callable;
-import org.json.JSONObject;
-import org.openjdk.jmh.results.RunResult;
+import org.openjdk.jmh.profile.GCProfiler;
 import org.openjdk.jmh.runner.Runner;
 import org.openjdk.jmh.runner.options.Options;
 import org.openjdk.jmh.runner.options.OptionsBuilder;
@@ -12,6 +11,8 @@
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
 import picocli.CommandLine.Parameters;
+import wheatspread.lab.bench.Measured;
+import wheatspread.lab.bench.MeasuredSeries;
 import wheatspread.lab.report.Report;
 
 /** JMH over the structures made for the job, beside plain ones. */
@@ -38,19 +39,13 @@
                 .warmupTime(TimeValue.milliseconds(millis))
                 .measurementIterations(5)
                 .measurementTime(TimeValue.milliseconds(millis))
+                .addProfiler(GCProfiler.class)
                 .build();
-        Collection<RunResult> results = new Runner(options).run();
+        List<Measured> results =
+                new Runner(options).run().stream().map(Measured::of).toList();
         Report report = new Report(name);
-        for (RunResult result : results) {
-            String part = result.getParams().getBenchmark().replaceAll(".*\\.(\\w+\\.\\w+)$", "$1") + " "
-                    + result.getParams().getParam("size");
-            report.put(
-                    part,
-                    new JSONObject()
-                            .put("score", result.getPrimaryResult().getScore())
-                            .put("error", result.getPrimaryResult().getScoreError())
-                            .put("unit", result.getPrimaryResult().getScoreUnit()));
-        }
+        results.forEach(result -> report.put(result.part(), result.figures()));
+        MeasuredSeries.of(results).forEach(report::add);
         report.write(out);
         return 0;
     }
