Settings measurement outlives a server that ends while it is measured

A trial run stopped at 25,000 tenants: the first SIGHUP ended the server (exit code 70, loop_ended), its door did not answer, and all figures were lost.

What was measured by then is kept, the end is a fault with the exit code and the last log line, and the next point goes on. The door is given 30 s, since a server short of memory answers late. Warming takes 5 s, as some 200 requests pass before the JVM compiles what they need.

--- a/lab/src/main/java/wheatspread/lab/settings/DelayMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/DelayMeasurement.java
@@ -7,7 +7,7 @@
 /** What a server adds to the run time of a request at a steady rate. */
 final class DelayMeasurement {
     /** The JVM compiles what a request needs meanwhile. */
-    private static final long WARM_MS = 3_000;
+    private static final long WARM_MS = 5_000;
 
     private DelayMeasurement() {}
 
--- a/lab/src/main/java/wheatspread/lab/settings/MeasuredServer.java
+++ b/lab/src/main/java/wheatspread/lab/settings/MeasuredServer.java
@@ -98,6 +98,12 @@
         return log.lines();
     }
 
+    /** What it said last; empty where it said nothing. */
+    String lastLogLine() {
+        List<String> lines = log.lines();
+        return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
+    }
+
     /** How many lines of its log pass. */
     long logged(Predicate<String> wanted) {
         return log.lines().stream().filter(wanted).count();
--- a/lab/src/main/java/wheatspread/lab/settings/ReloadMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/ReloadMeasurement.java
@@ -12,7 +12,7 @@
  * and one with a wrong file. Every signal must be counted, as taken over or refused, and every request answered.
  */
 final class ReloadMeasurement {
-    private static final long COUNTED_MS = 60_000;
+    private static final long COUNTED_MS = 30_000;
     /** Between a reload and the next signal. */
     private static final long GAP_MS = 100;
 
@@ -39,32 +39,41 @@
         this.faults = faults;
     }
 
-    /** Reloads {@code count} times one after the other and again in a burst, at {@code rate} requests a second. */
-    JSONObject measure(int count, double rate, CheckProbe probe) throws IOException, InterruptedException {
+    /**
+     * Reloads {@code count} times one after the other and again in a burst, at {@code rate} requests a second. The
+     * figures that there are by then are kept where a server ends meanwhile.
+     */
+    void measure(int count, double rate, CheckProbe probe, JSONObject figures)
+            throws IOException, InterruptedException {
         server.resetPeak();
         TimeUnit.MILLISECONDS.sleep(REPORT_MS); // what was before does not count
         int logFrom = server.log().size();
         probe.begin();
         AnswerTimes answers = callers.begin();
         callers.ask(rate);
-        JSONObject figures = new JSONObject();
-        figures.put("one_by_one", oneByOne(count));
-        figures.put("burst", burst(count));
-        figures.put("wrong_file", wrongFile());
-        JSONObject checks = probe.figures();
-        int unanswered = callers.settle();
-        TimeUnit.MILLISECONDS.sleep(REPORT_MS);
-        if (answers.lateOrLost() > 0 || unanswered > 0) {
-            faults.add(answers.lateOrLost() + " answers late or lost during reloads");
+        try {
+            figures.put("one_by_one", oneByOne(count));
+            figures.put("burst", burst(count));
+            figures.put("wrong_file", wrongFile());
+        } finally {
+            figures.put("checks", probe.figures());
+            settle(answers, figures);
         }
-        return figures.put("peak_resident_bytes", server.peakResidentBytes())
+        TimeUnit.MILLISECONDS.sleep(REPORT_MS);
+        figures.put("peak_resident_bytes", server.peakResidentBytes())
                 .put("longest_turn_ms", server.longestTurnMillis(logFrom))
-                .put("checks", checks)
-                .put("answers", answers.figures())
                 .put("logged_reload", server.logged(line -> line.contains(RELOAD)))
                 .put("logged_reload_refused", server.logged(line -> line.contains(RELOAD_REFUSED)));
     }
 
+    private void settle(AnswerTimes answers, JSONObject figures) throws InterruptedException {
+        int unanswered = callers.settle();
+        figures.put("answers", answers.figures());
+        if (answers.lateOrLost() > 0 || unanswered > 0) {
+            faults.add(answers.lateOrLost() + " answers late or lost during reloads");
+        }
+    }
+
     private JSONObject oneByOne(int count) throws IOException, InterruptedException {
         MeasuredServer.Reloads before = counted();
         List<Double> seconds = new ArrayList<>();
@@ -114,7 +123,8 @@
         return new JSONObject().put("refused", refused).put("message", reason.replaceFirst("^\\S+ ", ""));
     }
 
-    private JSONObject sent(int count, MeasuredServer.Reloads before, String how) throws IOException {
+    private JSONObject sent(int count, MeasuredServer.Reloads before, String how)
+            throws IOException, InterruptedException {
         MeasuredServer.Reloads after = counted();
         long taken = after.taken() - before.taken();
         long refused = after.refused() - before.refused();
@@ -143,11 +153,17 @@
         return now == null ? 0 : now.all();
     }
 
-    private MeasuredServer.Reloads counted() throws IOException {
-        MeasuredServer.Reloads now = server.reloads();
-        if (now == null) {
+    private MeasuredServer.Reloads counted() throws IOException, InterruptedException {
+        MeasuredServer.Reloads[] now = new MeasuredServer.Reloads[1];
+        boolean answers = MeasuredServer.await(
+                () -> {
+                    now[0] = server.reloads();
+                    return now[0] != null || !server.isAlive();
+                },
+                COUNTED_MS);
+        if (!answers || now[0] == null) {
             throw new IOException("the operators' door does not answer");
         }
-        return now;
+        return now[0];
     }
 }
--- a/lab/src/main/java/wheatspread/lab/settings/ServerMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/ServerMeasurement.java
@@ -43,10 +43,10 @@
             try (Callers callers = jsonRpc(stage, drawn, FEW_CONNECTIONS);
                     CheckProbe probe = new CheckProbe(stage.listen())) {
                 figures.put("delay", DelayMeasurement.measure(callers, load.rate, load.millis, faults));
-                figures.put(
-                        "reload",
-                        new ReloadMeasurement(stage.server(), stage.configuration(), callers, faults)
-                                .measure(load.reloads, load.rate, probe));
+                JSONObject reload = new JSONObject();
+                figures.put("reload", reload);
+                new ReloadMeasurement(stage.server(), stage.configuration(), callers, faults)
+                        .measure(load.reloads, load.rate, probe, reload);
             }
         });
     }
@@ -97,11 +97,7 @@
             JSONObject start = StartMeasurement.measure(stage.server());
             figures.put("start", start);
             if (start.getBoolean("started")) {
-                act.play(stage, new Callers.Drawn(size.tenants(), size.routes(), load.seed), figures, faults);
-                int code = stage.server().leave();
-                if (code != 0) {
-                    faults.add("left with " + code);
-                }
+                play(stage, act, figures, faults);
             } else {
                 faults.add("did not start: " + start.getString("message"));
             }
@@ -109,7 +105,23 @@
         return figures.put("faults", new JSONArray(faults));
     }
 
+    private void play(Stage stage, Act act, JSONObject figures, List<String> faults) throws InterruptedException {
+        Stage.Size size = stage.size();
+        MeasuredServer server = stage.server();
+        try {
+            act.play(stage, new Callers.Drawn(size.tenants(), size.routes(), load.seed), figures, faults);
+        } catch (IOException e) { // the point is lost, the others are not
+            faults.add("not measured to the end: " + e.getMessage());
+        }
+        boolean ended = !server.isAlive();
+        int code = server.leave();
+        if (code != 0) {
+            faults.add((ended ? "ended by itself with " : "left with ") + code + ": " + server.lastLogLine());
+        }
+    }
+
     private static Callers jsonRpc(Stage stage, Callers.Drawn drawn, int connections) {
-        return new Callers(new JsonRpcWire(stage.runMillis()), stage.listen(), connections, stage.kernel(), drawn);
+        return new Callers(
+                new JsonRpcWire(stage.size().runMicros() / 1e3), stage.listen(), connections, stage.kernel(), drawn);
     }
 }
--- a/lab/src/main/java/wheatspread/lab/settings/Stage.java
+++ b/lab/src/main/java/wheatspread/lab/settings/Stage.java
@@ -19,14 +19,14 @@
     private final InetSocketAddress uwsgi;
     private final JSONObject configuration;
     private final MeasuredServer server;
-    private final double runMillis;
+    private final Size size;
 
     /** How many tenants and routes a server has, and how long each run on its kernel takes. */
     record Size(int tenants, int routes, long runMicros) {}
 
     /** Starts a server; {@code command} starts the program up to {@code serve}. */
     Stage(List<String> command, Size size) throws IOException {
-        runMillis = size.runMicros / 1e3;
+        this.size = size;
         parties = new Parties(size.runMicros, CALL_MICROS);
         kernel = new TimedKernel(size.runMicros);
         Ports ports = new Ports();
@@ -53,9 +53,9 @@
         return kernel;
     }
 
-    /** How long each run on the kernel takes. */
-    double runMillis() {
-        return runMillis;
+    /** The size of the server, and how long each run on the kernel takes. */
+    Size size() {
+        return size;
     }
 
     /** The configuration with which the server was started. */
--- a/lab/src/main/java/wheatspread/lab/settings/StartMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/StartMeasurement.java
@@ -1,7 +1,6 @@
 package wheatspread.lab.settings;
 
 import java.io.IOException;
-import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
 
@@ -23,12 +22,11 @@
         boolean serves = server.awaitServing(START_MS);
         double seconds = server.secondsSinceStart();
         if (!serves || !server.isAlive()) {
-            List<String> lines = server.log();
             return figures.put("started", false)
                     .put("seconds", seconds)
                     .put("exit_code", server.exitCode(END_MS))
-                    .put("log_lines", lines.size())
-                    .put("message", lines.isEmpty() ? "" : lines.get(lines.size() - 1));
+                    .put("log_lines", server.log().size())
+                    .put("message", server.lastLogLine());
         }
         double processor = server.processorSeconds();
         boolean ready = server.awaitReady(START_MS);
