--- a/lab/src/main/java/wheatspread/lab/SettingsCommand.java
+++ b/lab/src/main/java/wheatspread/lab/SettingsCommand.java
@@ -87,7 +87,7 @@
     @Option(names = "--seed", defaultValue = "1", description = "Draws what is asked (${DEFAULT-VALUE}).")
     private long seed;
 
-    @Option(names = "--core", defaultValue = "5", description = "The core it runs on, -1 for any (${DEFAULT-VALUE}).")
+    @Option(names = "--core", defaultValue = "1", description = "The core it runs on, -1 for any (${DEFAULT-VALUE}).")
     private int core;
 
     @Option(names = "--name", defaultValue = "settings", description = "The report's name (${DEFAULT-VALUE}).")
--- a/lab/src/main/java/wheatspread/lab/settings/MeasuredServer.java
+++ b/lab/src/main/java/wheatspread/lab/settings/MeasuredServer.java
@@ -10,6 +10,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.Predicate;
+import java.util.regex.Pattern;
 import org.json.JSONObject;
 import wheatspread.lab.standins.Doors;
 import wheatspread.lab.standins.Folders;
@@ -98,10 +99,14 @@
         return log.lines();
     }
 
-    /** What it said last; empty where it said nothing. */
-    String lastLogLine() {
+    /** Why it ended: the last line of its log that names an error, else the very last one; empty without any. */
+    String lastWords() {
         List<String> lines = log.lines();
-        return lines.isEmpty() ? "" : lines.get(lines.size() - 1);
+        Pattern error = Pattern.compile("ERROR|Error|Exception");
+        return lines.stream()
+                .filter(line -> error.matcher(line).find() && !line.startsWith("\tat "))
+                .reduce((first, last) -> last)
+                .orElse(lines.isEmpty() ? "" : lines.get(lines.size() - 1));
     }
 
     /** How many lines of its log pass. */
--- a/lab/src/main/java/wheatspread/lab/settings/ServerMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/ServerMeasurement.java
@@ -116,7 +116,7 @@
         boolean ended = !server.isAlive();
         int code = server.leave();
         if (code != 0) {
-            faults.add((ended ? "ended by itself with " : "left with ") + code + ": " + server.lastLogLine());
+            faults.add((ended ? "ended by itself with " : "left with ") + code + ": " + server.lastWords());
         }
     }
 
--- a/lab/src/main/java/wheatspread/lab/settings/StartMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/StartMeasurement.java
@@ -26,7 +26,7 @@
                     .put("seconds", seconds)
                     .put("exit_code", server.exitCode(END_MS))
                     .put("log_lines", server.log().size())
-                    .put("message", server.lastLogLine());
+                    .put("message", server.lastWords());
         }
         double processor = server.processorSeconds();
         boolean ready = server.awaitReady(START_MS);
