lab scale: fleets of hollow servers beside real ones, under faults of the rig

Need: operators plan with 1,400 servers, and no machine here carries that many processes. What membership costs a member, and how long a view takes after a crash, a rack, a zone, a cut and restarts, was known from virtual time alone.

Ruled out: relays on every link as in lab faults (two million links); a channel of the lab's own through sockets.Transport (the transport's datagram class is made by Netty without arguments, so it cannot know whose links it plays).

Change: peers.LinkFilter, none by default, drops messages of one member by the other's advertised address. lab.scale runs many peers.Peers to a process on their own sockets and on the program's own event loops; the rig speaks to the processes in typed lines.

--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -25,6 +25,9 @@
             CostCommand.class,
             DeploymentsCommand.class,
             SettingsCommand.class
+            ScaleCommand.class,
+            HollowCommand.class,
+            DeploymentsCommand.class
         })
 public final class Lab implements Runnable {
     @CommandLine.Spec
--- a/lab/src/main/java/wheatspread/lab/faults/CostRun.java
+++ b/lab/src/main/java/wheatspread/lab/faults/CostRun.java
@@ -1,8 +1,6 @@
 package wheatspread.lab.faults;
 
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
@@ -10,6 +8,7 @@
 import org.json.JSONArray;
 import org.json.JSONObject;
 import wheatspread.lab.rig.Member;
+import wheatspread.lab.rig.ProcessFigures;
 import wheatspread.lab.rig.Rig;
 import wheatspread.lab.standins.Doors;
 import wheatspread.lab.standins.Listening;
@@ -19,7 +18,6 @@
     /** The JVM compiles and the fleet forms meanwhile. */
     private static final long WARM_MS = 20_000;
 
-    private static final double TICKS_PER_S = 100;
     private static final int SEEDS = 3;
 
     private final Path jar;
@@ -89,43 +87,27 @@
     }
 
     private static double processorSeconds(Rig rig) throws IOException {
-        double ticks = 0;
+        double seconds = 0;
         for (Member one : rig.members()) {
-            String stat = Files.readString(Path.of("/proc/" + one.pid() + "/stat"));
-            String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-            ticks += Long.parseLong(fields[11]) + Long.parseLong(fields[12]);
+            seconds += ProcessFigures.processorSeconds(one.pid());
         }
-        return ticks / TICKS_PER_S;
+        return seconds;
     }
 
-    /** Mean of a server. */
+    /** Kilobytes, mean of a server. */
     private static double resident(Rig rig) throws IOException {
-        double kb = 0;
+        double bytes = 0;
         for (Member one : rig.members()) {
-            for (String line : Files.readAllLines(Path.of("/proc/" + one.pid() + "/status"))) {
-                if (line.startsWith("VmRSS:")) {
-                    kb += Long.parseLong(line.replaceAll("\\D", ""));
-                }
-            }
+            bytes += ProcessFigures.residentBytes(one.pid());
         }
-        return kb / rig.members().size();
+        return bytes / 1024 / rig.members().size();
     }
 
-    /** What a collection leaves, mean of a server, by the JDK's own tool. */
+    /** Kilobytes that a collection leaves, mean of a server. */
     private static double liveHeap(Rig rig) throws IOException, InterruptedException {
         double bytes = 0;
         for (Member one : rig.members()) {
-            Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
-            Process tool = new ProcessBuilder(jcmd.toString(), one.pid() + "", "GC.class_histogram")
-                    .redirectErrorStream(true)
-                    .start();
-            String told = new String(tool.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
-            tool.waitFor();
-            for (String line : told.split("\n")) {
-                if (line.startsWith("Total")) {
-                    bytes += Long.parseLong(line.trim().split("\\s+")[2]);
-                }
-            }
+            bytes += ProcessFigures.liveHeapBytes(one.pid());
         }
         return bytes / 1024 / rig.members().size();
     }
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/rig/ProcessFigures.java
@@ -0,0 +1,55 @@
+package wheatspread.lab.rig;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.stream.Stream;
+
+/** What the system and the JDK's tools tell of a running process, by its process id. */
+public final class ProcessFigures {
+    private static final double TICKS_PER_S = 100;
+    private static final int USER_TICKS = 11;
+    private static final int SYSTEM_TICKS = 12;
+
+    private ProcessFigures() {}
+
+    /** Processor time used since its start, of user and system, in seconds. */
+    public static double processorSeconds(long pid) throws IOException {
+        String stat = Files.readString(Path.of("/proc/" + pid + "/stat"));
+        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
+        return (Long.parseLong(fields[USER_TICKS]) + Long.parseLong(fields[SYSTEM_TICKS])) / TICKS_PER_S;
+    }
+
+    /** Resident bytes. */
+    public static long residentBytes(long pid) throws IOException {
+        for (String line : Files.readAllLines(Path.of("/proc/" + pid + "/status"))) {
+            if (line.startsWith("VmRSS:")) {
+                return Long.parseLong(line.replaceAll("\\D", "")) * 1024;
+            }
+        }
+        throw new IOException("process " + pid + " has no VmRSS");
+    }
+
+    /** Bytes of the Java heap that a full collection leaves; the collection stops the process meanwhile. */
+    public static long liveHeapBytes(long pid) throws IOException, InterruptedException {
+        Path jcmd = Path.of(System.getProperty("java.home"), "bin", "jcmd");
+        Process tool = new ProcessBuilder(jcmd.toString(), Long.toString(pid), "GC.class_histogram")
+                .redirectErrorStream(true)
+                .start();
+        String told = new String(tool.getInputStream().readAllBytes(), StandardCharsets.UTF_8);
+        tool.waitFor();
+        return told.lines()
+                .filter(line -> line.startsWith("Total"))
+                .mapToLong(line -> Long.parseLong(line.trim().split("\\s+")[2]))
+                .findFirst()
+                .orElseThrow(() -> new IOException("jcmd says nothing of process " + pid + "'s heap"));
+    }
+
+    /** Open descriptors. */
+    public static int descriptors(long pid) throws IOException {
+        try (Stream<Path> open = Files.list(Path.of("/proc/" + pid + "/fd"))) {
+            return (int) open.count();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowCheck.java
@@ -0,0 +1,59 @@
+package wheatspread.lab.scale;
+
+import java.io.IOException;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import org.json.JSONObject;
+
+/**
+ * Hollow servers checked against real ones: a fleet of real servers alone, without load, and one of as many hollow
+ * servers alone. What a real server spends besides membership stands in its figures too.
+ */
+public final class HollowCheck {
+    private static final double FORM_SECONDS = 60;
+    private static final double WARM_SECONDS = 12;
+    private static final double WATCH_SECONDS = 12;
+
+    private final ScaleSettings settings;
+    private final int servers;
+
+    public HollowCheck(ScaleSettings settings, int servers) {
+        this.settings = settings;
+        this.servers = servers;
+    }
+
+    /** Figures of a member in both fleets, and real less hollow. */
+    public JSONObject play() throws IOException, InterruptedException {
+        Map<String, Double> real = play(0, servers);
+        Map<String, Double> hollow = play(servers, 0);
+        Map<String, Double> difference = new LinkedHashMap<>();
+        real.forEach((name, value) -> difference.put(name, value - hollow.get(name)));
+        return new JSONObject()
+                .put("servers", servers)
+                .put("real", real)
+                .put("hollow", hollow)
+                .put("real_less_hollow", difference);
+    }
+
+    private Map<String, Double> play(int hollow, int real) throws IOException, InterruptedException {
+        try (ScaleFleet fleet = new ScaleFleet(settings, hollow, real)) {
+            fleet.start();
+            if (Double.isNaN(new Window(fleet).awaitView(System.nanoTime(), FORM_SECONDS))) {
+                throw new IOException("no view of " + fleet.members() + " servers in " + FORM_SECONDS + " s");
+            }
+            new Window(fleet).watch(WARM_SECONDS);
+            Window window = new Window(fleet);
+            window.watch(WATCH_SECONDS);
+            JSONObject told = window.figures();
+            boolean ofReal = real > 0;
+            Map<String, Double> figures = new LinkedHashMap<>();
+            figures.put("cpu_percent", told.getDouble(ofReal ? "real_cpu_percent" : "hollow_cpu_percent"));
+            figures.put("bytes_per_s", told.getDouble(ofReal ? "real_bytes_per_s" : "bytes_per_s"));
+            figures.put("messages_per_s", told.getDouble(ofReal ? "real_messages_per_s" : "messages_per_s"));
+            figures.put(
+                    "resident_bytes", ofReal ? fleet.real().residentBytes() : fleet.hollowResidentBytes() / servers);
+            figures.put("heap_bytes", ofReal ? fleet.real().liveHeapBytes() : fleet.hollowLiveHeapBytes() / servers);
+            return figures;
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowPlan.java
@@ -0,0 +1,52 @@
+package wheatspread.lab.scale;
+
+/**
+ * How many processes carry a number of hollow servers, and how large they are.
+ *
+ * @param members hollow servers in all
+ * @param fleet all members of the fleet, with the real servers
+ */
+public record HollowPlan(int members, int fleet) {
+    /** Members of one process at most. */
+    static final int MOST_IN_PROCESS = 350;
+    /** Event loops of a process. */
+    static final int LOOPS = 4;
+
+    private static final double HEAP_BASE_MB = 128;
+    /** A member's share of the heap, and what each other member of its view adds; with room for garbage. */
+    private static final double HEAP_MEMBER_MB = 0.6;
+
+    private static final double HEAP_MEMBER_OF_VIEW_MB = 0.0026;
+    private static final int OUTSIDE_HEAP_MB = 160;
+    /** A datagram socket and a listening one; streams are few and short. */
+    private static final int DESCRIPTORS_OF_MEMBER = 2;
+
+    private static final int DESCRIPTORS_BESIDE = 1_000;
+
+    /** How many processes. */
+    int processes() {
+        return (members + MOST_IN_PROCESS - 1) / MOST_IN_PROCESS;
+    }
+
+    /** Members of the process of that index: as many as the others, or one more. */
+    int membersOf(int process) {
+        int all = Math.max(1, processes());
+        return members / all + (process < members % all ? 1 : 0);
+    }
+
+    /** Largest Java heap of a process. */
+    int heapMb() {
+        double each = HEAP_MEMBER_MB + HEAP_MEMBER_OF_VIEW_MB * fleet;
+        return (int) Math.ceil(HEAP_BASE_MB + membersOf(0) * each);
+    }
+
+    /** Memory that all processes may take, heap and the rest. */
+    int memoryMb() {
+        return processes() * (heapMb() + OUTSIDE_HEAP_MB);
+    }
+
+    /** Descriptors that one process may open. */
+    int descriptors() {
+        return membersOf(0) * DESCRIPTORS_OF_MEMBER + DESCRIPTORS_BESIDE;
+    }
+}
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowProcess.java
@@ -0,0 +1,82 @@
+package wheatspread.lab.scale;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.Writer;
+import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+
+/** A process of hollow servers, started and spoken to by the rig. It ends when its standard input is closed. */
+final class HollowProcess implements AutoCloseable {
+    private static final long END_SECONDS = 5;
+
+    private final Process process;
+    private final BufferedReader in;
+    private final Writer out;
+
+    /** Starts a process for members of this cluster; {@code heapMb} is its largest heap. */
+    HollowProcess(String cluster, List<String> seeds, int heapMb, long seed) throws IOException {
+        process = new ProcessBuilder(List.of(
+                        Path.of(System.getProperty("java.home"), "bin", "java").toString(),
+                        // short pauses: a pause of this process stops all its members at once
+                        "-XX:+UseG1GC",
+                        "-XX:MaxGCPauseMillis=50",
+                        "-XX:ParallelGCThreads=2",
+                        "-XX:ConcGCThreads=1",
+                        "-XX:TieredStopAtLevel=1",
+                        "-Xms" + Math.max(64, heapMb / 4) + "m",
+                        "-Xmx" + heapMb + "m",
+                        "-Xss512k",
+                        "-Djdk.nio.maxCachedBufferSize=65536",
+                        "-Dio.netty.allocator.type=unpooled",
+                        "-Dio.netty.noPreferDirect=true",
+                        "-Djava.net.preferIPv4Stack=true",
+                        "-cp",
+                        System.getProperty("java.class.path"),
+                        "wheatspread.lab.Lab",
+                        "hollow",
+                        "--cluster",
+                        cluster,
+                        "--seeds",
+                        String.join(",", seeds),
+                        "--loops",
+                        Integer.toString(HollowPlan.LOOPS),
+                        "--seed",
+                        Long.toString(seed)))
+                .redirectError(ProcessBuilder.Redirect.INHERIT)
+                .start();
+        in = process.inputReader(StandardCharsets.UTF_8);
+        out = process.outputWriter(StandardCharsets.UTF_8);
+    }
+
+    long pid() {
+        return process.pid();
+    }
+
+    /** Gives an order, whose report is to be read. */
+    void say(HollowOrder order) throws IOException {
+        out.write(order.toLine() + "\n");
+        out.flush();
+    }
+
+    /** The report on the oldest order that has none yet. */
+    HollowReport hear() throws IOException {
+        String line = in.readLine();
+        if (line == null) {
+            throw new IOException("a process of hollow servers has ended");
+        }
+        return HollowReport.fromLine(line);
+    }
+
+    @Override
+    public void close() {
+        process.destroyForcibly();
+        try {
+            process.waitFor(END_SECONDS, TimeUnit.SECONDS);
+        } catch (InterruptedException e) {
+            Thread.currentThread().interrupt();
+        }
+    }
+}
--- /dev/null
+++ b/lab/src/test/java/wheatspread/lab/scale/ScaleStepTest.java
@@ -0,0 +1,67 @@
+package wheatspread.lab.scale;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.EnumSet;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeSet;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+import wheatspread.lab.standins.Doors;
+
+/** Sixty hollow servers and three real ones under load lose a rack of twenty. */
+class ScaleStepTest {
+    private static final int HOLLOW = 60;
+    private static final int REAL = 3;
+    private static final double FORM_SECONDS = 40;
+    private static final ScaleSettings SETTINGS = new ScaleSettings(
+            Path.of("../server/target/wheatspread.jar"),
+            List.of("-XX:+UseSerialGC", "-XX:TieredStopAtLevel=1", "-Xmx48m"),
+            REAL,
+            20,
+            1,
+            EnumSet.of(FaultKind.RACK));
+
+    @Test
+    @Timeout(120)
+    void exactlyTheMembersOfTheRackGoAndEveryRequestIsAnswered() throws Exception {
+        try (ScaleFleet fleet = new ScaleFleet(SETTINGS, HOLLOW, REAL)) {
+            fleet.start();
+            assertThat(new Window(fleet).awaitView(System.nanoTime(), FORM_SECONDS))
+                    .as("seconds until one view of all")
+                    .isNotNaN();
+            fleet.real().rig().world().ask(SETTINGS.rate());
+            JSONObject rack = new FaultPlayer(fleet, SETTINGS.seed()).play(FaultKind.RACK);
+            assertThat(rack.has("view_s")).as("one view on all: %s", rack).isTrue();
+            assertThat(rack.getInt("members")).isEqualTo(HOLLOW + REAL - FaultKind.RACK_SIZE);
+            assertThat(rack.getInt("wrongly_removed")).as("%s", rack).isZero();
+            assertThat(rack.getInt("old_at_end")).as("%s", rack).isZero();
+            assertThat(membersOfARealServer(fleet)).isEqualTo(living(fleet));
+            assertThat(fleet.real().rig().settle())
+                    .as("requests without an answer")
+                    .isZero();
+            JSONObject load = fleet.real().rig().world().ledger().figures();
+            assertThat(load.getLong("asked")).isPositive();
+            assertThat(load.getLong("served")).as("%s", load).isEqualTo(load.getLong("asked"));
+            assertThat(fleet.real().rig().world().ledger().faults()).isEmpty();
+        }
+    }
+
+    private static Set<String> membersOfARealServer(ScaleFleet fleet) {
+        JSONObject told = Doors.members(fleet.real().rig().members().get(0).door());
+        Set<String> names = new TreeSet<>();
+        told.getJSONArray("members").forEach(one -> names.add(((JSONObject) one).getString("name")));
+        return names;
+    }
+
+    private static Set<String> living(ScaleFleet fleet) {
+        List<String> names =
+                new ArrayList<>(fleet.alive().stream().map(MemberSpec::name).toList());
+        fleet.real().rig().members().forEach(one -> names.add(one.name()));
+        return new TreeSet<>(names);
+    }
+}
--- a/server/src/main/java/wheatspread/peers/PeerCounts.java
+++ b/server/src/main/java/wheatspread/peers/PeerCounts.java
@@ -43,6 +43,21 @@
         malformed.merge(kind, 1L, Long::sum);
     }
 
+    /** How many messages were sent. */
+    public long sent() {
+        return sent;
+    }
+
+    /** How many bytes were sent, without the headers of IP, UDP and TCP. */
+    public long sentBytes() {
+        return sentBytes;
+    }
+
+    /** How many messages came faster than {@link RateLimit} lets them be read. */
+    public long overRateCount() {
+        return overRate;
+    }
+
     public long malformed() {
         return malformed.values().stream().mapToLong(Long::longValue).sum();
     }
--- a/server/src/main/java/wheatspread/peers/Peers.java
+++ b/server/src/main/java/wheatspread/peers/Peers.java
@@ -57,6 +57,7 @@
     private final Membership membership;
     private final PeerCounts counts = new PeerCounts();
     private final RateLimit rate = new RateLimit();
+    private LinkFilter links = LinkFilter.NONE;
     private Channel datagrams;
     private Channel streams;
     private int streamsOpen;
@@ -85,6 +86,11 @@
         membership = new Membership(self, seeds, DetectorSettings.USUAL, random, new Outside());
     }
 
+    /** Messages pass this filter from now on; on the loop's thread, or before {@link #open}. */
+    public void filter(LinkFilter filter) {
+        links = filter;
+    }
+
     /** Binds both sockets and begins; where one can't be bound, neither is. */
     public Future<Void> open() {
         Promise<Void> opened = loop.newPromise();
@@ -201,6 +207,9 @@
         }
         try {
             MessageCodec.Received told = codec.decode(ByteBufUtil.getBytes(bytes));
+            if (!links.receives(told.address())) {
+                return;
+            }
             membership.received(told.address(), told.message(), Turns.micros());
             plan();
         } catch (Malformed e) {
@@ -218,6 +227,9 @@
                 return;
             }
             counts.sent(bytes.length);
+            if (!links.sends(address)) {
+                return;
+            }
             if (bytes.length > MOST_DATAGRAM) {
                 counts.large();
                 stream(to, bytes);
