lab scale: at least a loop for each core, loops' share and why a view is old in the report

Need: a trial of 100 hollow and 8 real servers came to no view within 60 s after two halves had been apart, on a machine with a load of 19 to 27 on 8 cores. The report could not tell a fleet that is slow from a rig that has no time.

Change: figures say what share of a core each event loop took and what a real server gives as the reason of its old view; one process of hollow servers has as many loops as the machine has cores.

--- a/lab/src/main/java/wheatspread/lab/scale/FaultPlayer.java
+++ b/lab/src/main/java/wheatspread/lab/scale/FaultPlayer.java
@@ -40,6 +40,7 @@
         }
         return Double.isNaN(view)
                 ? figures.put("finding", "no view in " + kind.limitSeconds() + " s")
+                        .put("why_old", fleet.real().whyOld())
                 : figures.put("view_s", view);
     }
 
--- a/lab/src/main/java/wheatspread/lab/scale/HollowPlan.java
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowPlan.java
@@ -9,9 +9,8 @@
 public record HollowPlan(int members, int fleet) {
     /** Members of one process at most. */
     static final int MOST_IN_PROCESS = 350;
-    /** Event loops of a process. */
-    static final int LOOPS = 4;
 
+    private static final int LEAST_LOOPS = 4;
     private static final double HEAP_BASE_MB = 128;
     /** A member's share of the heap, and what each other member of its view adds; with room for garbage. */
     private static final double HEAP_MEMBER_MB = 0.6;
@@ -34,6 +33,11 @@
         return members / all + (process < members % all ? 1 : 0);
     }
 
+    /** Event loops of a process: all processes together have at least one for each core. */
+    int loops() {
+        return Math.max(LEAST_LOOPS, Machine.cores() / Math.max(1, processes()));
+    }
+
     /** Largest Java heap of a process. */
     int heapMb() {
         double each = HEAP_MEMBER_MB + HEAP_MEMBER_OF_VIEW_MB * fleet;
--- a/lab/src/main/java/wheatspread/lab/scale/RealServers.java
+++ b/lab/src/main/java/wheatspread/lab/scale/RealServers.java
@@ -101,6 +101,16 @@
                 rig.members().stream().filter(one -> value(one, "stands") != 1).count();
     }
 
+    /** Why the first server with an old view says that it is old; empty where none does. */
+    String whyOld() {
+        return rig.members().stream()
+                .map(one -> Doors.members(one.door()))
+                .filter(told -> told != null && !told.getBoolean("stands"))
+                .map(told -> told.getString("name") + ": " + told.getString("why_not"))
+                .findFirst()
+                .orElse("");
+    }
+
     /** What they have sent to peers since their starts. */
     Sent sent() {
         long messages = 0;
--- a/lab/src/main/java/wheatspread/lab/scale/ScaleFleet.java
+++ b/lab/src/main/java/wheatspread/lab/scale/ScaleFleet.java
@@ -75,7 +75,7 @@
             real.rig().start();
         }
         for (int i = 0; i < plan.processes(); i++) {
-            processes.add(new HollowProcess(CLUSTER, seeds, plan.heapMb(), seed + i));
+            processes.add(new HollowProcess(CLUSTER, seeds, plan, seed + i));
         }
         int next = 0;
         for (String name : alive.keySet()) {
--- a/lab/src/main/java/wheatspread/lab/scale/ScaleStep.java
+++ b/lab/src/main/java/wheatspread/lab/scale/ScaleStep.java
@@ -50,7 +50,7 @@
                     .put("hollow", hollow)
                     .put("real", settings.real())
                     .put("hollow_processes", fleet.plan().processes())
-                    .put("loops_a_process", HollowPlan.LOOPS)
+                    .put("loops_a_process", fleet.plan().loops())
                     .put("heap_limit_mb_a_process", fleet.plan().heapMb())
                     .put("rate", settings.rate());
             Map<String, Double> points = new LinkedHashMap<>();
--- a/lab/src/main/java/wheatspread/lab/scale/Window.java
+++ b/lab/src/main/java/wheatspread/lab/scale/Window.java
@@ -80,12 +80,12 @@
         Set<String> wrongly = fleet.takeWronglyRemoved();
         double load = Machine.loadAverage();
         double busy = Machine.ticks().percentSince(ticks);
+        double used = PERCENT * (fleet.hollowProcessorSeconds() - hollowSeconds) / seconds;
+        int loops = Math.max(1, fleet.plan().processes() * fleet.plan().loops());
         JSONObject figures = new JSONObject()
                 .put("seconds", seconds)
                 .put("members", last.members())
-                .put(
-                        "hollow_cpu_percent",
-                        PERCENT * (fleet.hollowProcessorSeconds() - hollowSeconds) / seconds / hollow)
+                .put("hollow_cpu_percent", used / hollow)
                 .put("bytes_per_s", (last.bytes() - first.bytes()) / seconds / hollow)
                 .put("messages_per_s", (last.messages() - first.messages()) / seconds / hollow)
                 .put("bytes_per_s_worst_10s", worstBytes() / hollow)
@@ -96,6 +96,7 @@
                 .put("outside_at_end", last.outside())
                 .put("most_distrusting", mostDistrusting)
                 .put("views_at_end", last.views().size())
+                .put("hollow_loop_cpu_percent", used / loops)
                 .put("load_average", load)
                 .put("machine_cpu_percent", busy)
                 .put("machine_busy", load > Machine.cores() || busy > BUSY_PERCENT);
