Last names: auxiliary files of the store, held bytes of a caller's channel

FilesBesideLog is AuxiliaryFiles, Log.takeStock registerFiles, CallerHandler.drop releaseHeld. No code changes.

Measured: mvn verify with format, style and all tests of server (418) and lab (28): none failed, none skipped.

--- a/server/src/main/java/wheatspread/sockets/CallerHandler.java
+++ b/server/src/main/java/wheatspread/sockets/CallerHandler.java
@@ -108,7 +108,7 @@
 
     @Override
     public final void channelInactive(ChannelHandlerContext context) {
-        drop();
+        releaseHeld();
         listener.closed(this);
         gone();
     }
@@ -152,7 +152,7 @@
         int whole = read(all);
         listener.spent(size, whole);
         if (phase != Phase.OPEN || !all.isReadable()) {
-            drop();
+            releaseHeld();
         } else if (held == null) {
             held = Unpooled.buffer(all.readableBytes()).writeBytes(all);
         } else {
@@ -169,7 +169,7 @@
         }
     }
 
-    private void drop() {
+    private void releaseHeld() {
         if (held != null) {
             held.release();
             held = null;
@@ -278,7 +278,7 @@
     public final void leave() {
         if (phase == Phase.OPEN) {
             phase = Phase.LEAVING;
-            drop();
+            releaseHeld();
             listener.left(this);
             settle();
         }
--- a/server/src/main/java/wheatspread/store/FilesBesideLog.java
+++ b/server/src/main/java/wheatspread/store/AuxiliaryFiles.java
@@ -14,14 +14,14 @@
  * The files of the folder that are not part of the log: the checkpoint, what is to be deleted or set aside,
  * and what was set aside. They take room as well, so their sizes are kept.
  */
-final class FilesBesideLog {
+final class AuxiliaryFiles {
     private final Disk disk;
     private final EventLog log;
     private final Set<String> toDelete = new LinkedHashSet<>();
     private final Set<String> toSetAside = new LinkedHashSet<>();
     private final Map<String, Long> sizes = new TreeMap<>();
 
-    FilesBesideLog(StoreContext context) {
+    AuxiliaryFiles(StoreContext context) {
         disk = context.disk();
         log = context.log();
     }
--- a/server/src/main/java/wheatspread/store/DiskSpace.java
+++ b/server/src/main/java/wheatspread/store/DiskSpace.java
@@ -12,13 +12,13 @@
     private final StoreSettings settings;
     private final EventLog log;
     private final Catalog catalog;
-    private final FilesBesideLog files;
+    private final AuxiliaryFiles files;
     private final MaintenanceJobs jobs;
     private final WriteState state;
     private long checkedDiskAt = Long.MIN_VALUE / 2;
     private boolean diskHasRoom = true;
 
-    DiskSpace(StoreContext context, FilesBesideLog files, MaintenanceJobs jobs, WriteState state) {
+    DiskSpace(StoreContext context, AuxiliaryFiles files, MaintenanceJobs jobs, WriteState state) {
         disk = context.disk();
         settings = context.settings();
         log = context.log();
--- a/server/src/main/java/wheatspread/store/Log.java
+++ b/server/src/main/java/wheatspread/store/Log.java
@@ -22,7 +22,7 @@
     private final WriteState state = new WriteState();
     private final StoreStats.Counters counters = new StoreStats.Counters();
     private final SegmentWriter writer;
-    private final FilesBesideLog files;
+    private final AuxiliaryFiles files;
     private final CheckpointProgress checkpoints;
     private final MaintenanceJobs jobs;
     private final DiskSpace space;
@@ -38,7 +38,7 @@
         StoreContext context = new StoreContext(disk, settings, log, random, catalog, counters);
         checkpoints = new CheckpointProgress(recovered);
         writer = new SegmentWriter(context, recovery, checkpoints);
-        files = new FilesBesideLog(context);
+        files = new AuxiliaryFiles(context);
         CompactionPlanner compactions =
                 new CompactionPlanner(context, recovery.layout().gaps(), writer);
         jobs = new MaintenanceJobs(context, writer, compactions, checkpoints, files);
@@ -63,7 +63,7 @@
             Recovery recovery = new Recovery(disk, settings, log, nowMs, purpose);
             recovery.run(random);
             Log opened = new Log(disk, settings, log, random, lock, recovery);
-            opened.takeStock(recovery.layout());
+            opened.registerFiles(recovery.layout());
             if (purpose == Recovery.Purpose.WORK) {
                 opened.salvage(recovery.damaged(), nowMs);
             }
@@ -75,7 +75,7 @@
     }
 
     /** Counts the files beside the log that were found, and has old checkpoints deleted. */
-    private void takeStock(Layout layout) throws IOException {
+    private void registerFiles(Layout layout) throws IOException {
         for (String name : layout.aside()) {
             files.measure(name);
         }
--- a/server/src/main/java/wheatspread/store/MaintenanceJobs.java
+++ b/server/src/main/java/wheatspread/store/MaintenanceJobs.java
@@ -23,7 +23,7 @@
     private final SegmentWriter writer;
     private final CompactionPlanner compactions;
     private final CheckpointProgress checkpoints;
-    private final FilesBesideLog files;
+    private final AuxiliaryFiles files;
     private final StoreStats.Counters counters;
     /** The job in hand; null if there is none. */
     private Job job;
@@ -38,7 +38,7 @@
             SegmentWriter writer,
             CompactionPlanner compactions,
             CheckpointProgress checkpoints,
-            FilesBesideLog files) {
+            AuxiliaryFiles files) {
         disk = context.disk();
         settings = context.settings();
         log = context.log();
