--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -24,10 +24,9 @@
             ModelCommand.class,
             CostCommand.class,
             DeploymentsCommand.class,
-            SettingsCommand.class
+            SettingsCommand.class,
             ScaleCommand.class,
-            HollowCommand.class,
-            DeploymentsCommand.class
+            HollowCommand.class
         })
 public final class Lab implements Runnable {
     @CommandLine.Spec
