Index names by String.hashCode, with a bound on names that share one

Need: a look-up in a request took longer than the HashMap before.

Ruled out: a hash of our own; XXH3, which besides loads 28 classes at the start.

Change: the key is the string's hash code, followed by a fixed odd step where another name has it. Names made to share a code would make the reading quadratic, so at most 256 may, and a file with more is refused.

--- a/server/src/main/java/wheatspread/config/TenantReader.java
+++ b/server/src/main/java/wheatspread/config/TenantReader.java
@@ -61,7 +61,11 @@
             element.fault(
                     "Name", "is told twice, first by element " + elements[first] + place(first) + ": " + name, null);
         } else {
-            add(index, element, name);
+            try {
+                add(index, element, name);
+            } catch (IllegalArgumentException e) { // names made to have one hash code
+                element.fault("Name", "cannot be held: " + e.getMessage(), null);
+            }
         }
     }
 
--- a/server/src/main/java/wheatspread/core/NameTable.java
+++ b/server/src/main/java/wheatspread/core/NameTable.java
@@ -1,7 +1,5 @@
 package wheatspread.core;
 
-import com.dynatrace.hash4j.hashing.Hasher64;
-import com.dynatrace.hash4j.hashing.Hashing;
 import java.nio.charset.StandardCharsets;
 import java.util.AbstractList;
 import java.util.Arrays;
@@ -16,12 +14,15 @@
  */
 public final class NameTable extends AbstractList<String> implements RandomAccess {
     private static final int ABSENT = -1;
-    private static final Hasher64 HASHER = Hashing.xxh3_64();
+    /** How many names may have one hash code; more, which nobody has by chance, would make look-ups slow. */
+    static final int MOST_ALIKE = 256;
+    /** From the key that another name has taken to the next one to try; odd, so that all keys are tried. */
+    private static final int NEXT_KEY = 0x9E3779B9;
 
     private byte[] bytes = new byte[128];
     /** Where the name of each index ends in {@link #bytes}; it begins where the one before it ends. */
     private int[] ends = new int[8];
-    /** From a name's hash to its index; a hash that another name has taken is followed by the next number. */
+    /** From a name's hash code, or a key that follows it by {@link #NEXT_KEY}, to its index. */
     private final Int2IntHashMap byHash = new Int2IntHashMap(ABSENT);
 
     private int size;
@@ -37,7 +38,10 @@
             return table.indexOf(name);
         }
 
-        /** Adds a name under the next index; throws {@link IllegalArgumentException} where it is there already. */
+        /**
+         * Adds a name under the next index; throws {@link IllegalArgumentException} where it is there already,
+         * or where very many have its hash code.
+         */
         public void add(String name) {
             table.append(name);
         }
@@ -89,18 +93,15 @@
     }
 
     private int find(String name) {
-        int key = hash(name);
+        int key = name.hashCode();
         int index = byHash.get(key);
         while (index != ABSENT && !isAt(index, name)) {
-            index = byHash.get(++key);
+            key += NEXT_KEY;
+            index = byHash.get(key);
         }
         return index;
     }
 
-    private static int hash(String name) {
-        return Long.hashCode(HASHER.hashCharsToLong(name));
-    }
-
     private int start(int index) {
         return index == 0 ? 0 : ends[index - 1];
     }
@@ -121,10 +122,23 @@
         return name.length() == length;
     }
 
+    private int freeKey(String name) {
+        int key = name.hashCode();
+        int alike = 0;
+        while (byHash.get(key) != ABSENT) {
+            if (++alike == MOST_ALIKE) {
+                throw new IllegalArgumentException(MOST_ALIKE + " names have the hash code of " + name);
+            }
+            key += NEXT_KEY;
+        }
+        return key;
+    }
+
     private void append(String name) {
         if (find(name) != ABSENT) {
             throw new IllegalArgumentException("name given twice: " + name);
         }
+        int key = freeKey(name);
         byte[] encoded = name.getBytes(StandardCharsets.UTF_8);
         int start = size == 0 ? 0 : ends[size - 1];
         if (start + encoded.length > bytes.length) {
@@ -135,10 +149,6 @@
         }
         System.arraycopy(encoded, 0, bytes, start, encoded.length);
         ends[size] = start + encoded.length;
-        int key = hash(name);
-        while (byHash.get(key) != ABSENT) {
-            key++;
-        }
         byHash.put(key, size++);
     }
 
--- a/server/src/test/java/wheatspread/core/NameTableTest.java
+++ b/server/src/test/java/wheatspread/core/NameTableTest.java
@@ -9,7 +9,30 @@
 import org.junit.jupiter.api.Timeout;
 
 class NameTableTest {
-    /** Among so many names some 10 pairs have one hash, so the names themselves must be compared. */
+    /** Names are found by what they are, and not by their hash code alone: "Aa" and "BB" have one. */
+    @Test
+    void namesOfOneHashCodeAreToldApartUpToABound() {
+        NameTable.Builder builder = new NameTable.Builder();
+        for (int i = 0; i < NameTable.MOST_ALIKE; i++) {
+            builder.add(ofOneHashCode(i));
+        }
+        assertThatThrownBy(() -> builder.add(ofOneHashCode(NameTable.MOST_ALIKE)))
+                .hasMessageStartingWith("256 names have the hash code of ");
+        NameTable names = builder.build();
+        for (int i = 0; i < names.size(); i++) {
+            assertThat(names.indexOf(ofOneHashCode(i))).isEqualTo(i);
+        }
+        assertThat(names.indexOf(ofOneHashCode(names.size()))).isEqualTo(-1);
+    }
+
+    private static String ofOneHashCode(int number) {
+        StringBuilder name = new StringBuilder();
+        for (int bit = 0; bit < 10; bit++) {
+            name.append((number >> bit & 1) == 0 ? "Aa" : "BB");
+        }
+        return name.toString();
+    }
+
     @Test
     @Timeout(value = 30, unit = TimeUnit.SECONDS)
     void everyOfManyNamesWithOneLongPrefixIsFoundAndNoOther() {
