JsonFile reads a text in memory again, which the lab's scenario tests use

Cause: the streaming reader had dropped JsonFile.read(name, text) as unused in the server; lab's FaultsRunTest reads its scenario so and did not compile.

--- a/server/src/main/java/wheatspread/config/JsonFile.java
+++ b/server/src/main/java/wheatspread/config/JsonFile.java
@@ -10,6 +10,7 @@
 import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
 import java.io.Reader;
+import java.io.StringReader;
 import java.nio.file.Files;
 import java.nio.file.NoSuchFileException;
 import java.nio.file.Path;
@@ -94,6 +95,15 @@
         }
     }
 
+    /** The same of a text in memory; {@code name} is how complaints call it. */
+    public static Fields read(String name, String text) {
+        try {
+            return parse(name, new StringReader(text), Map.of());
+        } catch (IOException e) {
+            throw new IllegalStateException(e); // a text in memory can be read
+        }
+    }
+
     /** A file that is written in place while it is read may be half the old one and half the new one. */
     private static void requireUnchanged(Path file, BasicFileAttributes before) throws IOException {
         BasicFileAttributes after = Files.readAttributes(file, BasicFileAttributes.class);
