--- a/lab/src/main/java/wheatspread/lab/ModelCommand.java
+++ b/lab/src/main/java/wheatspread/lab/ModelCommand.java
@@ -1,6 +1,7 @@
 package wheatspread.lab;
 
 import java.nio.file.Path;
+import java.time.Duration;
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.Callable;
@@ -10,6 +11,7 @@
 import picocli.CommandLine.Parameters;
 import wheatspread.config.Fields;
 import wheatspread.lab.faults.Scenario;
+import wheatspread.lab.model.CapacitySweep;
 import wheatspread.lab.model.ModelRun;
 import wheatspread.lab.model.ModelSweep;
 import wheatspread.lab.report.Report;
@@ -38,6 +40,22 @@
                     + "--report also plots.")
     private List<Integer> sweep = List.of();
 
+    @Option(
+            names = "--capacity",
+            paramLabel = "SIZE",
+            split = ",",
+            description = "Fleets of these sizes, over 30, in each situation of the capacity page.")
+    private List<Integer> capacity = List.of();
+
+    @Option(
+            names = "--limit-s",
+            defaultValue = "240",
+            description = "A run of --capacity is stopped after so long by the wall clock (${DEFAULT-VALUE}).")
+    private int limitSeconds;
+
+    @Option(names = "--name", defaultValue = "model", description = "The report's name (${DEFAULT-VALUE}).")
+    private String name;
+
     @Option(names = "--seed", defaultValue = "1", split = ",", description = "Plays one run a seed (${DEFAULT-VALUE}).")
     private List<Long> seeds;
 
@@ -67,7 +85,7 @@
             System.err.println("--detector is " + detector + "; allowed are usual, suspicious and plain");
             return USAGE;
         }
-        Report report = new Report("model");
+        Report report = new Report(name);
         boolean held = true;
         for (long seed : seeds) {
             Map<String, Scenario> plays;
@@ -79,15 +97,18 @@
             }
             for (Map.Entry<String, Scenario> one : plays.entrySet()) {
                 ModelRun.Outcome outcome = new ModelRun(one.getValue(), settings, seed).play();
-                String name = one.getKey() + ", " + detector + ", seed " + seed;
-                report.put(name, outcome.figures().put("faults", new JSONArray(outcome.faults())));
-                System.out.println(name + " " + outcome.figures());
+                String played = one.getKey() + ", " + detector + ", seed " + seed;
+                report.put(played, outcome.figures().put("faults", new JSONArray(outcome.faults())));
+                System.out.println(played + " " + outcome.figures());
                 held &= outcome.faults().isEmpty();
             }
         }
         if (!sweep.isEmpty()) {
             held &= new ModelSweep(report, seeds.get(0)).play(sweep, out);
         }
+        if (!capacity.isEmpty()) {
+            new CapacitySweep(report, seeds.get(0), Duration.ofSeconds(limitSeconds), out).play(capacity);
+        }
         if (out != null) {
             report.write(out);
         }
--- a/lab/src/main/java/wheatspread/lab/model/ModelFleet.java
+++ b/lab/src/main/java/wheatspread/lab/model/ModelFleet.java
@@ -223,6 +223,12 @@
         return first != null;
     }
 
+    /** The bytes of the message that carries a whole view, as a server gets it that joins. */
+    int bytesOf(View view) {
+        MemberId from = view.members().get(0).id();
+        return codec.encode(new Message(from, view.id(), true, 0, new Message.Body.ViewIs(view), List.of())).length;
+    }
+
     int living() {
         return (int) processes.values().stream().filter(one -> one.alive).count();
     }
--- a/lab/src/main/java/wheatspread/lab/model/ModelRun.java
+++ b/lab/src/main/java/wheatspread/lab/model/ModelRun.java
@@ -1,5 +1,6 @@
 package wheatspread.lab.model;
 
+import java.time.Duration;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.Set;
@@ -31,8 +32,13 @@
     private final Set<String> ended = new TreeSet<>();
     private final List<double[]> seconds = new ArrayList<>();
 
-    /** What came of it; {@code faults} is empty where all held. A second has messages, bytes and views. */
-    public record Outcome(JSONObject figures, List<String> faults, List<double[]> seconds) {}
+    private long wallLimit = Long.MAX_VALUE;
+
+    /**
+     * What came of it; {@code faults} is empty where all held. A second has messages, bytes and views. A run that
+     * was not {@code finished} was stopped at its limit, and its figures cover the part that was played.
+     */
+    public record Outcome(JSONObject figures, List<String> faults, List<double[]> seconds, boolean finished) {}
 
     public ModelRun(Scenario scenario, DetectorSettings settings, long seed) {
         this.scenario = scenario;
@@ -43,6 +49,12 @@
                 time, links, random.split(), settings, scenario.members().subList(0, scenario.seeds()));
     }
 
+    /** Stops the run once it has taken so long by the wall clock; returns this. */
+    public ModelRun limit(Duration most) {
+        wallLimit = most.toNanos();
+        return this;
+    }
+
     /** Once an object. */
     public Outcome play() {
         long wall = System.nanoTime();
@@ -57,7 +69,8 @@
         long bytes = fleet.bytes();
         long end = begin + scenario.faultsEnd();
         long converged = -1;
-        for (long at = begin + LOOK; at <= begin + scenario.run(); at += LOOK) {
+        boolean finished = true;
+        for (long at = begin + LOOK; finished && at <= begin + scenario.run(); at += LOOK) {
             time.runUntil(at);
             if (converged < 0 && at >= end && fleet.agree(size())) {
                 converged = at - end;
@@ -65,8 +78,13 @@
             if ((at - begin) % SECOND == 0) {
                 seconds.add(new double[] {fleet.messages(), fleet.bytes(), fleet.views()});
             }
+            finished = System.nanoTime() - wall < wallLimit;
         }
-        return judge(converged, messages, bytes, System.nanoTime() - wall);
+        return judge(
+                converged,
+                new Before(messages, bytes, fleet.bytesOf(first)),
+                time.now() - begin,
+                System.nanoTime() - wall);
     }
 
     private int size() {
@@ -119,7 +137,10 @@
 
     // ---- what came of it ----
 
-    private Outcome judge(long converged, long messages, long bytes, long wall) {
+    /** What was sent before the run began, and the bytes of the view that it began with. */
+    private record Before(long messages, long bytes, int viewBytes) {}
+
+    private Outcome judge(long converged, Before before, long played, long wall) {
         List<String> faults = new ArrayList<>(fleet.faults());
         if (scenario.losesQuorum()) {
             if (fleet.standing().keySet().stream().anyMatch(one -> !one.endsWith(" old"))) {
@@ -141,7 +162,11 @@
         if (gone != null && !gone.equals(missed)) {
             faults.add("missed were " + missed + "; expected " + new TreeSet<>(gone));
         }
-        double memberSeconds = scenario.members().size() * (scenario.run() / 1e6);
+        double memberSeconds = scenario.members().size() * (played / 1e6);
+        boolean finished = played >= scenario.run();
+        if (!finished) {
+            faults.add("stopped at the limit of the wall clock after " + played / 1_000 + " ms of the run");
+        }
         return new Outcome(
                 new JSONObject()
                         .put("seed", seed)
@@ -154,10 +179,13 @@
                                 fleet.missed().stream()
                                         .filter(ModelFleet.Missed::alive)
                                         .count())
-                        .put("messages_per_member_s", (fleet.messages() - messages) / memberSeconds)
-                        .put("bytes_per_member_s", (fleet.bytes() - bytes) / memberSeconds)
+                        .put("messages_per_member_s", (fleet.messages() - before.messages) / memberSeconds)
+                        .put("bytes_per_member_s", (fleet.bytes() - before.bytes) / memberSeconds)
+                        .put("view_bytes", before.viewBytes())
+                        .put("wall_s", wall / 1_000_000_000)
                         .put("steps_per_s", time.carriedOut() / (wall / 1e9)),
                 faults,
-                seconds);
+                seconds,
+                finished);
     }
 }
--- /dev/null
+++ b/lab/src/test/java/wheatspread/lab/model/CapacitySweepTest.java
@@ -0,0 +1,60 @@
+package wheatspread.lab.model;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.time.Duration;
+import java.util.List;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.io.TempDir;
+import wheatspread.lab.report.Report;
+import wheatspread.lab.report.Series;
+
+/** Small fleets in each situation of the capacity page. */
+class CapacitySweepTest {
+    @TempDir
+    private Path folder;
+
+    private JSONObject play(Duration limit) throws Exception {
+        new CapacitySweep(new Report("small"), 1, limit, folder).play(List.of(48, 36));
+        return new JSONObject(Files.readString(folder.resolve("small.json")));
+    }
+
+    private static List<Series.Point> points(JSONObject report, String name) {
+        return Series.of(report).stream()
+                .filter(one -> one.name().equals(name))
+                .findFirst()
+                .orElseThrow()
+                .points();
+    }
+
+    @Test
+    void eachSituationGivesItsSeriesBySize() throws Exception {
+        JSONObject report = play(Duration.ofMinutes(1));
+        assertThat(points(report, "model.messages_per_s_idle"))
+                .extracting(Series.Point::size)
+                .containsExactly(36.0, 48.0);
+        assertThat(points(report, "model.view_s_crash"))
+                .allSatisfy(point -> assertThat(point.value()).isBetween(1.0, 10.0));
+        assertThat(points(report, "model.wrongly_removed_loss20"))
+                .allSatisfy(point -> assertThat(point.value()).isZero());
+        for (String name : List.of("rack", "zone", "halves", "restarts_x60")) {
+            assertThat(points(report, "model.bytes_per_s_" + name)).hasSize(2);
+        }
+    }
+
+    @Test
+    void aRunOverItsLimitGivesNoPointAndNoLargerSizeIsPlayed() throws Exception {
+        JSONObject report = play(Duration.ZERO);
+        assertThat(Series.of(report))
+                .isNotEmpty()
+                .allSatisfy(series -> assertThat(series.points()).isEmpty());
+        assertThat(report.getJSONObject("zone, 36 members")
+                        .getJSONArray("faults")
+                        .toString())
+                .contains("stopped at the limit");
+        assertThat(report.getJSONObject("zone, 48 members").has("not_run")).isTrue();
+    }
+}
