--- a/lab/src/main/java/wheatspread/lab/ModelCommand.java
+++ b/lab/src/main/java/wheatspread/lab/ModelCommand.java
@@ -47,6 +47,9 @@
             description = "Fleets of these sizes, over 30, in each situation of the capacity page.")
     private List<Integer> capacity = List.of();
 
+    @Option(names = "--situations", split = ",", description = "Only these of --capacity: ${COMPLETION-CANDIDATES}.")
+    private List<CapacitySweep.Situation> situations = List.of(CapacitySweep.Situation.values());
+
     @Option(
             names = "--limit-s",
             defaultValue = "240",
@@ -107,7 +110,7 @@
             held &= new ModelSweep(report, seeds.get(0)).play(sweep, out);
         }
         if (!capacity.isEmpty()) {
-            new CapacitySweep(report, seeds.get(0), Duration.ofSeconds(limitSeconds), out).play(capacity);
+            new CapacitySweep(report, seeds.get(0), Duration.ofSeconds(limitSeconds), out).play(situations, capacity);
         }
         if (out != null) {
             report.write(out);
--- a/lab/src/main/java/wheatspread/lab/model/CapacitySweep.java
+++ b/lab/src/main/java/wheatspread/lab/model/CapacitySweep.java
@@ -78,7 +78,7 @@
     }
 
     /** What befalls the fleet in a run. */
-    private enum Situation {
+    public enum Situation {
         IDLE(30),
         CRASH(20),
         RACK(20),
@@ -132,9 +132,9 @@
         this.folder = folder;
     }
 
-    /** Plays all situations at these sizes, smallest first; sizes are more than {@value #RACK_SERVERS} members. */
-    public void play(List<Integer> sizes) throws IOException {
-        for (Situation situation : Situation.values()) {
+    /** Plays situations at these sizes, smallest first; sizes are more than {@value #RACK_SERVERS} members. */
+    public void play(List<Situation> situations, List<Integer> sizes) throws IOException {
+        for (Situation situation : situations) {
             play(situation, sizes.stream().sorted().toList());
             if (folder != null) {
                 report.write(folder);
--- a/lab/src/test/java/wheatspread/lab/model/CapacitySweepTest.java
+++ b/lab/src/test/java/wheatspread/lab/model/CapacitySweepTest.java
@@ -18,7 +18,8 @@
     private Path folder;
 
     private JSONObject play(Duration limit) throws Exception {
-        new CapacitySweep(new Report("small"), 1, limit, folder).play(List.of(48, 36));
+        new CapacitySweep(new Report("small"), 1, limit, folder)
+                .play(List.of(CapacitySweep.Situation.values()), List.of(48, 36));
         return new JSONObject(Files.readString(folder.resolve("small.json")));
     }
 
