lab capacity: the capacity page, worked out from the report files

Need: what 1,400 servers, 100,000 tenants and 21,000 callers cost each role, how far that is from the budgets, and what breaks first; with figures that can't drift from the runs that gave them.

Ruled out: figures written into the page by hand; a spreadsheet language (a formula of four operators over names is enough); one bundled fit, since bytes with a fault bend upwards and times go with the logarithm.

Change: lab/capacity/plan.json holds quantities, budgets, assumptions, lines (series or single figures of a report, with a fit) and rows (a formula, the classes that carry it, a budget). A class that does not exist is a fault of the plan; a series that no report holds yet makes its rows "not measured".

--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/CapacityCommand.java
@@ -0,0 +1,70 @@
+package wheatspread.lab;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.List;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import wheatspread.config.Fields;
+import wheatspread.lab.capacity.Capacity;
+import wheatspread.lab.capacity.CapacityPage;
+import wheatspread.lab.capacity.CapacityPlan;
+import wheatspread.lab.capacity.ReportFiles;
+
+/** Works the capacity page out from report files. */
+@Command(
+        name = "capacity",
+        mixinStandardHelpOptions = true,
+        description = "Works out from the series of the report files what an installation of the planned size costs, "
+                + "and prints the tables of the capacity page.",
+        exitCodeListHeading = "%nExit codes:%n",
+        exitCodeList = {
+            "0:Printed or written; with --check the page fits its reports.",
+            "1:The page differs from its reports; a line for each difference.",
+            "64:The plan or the page is wrong; it says where."
+        })
+final class CapacityCommand implements Callable<Integer> {
+    private static final int USAGE = 64;
+
+    @Option(names = "--plan", defaultValue = "lab/capacity/plan.json", description = "${DEFAULT-VALUE}")
+    private Path plan;
+
+    @Option(names = "--reports", defaultValue = "docs/measurements", description = "${DEFAULT-VALUE}")
+    private Path reports;
+
+    @Option(names = "--write", paramLabel = "PAGE", description = "Replaces the generated blocks of this page.")
+    private Path write;
+
+    @Option(names = "--check", paramLabel = "PAGE", description = "Compares the generated blocks of this page.")
+    private Path check;
+
+    @Override
+    public Integer call() throws IOException {
+        Map<String, List<String>> blocks;
+        try {
+            blocks = Capacity.of(CapacityPlan.read(plan), new ReportFiles(reports))
+                    .blocks();
+            if (write != null) {
+                Files.write(write, new CapacityPage(Files.readAllLines(write)).with(blocks));
+            }
+            if (check != null) {
+                List<String> differences = new CapacityPage(Files.readAllLines(check)).differences(blocks);
+                differences.forEach(one -> System.out.println(check + ", " + one));
+                return differences.isEmpty() ? 0 : 1;
+            }
+        } catch (Fields.BadValue e) {
+            e.faults().forEach(System.err::println);
+            return USAGE;
+        } catch (IllegalArgumentException e) {
+            System.err.println(e.getMessage());
+            return USAGE;
+        }
+        if (write == null) {
+            blocks.forEach((name, block) -> System.out.println(name + "\n\n" + String.join("\n", block) + "\n"));
+        }
+        return 0;
+    }
+}
--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -26,7 +26,8 @@
             DeploymentsCommand.class,
             SettingsCommand.class,
             ScaleCommand.class,
-            HollowCommand.class
+            HollowCommand.class,
+            CapacityCommand.class
         })
 public final class Lab implements Runnable {
     @CommandLine.Spec
--- /dev/null
+++ b/lab/src/main/java/wheatspread/lab/capacity/ReportFiles.java
@@ -0,0 +1,94 @@
+package wheatspread.lab.capacity;
+
+import java.io.IOException;
+import java.nio.file.Files;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Map;
+import java.util.Optional;
+import java.util.TreeMap;
+import org.json.JSONArray;
+import org.json.JSONObject;
+import wheatspread.lab.report.Series;
+
+/** The report files of a folder, each read once. */
+public final class ReportFiles {
+    private static final String NOT_RUN = "not_run";
+    /** How the emulator begins what it says of a run over its limit. */
+    private static final String STOPPED = "stopped at the limit";
+
+    private final Path folder;
+    private final Map<String, Optional<JSONObject>> reports = new TreeMap<>();
+
+    public ReportFiles(Path folder) {
+        this.folder = folder;
+    }
+
+    /**
+     * The points of a planned line; empty where the report or the series is not there, or has too few points for
+     * the fit.
+     */
+    Optional<Series> points(LinePlan line) throws IOException {
+        Optional<JSONObject> report = report(line.report());
+        if (report.isEmpty()) {
+            return Optional.empty();
+        }
+        Optional<Series> series = line.series() == null
+                ? figures(line, report.get())
+                : Series.of(report.get()).stream()
+                        .filter(one -> one.name().equals(line.series()))
+                        .findFirst();
+        return series.filter(one ->
+                one.points().stream().mapToDouble(Series.Point::size).distinct().count()
+                        >= line.fit().leastSizes());
+    }
+
+    /** The command that wrote a report; empty where it is not known. */
+    String command(String file) throws IOException {
+        return report(file).map(report -> report.optString("command", "")).orElse("");
+    }
+
+    /** The runs of a report that were stopped or not begun, by name, each with what the report says of it. */
+    Map<String, String> notRun(String file) throws IOException {
+        Map<String, String> runs = new TreeMap<>();
+        JSONObject all = report(file).orElseGet(JSONObject::new);
+        for (String name : all.keySet()) {
+            JSONObject run = all.optJSONObject(name);
+            if (run != null && run.has(NOT_RUN)) {
+                runs.put(name, run.getString(NOT_RUN));
+            }
+            JSONArray faults = run == null ? null : run.optJSONArray("faults");
+            for (int i = 0; faults != null && i < faults.length(); i++) {
+                if (faults.getString(i).startsWith(STOPPED)) {
+                    runs.put(name, faults.getString(i));
+                }
+            }
+        }
+        return runs;
+    }
+
+    private static Optional<Series> figures(LinePlan line, JSONObject report) {
+        List<Series.Point> points = new ArrayList<>();
+        for (LinePlan.At one : line.figures()) {
+            Object value = report;
+            for (String key : one.keys()) {
+                value = value instanceof JSONObject object ? object.opt(key) : null;
+            }
+            if (!(value instanceof Number number)) {
+                return Optional.empty();
+            }
+            points.add(new Series.Point(one.size(), number.doubleValue()));
+        }
+        return Optional.of(new Series(line.points(), line.unit(), line.at(), points));
+    }
+
+    private Optional<JSONObject> report(String file) throws IOException {
+        if (!reports.containsKey(file)) {
+            Path path = folder.resolve(file);
+            reports.put(
+                    file, Files.exists(path) ? Optional.of(new JSONObject(Files.readString(path))) : Optional.empty());
+        }
+        return reports.get(file);
+    }
+}
