--- a/lab/src/main/java/wheatspread/lab/capacity/CapacityTables.java
+++ b/lab/src/main/java/wheatspread/lab/capacity/CapacityTables.java
@@ -32,7 +32,7 @@
         blocks.put("assumed", assumed());
         blocks.put("order", order());
         blocks.put("unmeasured", unmeasured());
-        blocks.put("stopped", stopped());
+        blocks.put("failed", failedRuns());
         return blocks;
     }
 
@@ -226,10 +226,10 @@
         return table;
     }
 
-    private List<String> stopped() throws IOException {
+    private List<String> failedRuns() throws IOException {
         List<String> table = head("report", "run", "what the report says");
         for (String file : reportFiles()) {
-            capacity.reports().notRun(file).forEach((name, why) -> table.add(row(file, name, why)));
+            capacity.reports().failedRuns(file).forEach((name, why) -> table.add(row(file, name, why)));
         }
         return table;
     }
--- a/lab/src/main/java/wheatspread/lab/capacity/ReportFiles.java
+++ b/lab/src/main/java/wheatspread/lab/capacity/ReportFiles.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.Optional;
 import java.util.TreeMap;
+import java.util.stream.Collectors;
 import org.json.JSONArray;
 import org.json.JSONObject;
 import wheatspread.lab.report.Series;
@@ -15,8 +16,7 @@
 /** The report files of a folder, each read once. */
 public final class ReportFiles {
     private static final String NOT_RUN = "not_run";
-    /** How the emulator begins what it says of a run over its limit. */
-    private static final String STOPPED = "stopped at the limit";
+    private static final String FAULTS = "faults";
 
     private final Path folder;
     private final Map<String, Optional<JSONObject>> reports = new TreeMap<>();
@@ -49,20 +49,17 @@
         return report(file).map(report -> report.optString("command", "")).orElse("");
     }
 
-    /** The runs of a report that were stopped or not begun, by name, each with what the report says of it. */
-    Map<String, String> notRun(String file) throws IOException {
+    /** The runs of a report that did not go as planned or were not begun, by name, with what the report says. */
+    Map<String, String> failedRuns(String file) throws IOException {
         Map<String, String> runs = new TreeMap<>();
         JSONObject all = report(file).orElseGet(JSONObject::new);
         for (String name : all.keySet()) {
-            JSONObject run = all.optJSONObject(name);
-            if (run != null && run.has(NOT_RUN)) {
-                runs.put(name, run.getString(NOT_RUN));
-            }
-            JSONArray faults = run == null ? null : run.optJSONArray("faults");
-            for (int i = 0; faults != null && i < faults.length(); i++) {
-                if (faults.getString(i).startsWith(STOPPED)) {
-                    runs.put(name, faults.getString(i));
-                }
+            JSONObject run = all.optJSONObject(name, new JSONObject());
+            JSONArray faults = run.optJSONArray(FAULTS, new JSONArray());
+            if (run.has(NOT_RUN)) {
+                runs.put(name, "not run: " + run.getString(NOT_RUN));
+            } else if (!faults.isEmpty()) {
+                runs.put(name, faults.toList().stream().map(String::valueOf).collect(Collectors.joining("; ")));
             }
         }
         return runs;
--- a/lab/src/main/java/wheatspread/lab/model/CapacitySweep.java
+++ b/lab/src/main/java/wheatspread/lab/model/CapacitySweep.java
@@ -59,19 +59,16 @@
             this.unit = unit;
         }
 
-        /** Adds a point; a run that came to no common view has none of the time to it. */
-        private void add(List<Series.Point> points, int size, JSONObject figures) {
-            if (this != VIEW || figures.getDouble("converged_ms") >= 0) {
-                points.add(new Series.Point(size, of(figures)));
-            }
-        }
-
+        /** The figure; of a run that came to no common view, the time waited for it, which is a lower bound. */
         private double of(JSONObject figures) {
             return switch (this) {
                 case VIEW_BYTES -> figures.getDouble("view_bytes");
                 case BYTES -> figures.getDouble("bytes_per_member_s");
                 case MESSAGES -> figures.getDouble("messages_per_member_s");
-                case VIEW -> figures.getDouble("converged_ms") / 1_000;
+                case VIEW ->
+                    figures.getDouble("converged_ms") < 0
+                            ? figures.getDouble("waited_s")
+                            : figures.getDouble("converged_ms") / 1_000;
                 case WRONGLY_REMOVED -> figures.getDouble("missed_alive");
             };
         }
@@ -101,7 +98,8 @@
             return switch (this) {
                 case IDLE -> EnumSet.of(Figure.BYTES, Figure.MESSAGES, Figure.VIEW_BYTES);
                 case CRASH, RACK, ZONE -> EnumSet.of(Figure.BYTES, Figure.VIEW);
-                case LOSS20, HALVES, RESTARTS_X60 -> EnumSet.of(Figure.BYTES, Figure.WRONGLY_REMOVED);
+                case HALVES -> EnumSet.of(Figure.BYTES, Figure.VIEW, Figure.WRONGLY_REMOVED);
+                case LOSS20, RESTARTS_X60 -> EnumSet.of(Figure.BYTES, Figure.WRONGLY_REMOVED);
             };
         }
 
@@ -152,19 +150,21 @@
                 report.put(part, new JSONObject().put("not_run", "a smaller fleet took longer than " + limit));
                 continue;
             }
-            ModelRun.Outcome outcome = new ModelRun(situation.scenario(size), DetectorSettings.USUAL, seed)
+            Scenario scenario = situation.scenario(size);
+            ModelRun.Outcome outcome = new ModelRun(scenario, DetectorSettings.USUAL, seed)
                     .limit(limit)
                     .play();
             JSONObject figures = outcome.figures();
             int missed = figures.getJSONArray("missed").length();
             figures.put("faults", new JSONArray(outcome.faults()))
                     .put("missed", missed)
-                    .put("run_s", situation.run / SECOND);
+                    .put("run_s", situation.run / SECOND)
+                    .put("waited_s", (situation.run - scenario.faultsEnd()) / (double) SECOND);
             report.put(part, figures);
             System.out.println(part + " " + figures);
             finished = outcome.finished();
             if (finished) {
-                points.forEach((figure, measured) -> figure.add(measured, size, figures));
+                points.forEach((figure, measured) -> measured.add(new Series.Point(size, figure.of(figures))));
             }
         }
         points.forEach((figure, measured) -> report.add(
--- a/lab/src/test/java/wheatspread/lab/model/CapacitySweepTest.java
+++ b/lab/src/test/java/wheatspread/lab/model/CapacitySweepTest.java
@@ -41,6 +41,9 @@
                 .allSatisfy(point -> assertThat(point.value()).isBetween(1.0, 10.0));
         assertThat(points(report, "model.wrongly_removed_loss20"))
                 .allSatisfy(point -> assertThat(point.value()).isZero());
+        assertThat(points(report, "model.view_s_rack"))
+                .as("of 36 servers too few are left for a view, which is waited for until the end of the run")
+                .contains(new Series.Point(36, 15));
         for (String name : List.of("rack", "zone", "halves", "restarts_x60")) {
             assertThat(points(report, "model.bytes_per_s_" + name)).hasSize(2);
         }
