--- a/lab/src/main/java/wheatspread/lab/capacity/ReportFiles.java
+++ b/lab/src/main/java/wheatspread/lab/capacity/ReportFiles.java
@@ -44,9 +44,11 @@
                         >= line.fit().leastSizes());
     }
 
-    /** The command that wrote a report; empty where it is not known. */
+    /** The command that wrote a report, without the folders of its machine; empty where it is not known. */
     String command(String file) throws IOException {
-        return report(file).map(report -> report.optString("command", "")).orElse("");
+        return report(file)
+                .map(report -> report.optString("command", "").replaceAll("(?<= )/\\S+", "DIR"))
+                .orElse("");
     }
 
     /** The runs of a report that did not go as planned or were not begun, by name, with what the report says. */
--- a/lab/src/main/java/wheatspread/lab/model/CapacitySweep.java
+++ b/lab/src/main/java/wheatspread/lab/model/CapacitySweep.java
@@ -36,7 +36,7 @@
     /** Restarts a member and second on an ordinary day: 2,300 a day among 1,400 servers. */
     private static final double DAILY_RESTARTS = 2_300.0 / 1_400 / 86_400;
     /** The daily rate is played so many times faster, so that a run of a minute holds restarts. */
-    private static final int HASTE = 60;
+    private static final int RESTART_SPEEDUP = 60;
 
     private final Report report;
     private final long seed;
@@ -200,7 +200,7 @@
     /** Single restarts at equal distances, spread over the zones, none in the last ten seconds. */
     private static List<Fault> restarts(List<String> names, long run) {
         List<Fault> restarts = new ArrayList<>();
-        double perSecond = DAILY_RESTARTS * HASTE * names.size();
+        double perSecond = DAILY_RESTARTS * RESTART_SPEEDUP * names.size();
         long end = run - 10 * SECOND;
         int number = 0;
         for (double at = SECOND; at < end; at += SECOND / perSecond) {
--- a/lab/src/test/java/wheatspread/lab/capacity/CapacityTest.java
+++ b/lab/src/test/java/wheatspread/lab/capacity/CapacityTest.java
@@ -31,7 +31,7 @@
             {"name": "absent", "report": "two.json", "series": "sent.bytes", "fit": "linear", "at": "members"}],
         """;
     private static final String REPORT = """
-        {"command": "lab one", "with": {"heap_kb": 3.5}, "series": [
+        {"command": "lab one --report /some/where lab/a.json", "with": {"heap_kb": 3.5}, "series": [
             {"name": "sent.bytes", "unit": "bytes/s", "per": "members", "points": [[100, 210], [200, 410]]},
             {"name": "played.bytes", "unit": "bytes/s", "per": "members", "points": [[700, 350]]}]}
         """;
@@ -96,6 +96,12 @@
                 .isFalse();
     }
 
+    @Test
+    void commandsAreShownWithoutTheFoldersOfTheirMachine() throws Exception {
+        assertThat(capacity(row("one", "sent")).blocks().get("commands"))
+                .contains("| one.json | `lab one --report DIR lab/a.json` |");
+    }
+
     @Test
     void rowsAreOrderedByTheFigureOverItsBudget() throws Exception {
         Capacity capacity = capacity(
