--- a/server/src/main/java/wheatspread/daemon/Marks.java
+++ b/server/src/main/java/wheatspread/daemon/Marks.java
@@ -1,6 +1,7 @@
 package wheatspread.daemon;
 
 import java.io.IOException;
+import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
 import java.nio.channels.FileChannel;
 import java.nio.channels.FileLock;
@@ -9,6 +10,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.nio.file.StandardOpenOption;
+import java.util.List;
 import java.util.concurrent.CompletableFuture;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
@@ -54,8 +56,11 @@
                 });
     }
 
-    /** Takes the lock, for good; the system lets go of it when the process ends, however it ends. */
-    void lock(JSONObject identity) throws IOException, Taken {
+    /**
+     * Takes the lock, in which name and mark then stand, for good; the system lets go of it when the process
+     * ends, however it ends.
+     */
+    void lock(String name, String mark) throws IOException, Taken {
         if (files.lockFile() == null) {
             return;
         }
@@ -68,6 +73,7 @@
             lock.close();
             throw new Taken(files.lockFile());
         }
+        JSONObject identity = identity(name).put("mark", mark);
         lock.truncate(0);
         lock.write(ByteBuffer.wrap((identity + "\n").getBytes(StandardCharsets.UTF_8)));
         if (files.readyFile() != null) {
@@ -91,8 +97,18 @@
         }
     }
 
-    void ready(JSONObject identity) {
-        write(files.readyFile(), identity);
+    /** Marks the process of this name as ready at these addresses since {@code atMillis}, Unix time. */
+    void ready(String name, List<InetSocketAddress> bound, long atMillis) {
+        List<String> listen = bound.stream()
+                .map(one -> one.getHostString() + ":" + one.getPort())
+                .toList();
+        write(files.readyFile(), identity(name).put("listen", listen).put("at", atMillis));
+    }
+
+    private static JSONObject identity(String name) {
+        return new JSONObject()
+                .put("name", name)
+                .put("pid", ProcessHandle.current().pid());
     }
 
     void notReady() {
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -7,7 +7,6 @@
 import io.netty.util.concurrent.Future;
 import java.io.IOException;
 import java.net.InetSocketAddress;
-import java.util.ArrayList;
 import java.util.LinkedHashMap;
 import java.util.List;
 import java.util.Map;
@@ -15,7 +14,6 @@
 import java.util.concurrent.TimeUnit;
 import java.util.function.BiFunction;
 import java.util.function.Supplier;
-import org.json.JSONObject;
 import wheatspread.admission.choice.Choice;
 import wheatspread.announce.AnnounceClient;
 import wheatspread.config.Configuration;
@@ -61,20 +59,12 @@
     private final RecordsClient records;
     private final AnnounceClient announcer;
     private final Core core;
-    /** The fronts with the addresses they listen on, in the order in which they are bound. */
-    private final Map<Listener, InetSocketAddress> fronts = new LinkedHashMap<>();
-
-    private final List<InetSocketAddress> bound = new ArrayList<>();
-    /** The front of the platform's proxies, which may accept on a socket it was handed. */
-    private final Listener platformFront;
+    private final Fronts fronts;
     /** This server among its peers; null where the operator's file does not ask for that. */
     private final FleetView fleet;
-    /** The operators' door; null where the configuration names none. */
-    private final Listener door;
 
     private final Reloads reloads;
     private final TakeOver takeOver;
-    private volatile InetSocketAddress doorAddress;
     private final CountDownLatch stopped = new CountDownLatch(1);
     private final Life life = new Life(this::entered);
     private final Marks marks;
@@ -122,8 +112,9 @@
         int sockets = Configuration.platformConnections(config, operator);
         UwsgiFront uwsgi =
                 operator.uwsgi() == null ? null : new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
+        Map<Listener, InetSocketAddress> addresses = new LinkedHashMap<>(); // in the order in which they are bound
         if (uwsgi != null) {
-            fronts.put(
+            addresses.put(
                     new Listener(loop, turns, clock, uwsgi, operator.uwsgiLimits(), log),
                     operator.uwsgi().listen());
         }
@@ -132,13 +123,13 @@
         if (operator.stats()) {
             platform.tellStats(() -> life.phase().name());
         }
-        platformFront = new Listener(
+        Listener platformFront = new Listener(
                 loop, turns, clock, platform, operator.connections().with(sockets), log);
-        fronts.put(platformFront, config.listen());
+        addresses.put(platformFront, config.listen());
         fleet = operator.membership() == null
                 ? null
                 : new FleetView(operator.membership(), config.name(), transport, loop, clock, log);
-        door = config.control() == null
+        Listener door = config.control() == null
                 ? null
                 : new Listener(
                         loop,
@@ -148,9 +139,10 @@
                                 () -> life.phase() == Phase.SERVING, this::vars, fleet == null ? null : fleet::answer),
                         ControlFront.limits(),
                         log);
+        fronts = new Fronts(addresses, platformFront, config.inherited(), door);
         shutdown = new GracefulShutdown(
                 core,
-                List.copyOf(fronts.keySet()),
+                fronts.listeners(),
                 clock,
                 marks,
                 log,
@@ -158,13 +150,13 @@
                 this::on);
         reports = new Reports(
                 core,
-                fronts,
+                addresses,
                 turns,
                 clock,
                 operator.reportSeconds(),
                 () -> life.phase().compareTo(Phase.CLOSING) < 0,
                 log);
-        core.closeIdleWith(after -> fronts.keySet().forEach(front -> front.closeIdle(after)));
+        core.closeIdleWith(fronts::closeIdle);
     }
 
     /**
@@ -216,10 +208,8 @@
                 if (from == Phase.BINDING) {
                     reports.begin();
                 }
-                if (config.inherited() >= 0) {
-                    platformFront.acceptHeld(); // until now the process before this one took what came
-                }
-                marks.ready(identity());
+                fronts.acceptHeld();
+                marks.ready(config.name(), fronts.bound(), clock.now() / 1000);
             }
             case DRAINING -> {
                 noticeAt = noticeAt == 0 ? clock.now() : noticeAt; // a kernel that was given up on sends none
@@ -231,24 +221,9 @@
         }
     }
 
-    private JSONObject identity() {
-        return new JSONObject()
-                .put("name", config.name())
-                .put("pid", ProcessHandle.current().pid())
-                .put(
-                        "listen",
-                        bound.stream()
-                                .map(one -> one.getHostString() + ":" + one.getPort())
-                                .toList())
-                .put("at", clock.now() / 1000);
-    }
-
     /** Takes the operator's lock; only one process of this name may go on. {@code mark} stands in it. */
     public void lock(String mark) throws IOException, Marks.Taken {
-        marks.lock(new JSONObject()
-                .put("name", config.name())
-                .put("pid", ProcessHandle.current().pid())
-                .put("mark", mark));
+        marks.lock(config.name(), mark);
     }
 
     /** Tells the loop's thread and waits for it. */
@@ -286,59 +261,43 @@
             return false;
         }
         try {
-            if (door != null) {
-                doorAddress = bind(door, config.control());
-            }
-            fronts.forEach((front, address) -> bound.add(
-                    front == platformFront && config.inherited() >= 0
-                            ? front.hold(config.inherited())
-                            : bind(front, address)));
+            fronts.bind(config.control());
             if (fleet != null) {
                 fleet.open(config.inherited() >= 0);
             }
         } catch (RuntimeException e) {
-            loop.submit(() -> {
-                        fronts.keySet().forEach(Listener::close);
-                        if (door != null) {
-                            door.close();
-                        }
-                        if (fleet != null) {
-                            fleet.close();
-                        }
-                        kernel.close();
-                        on(Event.BIND_FAILED);
-                    })
-                    .syncUninterruptibly();
+            onLoop(this::bindFailed);
             throw e;
         }
         log.info(
                 "listening",
                 "addresses",
-                bound,
+                fronts.bound(),
                 "inherited_fd",
                 config.inherited(),
                 "control",
-                door == null ? "none" : config.control());
+                config.control() == null ? "none" : config.control());
         ask(Event.BOUND);
         return true;
     }
 
-    private static InetSocketAddress bind(Listener front, InetSocketAddress address) {
-        try {
-            return front.listen(address);
-        } catch (Exception e) { // Netty throws what the system said, checked or not
-            throw new IllegalStateException("cannot listen on " + address + ": " + e.getMessage(), e);
+    private void bindFailed() {
+        fronts.close();
+        if (fleet != null) {
+            fleet.close();
         }
+        kernel.close();
+        on(Event.BIND_FAILED);
     }
 
     /** Where the operators' door listens; null where it does not. */
     public InetSocketAddress doorAddress() {
-        return doorAddress;
+        return fronts.doorAddress();
     }
 
     /** The addresses that were bound: the uwsgi front's first where it is on, then the platform's. */
     public List<InetSocketAddress> bound() {
-        return List.copyOf(bound);
+        return fronts.bound();
     }
 
     /**
@@ -400,9 +359,7 @@
         if (fleet != null) {
             fleet.leave();
         }
-        if (config.inherited() >= 0) {
-            platformFront.stopListening(); // the next process takes what comes from now on
-        }
+        fronts.releaseHeld();
     }
 
     private void close() {
@@ -414,7 +371,7 @@
         kernel.close();
         records.close();
         announcer.close();
-        shutdown.close(door, () -> on(Event.CLOSED));
+        shutdown.close(fronts.door(), () -> on(Event.CLOSED));
     }
 
     /** What became of the tries so far. */
