Call the warm-up before listening WarmUp, not Rehearsal

Need: the standard name for running code before service, so that the JVM has loaded and compiled it, is warm-up.

Change: daemon.Rehearsal is WarmUp, Server.rehearse() is warmUp(), with callers and pages. The log's event `rehearsed` and the phase REHEARSING keep their names: names of the log never change their meaning, and operators look for them.

--- a/server/src/main/java/wheatspread/commands/ServeCommand.java
+++ b/server/src/main/java/wheatspread/commands/ServeCommand.java
@@ -126,7 +126,7 @@
             throw new Exit.Failure(Exit.CANNOT_CREATE, e.toString());
         }
         listenToSignals(server, log);
-        server.rehearse();
+        server.warmUp();
         try {
             if (server.start()) {
                 whenListening.accept(server);
--- a/server/src/main/java/wheatspread/commands/TrainCommand.java
+++ b/server/src/main/java/wheatspread/commands/TrainCommand.java
@@ -13,7 +13,7 @@
 import wheatspread.logging.StructuredLog;
 
 /**
- * Starts a server, lets it rehearse, listen and leave, so that the build can archive the classes which a
+ * Starts a server, lets it warm up, listen and leave, so that the build can archive the classes which a
  * start loads ({@code -XX:ArchiveClassesAtExit}). What goes wrong is told and no failure: a server starts
  * without an archive too.
  */
--- a/server/src/main/java/wheatspread/daemon/Server.java
+++ b/server/src/main/java/wheatspread/daemon/Server.java
@@ -241,11 +241,11 @@
     }
 
     /** Warms the JVM before anybody can ask; a notice to leave ends it. */
-    public void rehearse() {
+    public void warmUp() {
         begin();
         if (!life.leaving()) {
             long began = System.nanoTime();
-            int played = new Rehearsal(config.site()).play(Rehearsal.LONGEST_NS, life::leaving);
+            int played = new WarmUp(config.site()).play(WarmUp.LONGEST_NS, life::leaving);
             log.info("rehearsed", "requests", played, "took_ms", (System.nanoTime() - began) / 1_000_000);
         }
     }
--- a/server/src/main/java/wheatspread/daemon/Rehearsal.java
+++ b/server/src/main/java/wheatspread/daemon/WarmUp.java
@@ -33,7 +33,7 @@
  * socket. Guards against the first seconds of service: until the JVM has loaded and compiled what a request
  * needs, a part of a core is too slow for the load, tries wait unread, and good ones are refused.
  */
-final class Rehearsal implements Clock, Kernel, Records {
+final class WarmUp implements Clock, Kernel, Records {
     private static final int ROUNDS = 400;
     /** It ends early where the core is slow: a server that comes late serves nobody. */
     static final long LONGEST_NS = 1_500_000_000L;
@@ -52,7 +52,7 @@
     private long set;
     private long notices;
 
-    Rehearsal(Site site) {
+    WarmUp(Site site) {
         this.site = site;
         core = new Core(site, settings -> new Choice(settings, 1), this, this, accepting -> {}, EventLog.NONE);
         core.attach(this);
@@ -100,7 +100,7 @@
         if (!site.tenants().isEmpty()) {
             params.put("team", site.tenants().get(round % site.tenants().size()));
         }
-        params.put(told.effect() == Effect.KEYED ? "unique" : "item", "rehearsed-" + round);
+        params.put(told.effect() == Effect.KEYED ? "unique" : "item", "warm-up-" + round);
         return new JSONObject()
                 .put("jsonrpc", "2.0")
                 .put("id", round)
--- a/server/src/test/java/wheatspread/daemon/BothFrontsTest.java
+++ b/server/src/test/java/wheatspread/daemon/BothFrontsTest.java
@@ -89,13 +89,13 @@
         }
     }
 
-    /** Guards against a rehearsal that compiles the refusal of requests in place of their service. */
+    /** Guards against a warm-up that compiles the refusal of requests in place of their service. */
     @Test
-    void theRehearsalServesWhatItAsks() throws Exception {
+    void theWarmUpServesWhatItAsks() throws Exception {
         JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
-        Rehearsal rehearsal =
-                new Rehearsal(ServerConfig.read(Fields.of(told.toMap(), "")).site());
-        assertThat(rehearsal.play(Long.MAX_VALUE / 2, () -> false)).isBetween(390, 400);
+        WarmUp warmUp =
+                new WarmUp(ServerConfig.read(Fields.of(told.toMap(), "")).site());
+        assertThat(warmUp.play(Long.MAX_VALUE / 2, () -> false)).isBetween(390, 400);
     }
 
     /** The answers over both protocols are those, and so the same. */
--- a/server/src/test/java/wheatspread/daemon/StartTest.java
+++ b/server/src/test/java/wheatspread/daemon/StartTest.java
@@ -71,7 +71,7 @@
         server.notice(Event.RELOAD);
         server.notice(Event.NOTICE);
         await(() -> server.phase() == Phase.STOPPED);
-        server.rehearse();
+        server.warmUp();
         assertThat(server.start()).isFalse();
         assertThat(server.awaitStopped()).isZero();
         Server other = server("127.0.0.1:0", LifeConfig.USUAL);
@@ -80,7 +80,7 @@
             other.notice(Event.NOTICE);
         });
         notice.start();
-        other.rehearse();
+        other.warmUp();
         notice.join();
         await(() -> other.phase() == Phase.STOPPED);
         assertThat(other.start()).isFalse();
@@ -90,10 +90,10 @@
 
     /**
      * SIGHUP with a kernel that has moved comes before the link is to be opened. A link opened then would
-     * tell that the kernel is up while the process rehearses, and nobody would hear it a second time.
+     * tell that the kernel is up while the process warms up, and nobody would hear it a second time.
      */
     @Test
-    void aKernelThatMovesDuringTheRehearsalIsHeardAtItsNewAddress() throws Exception {
+    void aKernelThatMovesDuringTheWarmUpIsHeardAtItsNewAddress() throws Exception {
         try (ServerSocket moved = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
             moved.setSoTimeout(10_000);
             JSONObject told = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
@@ -108,7 +108,7 @@
                 server.reload(() -> ServerConfig.read(Fields.of(told.toMap(), "")));
             });
             hangup.start();
-            server.rehearse();
+            server.warmUp();
             hangup.join();
             await(() -> logged.stream().anyMatch(line -> line.startsWith("retuned")));
             assertThat(server.start()).isTrue();
