--- a/lab/src/main/java/wheatspread/lab/settings/ReloadMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/ReloadMeasurement.java
@@ -77,10 +77,12 @@
     private JSONObject oneByOne(int count) throws IOException, InterruptedException {
         MeasuredServer.Reloads before = counted();
         List<Double> seconds = new ArrayList<>();
-        for (int i = 0; i < count; i++) {
+        int sent = 0;
+        while (sent < count) {
             long had = counted().all();
             long began = System.nanoTime();
             server.hangUp();
+            sent++;
             if (!awaitCounted(had + 1)) {
                 break;
             }
@@ -88,7 +90,7 @@
             TimeUnit.MILLISECONDS.sleep(GAP_MS);
         }
         Collections.sort(seconds);
-        JSONObject figures = sent(count, before, "one by one");
+        JSONObject figures = sent(sent, before, "one by one");
         return seconds.isEmpty()
                 ? figures
                 : figures.put("seconds_median", seconds.get(seconds.size() / 2))
@@ -123,15 +125,15 @@
         return new JSONObject().put("refused", refused).put("message", reason.replaceFirst("^\\S+ ", ""));
     }
 
-    private JSONObject sent(int count, MeasuredServer.Reloads before, String how)
+    private JSONObject sent(int sent, MeasuredServer.Reloads before, String how)
             throws IOException, InterruptedException {
         MeasuredServer.Reloads after = counted();
         long taken = after.taken() - before.taken();
         long refused = after.refused() - before.refused();
-        if (taken != count) {
-            faults.add(taken + " reloads taken and " + refused + " refused of " + count + " sent " + how);
+        if (taken != sent) {
+            faults.add(taken + " reloads taken and " + refused + " refused of " + sent + " sent " + how);
         }
-        return new JSONObject().put("sent", count).put("taken", taken).put("refused", refused);
+        return new JSONObject().put("sent", sent).put("taken", taken).put("refused", refused);
     }
 
     /**
