--- a/lab/src/main/java/wheatspread/lab/SettingsCommand.java
+++ b/lab/src/main/java/wheatspread/lab/SettingsCommand.java
@@ -55,6 +55,12 @@
             description = "Numbers of routes of the uwsgi front (${DEFAULT-VALUE}).")
     private List<Integer> routes;
 
+    @Option(
+            names = "--with-routes",
+            defaultValue = "10",
+            description = "Routes of the servers that are measured against tenants (${DEFAULT-VALUE}).")
+    private int withRoutes;
+
     @Option(
             names = "--held",
             defaultValue = "10,100,300",
@@ -104,7 +110,7 @@
         report = new Report(name);
         ServerMeasurement measurement =
                 new ServerMeasurement(serve(), new ServerMeasurement.Load(rate, seconds * 1_000L, reloads, seed));
-        measure(Dimension.TENANTS, tenants, size -> measurement.ofTenants(size, FEW_ROUTES));
+        measure(Dimension.TENANTS, tenants, size -> measurement.ofTenants(size, withRoutes));
         measure(Dimension.ROUTES, routes, size -> measurement.ofRoutes(FEW_TENANTS, size));
         measure(Dimension.HELD, held, size -> measurement.ofHeld(heldTenants, FEW_ROUTES, size));
         measure(Dimension.CONNECTIONS, connections, size -> measurement.ofConnections(FEW_TENANTS, FEW_ROUTES, size));
