Settings measurement: failed starts give no point, taken ports another try

A failed start is now ended_after_seconds, and files stand with their bare names.

A port that was free is taken by another rig on the same machine before the server binds it; such a start is tried again on other ports, five times at most, and every other failure stands as it was. Port 0 was ruled out, since the log does not tell the port of the operators' door.

--- a/lab/src/main/java/wheatspread/lab/settings/MeasuredServer.java
+++ b/lab/src/main/java/wheatspread/lab/settings/MeasuredServer.java
@@ -95,13 +95,15 @@
         return true;
     }
 
+    /** All it logged so far, with its files by their bare names. */
     List<String> log() {
-        return log.lines();
+        String parent = folder + File.separator;
+        return log.lines().stream().map(line -> line.replace(parent, "")).toList();
     }
 
     /** Why it ended: the last line of its log that names an error, else the very last one; empty without any. */
     String lastWords() {
-        List<String> lines = log.lines();
+        List<String> lines = log();
         Pattern error = Pattern.compile("ERROR|Error|Exception");
         return lines.stream()
                 .filter(line -> error.matcher(line).find() && !line.startsWith("\tat "))
--- a/lab/src/main/java/wheatspread/lab/settings/ServerMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/ServerMeasurement.java
@@ -18,6 +18,11 @@
     /** An idle connection is greeted and forgotten by then. */
     private static final long IDLE_MS = 1_000;
 
+    /** How often a start is tried where others take the ports chosen for it. */
+    private static final int MOST_PORTS = 5;
+
+    private static final String PORT_TAKEN = "Address already in use";
+
     private final List<String> command;
     private final Load load;
 
@@ -90,7 +95,20 @@
                 throws IOException, InterruptedException;
     }
 
+    /** A port that was free may be taken by another process of the machine before the server listens on it. */
     private JSONObject played(Stage.Size size, Act act) throws IOException, InterruptedException {
+        JSONObject figures = playedOnce(size, act);
+        for (int i = 1; i < MOST_PORTS && isPortTaken(figures.getJSONObject("start")); i++) {
+            figures = playedOnce(size, act);
+        }
+        return figures;
+    }
+
+    private static boolean isPortTaken(JSONObject start) {
+        return !start.getBoolean("started") && start.getString("message").contains(PORT_TAKEN);
+    }
+
+    private JSONObject playedOnce(Stage.Size size, Act act) throws IOException, InterruptedException {
         JSONObject figures = new JSONObject().put("tenants", size.tenants()).put("routes", size.routes());
         List<String> faults = new ArrayList<>();
         try (Stage stage = new Stage(command, size)) {
--- a/lab/src/main/java/wheatspread/lab/settings/StartMeasurement.java
+++ b/lab/src/main/java/wheatspread/lab/settings/StartMeasurement.java
@@ -23,7 +23,7 @@
         double seconds = server.secondsSinceStart();
         if (!serves || !server.isAlive()) {
             return figures.put("started", false)
-                    .put("seconds", seconds)
+                    .put("ended_after_seconds", seconds)
                     .put("exit_code", server.exitCode(END_MS))
                     .put("log_lines", server.log().size())
                     .put("message", server.lastWords());
--- a/lab/src/test/java/wheatspread/lab/settings/ServerMeasurementTest.java
+++ b/lab/src/test/java/wheatspread/lab/settings/ServerMeasurementTest.java
@@ -32,6 +32,9 @@
         assertThat(figures.optQuery("/reload/one_by_one/taken")).isEqualTo(2L);
         assertThat(figures.optQuery("/reload/burst/taken")).isEqualTo(2L);
         assertThat(figures.optQuery("/reload/wrong_file/refused")).isEqualTo(true);
+        assertThat((String) figures.optQuery("/reload/wrong_file/message"))
+                .contains("reload_refused")
+                .doesNotContain(System.getProperty("java.io.tmpdir"));
         assertThat(((Number) figures.optQuery("/delay/served")).longValue()).isPositive();
         assertThat(((Number) figures.optQuery("/reload/peak_resident_bytes")).longValue())
                 .isPositive();
@@ -51,6 +54,7 @@
     void tellsOfAServerThatDoesNotStart() throws Exception {
         JSONObject figures = new ServerMeasurement(List.of(JAVA, "-cp", ".", "NoServer"), LOAD).ofTenants(1, 1);
         assertThat(figures.optQuery("/start/started")).isEqualTo(false);
+        assertThat(figures.optQuery("/start/seconds")).isNull();
         assertThat(figures.optQuery("/start/exit_code")).isEqualTo(1);
         assertThat(figures.getJSONArray("faults").toList()).hasSize(1);
     }
