lab scale: members may be started in batches, larger heaps, hook of the real servers

Need: processes of 350 members spent their time in full collections (old generation 99% full, 7 of 2 s each) while 1,408 members formed. Members that are all started at once might be what keeps the fleet from one view.

Real servers are ended by their own hook, also those of the check.

--- a/lab/src/main/java/wheatspread/lab/ScaleCommand.java
+++ b/lab/src/main/java/wheatspread/lab/ScaleCommand.java
@@ -75,6 +75,13 @@
             completionCandidates = FaultWords.class)
     private List<String> faults;
 
+    @Option(
+            names = "--batch",
+            defaultValue = "0",
+            description = "Hollow servers that are started at once while a fleet is formed (${DEFAULT-VALUE}); "
+                    + "0 for all.")
+    private int batch;
+
     @Option(
             names = "--check",
             defaultValue = "20",
@@ -126,7 +133,7 @@
         double perSecond = rate == null ? RATE_OF_REAL * real : rate;
         Report report = new Report("scale");
         play(
-                new ScaleSettings(jar, StartCommand.flags(deploy), real, perSecond, seed, chosen),
+                new ScaleSettings(jar, StartCommand.flags(deploy), real, perSecond, seed, batch, chosen),
                 begun.plus(Duration.ofMinutes(limitMinutes)),
                 report);
         JSONObject run = new JSONObject()
--- a/lab/src/main/java/wheatspread/lab/scale/HollowCheck.java
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowCheck.java
@@ -67,6 +67,7 @@
     private Map<String, Double> play(int hollow, int real) throws IOException, InterruptedException {
         try (ScaleFleet fleet = new ScaleFleet(settings, hollow, real)) {
             fleet.start();
+            fleet.startNext(servers);
             if (Double.isNaN(new Window(fleet).awaitView(System.nanoTime(), FORM_SECONDS))) {
                 throw new IOException("no view of " + fleet.members() + " servers in " + FORM_SECONDS + " s");
             }
--- a/lab/src/main/java/wheatspread/lab/scale/HollowPlan.java
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowPlan.java
@@ -13,9 +13,9 @@
     private static final int LEAST_LOOPS = 4;
     private static final double HEAP_BASE_MB = 128;
     /** A member's share of the heap, and what each other member of its view adds; with room for garbage. */
-    private static final double HEAP_MEMBER_MB = 0.6;
+    private static final double HEAP_MEMBER_MB = 1;
 
-    private static final double HEAP_MEMBER_OF_VIEW_MB = 0.0026;
+    private static final double HEAP_MEMBER_OF_VIEW_MB = 0.0036;
     private static final int OUTSIDE_HEAP_MB = 160;
     /** A datagram socket and a listening one; streams are few and short. */
     private static final int DESCRIPTORS_OF_MEMBER = 2;
--- a/lab/src/main/java/wheatspread/lab/scale/HollowProcess.java
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowProcess.java
@@ -23,10 +23,10 @@
                         // short pauses: a pause of this process stops all its members at once
                         "-XX:+UseG1GC",
                         "-XX:MaxGCPauseMillis=50",
-                        "-XX:ParallelGCThreads=2",
-                        "-XX:ConcGCThreads=1",
+                        "-XX:ParallelGCThreads=4",
+                        "-XX:ConcGCThreads=2",
                         "-XX:TieredStopAtLevel=1",
-                        "-Xms" + Math.max(64, plan.heapMb() / 4) + "m",
+                        "-Xms" + Math.max(64, plan.heapMb() / 2) + "m",
                         "-Xmx" + plan.heapMb() + "m",
                         "-Xss512k",
                         "-Djdk.nio.maxCachedBufferSize=65536",
--- a/lab/src/main/java/wheatspread/lab/scale/RealServers.java
+++ b/lab/src/main/java/wheatspread/lab/scale/RealServers.java
@@ -8,6 +8,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.IntStream;
 import org.json.JSONArray;
 import org.json.JSONObject;
@@ -17,7 +18,10 @@
 import wheatspread.lab.standins.Doors;
 import wheatspread.lab.standins.Listening;
 
-/** The real servers of a fleet: whole processes with load. What they hold is read from their logs and doors. */
+/**
+ * The real servers of a fleet: whole processes with load. What they hold is read from their logs and doors. They are
+ * ended when this is closed or the lab is interrupted.
+ */
 final class RealServers implements AutoCloseable {
     private static final String VARS = "edge_gw.peers.";
 
@@ -25,6 +29,8 @@
     private final List<String> addresses = new ArrayList<>();
     private final Map<String, Integer> linesRead = new HashMap<>();
     private final Map<String, ViewEvents.Seen> views = new HashMap<>();
+    private final AtomicBoolean closed = new AtomicBoolean();
+    private final Thread onInterrupt = new Thread(this::end, "end of the real servers");
 
     /** What was sent to peers by all real servers. */
     record Sent(long messages, long bytes) {}
@@ -35,6 +41,7 @@
                 settings.jar(),
                 settings.flags(),
                 IntStream.rangeClosed(1, count).mapToObj(i -> "m" + i).toList());
+        Runtime.getRuntime().addShutdownHook(onInterrupt);
         for (int i = 0; i < count; i++) {
             addresses.add(Listening.text(rig.address()));
         }
@@ -163,7 +170,23 @@
     }
 
     @Override
-    public void close() throws IOException {
-        rig.close();
+    public void close() {
+        end();
+        try {
+            Runtime.getRuntime().removeShutdownHook(onInterrupt);
+        } catch (IllegalStateException e) {
+            return; // the lab is being interrupted, and the hook runs already
+        }
+    }
+
+    private void end() {
+        if (closed.getAndSet(true)) {
+            return;
+        }
+        try {
+            rig.close();
+        } catch (IOException e) {
+            System.err.println("the rig's files could not be deleted: " + e.getMessage());
+        }
     }
 }
--- a/lab/src/main/java/wheatspread/lab/scale/ScaleFleet.java
+++ b/lab/src/main/java/wheatspread/lab/scale/ScaleFleet.java
@@ -1,8 +1,10 @@
 package wheatspread.lab.scale;
 
 import java.io.IOException;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Collection;
+import java.util.Deque;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.LinkedHashMap;
@@ -10,7 +12,6 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
-import java.util.concurrent.atomic.AtomicBoolean;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import wheatspread.lab.rig.ProcessFigures;
@@ -18,7 +19,8 @@
 
 /**
  * One fleet of hollow and real servers in two regions of four zones each, with what the rig does to it. All real
- * servers stand in the first region. Everything that it started is ended when it is closed or the lab is interrupted.
+ * servers stand in the first region. Everything that it started is ended when it is closed or the lab is interrupted:
+ * the hollow processes by their standard input, the real servers by a hook.
  */
 final class ScaleFleet implements AutoCloseable {
     private static final String CLUSTER = "scale";
@@ -30,6 +32,9 @@
     private final List<HollowProcess> processes = new ArrayList<>();
     private final Map<String, HollowProcess> processOf = new HashMap<>();
     private final Map<String, MemberSpec> alive = new LinkedHashMap<>();
+    /** Hollow members that are not started yet. */
+    private final Deque<MemberSpec> waiting = new ArrayDeque<>();
+
     private final List<MemberSpec> lost = new ArrayList<>();
     /** Every start that the rig has ended, as {@code name#start}. */
     private final Set<String> ended = new HashSet<>();
@@ -37,8 +42,6 @@
     private final Set<String> wronglyRemoved = new LinkedHashSet<>();
     private final HollowPlan plan;
     private final long seed;
-    private final AtomicBoolean closed = new AtomicBoolean();
-    private final Thread onInterrupt = new Thread(this::end, "end of the fleet");
     private long lastStart = System.currentTimeMillis();
 
     /** Prepares a fleet; nothing of it runs yet. */
@@ -46,12 +49,11 @@
         plan = new HollowPlan(hollow, hollow + realServers);
         seed = settings.seed();
         real = new RealServers(settings, realServers);
-        Runtime.getRuntime().addShutdownHook(onInterrupt);
         int firstOfSecondRegion = Math.max(0, hollow - (hollow + realServers) / 2);
         for (int i = 0; i < hollow; i++) {
             int region = i < firstOfSecondRegion ? 1 : 2;
             String name = "h" + (i + 1);
-            alive.put(name, new MemberSpec(name, lastStart, Listening.text(real.freeAddress()), zone(region, i)));
+            waiting.add(new MemberSpec(name, lastStart, Listening.text(real.freeAddress()), zone(region, i)));
         }
     }
 
@@ -64,7 +66,7 @@
         return zone(2, 0);
     }
 
-    /** Starts all servers, the real ones first. */
+    /** Starts the real servers and the processes of the hollow ones, which are empty as yet. */
     void start() throws IOException, InterruptedException {
         List<String> seeds = seeds();
         real.turnMembershipOn(
@@ -78,16 +80,26 @@
             processes.add(new HollowProcess(CLUSTER, seeds, plan, seed + i));
         }
         int next = 0;
-        for (String name : alive.keySet()) {
-            processOf.put(name, processes.get(next++ % processes.size()));
+        for (MemberSpec one : waiting) {
+            processOf.put(one.name(), processes.get(next++ % processes.size()));
         }
-        start(alive.values());
+    }
+
+    /** Starts the next hollow members, so many at most; returns whether there were any. */
+    boolean startNext(int most) throws IOException {
+        List<MemberSpec> batch = new ArrayList<>();
+        while (batch.size() < most && !waiting.isEmpty()) {
+            batch.add(waiting.remove());
+        }
+        batch.forEach(one -> alive.put(one.name(), one));
+        start(batch);
+        return !batch.isEmpty();
     }
 
     private List<String> seeds() {
         Set<String> seeds = new LinkedHashSet<>(real.addresses()
                 .subList(0, Math.min(plan.members() == 0 ? SEEDS : REAL_SEEDS, real.size())));
-        List<MemberSpec> hollow = List.copyOf(alive.values());
+        List<MemberSpec> hollow = List.copyOf(waiting);
         for (int i = 0; i < SEEDS && !hollow.isEmpty(); i++) {
             seeds.add(hollow.get(i * (hollow.size() - 1) / (SEEDS - 1)).address());
         }
@@ -292,23 +304,7 @@
 
     @Override
     public void close() {
-        end();
-        try {
-            Runtime.getRuntime().removeShutdownHook(onInterrupt);
-        } catch (IllegalStateException e) {
-            return; // the lab is being interrupted, and the hook runs already
-        }
-    }
-
-    private void end() {
-        if (closed.getAndSet(true)) {
-            return;
-        }
         processes.forEach(HollowProcess::close);
-        try {
-            real.close();
-        } catch (IOException e) {
-            System.err.println("the rig's files could not be deleted: " + e.getMessage());
-        }
+        real.close();
     }
 }
--- a/lab/src/main/java/wheatspread/lab/scale/ScaleSettings.java
+++ b/lab/src/main/java/wheatspread/lab/scale/ScaleSettings.java
@@ -12,9 +12,11 @@
  * @param real how many real servers stand in each fleet
  * @param rate requests a second for all real servers together
  * @param seed of all random draws
+ * @param batch how many hollow servers are started at once while a fleet is formed; 0 for all
  * @param faults which faults are played
  */
-public record ScaleSettings(Path jar, List<String> flags, int real, double rate, long seed, Set<FaultKind> faults) {
+public record ScaleSettings(
+        Path jar, List<String> flags, int real, double rate, long seed, int batch, Set<FaultKind> faults) {
     public ScaleSettings {
         flags = List.copyOf(flags);
         faults = Set.copyOf(faults);
--- a/lab/src/main/java/wheatspread/lab/scale/ScaleStep.java
+++ b/lab/src/main/java/wheatspread/lab/scale/ScaleStep.java
@@ -12,10 +12,9 @@
 
 /** One size of a scale run: the fleet is formed, watched in its steady state, and hit by the faults. */
 public final class ScaleStep {
-    /** How long a fleet may take to form: so long, and more for each member, which all are told of all others. */
-    private static final double FORM_SECONDS = 60;
+    /** How long a batch of new members may take until all are in one view. */
+    private static final double BATCH_SECONDS = 60;
 
-    private static final double FORM_SECONDS_OF_MEMBER = 0.1;
     /** The JVMs compile meanwhile. */
     private static final double WARM_SECONDS = 5;
 
@@ -47,7 +46,7 @@
     /** Once an object. */
     public Result play() throws IOException, InterruptedException {
         try (ScaleFleet fleet = new ScaleFleet(settings, hollow, settings.real())) {
-            int members = fleet.members();
+            int members = hollow + settings.real();
             JSONObject figures = new JSONObject()
                     .put("seed", settings.seed())
                     .put("hollow", hollow)
@@ -73,20 +72,26 @@
         progress.accept(hollow + " hollow, " + what + ": " + figures);
     }
 
+    /** Starts the members batch by batch; returns whether all came to one view. */
     private boolean form(ScaleFleet fleet, JSONObject figures) throws IOException, InterruptedException {
         Window forming = new Window(fleet);
-        double limit = FORM_SECONDS + FORM_SECONDS_OF_MEMBER * fleet.members();
-        double took = forming.awaitView(System.nanoTime(), limit);
-        JSONObject told = forming.figures();
-        figures.put("forming", told);
-        if (Double.isNaN(took)) {
-            told.put("finding", "no view in " + Math.round(limit) + " s")
+        int batch = settings.batch() > 0 ? settings.batch() : hollow;
+        JSONArray took = new JSONArray();
+        boolean formed = true;
+        while (formed && fleet.startNext(batch)) {
+            double seconds = forming.awaitView(System.nanoTime(), BATCH_SECONDS);
+            formed = !Double.isNaN(seconds);
+            took.put(formed ? seconds : JSONObject.NULL);
+            progress.accept(hollow + " hollow, " + fleet.members() + " members after " + seconds + " s");
+        }
+        JSONObject told = forming.figures().put("batch", batch).put("view_s_each", took);
+        if (!formed) {
+            told.put("finding", "no view of " + fleet.members() + " members in " + BATCH_SECONDS + " s")
                     .put("why_old", fleet.real().whyOld());
-        } else {
-            told.put("view_s", took);
         }
+        figures.put("forming", told);
         tell("forming", told);
-        return !Double.isNaN(took);
+        return formed;
     }
 
     private void idle(ScaleFleet fleet, JSONObject figures, Map<String, Double> points)
--- a/lab/src/test/java/wheatspread/lab/scale/ScaleStepTest.java
+++ b/lab/src/test/java/wheatspread/lab/scale/ScaleStepTest.java
@@ -24,6 +24,7 @@
             REAL,
             20,
             1,
+            0,
             EnumSet.of(FaultKind.RACK));
 
     @Test
@@ -31,6 +32,7 @@
     void exactlyTheMembersOfTheRackGoAndEveryRequestIsAnswered() throws Exception {
         try (ScaleFleet fleet = new ScaleFleet(SETTINGS, HOLLOW, REAL)) {
             fleet.start();
+            fleet.startNext(HOLLOW);
             assertThat(new Window(fleet).awaitView(System.nanoTime(), FORM_SECONDS))
                     .as("seconds until one view of all")
                     .isNotNaN();
