lab scale: heaps for rounds of the agreement, no fault on a fleet without one view

Need: a process of 350 members ran out of heap (340 full collections in 100 s) after a zone of 45 of 337 was lost: 292 members held 8.1 million MemberIds, since each keeps some 760 promises of rounds, each with the whole change of 45. All that was played after that fault was played on a fleet that never came to one view.

Change: a process may have as much heap as promises of all members want, where half of the machine's memory allows it (350 members of 358: 3.0 GB). A step ends its faults with the first after which no view came, and the zone, the return and the halves come last. The hollow processes are ended by a hook too: a child that is out of heap notices its closed input late.

--- a/lab/src/main/java/wheatspread/lab/scale/FaultKind.java
+++ b/lab/src/main/java/wheatspread/lab/scale/FaultKind.java
@@ -10,16 +10,16 @@
     CRASH(30, false),
     /** {@link #RACK_SIZE} hollow servers of one zone end at the same time. */
     RACK(45, false),
-    /** All servers of one zone, an eighth of the fleet, end at the same time. */
-    ZONE(60, false),
-    /** All that were ended so far are started again. */
-    RETURN(60, false),
     /** Restarts at the rate of a usual day. */
     RESTARTS_DAILY(60, true),
     /** Restarts at sixty times that rate, as in a release. */
     RESTARTS_RELEASE(60, false),
     /** Every link loses a fifth of its messages. */
     LOSS20(45, false),
+    /** All servers of one zone, an eighth of the fleet, end at the same time. */
+    ZONE(60, false),
+    /** All that were ended so far are started again. */
+    RETURN(60, false),
     /** Two halves of the fleet do not hear each other for a while, then they do. The second may be one larger. */
     HALVES(60, false);
 
--- a/lab/src/main/java/wheatspread/lab/scale/HollowProcess.java
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowProcess.java
@@ -16,8 +16,8 @@
     private final BufferedReader in;
     private final Writer out;
 
-    /** Starts a process as large as the plan says for members of this cluster. */
-    HollowProcess(String cluster, List<String> seeds, HollowPlan plan, long seed) throws IOException {
+    /** Starts a process for members of this cluster; {@code heapMb} is its largest heap. */
+    HollowProcess(String cluster, List<String> seeds, int loops, int heapMb, long seed) throws IOException {
         process = new ProcessBuilder(List.of(
                         Path.of(System.getProperty("java.home"), "bin", "java").toString(),
                         // short pauses: a pause of this process stops all its members at once
@@ -26,8 +26,8 @@
                         "-XX:ParallelGCThreads=4",
                         "-XX:ConcGCThreads=2",
                         "-XX:TieredStopAtLevel=1",
-                        "-Xms" + Math.max(64, plan.heapMb() / 2) + "m",
-                        "-Xmx" + plan.heapMb() + "m",
+                        "-Xms" + Math.max(64, heapMb / 2) + "m",
+                        "-Xmx" + heapMb + "m",
                         "-Xss512k",
                         "-Djdk.nio.maxCachedBufferSize=65536",
                         "-Dio.netty.allocator.type=unpooled",
@@ -42,7 +42,7 @@
                         "--seeds",
                         String.join(",", seeds),
                         "--loops",
-                        Integer.toString(plan.loops()),
+                        Integer.toString(loops),
                         "--seed",
                         Long.toString(seed)))
                 .redirectError(ProcessBuilder.Redirect.INHERIT)
--- a/lab/src/main/java/wheatspread/lab/scale/Preflight.java
+++ b/lab/src/main/java/wheatspread/lab/scale/Preflight.java
@@ -25,6 +25,13 @@
         }
     }
 
+    /** Memory that is left on this machine for hollow processes beside so many real servers. */
+    static long hollowMemoryMb(int real) throws IOException {
+        Offer offer = Offer.ofThisMachine();
+        long most = Math.min(Math.round(MOST_OF_MEMORY * offer.totalMb), offer.availableMb);
+        return most - (long) real * REAL_MB - LAB_MB;
+    }
+
     /** Why a fleet of so many hollow and real servers cannot be started here, in one line; null where it can. */
     public static String refusal(int hollow, int real) throws IOException {
         return refusal(hollow, real, Offer.ofThisMachine());
--- a/lab/src/main/java/wheatspread/lab/scale/ScaleFleet.java
+++ b/lab/src/main/java/wheatspread/lab/scale/ScaleFleet.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import wheatspread.lab.rig.ProcessFigures;
@@ -19,8 +20,7 @@
 
 /**
  * One fleet of hollow and real servers in two regions of four zones each, with what the rig does to it. All real
- * servers stand in the first region. Everything that it started is ended when it is closed or the lab is interrupted:
- * the hollow processes by their standard input, the real servers by a hook.
+ * servers stand in the first region. Everything that it started is ended when it is closed or the lab is interrupted.
  */
 final class ScaleFleet implements AutoCloseable {
     private static final String CLUSTER = "scale";
@@ -29,7 +29,7 @@
     private static final int SEEDS = 3;
 
     private final RealServers real;
-    private final List<HollowProcess> processes = new ArrayList<>();
+    private final List<HollowProcess> processes = new CopyOnWriteArrayList<>();
     private final Map<String, HollowProcess> processOf = new HashMap<>();
     private final Map<String, MemberSpec> alive = new LinkedHashMap<>();
     /** Hollow members that are not started yet. */
@@ -40,15 +40,19 @@
     private final Set<String> ended = new HashSet<>();
 
     private final Set<String> wronglyRemoved = new LinkedHashSet<>();
+    private final Thread onInterrupt = new Thread(this::endProcesses, "end of the hollow servers");
     private final HollowPlan plan;
+    private final int heapMb;
     private final long seed;
     private long lastStart = System.currentTimeMillis();
 
     /** Prepares a fleet; nothing of it runs yet. */
     ScaleFleet(ScaleSettings settings, int hollow, int realServers) throws IOException {
         plan = new HollowPlan(hollow, hollow + realServers);
+        heapMb = plan.heapMb(Preflight.hollowMemoryMb(realServers));
         seed = settings.seed();
         real = new RealServers(settings, realServers);
+        Runtime.getRuntime().addShutdownHook(onInterrupt);
         int firstOfSecondRegion = Math.max(0, hollow - (hollow + realServers) / 2);
         for (int i = 0; i < hollow; i++) {
             int region = i < firstOfSecondRegion ? 1 : 2;
@@ -77,7 +81,7 @@
             real.rig().start();
         }
         for (int i = 0; i < plan.processes(); i++) {
-            processes.add(new HollowProcess(CLUSTER, seeds, plan, seed + i));
+            processes.add(new HollowProcess(CLUSTER, seeds, plan.loops(), heapMb, seed + i));
         }
         int next = 0;
         for (MemberSpec one : waiting) {
@@ -201,6 +205,11 @@
         return real;
     }
 
+    /** Largest heap of a process of hollow members. */
+    int heapMb() {
+        return heapMb;
+    }
+
     HollowPlan plan() {
         return plan;
     }
@@ -302,9 +311,18 @@
         return open;
     }
 
+    private synchronized void endProcesses() {
+        processes.forEach(HollowProcess::close);
+    }
+
     @Override
     public void close() {
-        processes.forEach(HollowProcess::close);
+        endProcesses();
         real.close();
+        try {
+            Runtime.getRuntime().removeShutdownHook(onInterrupt);
+        } catch (IllegalStateException e) {
+            return; // the lab is being interrupted, and the hook runs already
+        }
     }
 }
--- a/lab/src/main/java/wheatspread/lab/scale/ScaleStep.java
+++ b/lab/src/main/java/wheatspread/lab/scale/ScaleStep.java
@@ -53,7 +53,7 @@
                     .put("real", settings.real())
                     .put("hollow_processes", fleet.plan().processes())
                     .put("loops_a_process", fleet.plan().loops())
-                    .put("heap_limit_mb_a_process", fleet.plan().heapMb())
+                    .put("heap_limit_mb_a_process", fleet.heapMb())
                     .put("rate", settings.rate());
             Map<String, Double> points = new LinkedHashMap<>();
             fleet.start();
@@ -145,9 +145,11 @@
             tell(kind.word(), told);
             points.put("membership.bytes_per_s_" + kind.word(), told.getDouble("bytes_per_s"));
             points.put("membership.wrongly_removed_" + kind.word(), told.getDouble("wrongly_removed"));
-            if (told.has("view_s")) {
-                points.put("membership.view_s_" + kind.word(), told.getDouble("view_s"));
+            if (!told.has("view_s")) {
+                progress.accept(hollow + " hollow: no further fault is played on a fleet without one view");
+                return;
             }
+            points.put("membership.view_s_" + kind.word(), told.getDouble("view_s"));
         }
     }
 
