--- a/lab/src/main/java/wheatspread/lab/scale/HollowHost.java
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowHost.java
@@ -162,7 +162,7 @@
             sentBytes += lane.sentBytes;
             overRate += lane.overRate;
             for (HollowMember one : lane.members.values()) {
-                alive++;
+                alive += one.isLeaving() ? 0 : 1;
                 outside += one.isIn() ? 0 : 1;
                 old += one.isIn() && one.isOld() ? 1 : 0;
                 distrusting += one.distrusts() ? 1 : 0;
--- a/lab/src/main/java/wheatspread/lab/scale/HollowMember.java
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowMember.java
@@ -87,6 +87,11 @@
         }
     }
 
+    /** Whether it is on its way out. */
+    boolean isLeaving() {
+        return whenLeft != null;
+    }
+
     void links(LinkFaults faults) {
         links.set(faults);
     }
--- a/lab/src/main/java/wheatspread/lab/scale/HollowReport.java
+++ b/lab/src/main/java/wheatspread/lab/scale/HollowReport.java
@@ -10,7 +10,7 @@
 /**
  * What a process of hollow servers tells of its members: one line of JSON on its standard output for each order.
  *
- * @param alive members whose sockets are open
+ * @param alive members whose sockets are open and that do not leave
  * @param views how many living members hold a view, by {@link ViewKey#toString}
  * @param old living members that say that their view is old
  * @param outside living members that are in no view
