Read processor time, memory and heap of a process in one place of the lab

Need: lab settings and lab scale were written at the same time, and each had its own reader of /proc and of jcmd's histogram. MeasuredServer asks ProcessFigures now, which gains the peak of the resident memory and its reset.

Behaviour is the same.

--- a/lab/src/main/java/wheatspread/lab/rig/ProcessFigures.java
+++ b/lab/src/main/java/wheatspread/lab/rig/ProcessFigures.java
@@ -11,6 +11,9 @@
     private static final double TICKS_PER_S = 100;
     private static final int USER_TICKS = 11;
     private static final int SYSTEM_TICKS = 12;
+    private static final long KILOBYTE = 1_024;
+    /** Written to {@code /proc/PID/clear_refs}, it sets the peak of the resident memory back, by proc(5). */
+    private static final String RESET_PEAK = "5";
 
     private ProcessFigures() {}
 
@@ -23,12 +26,26 @@
 
     /** Resident bytes. */
     public static long residentBytes(long pid) throws IOException {
+        return statusBytes(pid, "VmRSS:");
+    }
+
+    /** The most resident bytes since the start, or since {@link #resetPeak}. */
+    public static long peakResidentBytes(long pid) throws IOException {
+        return statusBytes(pid, "VmHWM:");
+    }
+
+    /** Sets the peak of the resident memory back to what is resident now. */
+    public static void resetPeak(long pid) throws IOException {
+        Files.writeString(Path.of("/proc/" + pid + "/clear_refs"), RESET_PEAK);
+    }
+
+    private static long statusBytes(long pid, String key) throws IOException {
         for (String line : Files.readAllLines(Path.of("/proc/" + pid + "/status"))) {
-            if (line.startsWith("VmRSS:")) {
-                return Long.parseLong(line.replaceAll("\\D", "")) * 1024;
+            if (line.startsWith(key)) {
+                return Long.parseLong(line.replaceAll("\\D", "")) * KILOBYTE;
             }
         }
-        throw new IOException("process " + pid + " has no VmRSS");
+        throw new IOException("the status of process " + pid + " has no " + key);
     }
 
     /** Bytes of the Java heap that a full collection leaves; the collection stops the process meanwhile. */
--- a/lab/src/main/java/wheatspread/lab/settings/MeasuredServer.java
+++ b/lab/src/main/java/wheatspread/lab/settings/MeasuredServer.java
@@ -12,17 +12,14 @@
 import java.util.function.Predicate;
 import java.util.regex.Pattern;
 import org.json.JSONObject;
+import wheatspread.lab.rig.ProcessFigures;
 import wheatspread.lab.standins.Doors;
 import wheatspread.lab.standins.Folders;
 import wheatspread.lab.standins.ProcessLog;
 
 /** One real server process, which may fail to start, with what can be seen of it and done to it from outside. */
 final class MeasuredServer implements AutoCloseable {
-    private static final double TICKS_PER_SECOND = 100;
-    private static final long KILOBYTE = 1_024;
     private static final long LEAVE_MS = 10_000;
-    /** Written to {@code /proc/PID/clear_refs}, it sets the peak of the resident memory back. */
-    private static final String RESET_PEAK = "5";
 
     private final Path folder = Files.createTempDirectory("wheatspread-settings");
     private final Path configuration = folder.resolve("config.json");
@@ -161,58 +158,27 @@
         return exitCode(LEAVE_MS);
     }
 
-    /** The processor time it has used so far, by proc(5). */
+    /** The processor time it has used so far. */
     double processorSeconds() throws IOException {
-        String stat = Files.readString(proc("stat"));
-        String[] fields = stat.substring(stat.lastIndexOf(')') + 2).split(" ");
-        return (Long.parseLong(fields[11]) + Long.parseLong(fields[12])) / TICKS_PER_SECOND;
+        return ProcessFigures.processorSeconds(process.pid());
     }
 
     long residentBytes() throws IOException {
-        return status("VmRSS:");
+        return ProcessFigures.residentBytes(process.pid());
     }
 
     /** The most resident memory since the start, or since {@link #resetPeak}. */
     long peakResidentBytes() throws IOException {
-        return status("VmHWM:");
+        return ProcessFigures.peakResidentBytes(process.pid());
     }
 
     void resetPeak() throws IOException {
-        Files.writeString(proc("clear_refs"), RESET_PEAK);
+        ProcessFigures.resetPeak(process.pid());
     }
 
-    private long status(String key) throws IOException {
-        for (String line : Files.readAllLines(proc("status"))) {
-            if (line.startsWith(key)) {
-                return Long.parseLong(line.replaceAll("\\D", "")) * KILOBYTE;
-            }
-        }
-        throw new IOException("no " + key + " in " + proc("status"));
-    }
-
-    private Path proc(String file) {
-        return Path.of("/proc", Long.toString(process.pid()), file);
-    }
-
-    /** The bytes of all objects that a collection leaves, by the JDK's own tool. */
+    /** The bytes of all objects that a collection leaves. */
     long liveHeapBytes() throws IOException, InterruptedException {
-        Path out = File.createTempFile("jcmd", ".txt").toPath();
-        new ProcessBuilder(
-                        Path.of(System.getProperty("java.home"), "bin", "jcmd").toString(),
-                        Long.toString(process.pid()),
-                        "GC.class_histogram")
-                .redirectErrorStream(true)
-                .redirectOutput(out.toFile())
-                .start()
-                .waitFor();
-        List<String> lines = Files.readAllLines(out);
-        Files.delete(out);
-        for (String line : lines) {
-            if (line.startsWith("Total")) {
-                return Long.parseLong(line.trim().split("\\s+")[2]);
-            }
-        }
-        throw new IOException("no histogram of the heap: " + lines);
+        return ProcessFigures.liveHeapBytes(process.pid());
     }
 
     @Override
