Start the replay at the checkpoint's offset only in the segment it belongs to

Callers: a store that was closed or crashed and opened again returned an older value than the last acknowledged one, or none, without any report of damage.

Cause: a checkpoint names a position, a segment and an offset. Recovery used the offset for every segment that the checkpoint lists and doesn't cover, so also for segments begun while the checkpoint was written, and skipped their first bytes. Entries behind the position are left to the replay, so these records were in neither. It shows while that checkpoint is the newest: after a crash, or a close that cancels the next one.

Why it works: Loaded.replayStart gives the offset to the segment that contains the position and 0 to all others; nobody can read the offset alone any more. The stored format is unchanged.

CrashTest missed it since the harness ran a job's steps without writes between them; now writes and restarts are drawn there.

--- a/server/src/main/java/wheatspread/store/Checkpoints.java
+++ b/server/src/main/java/wheatspread/store/Checkpoints.java
@@ -200,8 +200,14 @@
             return true;
         }
 
-        int offset() {
-            return offset;
+        /**
+         * Returns the offset at which the replay of a segment starts. Only the segment of the checkpoint's log position
+         * starts at the position's offset; a segment that was begun while the checkpoint was written starts at 0.
+         */
+        int replayStart(Segment current) {
+            boolean containsPosition =
+                    known.containsKey(current.name()) && current.name().first() == segment;
+            return containsPosition && !isStale(current) ? offset : 0;
         }
 
         KnownSegment known(SegmentName name) {
--- a/server/src/main/java/wheatspread/store/Recovery.java
+++ b/server/src/main/java/wheatspread/store/Recovery.java
@@ -205,7 +205,7 @@
                         segment.cutOffset() == SegmentScan.NO_CUT ? segment.validBytes() : segment.cutOffset());
                 return;
             }
-            from = known != null && !hasStaleEntries ? checkpoint.offset() : 0;
+            from = checkpoint.replayStart(segment);
         }
         Integer cut = segment.name().isOriginal() ? cuts.get(segment.name().first()) : null;
         if (cut != null && !isNewest) {
--- a/server/src/test/java/wheatspread/store/CrashTest.java
+++ b/server/src/test/java/wheatspread/store/CrashTest.java
@@ -16,6 +16,8 @@
 class CrashTest {
     private static final int HISTORY_ACTIONS = 130;
     private static final long HISTORY_SEED = 11;
+    private static final int INTERLEAVED_HISTORIES = 8;
+    private static final int INTERLEAVED_ACTIONS = 60;
 
     private static StoreHarness runHistoryWithoutFailure() throws IOException {
         StoreHarness harness = new StoreHarness(StoreHarness.smallSettings(), 1);
@@ -95,6 +97,20 @@
         assertThat(harness.disk.steps).isGreaterThan(200);
     }
 
+    /** Guards against segments begun during a checkpoint that recovery reads from the checkpoint's offset. */
+    @ParameterizedTest
+    @EnumSource
+    void crashDuringWritesBetweenTheStepsOfJobsKeepsAcknowledgedWrites(FaultyDisk.Unsynced unsynced)
+            throws IOException {
+        for (int historySeed = 0; historySeed < INTERLEAVED_HISTORIES; historySeed++) {
+            StoreHarness harness = new StoreHarness(StoreHarness.smallSettings(), historySeed);
+            harness.interleaving = new Random(historySeed);
+            harness.disk.atStep = atEachPoint(crashPoint -> recoverAfterCrash(harness, unsynced, crashPoint));
+            harness.runHistory(new Random(historySeed), INTERLEAVED_ACTIONS);
+            harness.assertExpectedValues(false);
+        }
+    }
+
     @Test
     void crashDuringRecoveryLosesNothing() throws IOException {
         StoreHarness harness = new StoreHarness(StoreHarness.smallSettings(), 1);
--- a/server/src/test/java/wheatspread/store/StoreHarness.java
+++ b/server/src/test/java/wheatspread/store/StoreHarness.java
@@ -33,6 +33,9 @@
     private final Map<String, StoredValue> acknowledged = new TreeMap<>();
     private final Map<String, List<StoredValue>> possible = new TreeMap<>();
     private final Random random = new Random(5);
+    /** Draws the writes and restarts between the steps of a job; null for neither. */
+    Random interleaving;
+
     int heldWrites;
     int refusedWrites;
     int uncertainWrites;
@@ -92,7 +95,7 @@
     }
 
     /** Advances the time by {@code ms} and 70 ticks of 10 ms, and runs the jobs that are due. */
-    void advance(int ms) {
+    void advance(int ms) throws IOException {
         nowMillis += ms;
         for (int i = 0; i < 70; i++) {
             log.tick(nowMillis);
@@ -101,7 +104,7 @@
         runJobs();
     }
 
-    void runJobs() {
+    void runJobs() throws IOException {
         for (int i = 0; i < 20; i++) {
             MaintenanceJob job = log.startNextJob(nowMillis);
             if (job == null) {
@@ -111,10 +114,12 @@
         }
     }
 
-    void run(MaintenanceJob job) {
+    void run(MaintenanceJob job) throws IOException {
         try {
             while (job.step()) {
-                continue;
+                if (interleaving != null && runInterleaved()) {
+                    return;
+                }
             }
             log.markJobDone();
             while (log.isBusy()) {
@@ -125,6 +130,25 @@
         }
     }
 
+    /** Runs what happens between two steps of a job; returns whether the store was closed and opened meanwhile. */
+    private boolean runInterleaved() throws IOException {
+        if (interleaving.nextInt(100) == 0) {
+            reopen();
+            return true;
+        }
+        if (interleaving.nextInt(4) == 0) {
+            commitGroup(key(interleaving), value(interleaving, heldWrites), 0);
+        }
+        return false;
+    }
+
+    /** Closes the store, which cancels its job, and opens it again. */
+    void reopen() throws IOException {
+        log.finish(nowMillis);
+        log.close();
+        open();
+    }
+
     /**
      * Returns a harness whose store is not open yet, on a copy of the disk with the content that a crash at this point
      * leaves.
@@ -219,9 +243,7 @@
                 case 6 -> runJobs();
                 default -> {
                     if (choices.nextInt(6) == 0) {
-                        log.finish(nowMillis);
-                        log.close();
-                        open();
+                        reopen();
                     }
                 }
             }
