--- a/lab/src/main/java/wheatspread/lab/standins/ServerProcess.java
+++ b/lab/src/main/java/wheatspread/lab/standins/ServerProcess.java
@@ -57,6 +57,10 @@
         }
     }
 
+    public long pid() {
+        return process.pid();
+    }
+
     /** Returns the lines logged so far. */
     public List<String> log() {
         return log.lines();
@@ -128,10 +132,15 @@
 
     /** Sends SIGTERM and returns whether the process exited within 20 s. */
     public boolean terminate() throws InterruptedException {
-        process.destroy();
+        process.toHandle().destroy(); // Process.destroy would close the stream that the log is read from
         return process.waitFor(20, TimeUnit.SECONDS);
     }
 
+    /** Returns the exit code of the process, which has exited. */
+    public int exitCode() {
+        return process.exitValue();
+    }
+
     @Override
     public void close() {
         process.destroyForcibly();
