Decide nothing more on a suspended run whose request was answered in the batch

Callers: none saw it, since the core gives one final answer to an attempt and ignores a run of an ended one. The controller failed a request twice in one tick, or failed it and ran it, or ran one that its client had cancelled.

Cause: a run canceled unanswered stays in flight until SuspendedRunPolicy resumes or fails it at the end of the batch. RequestExpiry may fail it before that within a tick of its deadline, or a cancellation may end it, and SuspendedRunPolicy didn't ask.

Evidence: RequestLifecycleTest.answersOnceIfRunIsCanceledInTickBeforeDeadline got "fail 1, fail 1" in each of three preemption modes, and decidesNothingIfClientCancelsInBatchOfCanceledRun got "run 1"; both pass now, as do the other tests of the controller, CoreTest and BenchLinkTest.

Why it works: the policy drops the run of an answered request; every other decision of the batch already asks whether the request is answered or in flight.

--- a/server/src/main/java/wheatspread/admission/sfq/SuspendedRunPolicy.java
+++ b/server/src/main/java/wheatspread/admission/sfq/SuspendedRunPolicy.java
@@ -4,7 +4,7 @@
 import wheatspread.admission.PreemptionMode;
 
 /**
- * Resumes or fails a suspended run whose request is unanswered. A run is resumed at most once, and only if the kernel
+ * Resumes or fails a suspended run, unless its request was answered since. A run is resumed at most once, and only if the kernel
  * can suspend work and there is time left: a suspended run still occupies its memory, and a write must not be started a
  * second time. Otherwise the request fails.
  */
@@ -32,7 +32,9 @@
     }
 
     void resumeOrFail(TrackedRequest tracked, Actions actions) {
-        if (canResume(tracked)) {
+        if (tracked.isAnswered()) { // since the run was suspended, by its expiry or by a cancellation
+            inFlight.remove(tracked);
+        } else if (canResume(tracked)) {
             tracked.resumed = true;
             calls.onRunResumed(tracked);
             tracked.restartStateTimer(clock.nowMicros());
--- a/server/src/test/java/wheatspread/admission/sfq/RequestLifecycleTest.java
+++ b/server/src/test/java/wheatspread/admission/sfq/RequestLifecycleTest.java
@@ -4,6 +4,8 @@
 
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import wheatspread.admission.AdmissionSettings;
 import wheatspread.admission.Idempotency;
 import wheatspread.admission.Outcome;
@@ -139,6 +141,52 @@
                 .contains("fail 1");
     }
 
+    private static AdmissionSettings withPreemption(PreemptionMode mode) {
+        AdmissionSettings defaults = TestSettings.defaults();
+        return new AdmissionSettings(
+                defaults.coreCount(),
+                defaults.serverCount(),
+                false,
+                mode,
+                0,
+                defaults.timerResolutionMicros(),
+                defaults.limits(),
+                defaults.dependency(),
+                defaults.clients(),
+                defaults.classes(),
+                defaults.tenants());
+    }
+
+    /** Guards against two answers, or a run after the answer, when a run is canceled in the tick that expires it. */
+    @ParameterizedTest
+    @EnumSource
+    void answersOnceIfRunIsCanceledInTickBeforeDeadline(PreemptionMode mode) {
+        for (long timeoutMillis = 100; timeoutMillis < 300; timeoutMillis++) {
+            ControllerHarness harness = new ControllerHarness(withPreemption(mode)).advanceTo(1010);
+            harness.arriveWithTimeout(1, 1, timeoutMillis, false).decide();
+            assertThat(harness.actions).contains("run 1");
+            harness.advanceTo(1150).complete(1, Outcome.CANCELED, 140);
+            harness.controller.onTimer(ControllerHarness.BUSY_GAUGES);
+            harness.decide();
+            assertThat(harness.actions.stream().filter(List.of("fail 1", "run 1")::contains))
+                    .as("decisions on request 1 with a timeout of " + timeoutMillis + " ms")
+                    .hasSize(1);
+        }
+    }
+
+    /** Guards against an answer or a run for a client that cancels in the batch in which its run is canceled. */
+    @Test
+    void decidesNothingIfClientCancelsInBatchOfCanceledRun() {
+        for (long timeMillis : new long[] {1100, 1105}) {
+            ControllerHarness harness = new ControllerHarness(withPreemption(PreemptionMode.SUSPEND)).advanceTo(1010);
+            harness.arrive(1, 0, 1).decide();
+            harness.advanceTo(timeMillis).complete(1, Outcome.CANCELED, 90);
+            harness.controller.onCancellation(1);
+            harness.decide();
+            assertThat(harness.actions).doesNotContain("fail 1", "run 1");
+        }
+    }
+
     @Test
     void ignoresEventsOfDoneRequests() {
         ControllerHarness harness = new ControllerHarness(TestSettings.defaults()).advanceTo(1010);
