Stop the count of stuck gauge readings at the number that means stuck

Callers: after 31 days without readable gauges the server no longer took them for stuck and adapted its concurrency limit to missing readings. Found by reading, not seen in service.

Cause: each unreadable reading, one per tick of 50 ms, added 40 to an int, which is negative after 2^31 / 40 ticks.

Why it works: the count never exceeds the 40 readings that it is compared with, so unreadable and unchanged readings keep it there, and a changed one resets it.

--- a/server/src/main/java/wheatspread/admission/sfq/GaugeMonitor.java
+++ b/server/src/main/java/wheatspread/admission/sfq/GaugeMonitor.java
@@ -38,9 +38,9 @@
         boolean readable = current.coreUtilization() >= 0 && current.runnableTasks() >= 0;
         boolean unchanged = current.equals(lastChecked) && requestsStarted;
         if (!readable) {
-            stuckReadings += STUCK_READINGS;
+            stuckReadings = STUCK_READINGS;
         } else {
-            stuckReadings = unchanged ? stuckReadings + 1 : 0;
+            stuckReadings = unchanged ? Math.min(stuckReadings + 1, STUCK_READINGS) : 0;
         }
         lastChecked = current;
         return isStuck() ? null : current;
--- a/server/src/test/java/wheatspread/admission/sfq/ConcurrencyLimitTest.java
+++ b/server/src/test/java/wheatspread/admission/sfq/ConcurrencyLimitTest.java
@@ -4,6 +4,7 @@
 
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import wheatspread.admission.Idempotency;
 import wheatspread.admission.LoadGauges;
@@ -125,4 +126,20 @@
         }
         return allActions;
     }
+
+    /** Guards against an overflow of the count of stuck readings after a month without readable gauges. */
+    @Test
+    void gaugesStayStuckThroughMonthsOfUnreadableReadings() {
+        GaugeMonitor gauges = new GaugeMonitor();
+        LoadGauges unreadable = new LoadGauges(Double.NaN, Double.NaN, 0, 0);
+        long ticks = TimeUnit.DAYS.toMillis(40) * 1000 / DecisionClock.TICK_MICROS;
+        boolean stuck = true;
+        for (long tick = 0; tick < ticks; tick++) {
+            gauges.beginBatch();
+            gauges.record(unreadable);
+            gauges.check(true);
+            stuck &= gauges.isStuck();
+        }
+        assertThat(stuck).isTrue();
+    }
 }
