Count runs and ticks of the controller's estimators in longs

The same fault as the count of stuck gauges, found by looking for it elsewhere: WorkHintModel.runs overflows after 2^31 runs, four months at 200 a second, and then work hints are ignored; ArrivalRate.ticks after three years.

Change: both are long. No test: 2^31 calls take too long for one; the controller's tests pass (ServiceTimeTest, SfqAdmissionControllerTest, RandomEventsTest).

--- a/server/src/main/java/wheatspread/admission/sfq/ArrivalRate.java
+++ b/server/src/main/java/wheatspread/admission/sfq/ArrivalRate.java
@@ -6,7 +6,7 @@
     private static final double MIN_GAIN = 0.01;
 
     private int arrivalsSinceTick;
-    private int ticks;
+    private long ticks;
     private double meanPerTick;
 
     void recordArrival() {
--- a/server/src/main/java/wheatspread/admission/sfq/WorkHintModel.java
+++ b/server/src/main/java/wheatspread/admission/sfq/WorkHintModel.java
@@ -16,7 +16,7 @@
     private static final int MIN_RUNS = 10;
 
     private final long minCoreMicros;
-    private int runs;
+    private long runs;
     private double meanLogHint;
     private double meanLogCoreMicros;
     private double hintVariance;
