Abandon the segment when the sync before a checkpoint fails

Callers: with sync INTERVAL or NONE, acknowledged writes could be missing after a crash of the machine beyond what the setting allows: after a failed sync before a checkpoint the store went on in the same file, whose next sync succeeds without proving anything.

Cause: MaintenanceJobs synced the log itself, so the failure counted as one of the job. All other syncs go through GroupCommit, which abandons the segment.

Evidence: MaintenanceTest.failedSyncBeforeACheckpointAbandonsTheSegment fails that one sync on FaultyDisk; the store stayed OPEN in both settings with the old body of markJobDone, and is FAILED now, publishes no checkpoint and continues in a new segment. StoreTest and CheckpointRecoveryTest pass.

Why it works: the sync is GroupCommit's, so its failure is handled like any other, and the job fails with it.

--- a/server/src/main/java/wheatspread/store/GroupCommit.java
+++ b/server/src/main/java/wheatspread/store/GroupCommit.java
@@ -87,11 +87,18 @@
     /** Syncs the active segment if {@link StoreSettings.Sync#INTERVAL} is set and a sync is due. */
     void syncIfDue(long nowMillis) {
         if (syncsAtIntervals() && nowMillis - writer.lastSyncMillis() >= settings.syncIntervalMillis()) {
-            try {
-                writer.sync(nowMillis);
-            } catch (IOException e) {
-                handleFailure("sync", e, nowMillis);
-            }
+            sync(nowMillis);
+        }
+    }
+
+    /** Syncs the active segment; if that fails, abandons the segment and returns false. */
+    boolean sync(long nowMillis) {
+        try {
+            writer.sync(nowMillis);
+            return true;
+        } catch (IOException e) {
+            handleFailure("sync", e, nowMillis);
+            return false;
         }
     }
 
--- a/server/src/main/java/wheatspread/store/LogStructuredStore.java
+++ b/server/src/main/java/wheatspread/store/LogStructuredStore.java
@@ -148,7 +148,10 @@
     }
 
     /** Records that all steps of the job are done, so that its result can be installed. */
-    void markJobDone() throws IOException {
+    void markJobDone(long nowMillis) throws IOException {
+        if (jobs.requiresLogSync() && !commits.sync(nowMillis)) {
+            throw new IOException("the log could not be synced before the checkpoint");
+        }
         jobs.startInstalling();
     }
 
--- a/server/src/main/java/wheatspread/store/MaintenanceJobs.java
+++ b/server/src/main/java/wheatspread/store/MaintenanceJobs.java
@@ -143,12 +143,14 @@
 
     // ---- completion ----
 
+    /** Returns whether the active segment must be synced before {@link #startInstalling}. */
+    boolean requiresLogSync() {
+        return currentJob instanceof CheckpointJob checkpoint && checkpoint.requiresWriterSync() && writer.isDirty();
+    }
+
     /** Starts installing the result of the job, whose steps are done. */
     void startInstalling() throws IOException {
         if (currentJob instanceof CheckpointJob checkpoint && checkpoint.requiresWriterSync()) {
-            if (writer.active() != null && writer.isDirty()) {
-                writer.sync(writer.lastSyncMillis());
-            }
             checkpoint.publish();
         }
         installing = true;
--- a/server/src/main/java/wheatspread/store/WriterLoop.java
+++ b/server/src/main/java/wheatspread/store/WriterLoop.java
@@ -86,7 +86,7 @@
             if (finished.failure() != null) {
                 throw finished.failure();
             }
-            store.markJobDone();
+            store.markJobDone(clock.nowMillis());
         } catch (IOException e) {
             store.markJobFailed(e, clock.nowMillis());
         }
--- a/server/src/test/java/wheatspread/store/CheckpointRecoveryTest.java
+++ b/server/src/test/java/wheatspread/store/CheckpointRecoveryTest.java
@@ -43,7 +43,7 @@
             }
             hasMore = checkpoint.step();
         }
-        harness.log.markJobDone();
+        harness.log.markJobDone(harness.nowMillis);
         harness.log.install();
     }
 
--- a/server/src/test/java/wheatspread/store/MaintenanceTest.java
+++ b/server/src/test/java/wheatspread/store/MaintenanceTest.java
@@ -1,10 +1,13 @@
 package wheatspread.store;
 
 import static org.assertj.core.api.Assertions.assertThat;
+import static org.assertj.core.api.Assertions.assertThatThrownBy;
 
 import java.io.IOException;
 import java.util.List;
 import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.EnumSource;
 import wheatspread.disk.Disk;
 
 /** Tests of the space limit, expiry, compaction, checkpoints, and the sync modes. */
@@ -215,4 +218,32 @@
         harness.restart(FaultyDisk.Unsynced.LOST, 1);
         harness.assertExpectedValues(true);
     }
+
+    /** Guards against a later sync of the same file, which succeeds although the system has dropped its data. */
+    @ParameterizedTest
+    @EnumSource(names = {"INTERVAL", "NONE"})
+    void failedSyncBeforeACheckpointAbandonsTheSegment(StoreSettings.Sync sync) throws IOException {
+        StoreHarness harness = new StoreHarness(StoreHarness.smallSettings().withSync(sync, 60_000), 1);
+        harness.open();
+        for (int i = 0; i < 40; i++) {
+            harness.commitGroup("key " + i, "x", 0);
+        }
+        List<String> before = harness.disk.list();
+        MaintenanceJob checkpoint = harness.log.startNextJob(harness.nowMillis);
+        assertThat(checkpoint).isInstanceOf(CheckpointJob.class);
+        while (checkpoint.step()) {
+            continue;
+        }
+        harness.disk.failAtStep = harness.disk.steps + 1;
+        assertThatThrownBy(() -> harness.log.markJobDone(harness.nowMillis)).isInstanceOf(IOException.class);
+        harness.log.markJobFailed(new IOException("planned"), harness.nowMillis);
+        assertThat(harness.disk.list()).noneMatch(name -> name.endsWith(".checkpoint"));
+        assertThat(harness.log.mode()).isEqualTo(WriteState.Mode.FAILED);
+        harness.advance(100);
+        harness.commitGroup("later", "y", 0);
+        assertThat(harness.disk.list().stream().filter(name -> name.endsWith(".0.log") && !before.contains(name)))
+                .as("segments begun after the failure")
+                .isNotEmpty();
+        harness.assertExpectedValues(false);
+    }
 }
--- a/server/src/test/java/wheatspread/store/StoreHarness.java
+++ b/server/src/test/java/wheatspread/store/StoreHarness.java
@@ -121,7 +121,7 @@
                     return;
                 }
             }
-            log.markJobDone();
+            log.markJobDone(nowMillis);
             while (log.isBusy()) {
                 log.install();
             }
