--- a/server/src/main/java/wheatspread/admission/sfq/SuspendedRunPolicy.java
+++ b/server/src/main/java/wheatspread/admission/sfq/SuspendedRunPolicy.java
@@ -4,9 +4,9 @@
 import wheatspread.admission.PreemptionMode;
 
 /**
- * Resumes or fails a suspended run, unless its request was answered since. A run is resumed at most once, and only if the kernel
- * can suspend work and there is time left: a suspended run still occupies its memory, and a write must not be started a
- * second time. Otherwise the request fails.
+ * Resumes or fails a suspended run, unless its request was answered since. A run is resumed at most once, and only if
+ * the kernel can suspend work and there is time left: a suspended run still occupies its memory, and a write must not
+ * be started a second time. Otherwise the request fails.
  */
 final class SuspendedRunPolicy {
     private final ReloadableSettings settings;
