Add lab soak: seeded runs with signals in series, kills, crowds and a store

One seed draws servers, load on both fronts, disturbances and a crowd. Proxies keep using open connections until the server's last call or the kill, which comes at stop_ms after SIGTERM. A store is written to, closed or abandoned and opened again beside it.

Checks: InvariantChecker's rules for both fronts, exit codes, no process gone, no fatal event in any log, memory and descriptors, every acknowledged write.

Built from the lab's rig and world: World takes a seed, proxies can keep their links, uwsgi clients are new, the kernel knows their requests by the subject.

StartTest's other users of World, Rig and RigServer keep their draws.

--- a/lab/src/main/java/wheatspread/lab/Lab.java
+++ b/lab/src/main/java/wheatspread/lab/Lab.java
@@ -20,6 +20,7 @@
             HoldCommand.class,
             StoreMeasurementCommand.class,
             ReloadCommand.class,
+            SoakCommand.class,
             FaultsCommand.class,
             ModelCommand.class,
             CostCommand.class,
--- a/lab/src/main/java/wheatspread/lab/rig/Rig.java
+++ b/lab/src/main/java/wheatspread/lab/rig/Rig.java
@@ -9,6 +9,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.concurrent.TimeUnit;
+import java.util.function.Function;
 import java.util.stream.IntStream;
 import org.json.JSONObject;
 import wheatspread.lab.Sites;
@@ -46,6 +47,17 @@
 
     /** Creates a rig of servers with these names; {@code flags} are their JVM flags. */
     public Rig(Path jar, List<String> flags, List<String> names) throws IOException {
+        this(jar, flags, names, World::new);
+    }
+
+    /** Creates a rig whose requests are drawn from {@code seed}, of {@code size} servers named n1, n2 and so on. */
+    public Rig(Path jar, List<String> flags, int size, long seed) throws IOException {
+        this(jar, flags, names(size), servers -> new World(servers, seed));
+    }
+
+    private Rig(
+            Path jar, List<String> flags, List<String> names, Function<Map<String, InetSocketAddress>, World> newWorld)
+            throws IOException {
         folder = Files.createTempDirectory("wheatspread-rig");
         List<String> command = new ArrayList<>(
                 List.of(Path.of(System.getProperty("java.home"), "bin", "java").toString()));
@@ -55,7 +67,7 @@
             addresses.put(name, ports.next());
             members.put(name, new RigServer(name, command, folder, signals));
         }
-        world = new World(addresses);
+        world = newWorld.apply(addresses);
     }
 
     public World world() {
@@ -71,6 +83,11 @@
         return ports.next();
     }
 
+    /** Returns the addresses on which the servers listen for JSON-RPC. */
+    public List<InetSocketAddress> listenAddresses() {
+        return List.copyOf(addresses.values());
+    }
+
     public RigServer member(String name) {
         return members.get(name);
     }
--- a/lab/src/main/java/wheatspread/lab/rig/RigServer.java
+++ b/lab/src/main/java/wheatspread/lab/rig/RigServer.java
@@ -17,6 +17,7 @@
     private static final long START_TIMEOUT_MS = 30_000;
     private static final long EXIT_TIMEOUT_MS = 20_000;
     private static final long SLICE_MS = 100;
+    private static final int TAIL_LINES = 12;
 
     private final String name;
     private final List<String> command;
@@ -29,6 +30,8 @@
 
     private Process process;
     private ProcessLog log;
+    /** The logs of all processes of this server, oldest first. */
+    private final List<ProcessLog> logs = new ArrayList<>();
 
     /** {@code command} is the command line up to {@code serve}; {@code folder} holds the server's files. */
     RigServer(String name, List<String> command, Path folder, ProcessSignals signals) {
@@ -47,6 +50,18 @@
         return log;
     }
 
+    /** Returns the log lines of all processes of this server so far. */
+    public List<String> allLogLines() {
+        return logs.stream().flatMap(processLog -> processLog.lines().stream()).toList();
+    }
+
+    /** Returns the last lines that the process started last has logged. */
+    public String logTail() {
+        List<String> lines = log.lines();
+        return lines.subList(Math.max(0, lines.size() - TAIL_LINES), lines.size())
+                .toString();
+    }
+
     /** Sets the operator file and the control address that apply from the next start. */
     public void setOperatorConfig(JSONObject settings, InetSocketAddress address) throws IOException {
         operator = Files.writeString(config.resolveSibling(name + "-operator.json"), settings.toString());
@@ -82,6 +97,7 @@
         builder.environment().put("GW_CONFIG", config.toString());
         process = builder.start();
         log = new ProcessLog(process, name);
+        logs.add(log);
     }
 
     /** Waits until the process serves; throws an IOException with its log if it does not in time. */
@@ -126,6 +142,11 @@
         return process.waitFor(EXIT_TIMEOUT_MS, TimeUnit.MILLISECONDS) ? process.exitValue() : -1;
     }
 
+    /** Waits for the process to exit; returns its exit code, or -1 if it does not exit within {@code millis}. */
+    public int awaitExit(long millis) throws InterruptedException {
+        return process.waitFor(millis, TimeUnit.MILLISECONDS) ? process.exitValue() : -1;
+    }
+
     public long pid() {
         return process.pid();
     }
--- a/lab/src/main/java/wheatspread/lab/world/InvariantChecker.java
+++ b/lab/src/main/java/wheatspread/lab/world/InvariantChecker.java
@@ -1,6 +1,7 @@
 package wheatspread.lab.world;
 
 import java.util.ArrayList;
+import java.util.EnumSet;
 import java.util.HashMap;
 import java.util.HashSet;
 import java.util.List;
@@ -80,6 +81,7 @@
     private final List<double[]> seconds = new ArrayList<>();
     private final Map<String, Long> counts = new HashMap<>();
     private final Map<String, Long> lossExcusedUntil = new HashMap<>();
+    private final Set<PlantedFault> planted = EnumSet.noneOf(PlantedFault.class);
     private Predicate<String> exitExpected = server -> false;
     private long beganAtMillis;
     /** Time from the client's request to the response that served it, in milliseconds. */
@@ -138,8 +140,16 @@
         }
     }
 
+    /** Falsifies the next observation of the fault's kind, as if a server had broken the invariant. */
+    void plant(PlantedFault fault) {
+        planted.add(fault);
+    }
+
     /** Records a response to an attempt; a second response or a late one is a violation. */
     void recordResponse(Attempt attempt, long nowMillis) {
+        if (planted.remove(PlantedFault.DROPPED_ANSWER)) {
+            return;
+        }
         if (++attempt.responses > 1) {
             addViolation("answered_twice", attempt.txn + " by " + attempt.server);
         }
@@ -237,6 +247,12 @@
         if (attempt.request.key != null && keyRuns.put(server + " " + attempt.request.key, nowMillis) != null) {
             addViolation("doubled", "key " + attempt.request.key + " ran twice on " + server);
         }
+        if (attempt.request.key != null && planted.remove(PlantedFault.KEY_RUN_TWICE)) {
+            recordRun(server, job, nowMillis);
+        }
+        if (planted.remove(PlantedFault.RUN_PAST_GRACE)) {
+            drainNotices.put(server, attempt.sentAtMillis - DRAIN_GRACE_MS - 1);
+        }
         Long notice = drainNotices.get(server);
         if (notice != null && attempt.sentAtMillis > notice + DRAIN_GRACE_MS) {
             addViolation(
--- a/lab/src/main/java/wheatspread/lab/world/SimulatedKernel.java
+++ b/lab/src/main/java/wheatspread/lab/world/SimulatedKernel.java
@@ -191,8 +191,9 @@
     }
 
     private void schedule(String job, String kind, String data) {
-        checker.recordRun(server, job, System.currentTimeMillis());
         String[] body = new String(java.util.Base64.getDecoder().decode(data), StandardCharsets.UTF_8).split(" ");
+        boolean fromUwsgi = body[2].startsWith(UwsgiClients.SUBJECT_PREFIX);
+        checker.recordRun(server, fromUwsgi ? body[2] : job, System.currentTimeMillis());
         Run run = new Run();
         run.partMillis = Double.parseDouble(body[1]) / 2;
         run.calls = !kind.equals("search");
--- a/lab/src/main/java/wheatspread/lab/world/SimulatedProxy.java
+++ b/lab/src/main/java/wheatspread/lab/world/SimulatedProxy.java
@@ -55,6 +55,7 @@
     private int nextTurn;
     private long lastTxn;
     private int maxRequestsPerLink = Integer.MAX_VALUE;
+    private boolean keepsUsingOpenLinks;
 
     SimulatedProxy(
             int number,
@@ -126,6 +127,16 @@
         maxRequestsPerLink = requests;
     }
 
+    /** Uses open links to servers that the list no longer contains, until the servers close them. */
+    void keepUsingOpenLinks() {
+        keepsUsingOpenLinks = true;
+    }
+
+    private boolean hasOpenLink(String server) {
+        return links.getOrDefault(server, List.of()).stream()
+                .anyMatch(link -> !link.closing && link.channel != null && link.pending.size() < MAX_PENDING_PER_LINK);
+    }
+
     /** Starts a client's request; {@code work} is its declared CPU time in milliseconds. */
     void startRequest(Sites.Kind kind, double work, String subject) {
         ClientRequest request =
@@ -137,20 +148,29 @@
     private String selectServer(OngoingRequest ongoing) {
         long nowMillis = System.currentTimeMillis();
         List<String> accepting = new ArrayList<>(announceService.acceptingServers(number));
+        if (keepsUsingOpenLinks) {
+            addresses.keySet().stream()
+                    .filter(name -> !accepting.contains(name) && hasOpenLink(name))
+                    .forEach(accepting::add);
+        }
         accepting.removeAll(ongoing.refusedBy);
         if (heedsFeedback) {
             List<String> available = new ArrayList<>(accepting);
             available.removeIf(name -> retryNotBeforeMillis.getOrDefault(name, 0L) > nowMillis
                     || pendingRequests(name) >= feedbackLimits.getOrDefault(name, Double.MAX_VALUE));
-            accepting = available.isEmpty() ? accepting : available;
+            return available.isEmpty() ? choose(accepting, ongoing) : choose(available, ongoing);
         }
-        if (accepting.isEmpty()) {
+        return choose(accepting, ongoing);
+    }
+
+    private String choose(List<String> servers, OngoingRequest ongoing) {
+        if (servers.isEmpty()) {
             return null;
         }
-        return accepting.get(
+        return servers.get(
                 selectsBySubject
-                        ? Math.floorMod(ongoing.subject.hashCode() * 31, accepting.size())
-                        : Math.floorMod(nextTurn++, accepting.size()));
+                        ? Math.floorMod(ongoing.subject.hashCode() * 31, servers.size())
+                        : Math.floorMod(nextTurn++, servers.size()));
     }
 
     private int pendingRequests(String server) {
--- a/lab/src/main/java/wheatspread/lab/world/World.java
+++ b/lab/src/main/java/wheatspread/lab/world/World.java
@@ -26,6 +26,7 @@
     private static final int SUBJECT_COUNT = 24_000;
     private static final long RECORDS_CALL_MICROS = 160_000;
     private static final long TICK_MICROS = 1_000;
+    private static final long DEFAULT_SEED = 77;
 
     private final MultiThreadIoEventLoopGroup group = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final EventLoop loop = group.next();
@@ -34,14 +35,21 @@
     private final Map<String, StandInEndpoint> kernelEndpoints = new HashMap<>();
     private final Map<String, InetSocketAddress> addresses = new LinkedHashMap<>();
     private final List<SimulatedProxy> proxies = new ArrayList<>();
-    private final Random random = new Random(77);
+    private final Random random;
     private final StandInEndpoint records;
     private final StandInEndpoint announce;
+    private UwsgiClients uwsgiClients;
     private double requestsPerSecond;
     private long nextRequestNanos;
 
     /** Creates the services and proxies for these servers, given by name with the address each listens on. */
     public World(Map<String, InetSocketAddress> servers) {
+        this(servers, DEFAULT_SEED);
+    }
+
+    /** Like {@link #World(Map)}; {@code seed} determines the clients' requests. */
+    public World(Map<String, InetSocketAddress> servers, long seed) {
+        random = new Random(seed);
         addresses.putAll(servers);
         SimulatedAnnounceService announceService = new SimulatedAnnounceService(loop, checker, PROXY_COUNT);
         for (String name : servers.keySet()) {
@@ -78,6 +86,27 @@
         });
     }
 
+    /** Makes proxies use their open connections to servers that their lists no longer contain. */
+    public void keepUsingOpenConnections() {
+        callOnLoop(() -> {
+            proxies.forEach(SimulatedProxy::keepUsingOpenLinks);
+            return null;
+        });
+    }
+
+    /** Starts clients of these uwsgi fronts, given by the names of their servers; the seed draws their requests. */
+    public void startUwsgiClients(Map<String, InetSocketAddress> fronts, long seed) {
+        callOnLoop(() -> uwsgiClients = new UwsgiClients(loop, checker, fronts, seed));
+    }
+
+    /** Plants a fault in what the checker observes, to show that the checker finds it. */
+    public void plant(PlantedFault fault) {
+        callOnLoop(() -> {
+            checker.plant(fault);
+            return null;
+        });
+    }
+
     /** Excuses losses of a server's attempts for {@code millis}, while one of its processes is being killed. */
     public void excuseLosses(String name, long millis) {
         callOnLoop(() -> {
@@ -141,6 +170,9 @@
                 checker.beginMeasurement(System.currentTimeMillis());
             }
             requestsPerSecond = rate;
+            if (rate == 0 && uwsgiClients != null) {
+                uwsgiClients.stop();
+            }
             return null;
         });
     }
