Keep the kernels' sockets of two tests until they end

Callers: none; tests that may fail at times.

Change: both keep what they accept in a list and close it at the end; assertions are unchanged.

--- a/server/src/test/java/wheatspread/daemon/ReloadAtSizeTest.java
+++ b/server/src/test/java/wheatspread/daemon/ReloadAtSizeTest.java
@@ -9,6 +9,7 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
+import java.util.Collections;
 import java.util.List;
 import java.util.Map;
 import java.util.function.Supplier;
@@ -115,7 +116,8 @@
     @Timeout(120)
     void handlesEverySighupWithTheDeployedHeapSize() throws Exception {
         try (ServerSocket kernels = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            Thread kernel = new Thread(() -> bootEveryLink(kernels), "kernel");
+            List<TestConnection> links = Collections.synchronizedList(new ArrayList<>());
+            Thread kernel = new Thread(() -> bootEveryLink(kernels, links), "kernel");
             kernel.setDaemon(true);
             kernel.start();
             String completeConfig = LargeSettings.config(LargeSettings.tenants(LargeSettings.TENANTS))
@@ -137,6 +139,9 @@
                 assertThat(process.waitFor()).isZero();
             } finally {
                 process.destroyForcibly();
+                for (TestConnection link : List.copyOf(links)) {
+                    link.close();
+                }
             }
         }
     }
@@ -148,10 +153,12 @@
                 .isZero();
     }
 
-    private static void bootEveryLink(ServerSocket kernels) {
+    /** Answers the handshake of every connection and adds it to {@code links}, as a collector closes lost sockets. */
+    private static void bootEveryLink(ServerSocket kernels, List<TestConnection> links) {
         try {
             while (true) {
                 TestConnection link = new TestConnection(kernels.accept());
+                links.add(link);
                 link.readLine();
                 link.writeLine("{\"type\":\"BOOTED\",\"state\":\"WARM\",\"took\":5}");
             }
--- a/server/src/test/java/wheatspread/kernel/KernelLinkTest.java
+++ b/server/src/test/java/wheatspread/kernel/KernelLinkTest.java
@@ -15,6 +15,8 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
@@ -29,6 +31,8 @@
 
     private static final class FakeKernel implements AutoCloseable {
         final ServerSocket socket = new ServerSocket(0, 50, InetAddress.getLoopbackAddress());
+        /** Referenced until the end, since the garbage collector closes sockets without a reference. */
+        private final List<Socket> accepted = new ArrayList<>();
 
         FakeKernel() throws IOException {
             socket.setSoTimeout(TIMEOUT_MS);
@@ -39,13 +43,17 @@
         }
 
         Socket accept() throws IOException {
-            Socket accepted = socket.accept();
-            accepted.setSoTimeout(TIMEOUT_MS);
-            return accepted;
+            Socket link = socket.accept();
+            link.setSoTimeout(TIMEOUT_MS);
+            accepted.add(link);
+            return link;
         }
 
         @Override
         public void close() throws IOException {
+            for (Socket link : accepted) {
+                link.close();
+            }
             socket.close();
         }
     }
