Read what waits in a uwsgi connection before the drain closes it

Callers: a web server that wrote a request to an open connection shortly before SIGTERM, to a server whose event loop was late, got the end of the connection and no answer.

Cause: a signal reaches the loop as a task, which runs before the sockets are polled again. UwsgiConnection.notifyDraining closed a connection without open requests at once, over what waited in its socket, and a lingering close discards that. JSON-RPC connections stay open after lastCall.

Why it works: the close waits for the end of an iteration that polls and reads first, and for input that is known to be unread; what is read is answered.

The soak says when an attempt was sent and closed.

--- a/lab/src/main/java/wheatspread/lab/soak/ServerDisturber.java
+++ b/lab/src/main/java/wheatspread/lab/soak/ServerDisturber.java
@@ -6,6 +6,7 @@
 import java.util.concurrent.TimeUnit;
 import wheatspread.lab.rig.Rig;
 import wheatspread.lab.rig.RigServer;
+import wheatspread.lab.standins.StandInEndpoint;
 
 /** Carries out the disturbances of a soak and records processes that do not end as they should. */
 final class ServerDisturber {
@@ -39,16 +40,8 @@
             case SERVICES_MOVE -> moveServices(random);
             case PAUSE -> pause(server, 1 + random.nextInt(MAX_PAUSE_MS));
             case COLD_KERNEL -> rig.world().restartKernelCold(server.name());
-            case RECORDS_GONE -> {
-                rig.world().recordsEndpoint().refuse();
-                TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_OUTAGE_MS));
-                rig.world().recordsEndpoint().acceptAgain();
-            }
-            case ANNOUNCE_GONE -> {
-                rig.world().announceEndpoint().refuse();
-                TimeUnit.MILLISECONDS.sleep(random.nextInt(MAX_OUTAGE_MS));
-                rig.world().announceEndpoint().acceptAgain();
-            }
+            case RECORDS_GONE -> interrupt(rig.world().recordsEndpoint(), random.nextInt(MAX_OUTAGE_MS));
+            case ANNOUNCE_GONE -> interrupt(rig.world().announceEndpoint(), random.nextInt(MAX_OUTAGE_MS));
             case KILL -> {
                 kill(server);
                 server.start();
@@ -64,6 +57,20 @@
         }
     }
 
+    /** Refuses connections for a while; the service moves if another process has taken its port meanwhile. */
+    private void interrupt(StandInEndpoint service, long millis) throws IOException, InterruptedException {
+        service.refuse();
+        TimeUnit.MILLISECONDS.sleep(millis);
+        if (service.acceptAgain()) {
+            return;
+        }
+        service.move(OLD_ADDRESS_CLOSE_MS);
+        for (RigServer server : rig.members()) {
+            rig.configure(server);
+            server.signal("HUP");
+        }
+    }
+
     private static void reloadInSeries(RigServer server, Random random) throws IOException, InterruptedException {
         for (int i = 1 + random.nextInt(MAX_RELOADS); i > 0; i--) {
             server.signal("HUP");
--- a/lab/src/main/java/wheatspread/lab/standins/StandInEndpoint.java
+++ b/lab/src/main/java/wheatspread/lab/standins/StandInEndpoint.java
@@ -13,6 +13,7 @@
 import io.netty.handler.codec.string.StringDecoder;
 import io.netty.handler.codec.string.StringEncoder;
 import io.netty.util.concurrent.GlobalEventExecutor;
+import java.net.BindException;
 import java.net.InetSocketAddress;
 import java.nio.charset.StandardCharsets;
 import java.util.concurrent.TimeUnit;
@@ -105,14 +106,25 @@
         listener.close().syncUninterruptibly();
     }
 
-    /** Accepts connections at the current address again after {@link #refuse}; no effect while listening. */
-    public synchronized void acceptAgain() {
+    /**
+     * Accepts connections at the current address again after {@link #refuse}; no effect while listening. Returns
+     * whether the service listens; false if another process has taken the port.
+     */
+    public synchronized boolean acceptAgain() {
         if (listener.isOpen()) {
-            return;
+            return true;
         }
         ChannelGroup previousConnections = connections;
-        bind(port);
+        try {
+            bind(port);
+        } catch (Exception e) {
+            if (e instanceof BindException) { // thrown by Netty without being declared
+                return false;
+            }
+            throw e;
+        }
         connections.addAll(previousConnections);
+        return true;
     }
 
     @Override
--- a/lab/src/main/java/wheatspread/lab/world/InvariantChecker.java
+++ b/lab/src/main/java/wheatspread/lab/world/InvariantChecker.java
@@ -203,10 +203,20 @@
             attempt.excused = true;
             count("lost_on_killed");
         } else if (attempt.responses == 0) {
-            addViolation("unanswered", attempt.txn + " on a connection that " + attempt.server + " closed");
+            addViolation(
+                    "unanswered",
+                    attempt.txn + " on a connection that " + attempt.server + " closed "
+                            + describeTimes(attempt, System.currentTimeMillis()));
         }
     }
 
+    private String describeTimes(Attempt attempt, long nowMillis) {
+        Long notice = drainNotices.get(attempt.server);
+        String sinceNotice =
+                notice == null ? "" : ", which was " + (attempt.sentAtMillis - notice) + " ms after the drain notice";
+        return (nowMillis - attempt.sentAtMillis) + " ms after it was sent" + sinceNotice;
+    }
+
     /** Records that a server announced that it accepts no more requests; the first notice counts. */
     void recordDrainNotice(String server, long nowMillis) {
         drainNotices.putIfAbsent(server, nowMillis);
--- a/server/src/main/java/wheatspread/connections/Connection.java
+++ b/server/src/main/java/wheatspread/connections/Connection.java
@@ -101,7 +101,7 @@
         return partialBytes;
     }
 
-    boolean isUnread() {
+    public boolean isUnread() {
         return unread;
     }
 
--- a/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
@@ -186,6 +186,16 @@
         return partialBytes() > 0;
     }
 
+    /** Returns whether input is known to wait in the socket, so that it will be read. */
+    protected final boolean hasUnreadInput() {
+        return connection != null && connection.isUnread();
+    }
+
+    /** Runs a task after the next iteration of the event loop has polled the sockets and read from clients. */
+    protected final void runAfterNextReads(Runnable task) {
+        listener.scheduler().runAtEnd(task);
+    }
+
     @Override
     public final void channelWritabilityChanged(ChannelHandlerContext context) {
         listener.writabilityChanged(this, !context.channel().isWritable());
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -81,7 +81,7 @@
     @Override
     public void notifyDraining() {
         serverDraining = true;
-        drainIfIdle();
+        runAfterNextReads(this::drainIfIdle); // a request may wait in the socket
     }
 
     /**
@@ -89,7 +89,7 @@
      * client that connects during the drain still gets its first response.
      */
     private void drainIfIdle() {
-        if (serverDraining && hasResponded && openRequests == 0 && !hasPartialMessage()) {
+        if (serverDraining && hasResponded && openRequests == 0 && !hasPartialMessage() && !hasUnreadInput()) {
             drain();
         }
     }
--- a/server/src/test/java/wheatspread/daemon/CloseRaceTest.java
+++ b/server/src/test/java/wheatspread/daemon/CloseRaceTest.java
@@ -300,6 +300,26 @@
         }
     }
 
+    /** Guards against an idle uwsgi connection that the drain closes over a request which waits in its socket. */
+    @ParameterizedTest
+    @MethodSource("transports")
+    void requestUnreadAtTheDrainSignalIsAnsweredOnBothFronts(String transport) throws Exception {
+        try (ServerFixture fixture = startServer("{}", transport)) {
+            SimulatedProxy proxy = new SimulatedProxy(fixture);
+            proxy.sendRequest("stew", "north", 5_000, null, "ok-1");
+            assertThat(proxy.readJsonRpcOutcomes()).containsOnlyKeys("ok-1");
+            assertThat(proxy.readUwsgiOutcomes()).containsOnlyKeys("ok-1");
+            proxy.clearRequests();
+            fixture.clock().advanceWithConcurrentInput(0, () -> {
+                proxy.sendRequest("stew", "north", 5_000, null, "ok-2");
+                fixture.server.drain();
+                return null;
+            });
+            assertThat(proxy.readJsonRpcOutcomes()).containsEntry("ok-2", "served 2-ko");
+            assertThat(proxy.readUwsgiOutcomes()).containsEntry("ok-2", "served 2-ko");
+        }
+    }
+
     /** A client that has shut down its output may still read: its requests are answered, then its stream ends. */
     @ParameterizedTest
     @MethodSource("transports")
