--- a/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
@@ -191,9 +191,16 @@
         return connection != null && connection.isUnread();
     }
 
-    /** Runs a task after the next iteration of the event loop has polled the sockets and read from clients. */
+    /**
+     * Runs a task after the next iteration of the event loop has polled the sockets and read from clients, unless the
+     * channel is closed by then.
+     */
     protected final void runAfterNextReads(Runnable task) {
-        listener.scheduler().runAtEnd(task);
+        listener.scheduler().runAtEnd(() -> {
+            if (ctx.channel().isOpen()) {
+                task.run();
+            }
+        });
     }
 
     @Override
