--- a/server/src/main/java/wheatspread/admission/sfq/DecisionClock.java
+++ b/server/src/main/java/wheatspread/admission/sfq/DecisionClock.java
@@ -2,8 +2,8 @@
 
 /**
  * The time of the current batch, and the ticks at which slowly changing state is updated. A batch that begins more than
- * one tick late shows that the process was stalled; the ages of requests that arrive after the stall then exclude the
- * stall time, so that it does not count as load.
+ * one tick late shows that the process was stalled, by a collection, a paused machine or a starved core. The ages of
+ * requests that arrive after the stall then exclude the stall time, so that it does not count as load.
  */
 final class DecisionClock {
     /** Time between ticks: short compared with latency objectives, long compared with the cost of a timer. */
--- a/server/src/test/java/wheatspread/admission/sfq/RandomEventsTest.java
+++ b/server/src/test/java/wheatspread/admission/sfq/RandomEventsTest.java
@@ -67,6 +67,13 @@
         assertThat(new RandomEventsTest().runRandomEvents(seed)).isEqualTo(actions);
     }
 
+    /** Guards against a mean of dependency calls above its limit in the first seconds of a process. */
+    @ParameterizedTest
+    @ValueSource(longs = {31, 32, 71, 109, 172, 187, 203, 212, 236, 241, 248, 254, 260, 280})
+    void keepsCallLimitAfterStart(long seed) {
+        runRandomEvents(seed);
+    }
+
     private List<String> runRandomEvents(long seed) {
         List<String> allActions = new ArrayList<>();
         Random random = new Random(seed);
