Write a checkpoint at a close that cancels one

Cause: CheckpointProgress clears its mark of a changed log when a checkpoint begins; a cancelled one didn't set it again, and the close writes a checkpoint only if the log has changed.

Evidence: CheckpointRecoveryTest.closeDuringACheckpointLeavesACompleteOne failed before and passes, with MaintenanceTest, CrashTest and StoreModelTest.

Why it works: whatever ends a checkpoint without a result goes through markFailed, which marks the log as changed.

--- a/server/src/main/java/wheatspread/store/CheckpointProgress.java
+++ b/server/src/main/java/wheatspread/store/CheckpointProgress.java
@@ -28,9 +28,10 @@
         return ++number;
     }
 
-    /** Records that a checkpoint could not be written; the next one is due immediately. */
+    /** Records that a checkpoint could not be written or was cancelled; the next one is due immediately. */
     void markFailed(StoreSettings settings) {
         loggedBytes = settings.checkpointIntervalBytes();
+        changed = true;
     }
 
     boolean isDue(StoreSettings settings) {
--- a/server/src/test/java/wheatspread/store/CheckpointRecoveryTest.java
+++ b/server/src/test/java/wheatspread/store/CheckpointRecoveryTest.java
@@ -77,4 +77,15 @@
             harness.assertExpectedValues(false);
         }
     }
+
+    /** Guards against a close without a checkpoint because one was begun, though never completed, before it. */
+    @Test
+    void closeDuringACheckpointLeavesACompleteOne() throws IOException {
+        StoreHarness harness = openBeforeCheckpoint();
+        MaintenanceJob checkpoint = harness.log.startNextJob(harness.nowMillis);
+        checkpoint.step();
+        harness.reopen();
+        assertThat(harness.log.recovered().fromCheckpoint()).isTrue();
+        assertThat(harness.log.recovered().replayedRecords()).isZero();
+    }
 }
