--- a/lab/src/main/java/wheatspread/lab/SoakCommand.java
+++ b/lab/src/main/java/wheatspread/lab/SoakCommand.java
@@ -19,7 +19,7 @@
         name = "soak",
         mixinStandardHelpOptions = true,
         description = "Plays runs of real servers under load on both fronts, with signals in series, kills, paused "
-                + "processes, moved and absent services, crowds of bad clients and a store under writes; each seed "
+                + "processes, moved and absent services, misbehaving clients and a store under writes; each seed "
                 + "draws one run. Exits with 1 if a rule was broken; takes about half a minute per seed.")
 final class SoakCommand implements Callable<Integer> {
     @Option(names = "--jar", defaultValue = "server/target/wheatspread.jar", description = "Jar of the server.")
--- a/lab/src/main/java/wheatspread/lab/soak/Crowd.java
+++ b/lab/src/main/java/wheatspread/lab/soak/MisbehavingClients.java
@@ -12,7 +12,7 @@
 import java.util.concurrent.TimeUnit;
 
 /** Bad clients that connect all at once: slow writers, half lines, invalid lines, resets and silent ones. */
-final class Crowd implements AutoCloseable {
+final class MisbehavingClients implements AutoCloseable {
     private static final int CONNECT_TIMEOUT_MS = 1_000;
     private static final long SLOW_BYTE_INTERVAL_MS = 50;
     private static final int SLOW_BYTES = 40;
@@ -33,9 +33,12 @@
     private final ExecutorService executor;
 
     /** Starts {@code size} clients of these addresses; the seed draws what they do. */
-    Crowd(List<InetSocketAddress> addresses, int size, long seed) {
+    MisbehavingClients(List<InetSocketAddress> addresses, int size, long seed) {
+        this(addresses, size, new Random(seed));
+    }
+
+    private MisbehavingClients(List<InetSocketAddress> addresses, int size, Random random) {
         executor = Executors.newFixedThreadPool(Math.max(1, size));
-        Random random = new Random(seed);
         for (int i = 0; i < size; i++) {
             InetSocketAddress address = addresses.get(random.nextInt(addresses.size()));
             Behaviour behaviour = Behaviour.values()[random.nextInt(Behaviour.values().length)];
--- a/lab/src/main/java/wheatspread/lab/soak/ServerDisturber.java
+++ b/lab/src/main/java/wheatspread/lab/soak/ServerDisturber.java
@@ -33,8 +33,10 @@
 
     /** Carries out one step; returns when the server serves again. */
     void apply(SoakPlan.Step step) throws IOException, InterruptedException {
-        RigServer server = rig.members().get(step.server());
-        Random random = new Random(step.seed());
+        apply(step, rig.members().get(step.server()), new Random(step.seed()));
+    }
+
+    private void apply(SoakPlan.Step step, RigServer server, Random random) throws IOException, InterruptedException {
         switch (step.kind()) {
             case RELOAD_SERIES -> reloadInSeries(server, random);
             case SERVICES_MOVE -> moveServices(random);
--- a/lab/src/main/java/wheatspread/lab/soak/SoakPlan.java
+++ b/lab/src/main/java/wheatspread/lab/soak/SoakPlan.java
@@ -10,19 +10,19 @@
  * @param seed the seed, which also determines the requests
  * @param servers the number of servers
  * @param requestsPerSecond the load on all JSON-RPC fronts together
- * @param crowdSize the number of bad clients; 0 for none
+ * @param misbehavingClients the number of misbehaving clients; 0 for none
  * @param steps the disturbances, one after the other
  */
-record SoakPlan(long seed, int servers, double requestsPerSecond, int crowdSize, List<Step> steps) {
+record SoakPlan(long seed, int servers, double requestsPerSecond, int misbehavingClients, List<Step> steps) {
     private static final int MIN_SERVERS = 2;
     private static final int MIN_STEPS = 3;
     private static final int EXTRA_STEPS = 3;
     private static final double MIN_RATE = 15;
     private static final double EXTRA_RATE = 30;
-    private static final int MIN_CROWD = 50;
-    private static final int EXTRA_CROWD = 200;
-    /** One run in this many has a crowd. */
-    private static final int CROWD_INTERVAL = 3;
+    private static final int MIN_MISBEHAVING_CLIENTS = 50;
+    private static final int EXTRA_MISBEHAVING_CLIENTS = 200;
+    /** One run in this many has misbehaving clients. */
+    private static final int MISBEHAVING_RUN_INTERVAL = 3;
 
     private static final int MAX_PAUSE_MS = 1_200;
 
@@ -37,10 +37,15 @@
     record Step(Disturbance kind, int server, long pauseMillis, long seed) {}
 
     static SoakPlan draw(long seed) {
-        Random random = new Random(seed);
+        return draw(seed, new Random(seed));
+    }
+
+    private static SoakPlan draw(long seed, Random random) {
         int servers = MIN_SERVERS + random.nextInt(2);
         double rate = MIN_RATE + EXTRA_RATE * random.nextDouble();
-        int crowd = random.nextInt(CROWD_INTERVAL) == 0 ? MIN_CROWD + random.nextInt(EXTRA_CROWD) : 0;
+        int clients = random.nextInt(MISBEHAVING_RUN_INTERVAL) == 0
+                ? MIN_MISBEHAVING_CLIENTS + random.nextInt(EXTRA_MISBEHAVING_CLIENTS)
+                : 0;
         List<Step> steps = new ArrayList<>();
         Disturbance[] kinds = Disturbance.values();
         for (int i = MIN_STEPS + random.nextInt(EXTRA_STEPS); i > 0; i--) {
@@ -50,6 +55,6 @@
                     random.nextInt(MAX_PAUSE_MS),
                     random.nextLong()));
         }
-        return new SoakPlan(seed, servers, rate, crowd, List.copyOf(steps));
+        return new SoakPlan(seed, servers, rate, clients, List.copyOf(steps));
     }
 }
--- a/lab/src/main/java/wheatspread/lab/soak/SoakRun.java
+++ b/lab/src/main/java/wheatspread/lab/soak/SoakRun.java
@@ -98,7 +98,7 @@
         ServerDisturber disturber = new ServerDisturber(rig, violations);
         List<InetSocketAddress> addresses = new ArrayList<>(fronts.values());
         addresses.addAll(rig.listenAddresses());
-        Crowd crowd = new Crowd(addresses, plan.crowdSize(), plan.seed());
+        MisbehavingClients clients = new MisbehavingClients(addresses, plan.misbehavingClients(), plan.seed());
         try {
             for (SoakPlan.Step step : plan.steps()) {
                 TimeUnit.MILLISECONDS.sleep(step.pauseMillis());
@@ -106,7 +106,7 @@
             }
             TimeUnit.MILLISECONDS.sleep(UNDISTURBED_MS);
         } finally {
-            crowd.close();
+            clients.close();
         }
     }
 
@@ -118,7 +118,7 @@
         return counts;
     }
 
-    /** Checks that every process lives, keeps its limit on memory and has closed the connections of the crowd. */
+    /** Checks that every process lives, keeps its limit on memory and has closed what misbehaving clients opened. */
     private void checkProcesses(Rig rig, Map<Long, Integer> descriptorsBefore)
             throws IOException, InterruptedException {
         for (RigServer member : rig.members()) {
