--- a/review/standin/ServerProcess.java
+++ b/review/standin/ServerProcess.java
@@ -62,6 +62,11 @@
         }
     }
 
+    /** Sends a signal, such as STOP. */
+    void signal(String name) throws Exception {
+        new ProcessBuilder("kill", "-" + name, Long.toString(process.pid())).start().waitFor();
+    }
+
     @Override
     public void close() {
         try {
