Do not send the start of a run that must not run twice again after a reconnect

Cause: KernelLink repeated every unconfirmed command once the answer to its gauge request had shown that the missed notices were read. A run that the kernel had started can end between that answer and the second SCHED; the request is not over for the kernel then, and it starts the run anew. The limit of 1 s without the answer repeated the commands as well.

Change: a start that is not idempotent is sent once. If it may have been lost, the core is told: a notice ends the uncertainty, and without one the request fails at its objective and keeps its key, as the run may have taken effect. This works since no second SCHED of a job leaves the server.

--- a/lab/src/main/java/wheatspread/lab/memory/MemoryConnections.java
+++ b/lab/src/main/java/wheatspread/lab/memory/MemoryConnections.java
@@ -11,6 +11,7 @@
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.atomic.AtomicInteger;
 import org.json.JSONObject;
+import wheatspread.admission.Idempotency;
 import wheatspread.admission.Outcome;
 import wheatspread.admission.sfq.SfqAdmissionController;
 import wheatspread.config.JsonFields;
@@ -92,7 +93,7 @@
         }
 
         @Override
-        public void run(String job, String kind, byte[] body) {
+        public void run(String job, String requestClass, Idempotency idempotency, byte[] body) {
             clock.schedule(RUN_MICROS, () -> listener.onRunEnded(job, End.OK, RUN_MICROS, body));
         }
 
@@ -103,7 +104,7 @@
 
         @Override
         public void resume(String job) {
-            run(job, "", new byte[0]);
+            run(job, "", Idempotency.IDEMPOTENT, new byte[0]);
         }
 
         @Override
--- a/server/src/main/java/wheatspread/core/ActionExecutor.java
+++ b/server/src/main/java/wheatspread/core/ActionExecutor.java
@@ -80,7 +80,12 @@
             InboundRequest request = attempt.request();
             attempt.runStarted();
             counters.runStarted();
-            kernel.run(request.job(), settings.className(request.requestClass()), request.body());
+            RequestClass requestClass = settings.requestClass(request.requestClass());
+            kernel.run(
+                    request.job(),
+                    settings.className(request.requestClass()),
+                    requestClass.idempotency(),
+                    request.body());
         }
     }
 
--- a/server/src/main/java/wheatspread/core/AttachedKernel.java
+++ b/server/src/main/java/wheatspread/core/AttachedKernel.java
@@ -1,5 +1,7 @@
 package wheatspread.core;
 
+import wheatspread.admission.Idempotency;
+
 /**
  * Forwards commands to a kernel that is attached after the core is constructed. The link to the kernel needs the
  * core as its listener, so the core is constructed before the link.
@@ -12,8 +14,8 @@
     }
 
     @Override
-    public void run(String job, String requestClass, byte[] body) {
-        target.run(job, requestClass, body);
+    public void run(String job, String requestClass, Idempotency idempotency, byte[] body) {
+        target.run(job, requestClass, idempotency, body);
     }
 
     @Override
--- a/server/src/main/java/wheatspread/core/Attempt.java
+++ b/server/src/main/java/wheatspread/core/Attempt.java
@@ -37,6 +37,7 @@
     private RunState runState = RunState.NOT_STARTED;
     private boolean suspensionRequested;
     private boolean everSuspended;
+    private boolean runUncertain;
     private IdempotencyTable.Entry keyEntry;
     private long joinedAtMicros;
 
@@ -155,6 +156,21 @@
         runState = RunState.ENDED;
     }
 
+    /** Records that a command for the run may have been lost, so that the kernel may never report on the run. */
+    void markRunUncertain() {
+        runUncertain = true;
+    }
+
+    /** Records that the kernel has reported on the run. */
+    void markRunCertain() {
+        runUncertain = false;
+    }
+
+    /** Returns whether the run is open and the kernel may never report on it. */
+    boolean runUncertain() {
+        return runUncertain && hasOpenRun();
+    }
+
     // ---- the idempotency key, and shared results ----
 
     /** Returns the entry of the attempt's key, which the attempt owns or duplicates; null if it has no key. */
--- a/server/src/main/java/wheatspread/core/Core.java
+++ b/server/src/main/java/wheatspread/core/Core.java
@@ -259,6 +259,11 @@
         kernelEvents.runNotStarted(job);
     }
 
+    @Override
+    public void onRunUncertain(String job) {
+        kernelEvents.runUncertain(job);
+    }
+
     @Override
     public void onGauges(double[] readings) {
         kernelEvents.gaugesReported(readings);
--- a/server/src/main/java/wheatspread/core/Kernel.java
+++ b/server/src/main/java/wheatspread/core/Kernel.java
@@ -1,5 +1,7 @@
 package wheatspread.core;
 
+import wheatspread.admission.Idempotency;
+
 /**
  * The kernel, which executes requests. A job is the kernel's name for one attempt. Commands issued while the link
  * is down are delivered after the link has reconnected.
@@ -17,8 +19,8 @@
         IGNORED
     }
 
-    /** Starts a run of the class named {@code requestClass}. */
-    void run(String job, String requestClass, byte[] body);
+    /** Starts a run of the class named {@code requestClass}, which is started only once unless it is idempotent. */
+    void run(String job, String requestClass, Idempotency idempotency, byte[] body);
 
     /** Suspends a run; the listener is notified of its end with {@link End#STOPPED}. */
     void suspend(String job);
@@ -51,5 +53,11 @@
 
         /** A command to start or resume a run was not carried out. */
         void onRunNotStarted(String job);
+
+        /**
+         * A command for a run may have been lost, and cannot be sent again. If the kernel has read it, reports on the
+         * run follow.
+         */
+        void onRunUncertain(String job);
     }
 }
--- a/server/src/main/java/wheatspread/core/KernelEvents.java
+++ b/server/src/main/java/wheatspread/core/KernelEvents.java
@@ -8,6 +8,7 @@
  * no longer in flight. Owned by the core's thread.
  */
 final class KernelEvents {
+    private final Clock clock;
     private final ActiveSettings settings;
     private final AttemptTable attempts;
     private final EventBatcher events;
@@ -15,6 +16,7 @@
     private final EventLog log;
 
     KernelEvents(CoreContext context, FinalAnswers answers) {
+        clock = context.clock();
         settings = context.settings();
         attempts = context.attempts();
         events = context.events();
@@ -25,6 +27,7 @@
     void dependencyCallRequested(String job, long noticeNumber, byte[] call) {
         Attempt attempt = attempts.byJob(job);
         if (attempt != null) {
+            attempt.markRunCertain();
             attempt.dependencyCall().markAwaited(noticeNumber, call);
             events.add(controller -> controller.onBlocked(attempt.id()));
         }
@@ -35,6 +38,7 @@
         if (attempt == null) {
             return;
         }
+        attempt.markRunCertain();
         attempt.dependencyCall().cancel();
         switch (end) {
             case OK -> answers.endRun(attempt, end, result, elapsedMicros);
@@ -85,6 +89,42 @@
         }
     }
 
+    /**
+     * Handles a run that the kernel may never report on, because a command for it may have been lost. Reports that
+     * follow end the uncertainty. Without a report the run is given up at the latency objective, or at the deadline if
+     * the objective has passed: until then its result would still be of use.
+     */
+    void runUncertain(String job) {
+        Attempt attempt = attempts.byJob(job);
+        if (attempt == null || !attempt.hasOpenRun()) {
+            return;
+        }
+        attempt.markRunUncertain();
+        InboundRequest request = attempt.request();
+        long nowMicros = clock.nowMicros();
+        long objectiveMicros = request.arrivalMicros()
+                + settings.requestClass(request.requestClass()).latencyObjectiveMicros();
+        long giveUpMicros = objectiveMicros > nowMicros ? objectiveMicros : request.deadlineMicros();
+        clock.schedule(Math.max(0, giveUpMicros - nowMicros), () -> giveUpIfUncertain(attempt));
+    }
+
+    /**
+     * Ends an attempt whose run is still uncertain. The attempt fails and is not rejected, and its key is kept like
+     * that of a failed run, because the run may have taken effect.
+     */
+    private void giveUpIfUncertain(Attempt attempt) {
+        if (!attempt.runUncertain()) {
+            return;
+        }
+        log.warn("kernel_run_given_up", "job", attempt.job());
+        attempt.dependencyCall().cancel();
+        if (!attempt.answered()) {
+            events.add(controller -> controller.onCancellation(attempt.id()));
+            answers.finish(attempt, Answer.Kind.FAILED);
+        }
+        answers.endRun(attempt, Kernel.End.STOPPED, null, 0);
+    }
+
     /** Stores the gauges that the kernel reported; gauges without a reading become NaN. */
     void gaugesReported(double[] readings) {
         events.setGauges(DeploymentSettings.gaugesFrom(
--- a/server/src/main/java/wheatspread/daemon/WarmUp.java
+++ b/server/src/main/java/wheatspread/daemon/WarmUp.java
@@ -176,7 +176,7 @@
     // ---- the simulated kernel: each run succeeds, after a dependency call if its class makes calls ----
 
     @Override
-    public void run(String job, String requestClass, byte[] body) {
+    public void run(String job, String requestClass, Idempotency idempotency, byte[] body) {
         boolean callsDependency = deployment
                 .settings()
                 .classes()
--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -6,15 +6,20 @@
 import java.util.Base64;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
+import wheatspread.admission.Idempotency;
 import wheatspread.core.Kernel;
 import wheatspread.logging.EventLog;
 
 /**
  * The session with the kernel, which spans several connections. A command is stored until the kernel has confirmed
  * that it was read. The kernel reads a connection in order, so the answer to a gauge request confirms every command
- * sent before that request, and a notice about a run confirms the commands for that run. Commands that may have been
- * lost with a connection are sent again on the next connection, but only after all missed notices have been read, so
- * that no run is started twice.
+ * sent before that request, and a notice about a run confirms the commands for that run.
+ *
+ * <p>Commands that may have been lost with a connection are sent again on the next connection, after the missed
+ * notices have been read, unless a repetition could take effect twice. The missed notices do not exclude that: a run
+ * may end between the answer to the gauge request and the repeated command, and the kernel starts a run anew that has
+ * ended. So a run that must not be started twice is not started again, and the listener is notified that it may not
+ * have been started.
  *
  * <p>All methods must be called on the event loop. {@link #close} ends the session and its connections.
  */
@@ -39,6 +44,7 @@
     private final Bootstrap bootstrap;
     private final EventLog log;
     private final UnconfirmedCommands unconfirmed = new UnconfirmedCommands();
+    private final Listener listener;
     private final NoticeReader notices;
     private final KernelConnection.Owner connectionEvents = new ConnectionEvents();
     private InetSocketAddress address;
@@ -67,6 +73,7 @@
         this.bootstrap = bootstrap;
         this.address = address;
         this.log = log;
+        this.listener = listener;
         notices = new NoticeReader(new SessionProgress(), listener, unconfirmed, log);
     }
 
@@ -82,8 +89,7 @@
 
     /**
      * Moves the session to a kernel at another address. The old connection is used until the new connection is
-     * established. Commands that may have been lost on the old connection are sent again on the new one, after the
-     * missed notices have been read.
+     * established. Commands that may have been lost on the old connection are treated as after a reconnect.
      */
     public void moveTo(InetSocketAddress next) {
         if (!next.equals(address)) {
@@ -129,33 +135,37 @@
     // ---- commands ----
 
     @Override
-    public void run(String job, String requestClass, byte[] body) {
-        issueCommand(
-                KernelWireNames.START,
-                job,
-                new JSONObject()
-                        .put(KernelWireNames.REQUEST_CLASS, requestClass)
-                        .put(KernelWireNames.BODY, encode(body)));
+    public void run(String job, String requestClass, Idempotency idempotency, byte[] body) {
+        JSONObject fields = new JSONObject()
+                .put(KernelWireNames.REQUEST_CLASS, requestClass)
+                .put(KernelWireNames.BODY, encode(body));
+        String line = command(KernelWireNames.START, job, fields);
+        if (idempotency == Idempotency.IDEMPOTENT) {
+            unconfirmed.addRepeatable(KernelWireNames.START, job, line);
+        } else {
+            unconfirmed.addOnce(KernelWireNames.START, job, line);
+        }
+        sendIfReady();
     }
 
     @Override
     public void suspend(String job) {
-        issueCommand(KernelWireNames.SUSPEND, job, new JSONObject());
+        issueRepeatable(KernelWireNames.SUSPEND, job, new JSONObject());
     }
 
     @Override
     public void resume(String job) {
-        issueCommand(KernelWireNames.RESUME, job, new JSONObject());
+        issueRepeatable(KernelWireNames.RESUME, job, new JSONObject());
     }
 
     @Override
     public void completeDependencyCall(String job, byte[] reply) {
-        issueCommand(KernelWireNames.CALL_REPLY, job, new JSONObject().put(KernelWireNames.BODY, encode(reply)));
+        issueRepeatable(KernelWireNames.CALL_REPLY, job, new JSONObject().put(KernelWireNames.BODY, encode(reply)));
     }
 
     @Override
     public void skipDependencyCall(String job, long noticeNumber) {
-        issueCommand(
+        issueRepeatable(
                 KernelWireNames.SKIP_CALL, job, new JSONObject().put(KernelWireNames.SEQUENCE_NUMBER, noticeNumber));
     }
 
@@ -178,13 +188,27 @@
                 .toString());
     }
 
-    private void issueCommand(String type, String job, JSONObject fields) {
-        String line = fields.put(KernelWireNames.TYPE, type)
+    private void issueRepeatable(String type, String job, JSONObject fields) {
+        unconfirmed.addRepeatable(type, job, command(type, job, fields));
+        sendIfReady();
+    }
+
+    private static String command(String type, String job, JSONObject fields) {
+        return fields.put(KernelWireNames.TYPE, type)
                 .put(KernelWireNames.JOB, job)
                 .toString();
-        unconfirmed.add(type, job, line);
+    }
+
+    private void sendIfReady() {
         if (ready) {
-            unconfirmed.sendUnsent(this::send);
+            sendUnsent();
+        }
+    }
+
+    private void sendUnsent() {
+        for (String job : unconfirmed.sendUnsent(this::send)) {
+            log.warn("kernel_run_uncertain", "job", job);
+            listener.onRunUncertain(job);
         }
     }
 
@@ -202,14 +226,13 @@
     private void becomeReady() {
         if (!ready && replacement == null) {
             ready = true;
-            unconfirmed.sendUnsent(this::send);
+            sendUnsent();
         }
     }
 
     /**
      * Replaces a connection that may still be usable. First the kernel has to confirm the commands sent on the old
-     * connection, on which no more commands are sent. A command that the kernel has read must not be sent again,
-     * since its run may end in the meantime and would be started a second time.
+     * connection, on which no more commands are sent, since a command without a confirmation may not be repeatable.
      */
     private void replaceWith(KernelConnection next) {
         if (current == null || !ready || unconfirmed.isEmpty()) {
--- a/server/src/test/java/wheatspread/core/CoreHarness.java
+++ b/server/src/test/java/wheatspread/core/CoreHarness.java
@@ -119,7 +119,7 @@
 
     private final class RecordingKernel implements Kernel {
         @Override
-        public void run(String job, String requestClass, byte[] body) {
+        public void run(String job, String requestClass, Idempotency idempotency, byte[] body) {
             kernelCommands.add("run " + job);
         }
 
--- a/server/src/test/java/wheatspread/core/CoreIdempotencyTest.java
+++ b/server/src/test/java/wheatspread/core/CoreIdempotencyTest.java
@@ -33,6 +33,38 @@
         assertThat(harness.kernelCommands).doesNotContain("run b").anyMatch(line -> line.startsWith("run a"));
     }
 
+    /** Guards against an attempt whose lost run is never ended, and against a second run of its key. */
+    @Test
+    void failsAnAttemptWhoseRunIsUncertainAtItsObjectiveAndKeepsItsKey() {
+        harness.decide(actions -> actions.run(1));
+        harness.submit("a", "k");
+        harness.settle();
+        core.onRunUncertain("a");
+        harness.advance(3 * SECOND - 1);
+        assertThat(harness.answers).isEmpty();
+        harness.advance(1);
+        assertThat(harness.answers).containsExactly("a FAILED");
+        assertThat(harness.controllerEvents).contains("completed 1 CANCELED 0");
+        harness.decide(actions -> actions.run(2));
+        harness.submit("b", "k");
+        harness.settle();
+        core.onRunEnded("a", Kernel.End.OK, 5, new byte[0]);
+        assertThat(harness.answers).containsExactly("a FAILED", "b FAILED");
+        assertThat(harness.kernelCommands).containsExactly("run a");
+    }
+
+    @Test
+    void servesAnAttemptWhoseUncertainRunIsReportedInTime() {
+        harness.decide(actions -> actions.run(1));
+        harness.submit("a", "k");
+        harness.settle();
+        core.onRunUncertain("a");
+        core.onDependencyCallRequested("a", 1, new byte[0]);
+        harness.advance(4 * SECOND);
+        core.onRunEnded("a", Kernel.End.OK, 5, new byte[0]);
+        assertThat(harness.answers).containsExactly("a SERVED");
+    }
+
     @Test
     void runsADuplicateWhoseFirstAttemptIsRejectedInTheSameBatch() {
         harness.decide(actions -> {
