Do not send the reply to a dependency call again after a reconnect

Cause: IODONE names the run and not the call, and KernelLink repeated it on the next connection. A run that had gone on to its next call took it.

Change: a reply is sent once. If it may have been lost, NOIO is sent in its place where the class may be answered without the call; NOIO names the call, so a run that has gone on ignores it. Otherwise the run is uncertain, as after a start that may have been lost.

--- a/lab/src/main/java/wheatspread/lab/memory/MemoryConnections.java
+++ b/lab/src/main/java/wheatspread/lab/memory/MemoryConnections.java
@@ -20,6 +20,7 @@
 import wheatspread.connections.ConnectionLimits;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
+import wheatspread.core.DependencyReply;
 import wheatspread.core.Kernel;
 import wheatspread.daemon.EventLoopClock;
 import wheatspread.jsonrpc.RpcFront;
@@ -108,7 +109,7 @@
         }
 
         @Override
-        public void completeDependencyCall(String job, byte[] reply) {
+        public void completeDependencyCall(String job, DependencyReply reply) {
             throw new IllegalStateException("unexpected dependency call: runs of this kernel make none");
         }
 
--- a/server/src/main/java/wheatspread/core/AttachedKernel.java
+++ b/server/src/main/java/wheatspread/core/AttachedKernel.java
@@ -29,7 +29,7 @@
     }
 
     @Override
-    public void completeDependencyCall(String job, byte[] reply) {
+    public void completeDependencyCall(String job, DependencyReply reply) {
         target.completeDependencyCall(job, reply);
     }
 
--- a/server/src/main/java/wheatspread/core/DependencyCalls.java
+++ b/server/src/main/java/wheatspread/core/DependencyCalls.java
@@ -8,6 +8,7 @@
  */
 final class DependencyCalls {
     private final Clock clock;
+    private final ActiveSettings settings;
     private final RecordsService records;
     private final Kernel kernel;
     private final EventBatcher events;
@@ -15,6 +16,7 @@
 
     DependencyCalls(CoreContext context, RecordsService records) {
         clock = context.clock();
+        settings = context.settings();
         kernel = context.kernel();
         events = context.events();
         counters = context.counters();
@@ -34,13 +36,18 @@
         pending.markStarted(records.call(attempt.job(), pending.body(), timeoutMicros, (outcome, reply) -> {
             pending.markEnded();
             if (outcome == Outcome.OK) {
+                kernel.completeDependencyCall(
+                        attempt.job(), new DependencyReply(pending.noticeNumber(), reply, mayBeSkipped(attempt)));
                 pending.markResolved();
-                kernel.completeDependencyCall(attempt.job(), reply);
             }
             reportEnd(attempt, outcome, startedAtMicros);
         }));
     }
 
+    private boolean mayBeSkipped(Attempt attempt) {
+        return settings.requestClass(attempt.request().requestClass()).degradedResponseWeight() > 0;
+    }
+
     private void reportEnd(Attempt attempt, Outcome outcome, long startedAtMicros) {
         long elapsedMicros = clock.nowMicros() - startedAtMicros;
         events.add(controller -> controller.onCallCompleted(attempt.id(), outcome, elapsedMicros));
--- a/server/src/main/java/wheatspread/core/Kernel.java
+++ b/server/src/main/java/wheatspread/core/Kernel.java
@@ -28,8 +28,8 @@
     /** Resumes a suspended run. */
     void resume(String job);
 
-    /** Passes the reply of a dependency call to the run that waits for it. */
-    void completeDependencyCall(String job, byte[] reply);
+    /** Passes the reply of a dependency call to the run that waits for it; the kernel gets the reply at most once. */
+    void completeDependencyCall(String job, DependencyReply reply);
 
     /** Continues a run without the dependency call that the notice {@code noticeNumber} requested. */
     void skipDependencyCall(String job, long noticeNumber);
--- a/server/src/main/java/wheatspread/daemon/WarmUp.java
+++ b/server/src/main/java/wheatspread/daemon/WarmUp.java
@@ -19,6 +19,7 @@
 import wheatspread.connections.ConnectionLimits;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
+import wheatspread.core.DependencyReply;
 import wheatspread.core.DeploymentSettings;
 import wheatspread.core.Kernel;
 import wheatspread.core.RecordsService;
@@ -202,13 +203,13 @@
     }
 
     @Override
-    public void completeDependencyCall(String job, byte[] reply) {
-        schedule(STEP_MICROS, () -> core.onRunEnded(job, End.OK, STEP_MICROS, reply));
+    public void completeDependencyCall(String job, DependencyReply reply) {
+        schedule(STEP_MICROS, () -> core.onRunEnded(job, End.OK, STEP_MICROS, reply.body()));
     }
 
     @Override
     public void skipDependencyCall(String job, long noticeNumber) {
-        completeDependencyCall(job, BODY);
+        schedule(STEP_MICROS, () -> core.onRunEnded(job, End.OK, STEP_MICROS, BODY));
     }
 
     @Override
--- a/server/src/main/java/wheatspread/kernel/KernelLink.java
+++ b/server/src/main/java/wheatspread/kernel/KernelLink.java
@@ -7,6 +7,7 @@
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
 import wheatspread.admission.Idempotency;
+import wheatspread.core.DependencyReply;
 import wheatspread.core.Kernel;
 import wheatspread.logging.EventLog;
 
@@ -19,7 +20,8 @@
  * notices have been read, unless a repetition could take effect twice. The missed notices do not exclude that: a run
  * may end between the answer to the gauge request and the repeated command, and the kernel starts a run anew that has
  * ended. So a run that must not be started twice is not started again, and the listener is notified that it may not
- * have been started.
+ * have been started. A reply has no number, so the run's next call could receive a repeated one: if the call may be
+ * skipped, the skip command is sent instead, which names the call, and otherwise the listener is notified.
  *
  * <p>All methods must be called on the event loop. {@link #close} ends the session and its connections.
  */
@@ -159,14 +161,26 @@
     }
 
     @Override
-    public void completeDependencyCall(String job, byte[] reply) {
-        issueRepeatable(KernelWireNames.CALL_REPLY, job, new JSONObject().put(KernelWireNames.BODY, encode(reply)));
+    public void completeDependencyCall(String job, DependencyReply reply) {
+        JSONObject fields = new JSONObject().put(KernelWireNames.BODY, encode(reply.body()));
+        String line = command(KernelWireNames.CALL_REPLY, job, fields);
+        if (reply.skippable()) {
+            unconfirmed.addReplaceable(KernelWireNames.CALL_REPLY, job, line, skipCommand(job, reply.noticeNumber()));
+        } else {
+            unconfirmed.addOnce(KernelWireNames.CALL_REPLY, job, line);
+        }
+        sendIfReady();
     }
 
     @Override
     public void skipDependencyCall(String job, long noticeNumber) {
-        issueRepeatable(
-                KernelWireNames.SKIP_CALL, job, new JSONObject().put(KernelWireNames.SEQUENCE_NUMBER, noticeNumber));
+        unconfirmed.addRepeatable(KernelWireNames.SKIP_CALL, job, skipCommand(job, noticeNumber));
+        sendIfReady();
+    }
+
+    private static String skipCommand(String job, long noticeNumber) {
+        JSONObject fields = new JSONObject().put(KernelWireNames.SEQUENCE_NUMBER, noticeNumber);
+        return command(KernelWireNames.SKIP_CALL, job, fields);
     }
 
     @Override
--- a/server/src/main/java/wheatspread/kernel/UnconfirmedCommands.java
+++ b/server/src/main/java/wheatspread/kernel/UnconfirmedCommands.java
@@ -37,6 +37,11 @@
         commands.add(new Command(++lastSequenceNumber, type, job, line, null));
     }
 
+    /** Adds a command that must be sent at most once, and a repeatable one to send in its place after a reconnect. */
+    void addReplaceable(String type, String job, String line, String replacement) {
+        commands.add(new Command(++lastSequenceNumber, type, job, line, replacement));
+    }
+
     boolean isEmpty() {
         return commands.isEmpty();
     }
--- a/server/src/test/java/wheatspread/core/CoreHarness.java
+++ b/server/src/test/java/wheatspread/core/CoreHarness.java
@@ -134,7 +134,7 @@
         }
 
         @Override
-        public void completeDependencyCall(String job, byte[] reply) {
+        public void completeDependencyCall(String job, DependencyReply reply) {
             kernelCommands.add("completeDependencyCall " + job);
         }
 
--- a/server/src/test/java/wheatspread/kernel/KernelReconnectTest.java
+++ b/server/src/test/java/wheatspread/kernel/KernelReconnectTest.java
@@ -11,7 +11,6 @@
 import java.io.IOException;
 import java.net.Socket;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
@@ -21,6 +20,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
 import wheatspread.admission.Idempotency;
+import wheatspread.core.DependencyReply;
 import wheatspread.core.Kernel;
 import wheatspread.logging.EventLog;
 
@@ -41,7 +41,7 @@
 
     /** Records the reports that the tests check. */
     private static final class RecordingListener implements Kernel.Listener {
-        final List<String> reports = Collections.synchronizedList(new ArrayList<>());
+        final List<String> reports = new ArrayList<>();
 
         @Override
         public void onBooted(boolean cold, long ageMicros) {}
@@ -119,6 +119,11 @@
         loop.submit(command).sync();
     }
 
+    /** Returns the reports so far; read on the event loop, after what it does in the same task as it sends commands. */
+    private List<String> reports() throws Exception {
+        return loop.submit(() -> List.copyOf(listener.reports)).get();
+    }
+
     /** Returns the next command as "type job". */
     private String readCommand() throws IOException {
         JSONObject command = new JSONObject(reader.readLine());
@@ -139,6 +144,24 @@
         issue(() -> link.run("new", "stew", Idempotency.IDEMPOTENCY_KEY, BODY));
 
         assertThat(List.of(readCommand(), readCommand())).containsExactly("SCHED read", "SCHED new");
-        assertThat(listener.reports).containsExactly("uncertain keyed", "uncertain once");
+        assertThat(reports()).containsExactly("uncertain keyed", "uncertain once");
+    }
+
+    /** Guards against a reply that the run's next call receives, if the kernel has read the reply before the break. */
+    @ParameterizedTest
+    @EnumSource
+    void doesNotRepeatAReplyThatTheNextCallOfTheRunCouldReceive(Replacement replacement) throws Exception {
+        issue(() -> link.completeDependencyCall("mandatory", new DependencyReply(1, BODY, false)));
+        issue(() -> link.completeDependencyCall("skippable", new DependencyReply(2, BODY, true)));
+        assertThat(List.of(readCommand(), readCommand())).containsExactly("IODONE mandatory", "IODONE skippable");
+
+        replaceConnection(replacement);
+        issue(() -> link.completeDependencyCall("new", new DependencyReply(3, BODY, true)));
+
+        JSONObject skip = new JSONObject(reader.readLine());
+        assertThat(skip.getString("type") + ' ' + skip.getString("job")).isEqualTo("NOIO skippable");
+        assertThat(skip.getLong("n")).isEqualTo(2);
+        assertThat(readCommand()).isEqualTo("IODONE new");
+        assertThat(reports()).containsExactly("uncertain mandatory");
     }
 }
