Poll the sockets before the time limits of connections are checked

Cause: the limits are checked by a timer after the loop's poll. SIGSTOP and SIGCONT interrupt the poll, and the JDK's selector reports no event if its time is over by then. The connections looked idle for too long and were drained over their unread requests.

Change: the timer queues the check for the end of an iteration whose poll begins after it; input that waits is read, or known to be unread, by then.

--- a/server/src/main/java/wheatspread/transport/EventLoopScheduler.java
+++ b/server/src/main/java/wheatspread/transport/EventLoopScheduler.java
@@ -114,6 +114,14 @@
         endTasks.add(task);
     }
 
+    /**
+     * Queues a task to run at the end of an iteration whose poll of the sockets begins after this call. A poll that has
+     * begun may have reported nothing although input waits: a signal that stops and continues the process ends it.
+     */
+    void runAfterNextPoll(Runnable task) {
+        endTasks.add(() -> endTasks.add(task));
+    }
+
     /** Runs the registration of a client's channel in such a way that the read scheduler defers the channel's reads. */
     void register(Connection connection, Runnable registration) {
         connectionBeingRegistered = connection;
--- a/server/src/main/java/wheatspread/transport/Listener.java
+++ b/server/src/main/java/wheatspread/transport/Listener.java
@@ -293,7 +293,8 @@
             }
             expiryTimer = clock.schedule(Math.max(0, nextExpiryMicros - clock.nowMicros()), () -> {
                 expiryTimer = null;
-                expire();
+                // if the loop is late, a request may have waited in its socket for longer than the time limit
+                scheduler.runAfterNextPoll(this::expire);
             });
         }
     }
