Bound the exact mean of dependency calls over the window

Cause: the limit compares an exponentially smoothed mean, which lags behind the window's mean while that rises, and falls below it in a pause.

Change: a call starts only if the window's exact mean, abandoned calls included, is below 0.9 of the configured number too.

--- a/server/src/main/java/wheatspread/admission/sfq/DependencyCallLimit.java
+++ b/server/src/main/java/wheatspread/admission/sfq/DependencyCallLimit.java
@@ -11,6 +11,11 @@
 final class DependencyCallLimit {
     /** Maximum mean of outstanding calls, as a share of the bound. */
     private static final double MAX_MEAN_SHARE = 0.7;
+    /**
+     * Mean over the whole window at which no call starts, as a share of the configured number. After a quiet time the
+     * smoothed mean lags behind it.
+     */
+    private static final double MAX_WINDOW_MEAN_SHARE = 0.9;
     /** Minimum bound, as a share of the configured number. */
     private static final double MIN_BOUND_SHARE = 0.4;
     /** Share of the bound that optional calls may use. */
@@ -37,6 +42,8 @@
     private final InFlightRequests inFlight;
     private final double configuredCalls;
     private final List<Long> lingeringUntilMicros = new ArrayList<>();
+    private final long windowMicros;
+    private final SlidingWindowMean windowMean;
     private int outstandingCalls;
     private long averagedAtMicros;
     private double boundCalls;
@@ -50,6 +57,8 @@
         this.inFlight = inFlight;
         configuredCalls = settings.current().dependency().maxConcurrentCalls();
         boundCalls = configuredCalls;
+        windowMicros = Math.max(1, settings.current().dependency().averagingWindowMicros());
+        windowMean = new SlidingWindowMean(windowMicros);
     }
 
     boolean hasRoom(boolean optional) {
@@ -58,11 +67,18 @@
         }
         double share = optional ? OPTIONAL_CALLS_SHARE : 1;
         return meanOutstandingCalls < boundCalls * MAX_MEAN_SHARE * share
-                && outstandingCalls + lingeringUntilMicros.size() < Math.max(1, MAX_BURST_FACTOR * boundCalls * share);
+                && occupiedCalls() < Math.max(1, MAX_BURST_FACTOR * boundCalls * share)
+                && windowMean.mean(clock.nowMicros()) < configuredCalls * MAX_WINDOW_MEAN_SHARE;
+    }
+
+    /** Returns the number of calls that occupy the dependency, abandoned ones included. */
+    private int occupiedCalls() {
+        return outstandingCalls + lingeringUntilMicros.size();
     }
 
     void onCallStarted() {
         outstandingCalls++;
+        windowMean.record(clock.nowMicros(), occupiedCalls());
     }
 
     /** Records the end of a call whose time is a measure of the dependency's speed. */
@@ -80,6 +96,7 @@
     void onCallEnded() {
         updateMean();
         outstandingCalls--;
+        windowMean.record(clock.nowMicros(), occupiedCalls());
     }
 
     /** Counts an abandoned call until the dependency has stopped working on it. */
@@ -92,10 +109,9 @@
     void updateMean() {
         long nowMicros = clock.nowMicros();
         lingeringUntilMicros.removeIf(untilMicros -> untilMicros < nowMicros);
-        double windowMicros = Math.max(1.0, settings.current().dependency().averagingWindowMicros());
-        double weight = Math.exp(-(nowMicros - averagedAtMicros) / windowMicros);
-        meanOutstandingCalls =
-                meanOutstandingCalls * weight + (outstandingCalls + lingeringUntilMicros.size()) * (1 - weight);
+        windowMean.record(nowMicros, occupiedCalls());
+        double weight = Math.exp((double) -(nowMicros - averagedAtMicros) / windowMicros);
+        meanOutstandingCalls = meanOutstandingCalls * weight + occupiedCalls() * (1 - weight);
         averagedAtMicros = nowMicros;
     }
 
