Admit an accepted connection after all events of the poll are known

Callers saw: with all connections in use, an idle one is closed for a new one. If a request on it arrived with the new connection, it was lost, and with epoll the connection was reset.

Cause: the events of a poll were handled in order; at the listening socket's event the other connection's input was not known yet.

Change: the admission is queued behind the events of the poll, in the same iteration. By then input on the other connections is known, and a connection with unread input is not closed.

--- a/server/src/main/java/wheatspread/transport/Listener.java
+++ b/server/src/main/java/wheatspread/transport/Listener.java
@@ -158,7 +158,12 @@
             if (pauseMicros > 0) {
                 pauseAccepting(pauseMicros); // meanwhile connections wait in the operating system's accept queue
             }
-            accept(channel);
+            if (stopped) {
+                accept(channel); // the listening socket is being closed, and the connections are drained next
+            } else {
+                // another connection may be closed for this one, and the same poll may report input on it
+                scheduler.runInIteration(() -> accept(channel));
+            }
         }
 
         @Override
--- a/server/src/test/java/wheatspread/daemon/CloseRaceTest.java
+++ b/server/src/test/java/wheatspread/daemon/CloseRaceTest.java
@@ -43,6 +43,27 @@
         }
     }
 
+    /** Guards against closing an idle connection for room over a request that the same poll reports. */
+    @ParameterizedTest
+    @MethodSource("transports")
+    void requestUnreadAtACloseForRoomIsAnswered(String transport) throws Exception {
+        try (ServerFixture fixture = startServer("{\"connections\":{\"max\":35}}", transport);
+                FaultyClient longestIdle = FaultyClient.connect(fixture.jsonrpc);
+                FaultyClient idle = FaultyClient.connect(fixture.jsonrpc)) {
+            for (FaultyClient client : List.of(longestIdle, idle)) {
+                client.write(requestLine(1, "ok-1"));
+                assertThat(outcomes(List.of(client.readLine()))).containsExactly("1 served");
+                fixture.clock().advance(10_000);
+            }
+            fixture.clock().advanceWithConcurrentInput(0, () -> {
+                FaultyClient.connect(fixture.jsonrpc);
+                longestIdle.write(requestLine(2, "ok-2"));
+                return null;
+            });
+            assertThat(outcomes(List.of(longestIdle.readLine()))).containsExactly("2 served");
+        }
+    }
+
     /** A request that arrives after an idle close must not run, and its stream must end without a reset. */
     @ParameterizedTest
     @MethodSource("transports")
