--- a/server/src/main/java/wheatspread/transport/Listener.java
+++ b/server/src/main/java/wheatspread/transport/Listener.java
@@ -19,9 +19,6 @@
 import java.net.InetSocketAddress;
 import java.net.SocketAddress;
 import java.nio.ByteBuffer;
-import java.util.Comparator;
-import java.util.LinkedHashSet;
-import java.util.Set;
 import wheatspread.connections.Connection;
 import wheatspread.connections.ConnectionActions;
 import wheatspread.connections.ConnectionLimits;
@@ -32,8 +29,8 @@
 
 /**
  * A listening socket and the connections it accepted. The {@link ConnectionTable} decides which connections are
- * admitted, evicted or past a time limit; this class performs these decisions on the sockets. It also bounds
- * the memory of unread answers, and notifies clients when the server drains.
+ * admitted, evicted or past a time limit; this class performs these decisions on the sockets. It also notifies
+ * clients when the server drains.
  *
  * <p>Except for {@link #listen}, all methods run on the event loop. {@link #drainAll} drains the connections and
  * {@link #closeAll} closes the remaining connections.
@@ -43,8 +40,6 @@
     private static final int WRITE_HIGH_WATERMARK_BYTES = 128 * 1024;
     private static final WriteBufferWaterMark WRITE_WATERMARKS =
             new WriteBufferWaterMark(WRITE_LOW_WATERMARK_BYTES, WRITE_HIGH_WATERMARK_BYTES);
-    /** The interval of checks of unread answers while any client is above the high watermark. */
-    private static final long STALLED_CHECK_INTERVAL_MICROS = 100_000;
     /** The pause after a failed accept, for example when the process has no free file descriptor. */
     private static final long ACCEPT_RETRY_DELAY_MICROS = 100_000;
     /** The buffer size of one read; most requests are smaller. */
@@ -58,8 +53,7 @@
     private final Front front;
     private final ConnectionTable table;
     private final EventLog log;
-    /** The handlers of clients above the high watermark of unread answers. */
-    private final Set<ClientChannelHandler> stalledHandlers = new LinkedHashSet<>();
+    private final UnreadAnswerLimit unreadAnswerLimit;
     /** The read allocator shared by all connections, each of which is read once per iteration. */
     private final RecvByteBufAllocator.ExtendedHandle readHandle =
             (RecvByteBufAllocator.ExtendedHandle) new FixedRecvByteBufAllocator(READ_BUFFER_BYTES)
@@ -75,7 +69,6 @@
     private boolean stopped;
     private Clock.Timer expiryTimer;
     private long expiryTimerMicros = Long.MAX_VALUE;
-    private boolean stalledCheckScheduled;
     private boolean draining;
 
     /** Creates a listener without a listening socket. */
@@ -92,6 +85,7 @@
         this.front = front;
         this.log = log;
         table = new ConnectionTable(limits, clock.nowMicros(), this::startExpiryTimer);
+        unreadAnswerLimit = new UnreadAnswerLimit(table, clock);
     }
 
     /** Returns the table of the accepted connections. */
@@ -249,10 +243,18 @@
     }
 
     void closed(ClientChannelHandler handler) {
-        stalledHandlers.remove(handler);
+        unreadAnswerLimit.remove(handler);
         table.closed(handler.connection());
     }
 
+    void writabilityChanged(ClientChannelHandler handler, boolean stalled) {
+        if (stalled) {
+            unreadAnswerLimit.add(handler);
+        } else {
+            unreadAnswerLimit.remove(handler);
+        }
+    }
+
     void recordRead(int bytes, int requests) {
         scheduler.readScheduler().recordRead(bytes, requests);
     }
@@ -319,36 +321,6 @@
         }
     }
 
-    // ---- unread answers ----
-
-    void writabilityChanged(ClientChannelHandler handler, boolean isStalled) {
-        if (!isStalled) {
-            stalledHandlers.remove(handler);
-        } else if (stalledHandlers.add(handler) && !stalledCheckScheduled) {
-            stalledCheckScheduled = true;
-            clock.schedule(STALLED_CHECK_INTERVAL_MICROS, this::closeStalled);
-        }
-    }
-
-    /** Bounds the memory of unread answers by closing the connections with the most unread bytes. */
-    private void closeStalled() {
-        long unreadBytes = stalledHandlers.stream()
-                .mapToLong(ConnectionActions::bytesUntilWritable)
-                .sum();
-        while (unreadBytes > table.limits().maxPendingWriteBytes()) {
-            ClientChannelHandler largestBacklogHandler = stalledHandlers.stream()
-                    .max(Comparator.comparingLong(ConnectionActions::bytesUntilWritable))
-                    .orElseThrow();
-            unreadBytes -= largestBacklogHandler.bytesUntilWritable();
-            stalledHandlers.remove(largestBacklogHandler);
-            table.closeStalled(largestBacklogHandler.connection());
-        }
-        stalledCheckScheduled = !stalledHandlers.isEmpty();
-        if (stalledCheckScheduled) {
-            clock.schedule(STALLED_CHECK_INTERVAL_MICROS, this::closeStalled);
-        }
-    }
-
     // ---- shutdown ----
 
     /** Notifies every client that the server is draining; clients that connect later are notified on connecting. */
