Share one recording listener among the tests of the kernel's session

KernelLinkTest and KernelReconnectTest each had a listener with the same empty callbacks. One RecordingListener serves both; the assertions are as they were.

--- a/server/src/test/java/wheatspread/kernel/KernelLinkTest.java
+++ b/server/src/test/java/wheatspread/kernel/KernelLinkTest.java
@@ -9,39 +9,14 @@
 import io.netty.channel.socket.nio.NioSocketChannel;
 import java.io.BufferedReader;
 import java.net.Socket;
-import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import wheatspread.admission.Idempotency;
-import wheatspread.core.Kernel;
 import wheatspread.logging.EventLog;
 
 /** Tests a session with a kernel that moves to another address, with plain sockets as kernels. */
 class KernelLinkTest {
-    /** Counts down a latch when the kernel is up, and ignores all other reports. */
-    private record BootListener(CountDownLatch latch) implements Kernel.Listener {
-        @Override
-        public void onBooted(boolean cold, long ageMicros) {
-            latch.countDown();
-        }
-
-        @Override
-        public void onRunEnded(String job, Kernel.End end, long elapsedMicros, byte[] result) {}
-
-        @Override
-        public void onDependencyCallRequested(String job, long noticeNumber, byte[] call) {}
-
-        @Override
-        public void onGauges(double[] readings) {}
-
-        @Override
-        public void onRunNotStarted(String job) {}
-
-        @Override
-        public void onRunUncertain(String job) {}
-    }
-
     /** Guards against a leaked connection if the address changes twice before the kernel confirms the commands. */
     @Test
     @Timeout(30)
@@ -50,7 +25,7 @@
         try (FakeKernel old = new FakeKernel();
                 FakeKernel intermediate = new FakeKernel();
                 FakeKernel last = new FakeKernel()) {
-            BootListener listener = new BootListener(new CountDownLatch(1));
+            RecordingListener listener = new RecordingListener();
             KernelLink link = new KernelLink(
                     new Bootstrap().group(loop).channel(NioSocketChannel.class),
                     old.address(),
@@ -63,7 +38,7 @@
             FakeKernel.send(first, "{\"type\":\"BOOTED\",\"state\":\"WARM\",\"took\":5}");
             assertThat(FakeKernel.readType(firstReader)).isEqualTo("SYSINFO");
             FakeKernel.send(first, "{\"type\":\"INFO\",\"gauges\":[],\"ref\":\"sync\"}");
-            assertThat(listener.latch.await(FakeKernel.TIMEOUT_MS, TimeUnit.MILLISECONDS))
+            assertThat(listener.booted.await(FakeKernel.TIMEOUT_MS, TimeUnit.MILLISECONDS))
                     .isTrue();
             loop.submit(() -> link.run("1", "stew", Idempotency.IDEMPOTENT, new byte[1]))
                     .sync();
--- a/server/src/test/java/wheatspread/kernel/KernelReconnectTest.java
+++ b/server/src/test/java/wheatspread/kernel/KernelReconnectTest.java
@@ -10,7 +10,6 @@
 import java.io.BufferedReader;
 import java.io.IOException;
 import java.net.Socket;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import org.json.JSONObject;
@@ -21,7 +20,6 @@
 import org.junit.jupiter.params.provider.EnumSource;
 import wheatspread.admission.Idempotency;
 import wheatspread.core.DependencyReply;
-import wheatspread.core.Kernel;
 import wheatspread.logging.EventLog;
 
 /** Tests which commands a session sends again after its connection to the kernel was lost before a confirmation. */
@@ -39,31 +37,6 @@
         MOVE
     }
 
-    /** Records the reports that the tests check. */
-    private static final class RecordingListener implements Kernel.Listener {
-        final List<String> reports = new ArrayList<>();
-
-        @Override
-        public void onBooted(boolean cold, long ageMicros) {}
-
-        @Override
-        public void onRunEnded(String job, Kernel.End end, long elapsedMicros, byte[] result) {}
-
-        @Override
-        public void onDependencyCallRequested(String job, long noticeNumber, byte[] call) {}
-
-        @Override
-        public void onGauges(double[] readings) {}
-
-        @Override
-        public void onRunNotStarted(String job) {}
-
-        @Override
-        public void onRunUncertain(String job) {
-            reports.add("uncertain " + job);
-        }
-    }
-
     private final EventLoopGroup loop = new MultiThreadIoEventLoopGroup(1, NioIoHandler.newFactory());
     private final RecordingListener listener = new RecordingListener();
     private FakeKernel kernel;
