Leave out what giving up a run and the window of calls did twice

FinalAnswers.endRun answers the attempt, cancels its call and removes it, so giveUpIfUncertain need not do the first two before it: the answer, its counter and the order of the controller's events are the same. SlidingWindowMean kept an entry for each tick whose count had not changed; the integral over the last entry covers that time exactly, in whole microseconds.

Behaviour is unchanged.

--- a/server/src/main/java/wheatspread/admission/sfq/SlidingWindowMean.java
+++ b/server/src/main/java/wheatspread/admission/sfq/SlidingWindowMean.java
@@ -21,6 +21,9 @@
     /** Records the count's value from {@code nowMicros} on; times must not decrease. */
     void record(long nowMicros, int value) {
         if (!changes.isEmpty()) {
+            if (changes.getLast().value() == value) {
+                return;
+            }
             integral += integralOf(changes.getLast(), nowMicros);
             dropUntil(nowMicros - windowMicros);
         }
--- a/server/src/main/java/wheatspread/core/KernelEvents.java
+++ b/server/src/main/java/wheatspread/core/KernelEvents.java
@@ -117,10 +117,8 @@
             return;
         }
         log.warn("kernel_run_given_up", "job", attempt.job());
-        attempt.dependencyCall().cancel();
         if (!attempt.answered()) {
             events.add(controller -> controller.onCancellation(attempt.id()));
-            answers.finish(attempt, Answer.Kind.FAILED);
         }
         answers.endRun(attempt, Kernel.End.STOPPED, null, 0);
     }
