Draw the first job id of the uwsgi front at random in each process

Cause: the first job id came from the configured seed, which is the same at each start by the supervisor. The kernel ignores the start of a job that runs already, and its end was taken for the end of the new request.

Change: the first id is drawn from the system's random source. It works since no id depends on what two processes share.

--- a/server/src/main/java/wheatspread/daemon/ServerFactory.java
+++ b/server/src/main/java/wheatspread/daemon/ServerFactory.java
@@ -77,8 +77,7 @@
         core.setFirstBootHandler(() -> events.accept(Event.KERNEL_READY));
 
         RpcFront platform = createPlatformFront(core);
-        UwsgiFront uwsgi =
-                operator.uwsgi() == null ? null : new UwsgiFront(core, clock, operator.uwsgi(), config.seed());
+        UwsgiFront uwsgi = createUwsgiFront(core);
         ReloadApplier applier = new ReloadApplier(config, core, kernel, records, announceClient, platform, uwsgi, log);
         ConfigReloader reloader = createReloader(applier);
         MembershipService membership = createMembership();
@@ -135,6 +134,14 @@
         return platform;
     }
 
+    /** Creates the uwsgi front; null if it is not configured. */
+    private UwsgiFront createUwsgiFront(Core core) {
+        return operator.uwsgi() == null
+                ? null
+                : new UwsgiFront(
+                        core, clock, operator.uwsgi(), ProcessIdentity.random().number());
+    }
+
     private ConfigReloader createReloader(ReloadApplier applier) {
         return new ConfigReloader(
                 config,
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
@@ -1,7 +1,6 @@
 package wheatspread.uwsgi;
 
 import java.nio.charset.StandardCharsets;
-import java.util.SplittableRandom;
 import wheatspread.config.UwsgiConfig;
 import wheatspread.core.Clock;
 import wheatspread.core.Core;
@@ -19,17 +18,18 @@
     private final Clock clock;
     private final UwsgiConfig config;
     private VarsReader varsReader;
-    private long lastJobId;
+    private long nextJobId;
 
     /**
-     * Creates a front that submits requests to {@code core}. The seed determines the first job id; it should
-     * differ between processes, so that job ids are not repeated.
+     * Creates a front that submits requests to {@code core}. Job ids are numbered from {@code firstJobId}, which must
+     * be drawn at random by each process: the kernel ignores the start of a job that runs already, so a job id of
+     * an earlier process would get the result of that process's run.
      */
-    public UwsgiFront(Core core, Clock clock, UwsgiConfig config, long seed) {
+    public UwsgiFront(Core core, Clock clock, UwsgiConfig config, long firstJobId) {
         this.core = core;
         this.clock = clock;
         this.config = config;
-        lastJobId = new SplittableRandom(seed).nextLong();
+        nextJobId = firstJobId;
         varsReader = newVarsReader(core.settings());
     }
 
@@ -68,6 +68,6 @@
 
     /** Creates a reader for these settings that continues this front's sequence of job ids. */
     private VarsReader newVarsReader(DeploymentSettings settings) {
-        return new VarsReader(settings, config, () -> String.format("%016x", ++lastJobId));
+        return new VarsReader(settings, config, () -> String.format("%016x", nextJobId++));
     }
 }
--- /dev/null
+++ b/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
@@ -0,0 +1,77 @@
+package wheatspread.daemon;
+
+import static org.assertj.core.api.Assertions.assertThat;
+
+import java.io.IOException;
+import java.nio.charset.StandardCharsets;
+import java.util.Collections;
+import java.util.List;
+import java.util.function.Consumer;
+import org.json.JSONObject;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** Tests the identifiers that must differ between two processes that read the same configuration. */
+@Timeout(60)
+class ProcessIdentityTest {
+    /** The round trips with the server after which a request is started or answered. */
+    private static final int ROUNDS = 100;
+
+    /** Guards against results of another process's runs: its jobs may still run in the kernel of a restarted server. */
+    @Test
+    void uwsgiJobIdsDifferBetweenProcessesWithTheSameConfiguration() throws Exception {
+        assertThat(startedUwsgiJobs()).hasSize(1).doesNotContainAnyElementsOf(startedUwsgiJobs());
+    }
+
+    private static List<String> startedUwsgiJobs() throws IOException, InterruptedException {
+        try (RunningServer server = new RunningServer(configuration -> {});
+                TestConnection client = TestConnection.connect(server.fixture.uwsgi)) {
+            client.write(uwsgiRequest("/stews/1"));
+            return server.awaitStartedJob();
+        }
+    }
+
+    private static byte[] uwsgiRequest(String path) {
+        String vars = text("REQUEST_URI") + text(path);
+        return ("\0" + (char) vars.length() + "\0\0" + vars).getBytes(StandardCharsets.ISO_8859_1);
+    }
+
+    private static String text(String value) {
+        return (char) value.length() + "\0" + value;
+    }
+
+    /** A server whose kernel starts no run: the test reads the kernel's commands. */
+    private static final class RunningServer implements AutoCloseable {
+        private final ServerFixture fixture;
+        private final TestConnection kernel;
+
+        RunningServer(Consumer<JSONObject> configuration) throws IOException, InterruptedException {
+            fixture = new ServerFixture("{}", "nio", configuration);
+            kernel = new TestConnection(fixture.kernelSocket.accept());
+            kernel.readLine();
+            kernel.writeLine("{\"type\":\"BOOTED\",\"state\":\"WARM\",\"took\":5}");
+            kernel.writeLine("{\"type\":\"INFO\",\"gauges\":[0.2,1,0.1,2],\"ref\":\"sync\"}");
+            fixture.awaitLogged("to=SERVING");
+        }
+
+        /** Returns the job id of the next run that the server starts; an empty list if it starts none. */
+        List<String> awaitStartedJob() throws IOException {
+            for (int round = 0; round < ROUNDS; round++) {
+                fixture.clock().advance(0);
+                while (kernel.available() > 0) {
+                    JSONObject command = new JSONObject(kernel.readLine());
+                    if (command.getString("type").equals("SCHED")) {
+                        return List.of(command.getString("job"));
+                    }
+                }
+            }
+            return Collections.emptyList();
+        }
+
+        @Override
+        public void close() throws IOException {
+            kernel.close();
+            fixture.close();
+        }
+    }
+}
--- a/server/src/test/java/wheatspread/daemon/ServerFixture.java
+++ b/server/src/test/java/wheatspread/daemon/ServerFixture.java
@@ -35,6 +35,7 @@
     final InetSocketAddress uwsgi;
     final InetSocketAddress jsonrpc;
     private final TestConnection healthCheckConnection;
+    private final Consumer<JSONObject> configurationOverrides;
     private ManualClock clock;
 
     ServerFixture() throws IOException {
@@ -43,6 +44,13 @@
 
     /** Starts a server; {@code operatorOverrides} replaces single keys of the operator's file. */
     ServerFixture(String operatorOverrides, String transport) throws IOException {
+        this(operatorOverrides, transport, configuration -> {});
+    }
+
+    /** Starts a server; {@code configurationOverrides} changes the platform's settings of every start and reload. */
+    ServerFixture(String operatorOverrides, String transport, Consumer<JSONObject> configurationOverrides)
+            throws IOException {
+        this.configurationOverrides = configurationOverrides;
         ServerConfig config = ServerConfig.read(JsonFields.of(configuration().toMap(), ""));
         JSONObject json = new JSONObject(Files.readString(Path.of("src/test/resources/operator.json")));
         JSONObject overrides = new JSONObject(operatorOverrides).put("transport", transport);
@@ -67,11 +75,13 @@
     }
 
     private JSONObject configuration() throws IOException {
-        return new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
+        JSONObject json = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")))
                 .put("kernel", "127.0.0.1:" + kernelSocket.getLocalPort())
                 .put("records", "127.0.0.1:" + records.getLocalPort())
                 .put("announce", "127.0.0.1:" + announce.getLocalPort())
                 .put("control", "127.0.0.1:0");
+        configurationOverrides.accept(json);
+        return json;
     }
 
     /**
