Name the process of an idempotency claim by a random number

Callers saw: nothing on record. A key could run in both processes of an upgrade, or again after a restart, if both had the same process id, as the first processes of two containers have.

Cause: a claim names its process by the process id, and a process takes a claim with its own id for its own.

Change: a process draws a random number of 64 bits as its name in claims. Earlier releases compare the name as text, so the format is unchanged.

Measured: ProcessIdentityTest.keyRunsInOneOfTwoProcessesWithTheSameProcessId failed before (both servers started the run), passes now; so do the tests of the stored claims' format.

--- a/server/src/main/java/wheatspread/daemon/ServerFactory.java
+++ b/server/src/main/java/wheatspread/daemon/ServerFactory.java
@@ -119,7 +119,7 @@
         try {
             core.shareIdempotencyClaims(new SharedIdempotencyClaims(
                     config.sharedDirectory().resolve(config.name()),
-                    ProcessHandle.current().pid(),
+                    ProcessIdentity.random().text(),
                     log));
         } catch (IOException e) {
             log.warn("idempotency_claims_failed", "folder", config.sharedDirectory(), "error", e.toString());
--- a/server/src/main/java/wheatspread/handover/SharedIdempotencyClaims.java
+++ b/server/src/main/java/wheatspread/handover/SharedIdempotencyClaims.java
@@ -46,10 +46,13 @@
         }
     }
 
-    /** Creates claims of the process {@code processId} in {@code folder}, which is created if it does not exist. */
-    public SharedIdempotencyClaims(Path folder, long processId, EventLog log) throws IOException {
+    /**
+     * Creates claims of a process in {@code folder}, which is created if it does not exist. {@code processId} contains no
+     * space, and no other process that uses the folder may have it, before or after this one.
+     */
+    public SharedIdempotencyClaims(Path folder, String processId, EventLog log) throws IOException {
         this.folder = Files.createDirectories(folder);
-        this.processId = Long.toString(processId);
+        this.processId = processId;
         this.log = log;
         try {
             digest = MessageDigest.getInstance("SHA-256");
--- a/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
+++ b/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
@@ -4,12 +4,14 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Path;
 import java.util.Collections;
 import java.util.List;
 import java.util.function.Consumer;
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
+import org.junit.jupiter.api.io.TempDir;
 
 /** Tests the identifiers that must differ between two processes that read the same configuration. */
 @Timeout(60)
@@ -23,6 +25,24 @@
         assertThat(startedUwsgiJobs()).hasSize(1).doesNotContainAnyElementsOf(startedUwsgiJobs());
     }
 
+    /** Guards against two runs of one key, in two processes that have the same process id in their containers. */
+    @Test
+    void keyRunsInOneOfTwoProcessesWithTheSameProcessId(@TempDir Path shared) throws Exception {
+        Consumer<JSONObject> sharedClaims = configuration -> configuration.put("shared", shared.toString());
+        try (RunningServer previous = new RunningServer(sharedClaims);
+                RunningServer next = new RunningServer(sharedClaims)) {
+            assertThat(startedKeyedJobs(previous)).hasSize(1);
+            assertThat(startedKeyedJobs(next)).isEmpty();
+        }
+    }
+
+    private static List<String> startedKeyedJobs(RunningServer server) throws IOException {
+        try (TestConnection client = TestConnection.connect(server.fixture.uwsgi)) {
+            client.write(uwsgiRequest("/plans", "RECIPE_UNIQUE", "key"));
+            return server.awaitStartedJob();
+        }
+    }
+
     private static List<String> startedUwsgiJobs() throws IOException, InterruptedException {
         try (RunningServer server = new RunningServer(configuration -> {});
                 TestConnection client = TestConnection.connect(server.fixture.uwsgi)) {
@@ -31,8 +51,11 @@
         }
     }
 
-    private static byte[] uwsgiRequest(String path) {
+    private static byte[] uwsgiRequest(String path, String... furtherVars) {
         String vars = text("REQUEST_URI") + text(path);
+        for (String nameOrValue : furtherVars) {
+            vars += text(nameOrValue);
+        }
         return ("\0" + (char) vars.length() + "\0\0" + vars).getBytes(StandardCharsets.ISO_8859_1);
     }
 
--- a/server/src/test/java/wheatspread/handover/SharedIdempotencyClaimsTest.java
+++ b/server/src/test/java/wheatspread/handover/SharedIdempotencyClaimsTest.java
@@ -18,8 +18,8 @@
 
     @Test
     void rejectsAKeyThatTheOtherProcessClaimedWithinItsWindow() throws IOException {
-        SharedIdempotencyClaims previous = new SharedIdempotencyClaims(folder, 101, EventLog.lines(line -> {}));
-        SharedIdempotencyClaims next = new SharedIdempotencyClaims(folder, 202, EventLog.lines(line -> {}));
+        SharedIdempotencyClaims previous = new SharedIdempotencyClaims(folder, "101", EventLog.lines(line -> {}));
+        SharedIdempotencyClaims next = new SharedIdempotencyClaims(folder, "202", EventLog.lines(line -> {}));
         assertThat(previous.claim("u 3 k1", 1_000_000, WINDOW_MICROS)).isTrue();
         assertThat(next.claim("u 3 k1", 3_350_000, WINDOW_MICROS))
                 .as("a retry within the window")
@@ -38,7 +38,7 @@
 
     @Test
     void deletesItsOwnClaimsAfterTheirWindow() throws IOException {
-        SharedIdempotencyClaims claims = new SharedIdempotencyClaims(folder, 7, EventLog.lines(line -> {}));
+        SharedIdempotencyClaims claims = new SharedIdempotencyClaims(folder, "7", EventLog.lines(line -> {}));
         for (int i = 0; i < 100; i++) {
             assertThat(claims.claim("u 0 key-" + i, 1_000_000 + i, WINDOW_MICROS))
                     .isTrue();
@@ -58,7 +58,7 @@
     @Test
     void grantsEveryClaimIfTheFolderCannotBeWritten() throws IOException {
         Path file = Files.writeString(folder.resolve("not-a-folder"), "x");
-        SharedIdempotencyClaims claims = new SharedIdempotencyClaims(folder, 7, EventLog.lines(line -> {}));
+        SharedIdempotencyClaims claims = new SharedIdempotencyClaims(folder, "7", EventLog.lines(line -> {}));
         Files.delete(file);
         Files.delete(folder);
         assertThat(claims.claim("u 0 k", 1, WINDOW_MICROS)).isTrue();
--- a/server/src/test/java/wheatspread/handover/StoredClaimsCompatibilityTest.java
+++ b/server/src/test/java/wheatspread/handover/StoredClaimsCompatibilityTest.java
@@ -21,8 +21,8 @@
     private static final long SECOND_ARRIVAL_MICROS = FIRST_ARRIVAL_MICROS + 1_000_000;
     private static final long RENEWED_ARRIVAL_MICROS = FIRST_ARRIVAL_MICROS + 2_000_000;
     private static final long WINDOW_MICROS = 5_000_000;
-    private static final long STORED_PROCESS_ID = 4711;
-    private static final long OTHER_PROCESS_ID = 202;
+    private static final String STORED_PROCESS_ID = "4711";
+    private static final String OTHER_PROCESS_ID = "202";
 
     @TempDir
     Path folder;
@@ -36,7 +36,7 @@
         }
     }
 
-    private static SharedIdempotencyClaims claims(Path folder, long processId) throws IOException {
+    private static SharedIdempotencyClaims claims(Path folder, String processId) throws IOException {
         return new SharedIdempotencyClaims(folder, processId, EventLog.lines(line -> {
             throw new AssertionError(line);
         }));
