Draw the seed of a process whose configuration has none

Callers saw: nothing on record. Rejected clients of all members of a fleet without a seed were told the same sequence of retry-after times.

Cause: an absent seed meant 0.

Change: a process without a configured seed draws one; with one, decisions are repeatable as before. A reload does not compare the drawn seed.

--- a/server/src/main/java/wheatspread/config/ServerConfig.java
+++ b/server/src/main/java/wheatspread/config/ServerConfig.java
@@ -3,6 +3,7 @@
 import java.net.InetSocketAddress;
 import java.nio.file.Path;
 import java.util.Map;
+import java.util.OptionalLong;
 import wheatspread.admission.DependencyKind;
 import wheatspread.admission.RequestClass;
 import wheatspread.core.DeploymentSettings;
@@ -12,6 +13,7 @@
  * deployment. {@code docs/design/deployments.md} lists the optional settings of a deployment and the meaning of their
  * absence.
  *
+ * @param seed the seed of random numbers; empty if each process draws its own
  * @param records the address of the records service; null if the deployment has none because no class calls it
  * @param announce the address of the announce service; null if the deployment has none
  * @param control the address of the operators' endpoint ({@code control}, {@code GW_CONTROL}); null for none
@@ -26,7 +28,7 @@
         InetSocketAddress kernel,
         InetSocketAddress records,
         InetSocketAddress announce,
-        long seed,
+        OptionalLong seed,
         long shutdownTimeoutMicros,
         int maxSockets,
         DeploymentSettings site,
@@ -148,11 +150,13 @@
         return deployment;
     }
 
-    private static long seed(JsonFields fields) {
+    private static OptionalLong seed(JsonFields fields) {
         try {
-            return fields.has("seed") ? Long.parseUnsignedLong(fields.text("seed"), 16) : 0;
+            return fields.has("seed")
+                    ? OptionalLong.of(Long.parseUnsignedLong(fields.text("seed"), 16))
+                    : OptionalLong.empty();
         } catch (NumberFormatException e) {
-            return fields.report("seed", "is not up to 16 hex digits: " + fields.text("seed"), 0L);
+            return fields.report("seed", "is not up to 16 hex digits: " + fields.text("seed"), OptionalLong.empty());
         }
     }
 
--- a/server/src/main/java/wheatspread/daemon/ServerFactory.java
+++ b/server/src/main/java/wheatspread/daemon/ServerFactory.java
@@ -36,6 +36,7 @@
 final class ServerFactory {
     private final ServerConfig config;
     private final OperatorConfig operator;
+    private final long seed;
     private final Lifecycle lifecycle;
     private final Consumer<Event> events;
     private final EventLog log;
@@ -58,13 +59,19 @@
             EventLog log) {
         this.config = config;
         this.operator = operator;
+        seed = seedOf(config);
         this.lifecycle = lifecycle;
         this.events = events;
         this.log = log;
-        eventLoop = new ServerEventLoop(operator, config.seed(), newClock, log);
+        eventLoop = new ServerEventLoop(operator, seed, newClock, log);
         clock = eventLoop.clock();
     }
 
+    /** Returns the configured seed; a random one if there is none, so that processes with the same file differ. */
+    static long seedOf(ServerConfig config) {
+        return config.seed().orElseGet(() -> ProcessIdentity.random().number());
+    }
+
     ServerComponents create() {
         Bootstrap clients = eventLoop.clientBootstrap();
         int recordsConnections = Configuration.maxRecordsConnections(config.maxSockets());
@@ -102,7 +109,7 @@
         AvailabilityAnnouncer announcer = new AvailabilityAnnouncer(config, lifecycle, announceClient);
         return new Core(
                 config.site(),
-                settings -> new SfqAdmissionController(settings, config.seed()),
+                settings -> new SfqAdmissionController(settings, seed),
                 clock,
                 records,
                 announcer::announce,
--- a/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
+++ b/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
@@ -4,6 +4,7 @@
 
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
+import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Collections;
 import java.util.List;
@@ -12,6 +13,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import wheatspread.config.JsonFields;
+import wheatspread.config.ServerConfig;
 
 /** Tests the identifiers that must differ between two processes that read the same configuration. */
 @Timeout(60)
@@ -36,6 +39,17 @@
         }
     }
 
+    /** Guards against clients of several servers that are all told to retry after the same sequence of times. */
+    @Test
+    void retryAfterSeedsDifferBetweenProcessesWithoutAConfiguredSeed() throws IOException {
+        JSONObject json = new JSONObject(Files.readString(Path.of("src/test/resources/config.json")));
+        ServerConfig withSeed = ServerConfig.read(JsonFields.of(json.toMap(), ""));
+        json.remove("seed");
+        ServerConfig withoutSeed = ServerConfig.read(JsonFields.of(json.toMap(), ""));
+        assertThat(ServerFactory.seedOf(withSeed)).isEqualTo(0x5eed);
+        assertThat(ServerFactory.seedOf(withoutSeed)).isNotEqualTo(ServerFactory.seedOf(withoutSeed));
+    }
+
     private static List<String> startedKeyedJobs(RunningServer server) throws IOException {
         try (TestConnection client = TestConnection.connect(server.fixture.uwsgi)) {
             client.write(uwsgiRequest("/plans", "RECIPE_UNIQUE", "key"));
--- a/server/src/test/java/wheatspread/daemon/ReloadAtSizeTest.java
+++ b/server/src/test/java/wheatspread/daemon/ReloadAtSizeTest.java
@@ -12,6 +12,7 @@
 import java.util.Collections;
 import java.util.List;
 import java.util.Map;
+import java.util.OptionalLong;
 import java.util.function.Supplier;
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
@@ -94,7 +95,7 @@
                 null,
                 config.records(),
                 config.announce(),
-                1,
+                OptionalLong.of(1),
                 1,
                 64,
                 config.site(),
