Leave an incomplete uwsgi request in its bytes, and read only the vars in use

Callers saw: while 250 uwsgi clients had sent vars of very many short fields and not the body they announced, other callers of both fronts got no answers.

Cause: the decoder kept the vars as a map until the body had arrived. 16 KB of short vars take some 400 KB as a map, and the limit of memory for incomplete messages counted 16 KB; 250 of them do not fit into the heap of 48 MB.

Ruled out: buffers and sockets, since as many packets that stop in the middle do no harm.

Change: a request stays in the received bytes, which the limit counts, until it is complete, and only the vars in use become objects.

--- a/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
@@ -78,11 +78,6 @@
     /** Cancels the open requests, because the client has disconnected and can receive no answer. */
     protected abstract void clientDisconnected();
 
-    /** Returns approximately how many bytes of a partial message the protocol buffers in addition. */
-    protected int extraBufferedBytes() {
-        return 0;
-    }
-
     /** Returns whether the protocol accepts more requests now; if it does not, the channel is not read. */
     protected boolean acceptsMoreRequests() {
         return true;
@@ -180,7 +175,7 @@
     }
 
     private int partialBytes() {
-        return (buffered == null ? 0 : buffered.capacity()) + extraBufferedBytes();
+        return buffered == null ? 0 : buffered.capacity();
     }
 
     /** Returns whether a part of a message has been received. */
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -101,7 +101,9 @@
         while (bytes.isReadable() && openRequests < MAX_OPEN_REQUESTS && !isDraining()) {
             if (decoder == null) {
                 decoder = new UwsgiDecoder(
-                        front.config().maxVarsBytes(), front.config().maxBodyBytes());
+                        front.wantedVars(),
+                        front.config().maxVarsBytes(),
+                        front.config().maxBodyBytes());
             }
             Object message = decoder.decode(bytes);
             if (message == null) {
@@ -119,7 +121,7 @@
             }
         }
         stoppedAtRequestLimit = bytes.isReadable() && openRequests >= MAX_OPEN_REQUESTS;
-        if (!bytes.isReadable() && decoder != null && !decoder.awaitsBody()) {
+        if (!bytes.isReadable()) {
             decoder = null;
         }
         return requests;
@@ -137,11 +139,6 @@
         return pending;
     }
 
-    @Override
-    protected int extraBufferedBytes() {
-        return decoder != null && decoder.awaitsBody() ? front.config().maxVarsBytes() : 0;
-    }
-
     // ---- requests ----
 
     private void handleRequest(PendingResponse pending, UwsgiDecoder.Request request) {
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiFront.java
@@ -17,6 +17,7 @@
     private final Core core;
     private final Clock clock;
     private final UwsgiConfig config;
+    private final WantedVars wantedVars;
     private VarsReader varsReader;
     private long nextJobId;
 
@@ -29,6 +30,7 @@
         this.core = core;
         this.clock = clock;
         this.config = config;
+        wantedVars = WantedVars.of(config.vars());
         nextJobId = firstJobId;
         varsReader = newVarsReader(core.settings());
     }
@@ -45,6 +47,10 @@
         return config;
     }
 
+    WantedVars wantedVars() {
+        return wantedVars;
+    }
+
     VarsReader varsReader() {
         return varsReader;
     }
