Bound the messages that one read of a connection processes

Cause: one read takes up to 4 KB, and all messages in it were processed at once, each answer written by a system call of its own. The budget of an iteration is checked between connections only.

Ruled out: the rate, since cancellations come at 14 times the rate in bytes and delay nobody; memory, which stays at 95 MB.

Change: one read processes messages_per_read messages (4), and at most immediate_per_read (2) that are answered without a decision; the rest is read in the next iterations, in the order of the read scheduler, before the socket. Answers of one read are flushed together. exhausted_reads counts such reads. What the handlers of both fronts share moved to RequestChannelHandler.

--- a/lab/src/test/java/wheatspread/lab/clients/ClientCrowd.java
+++ b/lab/src/test/java/wheatspread/lab/clients/ConcurrentClients.java
@@ -8,12 +8,12 @@
 import java.util.List;
 
 /** Clients that connect at once and write the same bytes in parts, none of which blocks. */
-final class ClientCrowd implements AutoCloseable {
+final class ConcurrentClients implements AutoCloseable {
     private final List<SocketChannel> channels = new ArrayList<>();
     private final List<ByteBuffer> unwritten = new ArrayList<>();
 
     /** Connects {@code size} clients; the server may close any of them. */
-    ClientCrowd(InetSocketAddress address, int size, byte[] bytes) throws IOException {
+    ConcurrentClients(InetSocketAddress address, int size, byte[] bytes) throws IOException {
         for (int i = 0; i < size; i++) {
             SocketChannel channel = SocketChannel.open(address);
             channel.configureBlocking(false);
--- a/lab/src/test/java/wheatspread/lab/clients/IncompleteRequestsTest.java
+++ b/lab/src/test/java/wheatspread/lab/clients/IncompleteRequestsTest.java
@@ -33,7 +33,7 @@
     private static final long ROUND_MS = 100;
 
     /** What the clients write, and how much of it every 100 ms. */
-    enum Crowd {
+    enum IncompleteRequest {
         UWSGI_STOPPED(DeployedServer.UWSGI, UWSGI_CLIENTS, WHOLE, halfUwsgiPacket()),
         UWSGI_SLOW(DeployedServer.UWSGI, UWSGI_CLIENTS, SLOW_BYTES, halfUwsgiPacket()),
         UWSGI_SHORT_VARS(
@@ -60,7 +60,7 @@
         private final int bytesPerRound;
         private final byte[] bytes;
 
-        Crowd(int port, int clients, int bytesPerRound, byte[] bytes) {
+        IncompleteRequest(int port, int clients, int bytesPerRound, byte[] bytes) {
             this.port = port;
             this.clients = clients;
             this.bytesPerRound = bytesPerRound;
@@ -87,14 +87,14 @@
     @ParameterizedTest
     @EnumSource
     @Timeout(120)
-    void otherClientsAreAnsweredWithinTheMemoryLimit(Crowd crowd) throws Exception {
+    void otherClientsAreAnsweredWithinTheMemoryLimit(IncompleteRequest request) throws Exception {
         try (DeployedServer server = new DeployedServer();
                 Probe uwsgi = new Probe(server.address(DeployedServer.UWSGI), true);
                 Probe jsonRpc = new Probe(server.address(DeployedServer.JSON_RPC), false)) {
-            InetSocketAddress address = server.address(crowd.port);
-            try (ClientCrowd clients = new ClientCrowd(address, crowd.clients, crowd.bytes)) {
+            InetSocketAddress address = server.address(request.port);
+            try (ConcurrentClients clients = new ConcurrentClients(address, request.clients, request.bytes)) {
                 for (int round = 0; round < ROUNDS; round++) {
-                    clients.write(crowd.bytesPerRound);
+                    clients.write(request.bytesPerRound);
                     TimeUnit.MILLISECONDS.sleep(ROUND_MS);
                 }
             }
--- a/lab/src/test/java/wheatspread/lab/memory/MemoryConnectionsTest.java
+++ b/lab/src/test/java/wheatspread/lab/memory/MemoryConnectionsTest.java
@@ -13,7 +13,7 @@
      */
     @Test
     void answersSimultaneousRequestsOnceEachAndClosesIdleConnections() throws Exception {
-        IterationBudget noRecentUse = new IterationBudget(256 * 1024, 32, 1_000_000, 0, 8, 64, 32);
+        IterationBudget noRecentUse = new IterationBudget(256 * 1024, 32, 8, 2, 1_000_000, 0, 8, 64, 32);
         try (MemoryConnections connections = new MemoryConnections(3_000, noRecentUse, 1_000_000)) {
             JSONObject figures = connections.measure();
             assertThat(figures.getInt("spoke")).isEqualTo(3_000);
--- a/server/src/main/java/wheatspread/config/OperatorConfig.java
+++ b/server/src/main/java/wheatspread/config/OperatorConfig.java
@@ -112,12 +112,22 @@
     }
 
     private static IterationBudget iterationBudget(JsonFields fields) {
-        fields.requireKnownKeys(
-                Set.of("read_kb", "requests", "read_us", "lately_ms", "sleepers_part", "crowd", "expiring"));
+        fields.requireKnownKeys(Set.of(
+                "read_kb",
+                "requests",
+                "messages_per_read",
+                "immediate_per_read",
+                "read_us",
+                "lately_ms",
+                "sleepers_part",
+                "crowd",
+                "expiring"));
         IterationBudget defaults = IterationBudget.DEFAULT;
         return new IterationBudget(
                 fields.integer("read_kb", defaults.maxBytes() >> 10, 4, 1 << 16) << 10,
                 fields.integer("requests", defaults.maxRequests(), 1, 100_000),
+                fields.integer("messages_per_read", defaults.maxMessagesPerRead(), 1, 100_000),
+                fields.integer("immediate_per_read", defaults.maxImmediateAnswersPerRead(), 1, 100_000),
                 fields.integer("read_us", defaults.maxReadMicros(), 100, 1_000_000),
                 fields.micros("lately_ms", defaults.recentUseMicros(), 0),
                 fields.integer("sleepers_part", defaults.readsPerIdleRead(), 2, 1_000),
--- a/server/src/main/java/wheatspread/daemon/CounterReporter.java
+++ b/server/src/main/java/wheatspread/daemon/CounterReporter.java
@@ -78,6 +78,8 @@
                         new Object[] {
                             "exhausted",
                             scheduler.readScheduler().exhaustedIterations(),
+                            "exhausted_reads",
+                            scheduler.readScheduler().readBudget().exhaustedReads(),
                             "sleepers",
                             scheduler.readScheduler().idleConnectionsQueued(),
                             "timers",
--- a/server/src/main/java/wheatspread/daemon/ServerFactory.java
+++ b/server/src/main/java/wheatspread/daemon/ServerFactory.java
@@ -210,13 +210,7 @@
 
     private GracefulShutdown createShutdown(Core core, FrontListeners listeners, ProcessMarkerFiles markerFiles) {
         return new GracefulShutdown(
-                core,
-                listeners.listeners(),
-                clock,
-                markerFiles,
-                log,
-                () -> !eventLoop.scheduler().readScheduler().isEmpty(),
-                events);
+                core, listeners.listeners(), clock, markerFiles, log, eventLoop.scheduler()::hasWaitingReads, events);
     }
 
     private CounterReporter createCounterReporter(Core core, FrontListeners listeners) {
--- a/server/src/main/java/wheatspread/handover/SharedIdempotencyClaims.java
+++ b/server/src/main/java/wheatspread/handover/SharedIdempotencyClaims.java
@@ -47,8 +47,8 @@
     }
 
     /**
-     * Creates claims of a process in {@code folder}, which is created if it does not exist. {@code processId} contains no
-     * space, and no other process that uses the folder may have it, before or after this one.
+     * Creates claims of a process in {@code folder}, which is created if it does not exist. {@code processId} has no
+     * space in it, and no other process that uses the folder may have it, before or after this one.
      */
     public SharedIdempotencyClaims(Path folder, String processId, EventLog log) throws IOException {
         this.folder = Files.createDirectories(folder);
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -10,11 +10,11 @@
 import wheatspread.core.Answer;
 import wheatspread.core.InboundRequest;
 import wheatspread.logging.EventLog;
-import wheatspread.transport.ClientChannelHandler;
 import wheatspread.transport.Listener;
+import wheatspread.transport.RequestChannelHandler;
 
 /** A JSON-RPC connection: reads lines, submits the requests to the core and writes the answers. Event loop only. */
-final class RpcConnection extends ClientChannelHandler {
+final class RpcConnection extends RequestChannelHandler {
     /** Without strict mode the parser accepts unquoted names and ignores text after the object. */
     private static final JSONParserConfiguration STRICT_PARSING = new JSONParserConfiguration().withStrictMode(true);
 
@@ -101,7 +101,7 @@
     @Override
     protected int readMessages(ByteBuf bytes) {
         int lines = 0;
-        while (!isDraining()) {
+        while (bytes.isReadable() && mayReadMessage()) {
             int length = bytes.bytesBefore((byte) '\n');
             if ((length < 0 ? bytes.readableBytes() : length) > RpcFront.MAX_LINE_BYTES) {
                 String message = "line over " + RpcFront.MAX_LINE_BYTES + " bytes";
@@ -155,6 +155,14 @@
     // ---- requests ----
 
     private void handleLine(String line) {
+        long openBefore = openRequests;
+        answerOrSubmit(line);
+        if (openRequests <= openBefore) {
+            countImmediateAnswer();
+        }
+    }
+
+    private void answerOrSubmit(String line) {
         JSONObject message;
         try {
             message = new JSONObject(line, STRICT_PARSING);
--- a/server/src/main/java/wheatspread/scheduling/IterationBudget.java
+++ b/server/src/main/java/wheatspread/scheduling/IterationBudget.java
@@ -5,6 +5,8 @@
  *
  * @param maxBytes maximum number of bytes read from clients
  * @param maxRequests maximum number of whole requests read
+ * @param maxMessagesPerRead maximum number of messages processed in one read of one connection
+ * @param maxImmediateAnswersPerRead maximum number of messages answered without the core in one read of one connection
  * @param maxReadMicros maximum time spent on reading, in microseconds
  * @param recentUseMicros a connection last used within this many microseconds does not count as idle
  * @param readsPerIdleRead at least one of this many consecutive reads is of an idle connection if any waits,
@@ -17,6 +19,8 @@
 public record IterationBudget(
         int maxBytes,
         int maxRequests,
+        int maxMessagesPerRead,
+        int maxImmediateAnswersPerRead,
         int maxReadMicros,
         long recentUseMicros,
         int readsPerIdleRead,
@@ -26,6 +30,8 @@
     public static final IterationBudget DEFAULT = new IterationBudget(
             256 * 1024, // maxBytes
             128, // maxRequests
+            4, // maxMessagesPerRead
+            2, // maxImmediateAnswersPerRead
             4_000, // maxReadMicros
             5_000_000, // recentUseMicros
             8, // readsPerIdleRead
--- a/server/src/main/java/wheatspread/scheduling/ReadScheduler.java
+++ b/server/src/main/java/wheatspread/scheduling/ReadScheduler.java
@@ -16,6 +16,7 @@
     private static final int QUEUE_COUNT = 3;
 
     private final IterationBudget budget;
+    private final ReadBudget readBudget;
     private final PendingRead[] first = new PendingRead[QUEUE_COUNT];
     private final PendingRead[] last = new PendingRead[QUEUE_COUNT];
     private final int[] sizes = new int[QUEUE_COUNT];
@@ -29,6 +30,7 @@
 
     public ReadScheduler(IterationBudget budget) {
         this.budget = budget;
+        readBudget = new ReadBudget(budget.maxMessagesPerRead(), budget.maxImmediateAnswersPerRead());
     }
 
     /** Queues a connection that has input to read; does nothing if it is queued already. */
@@ -55,6 +57,11 @@
         return ready.lastUsedMicros() > nowMicros - budget.recentUseMicros() ? RECENTLY_USED : IDLE;
     }
 
+    /** Returns the budget of the read that {@link #take} returned last. */
+    public ReadBudget readBudget() {
+        return readBudget;
+    }
+
     /** Starts an iteration and resets its budget. */
     public void beginIteration(long nowMicros) {
         iterationStartMicros = nowMicros;
--- a/server/src/main/java/wheatspread/transport/ClientChannel.java
+++ b/server/src/main/java/wheatspread/transport/ClientChannel.java
@@ -8,8 +8,6 @@
 import io.netty.channel.nio.NioIoHandle;
 import io.netty.channel.nio.NioIoOps;
 import java.nio.channels.SelectableChannel;
-import wheatspread.connections.Connection;
-import wheatspread.scheduling.PendingRead;
 
 /**
  * Intercepts the I/O events of a client's channel. Write events are passed on immediately; read events are
@@ -17,10 +15,9 @@
  * selector does not watch the channel for input, because it would report the same input in every iteration.
  * Used on the event loop only.
  */
-public abstract class ClientChannel extends PendingRead implements IoHandle, IoRegistration {
+public abstract class ClientChannel extends ScheduledRead implements IoHandle, IoRegistration {
     protected final IoHandle handle;
     private final EventLoopScheduler scheduler;
-    private final Connection connection;
     private IoRegistration registration;
     /** The operations that the channel submitted last; null before the first submit. */
     private IoOps requestedOps;
@@ -30,9 +27,9 @@
     private boolean readsPaused;
 
     protected ClientChannel(IoHandle handle, EventLoopScheduler scheduler) {
+        super(scheduler.connectionBeingRegistered());
         this.handle = handle;
         this.scheduler = scheduler;
-        connection = scheduler.connectionBeingRegistered();
     }
 
     /** Sets the selector's registration and returns the registration for the channel, which is this object. */
@@ -41,16 +38,6 @@
         return this;
     }
 
-    @Override
-    protected final boolean hasOpenRequests() {
-        return connection.openRequests() > 0;
-    }
-
-    @Override
-    protected final long lastUsedMicros() {
-        return connection.lastUsedMicros();
-    }
-
     @Override
     public final void handle(IoRegistration selectorRegistration, IoEvent ready) {
         if (!hasInput(ready)) {
@@ -68,11 +55,10 @@
         }
     }
 
-    /** Performs the deferred read, after the read scheduler has taken the channel from its queue. */
+    @Override
     final void read() {
         connection.setUnread(false);
         connection.setCountsAsIdle(false);
-        scheduler.setReadingIdle(wasIdle());
         if (readsPaused) {
             readsPaused = false;
             if (registration.isValid()) {
--- a/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
@@ -11,9 +11,7 @@
 import java.io.IOException;
 import wheatspread.connections.Connection;
 import wheatspread.connections.ConnectionActions;
-import wheatspread.core.Answer;
-import wheatspread.core.Core;
-import wheatspread.core.Reply;
+import wheatspread.scheduling.ReadBudget;
 
 /**
  * The only handler of a client's channel. A protocol's subclass reads messages from the bytes received. This
@@ -42,6 +40,14 @@
     private boolean inputShutdown;
     /** The state of the lingering close; null before it begins. */
     private LingeringClose lingeringClose;
+    /** Whether the last read left whole messages in the buffer; if so, they are read before the socket. */
+    private boolean hasBufferedMessages;
+    /** Reads the messages left in the buffer; null if no read has left any. */
+    private BufferedRead bufferedRead;
+
+    private boolean bufferedReadScheduled;
+    /** Whether messages are being read; if so, answers are flushed together afterwards. */
+    private boolean readingMessages;
 
     /** The phases of a connection's shutdown. */
     private enum Phase {
@@ -147,7 +153,7 @@
         if (buffered != null) {
             unread = buffered.writeBytes(bytes);
         }
-        int messages = readMessages(unread);
+        int messages = readWithinBudget(unread);
         listener.recordRead(size, messages);
         if (phase != Phase.OPEN || !unread.isReadable()) {
             releaseBuffer();
@@ -160,14 +166,46 @@
         updateReading();
     }
 
-    /** Reads the whole messages that the protocol left in the buffer while it accepted no more requests. */
-    protected final void readBuffered() {
-        if (buffered != null && phase == Phase.OPEN) {
+    private int readWithinBudget(ByteBuf bytes) {
+        ReadBudget budget = listener.scheduler().readScheduler().readBudget();
+        budget.beginRead();
+        readingMessages = true;
+        int messages;
+        try {
+            messages = readMessages(bytes);
+        } finally {
+            readingMessages = false;
+            ctx.flush();
+        }
+        hasBufferedMessages = bytes.isReadable() && (budget.isExhausted() || !acceptsMoreRequests());
+        if (hasBufferedMessages && budget.isExhausted()) {
+            budget.countExhaustedRead();
+        }
+        return messages;
+    }
+
+    /** Reads the whole messages that the last read left in the buffer. */
+    private void readBuffered() {
+        bufferedReadScheduled = false;
+        if (buffered != null && canRead()) {
+            connection.setCountsAsIdle(false);
             readBytes(Unpooled.EMPTY_BUFFER);
         }
     }
 
+    /** Schedules the read of buffered messages for the next iteration, unless it is scheduled. */
+    private void scheduleBufferedRead() {
+        if (bufferedRead == null) {
+            bufferedRead = new BufferedRead(connection, this::readBuffered);
+        }
+        if (!bufferedReadScheduled) {
+            bufferedReadScheduled = true;
+            listener.scheduler().continueRead(bufferedRead);
+        }
+    }
+
     private void releaseBuffer() {
+        hasBufferedMessages = false;
         if (buffered != null) {
             buffered.release();
             buffered = null;
@@ -212,8 +250,10 @@
      */
     protected final void updateReading() {
         if (phase != Phase.LINGERING) {
-            boolean reading =
-                    phase == Phase.OPEN && !pausedUntilAnswer && ctx.channel().isWritable() && acceptsMoreRequests();
+            boolean reading = canRead() && !hasBufferedMessages;
+            if (canRead() && hasBufferedMessages) {
+                scheduleBufferedRead();
+            }
             if (reading != ctx.channel().config().isAutoRead()) {
                 ctx.channel().config().setAutoRead(reading);
             }
@@ -226,6 +266,10 @@
         }
     }
 
+    private boolean canRead() {
+        return phase == Phase.OPEN && !pausedUntilAnswer && ctx.channel().isWritable() && acceptsMoreRequests();
+    }
+
     // ---- lingering close ----
 
     private void startLingering() {
@@ -319,41 +363,12 @@
         ctx.close();
     }
 
-    /**
-     * Rejects the request that was just read, if the burst limiter does not admit it during a reconnect burst:
-     * answers it through {@code reply} with a retry-after. Returns whether the request was rejected.
-     */
-    protected final boolean rejectIfBurst(Core core, int requestClass, Reply reply) {
-        EventLoopScheduler scheduler = listener.scheduler();
-        if (scheduler.tryAdmit()) {
-            return false;
-        }
-        connection.setCountsAsIdle(true);
-        core.reject(requestClass, reply, scheduler.burstLimiter().retryAfterMicros(core.maxRetryAfterMicros()));
-        return true;
-    }
-
-    /**
-     * Returns whether the burst limiter counts the request being read; the result must be passed to
-     * {@link #requestEnded} when the request ends.
-     */
-    protected final boolean isCountedByBurstLimiter() {
-        return listener.scheduler().isReadingIdle();
-    }
-
-    /** Reports the end of a request that the burst limiter did not reject, to the limiter and the listener. */
-    protected final void requestEnded(boolean countedByBurstLimiter, Answer.Kind kind) {
-        if (countedByBurstLimiter) {
-            listener.scheduler().burstLimiter().completed(kind == Answer.Kind.SERVED);
-        }
-        if (kind == Answer.Kind.REJECTED) {
-            listener.requestRejected();
-        }
-    }
-
-    /** Writes and flushes bytes to the client; takes ownership of the buffer. */
+    /** Writes bytes to the client, and flushes them once no messages are being read; takes ownership of the buffer. */
     protected final void write(ByteBuf bytes) {
-        ctx.writeAndFlush(bytes, ctx.voidPromise());
+        ctx.write(bytes, ctx.voidPromise());
+        if (!readingMessages) {
+            ctx.flush();
+        }
     }
 
     /** Updates the connection's state after an answer was written and the number of open requests changed. */
--- a/server/src/main/java/wheatspread/transport/EventLoopScheduler.java
+++ b/server/src/main/java/wheatspread/transport/EventLoopScheduler.java
@@ -52,6 +52,9 @@
     /** The queued channels that the selector may still watch for input. */
     private final List<ClientChannel> unpausedChannels = new ArrayList<>();
 
+    /** The reads that go on in the next iteration. */
+    private final List<ScheduledRead> continuedReads = new ArrayList<>();
+
     private final IterationTimes iterationTimes = new IterationTimes();
     private final ReconnectBurstLimiter burstLimiter;
     /** The clock by which connections record their last use; by default Unix time. Microseconds. */
@@ -157,6 +160,25 @@
         return burstLimiter;
     }
 
+    /**
+     * Queues a read for the next iteration, after a read of its connection has exhausted its budget. A read must be
+     * added at most once until it is performed.
+     */
+    void continueRead(BufferedRead read) {
+        continuedReads.add(read);
+    }
+
+    /** Returns whether input of clients waits to be read. */
+    public boolean hasWaitingReads() {
+        return !readScheduler.isEmpty() || !continuedReads.isEmpty();
+    }
+
+    private void queueContinuedReads() {
+        long nowMicros = continuedReads.isEmpty() ? 0 : connectionClock.getAsLong();
+        continuedReads.forEach(read -> readScheduler.add(read, nowMicros));
+        continuedReads.clear();
+    }
+
     void queueRead(ClientChannel channel) {
         readScheduler.add(channel, connectionClock.getAsLong());
         unpausedChannels.add(channel);
@@ -168,7 +190,7 @@
     }
 
     private boolean hasNoWork() {
-        return tasks.isEmpty() && endTasks.isEmpty() && readScheduler.isEmpty() && !timerWheel.hasExpiredTimers();
+        return tasks.isEmpty() && endTasks.isEmpty() && !hasWaitingReads() && !timerWheel.hasExpiredTimers();
     }
 
     private void runTasks() {
@@ -197,8 +219,9 @@
         for (PendingRead ready = readScheduler.take(monotonicMicros());
                 ready != null;
                 ready = readScheduler.take(monotonicMicros())) {
-            ClientChannel channel = (ClientChannel) ready;
-            runSafely(channel::read);
+            ScheduledRead read = (ScheduledRead) ready;
+            setReadingIdle(ready.wasIdle());
+            runSafely(read::read);
         }
         readingIdle = false;
         pauseQueuedChannels();
@@ -241,6 +264,7 @@
                 runTasks();
             }
             runEndTasks();
+            queueContinuedReads();
             lastIterationEndNanos = System.nanoTime();
             iterationTimes.add(loopTasksNanos + waitContext.activeNanos() + lastIterationEndNanos - startNanos);
             return handledEvents;
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -5,14 +5,14 @@
 import java.util.Map;
 import wheatspread.core.Answer;
 import wheatspread.core.InboundRequest;
-import wheatspread.transport.ClientChannelHandler;
 import wheatspread.transport.Listener;
+import wheatspread.transport.RequestChannelHandler;
 
 /**
  * A uwsgi connection: reads packets, submits the requests to the core and writes the responses in the order of
  * the requests. Event loop only.
  */
-final class UwsgiConnection extends ClientChannelHandler {
+final class UwsgiConnection extends RequestChannelHandler {
     /** The connection is not read while this many requests wait for their answers. */
     private static final int MAX_OPEN_REQUESTS = 32;
 
@@ -30,8 +30,6 @@
     private boolean serverDraining;
 
     private boolean hasResponded;
-    /** Whether reading stopped at the limit of open requests, with whole requests possibly left in the buffer. */
-    private boolean stoppedAtRequestLimit;
 
     /** A response that is not written yet. */
     private static final class PendingResponse {
@@ -98,7 +96,7 @@
     @Override
     protected int readMessages(ByteBuf bytes) {
         int requests = 0;
-        while (bytes.isReadable() && openRequests < MAX_OPEN_REQUESTS && !isDraining()) {
+        while (bytes.isReadable() && mayReadMessage()) {
             if (decoder == null) {
                 decoder = new UwsgiDecoder(
                         front.wantedVars(),
@@ -119,8 +117,10 @@
             } else {
                 handleRequest(pending, (UwsgiDecoder.Request) message);
             }
+            if (pending.bytes != null) {
+                countImmediateAnswer();
+            }
         }
-        stoppedAtRequestLimit = bytes.isReadable() && openRequests >= MAX_OPEN_REQUESTS;
         if (!bytes.isReadable()) {
             decoder = null;
         }
@@ -216,18 +216,13 @@
     /** Writes the pending responses in order, up to the first request that is not answered yet. */
     private void writeReadyResponses() {
         while (firstPending != null && firstPending.bytes != null) {
-            ctx.write(firstPending.bytes, ctx.voidPromise());
+            write(firstPending.bytes);
             firstPending = firstPending.next;
             lastPending = firstPending == null ? null : lastPending;
             openRequests--;
             hasResponded = true;
         }
-        ctx.flush();
         answerWritten();
         drainIfIdle();
-        if (stoppedAtRequestLimit && openRequests < MAX_OPEN_REQUESTS) {
-            stoppedAtRequestLimit = false;
-            front.clock().runAfterTurn(this::readBuffered);
-        }
     }
 }
--- a/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
+++ b/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
@@ -65,9 +65,9 @@
         }
     }
 
-    private static byte[] uwsgiRequest(String path, String... furtherVars) {
+    private static byte[] uwsgiRequest(String path, String... additionalVars) {
         String vars = text("REQUEST_URI") + text(path);
-        for (String nameOrValue : furtherVars) {
+        for (String nameOrValue : additionalVars) {
             vars += text(nameOrValue);
         }
         return ("\0" + (char) vars.length() + "\0\0" + vars).getBytes(StandardCharsets.ISO_8859_1);
--- a/server/src/test/java/wheatspread/scheduling/ReadSchedulerTest.java
+++ b/server/src/test/java/wheatspread/scheduling/ReadSchedulerTest.java
@@ -10,7 +10,7 @@
     private static final long NOW_MICROS = 100_000_000;
 
     private final ReadScheduler scheduler =
-            new ReadScheduler(new IterationBudget(10_000, 20, 4_000, 5_000_000, 4, 64, 10));
+            new ReadScheduler(new IterationBudget(10_000, 20, 8, 2, 4_000, 5_000_000, 4, 64, 10));
 
     private static final class FakeConnection extends PendingRead {
         private final String name;
