Bound the length of a key on the uwsgi front

Callers saw: a client with new idempotency keys of 8,000 characters on one uwsgi connection exhausted the heap within seconds, and the process ended.

Cause: a key that ran is retained for its window, 42.6 s, and the uwsgi front had no bound for it but that of a packet. The JSON-RPC front has 256 characters.

Ruled out: bodies, results and waiting answers, since as many requests with short keys, or without, leave memory at 96 MB.

Change: max_key of the uwsgi settings (256 characters) bounds idempotency and cache keys. A longer one gets 400 with the name of the var and the bound. The counter malformed counts the invalid messages of each front.

Measured: FastClientTest.otherClientsAreAnsweredInTime(UWSGI_NEW_LONG_KEYS) failed before with an OutOfMemoryError, and passes now.

--- a/lab/src/test/java/wheatspread/lab/clients/FastClientTest.java
+++ b/lab/src/test/java/wheatspread/lab/clients/FastClientTest.java
@@ -24,6 +24,8 @@
     /** The resolution of the server's clock in the configuration, in milliseconds. */
     private static final double RESOLUTION_MS = 4;
 
+    private static final int LONG_KEY_CHARS = 8_000;
+
     /** The messages of the client. */
     enum Flood {
         JSON_RPC_MALFORMED(DeployedServer.JSON_RPC, number -> text("x\n")),
@@ -41,6 +43,7 @@
         UWSGI_MALFORMED(DeployedServer.UWSGI, number -> new byte[] {0, 0, 0, 0}),
         UWSGI_HEALTH_CHECKS(DeployedServer.UWSGI, number -> HostileBytes.uwsgiRequest("/health")),
         UWSGI_REQUESTS(DeployedServer.UWSGI, number -> HostileBytes.uwsgiRequest("/search" + number)),
+        UWSGI_NEW_LONG_KEYS(DeployedServer.UWSGI, Flood::longKey),
         CONTROL_MALFORMED(DeployedServer.CONTROL, number -> text("x\r\n\r\n")),
         MEMBERSHIP_MALFORMED(DeployedServer.MEMBERSHIP, number -> new byte[] {0, 0, 0, 2, 1, 1});
 
@@ -60,6 +63,11 @@
             String attempt = String.format("%016x", number);
             return text(Sites.request(number, kind, Sites.TENANTS.get(0), attempt, System.currentTimeMillis()));
         }
+
+        private static byte[] longKey(int number) {
+            String key = "k".repeat(LONG_KEY_CHARS) + number;
+            return HostileBytes.packet(HostileBytes.vars("PATH_INFO", "/plans", "RECIPE_UNIQUE", key));
+        }
     }
 
     @ParameterizedTest
--- a/server/src/main/java/wheatspread/connections/ConnectionCounters.java
+++ b/server/src/main/java/wheatspread/connections/ConnectionCounters.java
@@ -20,6 +20,7 @@
     private long closedForMemory;
     private long pausedForMemory;
     private long closedStalled;
+    private long malformedMessages;
 
     /** Returns the number of connections rejected when they were accepted, over all reasons. */
     public long rejected() {
@@ -92,6 +93,11 @@
         closedStalled++;
     }
 
+    /** Counts a message that was answered with an error because it is malformed or exceeds a limit. */
+    public void countMalformedMessage() {
+        malformedMessages++;
+    }
+
     /** Returns all counters as log fields: alternating names and values. */
     public Object[] fields() {
         return new Object[] {
@@ -126,7 +132,9 @@
             "paused_held",
             pausedForMemory,
             "closed_stalled",
-            closedStalled
+            closedStalled,
+            "malformed",
+            malformedMessages
         };
     }
 }
--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -292,6 +292,9 @@
     }
 
     private void writeError(String id, int code, String message, JSONObject data) {
+        if (code <= RpcWireNames.INVALID_REQUEST) { // the protocol's own codes, of messages that are no requests
+            countMalformedMessage();
+        }
         JSONObject error = new JSONObject().put(RpcWireNames.ERROR_CODE, code).put(RpcWireNames.ERROR_MESSAGE, message);
         error.putOpt(RpcWireNames.ERROR_DATA, data);
         write("{\"jsonrpc\":\"2.0\",\"id\":" + id + ",\"error\":" + error + "}\n");
--- a/server/src/main/java/wheatspread/transport/RequestChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/RequestChannelHandler.java
@@ -26,6 +26,11 @@
         listener.scheduler().readScheduler().readBudget().countImmediateAnswer();
     }
 
+    /** Counts a message that is answered with an error because it is malformed or exceeds a limit. */
+    protected final void countMalformedMessage() {
+        listener.table().counters().countMalformedMessage();
+    }
+
     /**
      * Rejects the request that was just read, if the burst limiter does not admit it during a reconnect burst:
      * answers it through {@code reply} with a retry-after. Returns whether the request was rejected.
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -111,6 +111,7 @@
             PendingResponse pending = addPending();
             if (message instanceof UwsgiDecoder.Malformed malformed) {
                 bytes.skipBytes(bytes.readableBytes());
+                countMalformedMessage();
                 String status = malformed.tooLarge() ? "413 Content Too Large" : "400 Bad Request";
                 drain();
                 respond(pending, status, text(malformed.problem()), "");
@@ -163,6 +164,7 @@
                 pending.countedByBurstLimiter = isCountedByBurstLimiter();
                 pending.ticket = front.core().submit(inbound, answer -> complete(pending, answer));
             } catch (InvalidVarException e) {
+                countMalformedMessage();
                 respond(pending, "400 Bad Request", text(e.getMessage()), "");
             }
         }
--- a/server/src/main/java/wheatspread/uwsgi/VarsReader.java
+++ b/server/src/main/java/wheatspread/uwsgi/VarsReader.java
@@ -61,12 +61,12 @@
         String idempotencyKey = null;
         String cacheKey = null;
         if (requestClass.idempotency() == Idempotency.IDEMPOTENCY_KEY) {
-            idempotencyKey = readText(vars, names.idempotencyKey());
+            idempotencyKey = readKey(vars, names.idempotencyKey());
             if (idempotencyKey == null) {
                 throw new InvalidVarException(names.idempotencyKey(), "is missing, and this class needs it");
             }
         } else {
-            cacheKey = readText(vars, names.cacheKey());
+            cacheKey = readKey(vars, names.cacheKey());
         }
         return new InboundRequest(
                 jobIds.get(),
@@ -89,6 +89,15 @@
         return value == null || value.isEmpty() ? null : value;
     }
 
+    /** Returns the value of a var with a key; its length is bounded because keys are retained after the request. */
+    private String readKey(Map<String, String> vars, String name) {
+        String key = readText(vars, name);
+        if (key != null && key.length() > config.maxKeyChars()) {
+            throw new InvalidVarException(name, "is over " + config.maxKeyChars() + " characters");
+        }
+        return key;
+    }
+
     private static int readIndex(Map<String, String> vars, String name, List<String> knownValues, int defaultIndex) {
         String value = readText(vars, name);
         int index = value == null ? defaultIndex : knownValues.indexOf(value);
