Do not run an attempt again that comes again without an idempotency key

Callers saw: reported by operators of other deployments: an id ran twice when it came again after its client had left, or at the other process of an upgrade. Here it shows for classes that may take effect once and have no key.

Cause: an attempt was known by its id only while it was in flight, and the processes of an upgrade shared claims on idempotency keys only.

Ruled out: classes with a key, where the second attempt gets the first result.

A repeated one gets the error of a conflict, since a rejection would promise that it never ran. The counter repeated counts them.

--- a/server/src/main/java/wheatspread/core/ActionExecutor.java
+++ b/server/src/main/java/wheatspread/core/ActionExecutor.java
@@ -2,6 +2,7 @@
 
 import java.util.function.LongConsumer;
 import wheatspread.admission.AdmissionController;
+import wheatspread.admission.Idempotency;
 import wheatspread.admission.Outcome;
 import wheatspread.admission.RequestClass;
 import wheatspread.logging.EventLog;
@@ -19,6 +20,7 @@
     private final ActiveSettings settings;
     private final DrainState drain;
     private final AttemptTable attempts;
+    private final StartedAttempts startedAttempts;
     private final IdempotencyTable idempotencyTable;
     private final RequestCounters counters;
     private final Kernel kernel;
@@ -33,6 +35,7 @@
         settings = context.settings();
         drain = context.drain();
         attempts = context.attempts();
+        startedAttempts = context.startedAttempts();
         idempotencyTable = context.idempotencyTable();
         counters = context.counters();
         kernel = context.kernel();
@@ -73,9 +76,12 @@
         if (idempotencyTable.isDuplicate(attempt, events.nowMicros())) {
             // another attempt with this key has run or is running: this attempt must neither run nor be rejected
             joinResult(attempt.id());
-        } else if (!claimRun(attempt)) {
+        } else if (isPastGrace(attempt)) {
             reportIgnored(attempt.id());
             answers.finish(attempt, Answer.Kind.REJECTED);
+        } else if (!claimRun(attempt)) {
+            reportIgnored(attempt.id());
+            answers.finish(attempt, answerIfClaimedElsewhere(attempt));
         } else {
             InboundRequest request = attempt.request();
             attempt.runStarted();
@@ -89,15 +95,36 @@
         }
     }
 
+    /** Returns whether a request arrived after the drain grace; it must not run. */
+    private boolean isPastGrace(Attempt attempt) {
+        return attempt.receivedAfterGrace()
+                || drain.isPastGrace(attempt.request().arrivalMicros());
+    }
+
     /**
-     * Claims the idempotency key, if any, for the run of an attempt, and returns whether the attempt may run. Returns
-     * false if the request arrived after the drain grace, or if during an upgrade the server's other process has
-     * claimed the key. The attempt is then rejected, which promises only that this attempt never ran.
+     * Claims the idempotency key, or the attempt id if a request without a key may take effect only once, for the run of
+     * an attempt. Returns false if during an upgrade the server's other process has claimed it.
      */
     private boolean claimRun(Attempt attempt) {
-        return !attempt.receivedAfterGrace()
-                && !drain.isPastGrace(attempt.request().arrivalMicros())
-                && idempotencyTable.claim(attempt);
+        InboundRequest request = attempt.request();
+        RequestClass requestClass = settings.requestClass(request.requestClass());
+        if (requestClass.idempotency() != Idempotency.AT_MOST_ONCE) {
+            return idempotencyTable.claim(attempt);
+        }
+        startedAttempts.add(attempt.job(), events.nowMicros(), requestClass.deadlineMicros());
+        return idempotencyTable.claimAttempt(request, requestClass.deadlineMicros());
+    }
+
+    /**
+     * Returns the answer to an attempt whose key or id another process has claimed. With a key the attempt is rejected,
+     * which promises only that this attempt never ran; with its id claimed, the attempt itself may have run.
+     */
+    private Answer.Kind answerIfClaimedElsewhere(Attempt attempt) {
+        if (attempt.request().idempotencyKey() != null) {
+            return Answer.Kind.REJECTED;
+        }
+        counters.attemptRepeated();
+        return Answer.Kind.CONFLICT;
     }
 
     @Override
--- a/server/src/main/java/wheatspread/core/IdempotencyTable.java
+++ b/server/src/main/java/wheatspread/core/IdempotencyTable.java
@@ -193,6 +193,11 @@
                 || claims.claim(attempt.keyEntry().key, request.arrivalMicros(), windowMicros(request.requestClass()));
     }
 
+    /** Claims an attempt's id for this process; returns false if another process has claimed it. */
+    boolean claimAttempt(InboundRequest request, long windowMicros) {
+        return claims.claim("a " + request.job(), request.arrivalMicros(), windowMicros + SOCKET_SLACK_MICROS);
+    }
+
     /** Removes the entries of ended runs that are neither retained nor needed to prevent a second run. */
     void sweep(long nowMicros) {
         entries.values()
--- a/server/src/main/java/wheatspread/core/RequestCounters.java
+++ b/server/src/main/java/wheatspread/core/RequestCounters.java
@@ -23,7 +23,9 @@
         JOINS("joins"),
         DEPENDENCY_CALLS("calls"),
         DEPENDENCY_SKIPS("skips"),
-        RESUMED("resumed");
+        RESUMED("resumed"),
+        /** Attempts whose id is that of another attempt; {@link #FAILED} includes them. */
+        REPEATED("repeated");
 
         private final String logName;
 
@@ -99,6 +101,11 @@
         add(Counter.RESUMED);
     }
 
+    /** Counts an attempt that failed because its id is that of another attempt. */
+    void attemptRepeated() {
+        add(Counter.REPEATED);
+    }
+
     /** Counts an attempt that joined the run of another attempt to share its result. */
     void joined() {
         add(Counter.JOINS);
--- a/server/src/main/java/wheatspread/core/RequestLifecycle.java
+++ b/server/src/main/java/wheatspread/core/RequestLifecycle.java
@@ -18,6 +18,7 @@
     private final ActiveSettings settings;
     private final DrainState drain;
     private final AttemptTable attempts;
+    private final StartedAttempts startedAttempts;
     private final IdempotencyTable idempotencyTable;
     private final RequestCounters counters;
     private final EventBatcher events;
@@ -28,6 +29,7 @@
         settings = context.settings();
         drain = context.drain();
         attempts = context.attempts();
+        startedAttempts = context.startedAttempts();
         idempotencyTable = context.idempotencyTable();
         counters = context.counters();
         events = context.events();
@@ -42,7 +44,8 @@
             answerImmediately(request.requestClass(), reply, answers.plainAnswer(Answer.Kind.REJECTED));
             return null;
         }
-        if (attempts.byJob(request.job()) != null) {
+        if (attempts.byJob(request.job()) != null || startedAttempts.contains(request.job(), clock.nowMicros())) {
+            counters.attemptRepeated();
             answerImmediately(request.requestClass(), reply, answers.plainAnswer(Answer.Kind.CONFLICT));
             return null;
         }
--- a/server/src/test/java/wheatspread/core/CoreHarness.java
+++ b/server/src/test/java/wheatspread/core/CoreHarness.java
@@ -49,8 +49,13 @@
     private final Deque<Consumer<Actions>> decisions = new ArrayDeque<>();
 
     CoreHarness() {
+        this(Idempotency.IDEMPOTENCY_KEY);
+    }
+
+    /** Creates a core with one request class. */
+    CoreHarness(Idempotency idempotency) {
         core = new Core(
-                new DeploymentSettings(settings(), List.of("save"), List.of(), List.of()),
+                new DeploymentSettings(settings(idempotency), List.of("save"), List.of(), List.of()),
                 settings -> new ScriptedController(),
                 clock,
                 (job, body, timeoutMicros, listener) -> () -> {},
@@ -61,9 +66,9 @@
         settle();
     }
 
-    private static AdmissionSettings settings() {
-        RequestClass idempotent =
-                new RequestClass(3 * SECOND, 0, 9 * SECOND, Idempotency.IDEMPOTENCY_KEY, 5, 0, WINDOW_MICROS, true, 0);
+    private static AdmissionSettings settings(Idempotency idempotency) {
+        RequestClass requestClass =
+                new RequestClass(3 * SECOND, 0, 9 * SECOND, idempotency, 5, 0, WINDOW_MICROS, true, 0);
         return new AdmissionSettings(
                 2,
                 1,
@@ -74,7 +79,7 @@
                 new ServerLimits(20_000, 8, 10, 6, 0.2, SECOND, 60_000, DRAIN_GRACE_MICROS),
                 new DependencyLimits(DependencyKind.SHARED, 4, SECOND, 0),
                 new ClientSettings(1, LoadFeedbackMode.NONE, 0, 0, true, 0, 0, 0),
-                List.of(idempotent),
+                List.of(requestClass),
                 List.of());
     }
 
