Close an announce connection whose responses belong to no report

Callers saw: while the announce service sent responses without end, half of the answers took over 40 ms, where 2 ms is usual.

Cause: a response was taken for an answer whether a report was open or not, and up to 16 reads of up to 64 KB were made at once.

Ruled out: the clients' own load, by a server beside a usual service in the same test.

Change: a response to no report closes the connection, and the next report opens another; one read takes 1 KB.

Measured: FastClientTest.clientsAreAnsweredInTimeBesideAFloodingAnnounceService failed before (median 40.4 ms, allowed 12.2), and passes now.

--- a/lab/src/test/java/wheatspread/lab/clients/DeployedServer.java
+++ b/lab/src/test/java/wheatspread/lab/clients/DeployedServer.java
@@ -16,7 +16,7 @@
 import wheatspread.lab.standins.StandInAddress;
 import wheatspread.lab.standins.StandInServices;
 
-/** The built server with the JVM flags of the deploy file, the bounds of the example operator file, and all ports on. */
+/** The built server with the flags of the deploy file, the bounds of the example operator file, and all ports on. */
 final class DeployedServer implements AutoCloseable {
     static final int MEMORY_LIMIT_MB = 192;
     static final int MAX_SOCKETS = 1_024;
@@ -36,11 +36,19 @@
     private final ServerProcess process;
 
     DeployedServer() throws IOException, InterruptedException {
+        this(null);
+    }
+
+    /** Starts a server that reports to the announce service at an address; null for the stand-in. */
+    DeployedServer(InetSocketAddress announce) throws IOException, InterruptedException {
         Ports ports = new Ports();
         control = ports.next();
         peers = ports.next();
         JSONObject config = Sites.config(services, MAX_SOCKETS).put("control", StandInAddress.format(control));
         config.getJSONObject("limits").put("memory_mb", MEMORY_LIMIT_MB);
+        if (announce != null) {
+            config.put("announce", StandInAddress.format(announce));
+        }
         process = new ServerProcess(JAR, config, operatorFile(), deployedFlags(), -1);
     }
 
--- a/lab/src/test/java/wheatspread/lab/clients/FastClientTest.java
+++ b/lab/src/test/java/wheatspread/lab/clients/FastClientTest.java
@@ -6,6 +6,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.EnumSource;
@@ -93,6 +94,30 @@
         }
     }
 
+    /** Guards the same against an announce service that sends responses to no report. */
+    @Test
+    @Timeout(120)
+    void clientsAreAnsweredInTimeBesideAFloodingAnnounceService() throws Exception {
+        double usualMillis;
+        try (DeployedServer server = new DeployedServer();
+                Probe probe = new Probe(server.address(DeployedServer.JSON_RPC), false)) {
+            usualMillis = warmMedian(probe);
+        }
+        try (FloodingAnnounceService announce = new FloodingAnnounceService();
+                DeployedServer server = new DeployedServer(announce.address());
+                Probe probe = new Probe(server.address(DeployedServer.JSON_RPC), false)) {
+            assertThat(warmMedian(probe)).isLessThan(LATE_FACTOR * usualMillis + RESOLUTION_MS);
+            assertThat(server.peakResidentMb()).isLessThan(DeployedServer.MEMORY_LIMIT_MB);
+        }
+    }
+
+    private static double warmMedian(Probe probe) throws InterruptedException {
+        TimeUnit.SECONDS.sleep(WARM_UP_S);
+        probe.takeLatencies();
+        TimeUnit.SECONDS.sleep(CALM_S);
+        return median(probe);
+    }
+
     private static double median(Probe probe) {
         assertThat(probe.failure()).isNull();
         List<Double> latenciesMillis = probe.takeLatencies();
--- a/server/src/main/java/wheatspread/announce/AnnounceConnection.java
+++ b/server/src/main/java/wheatspread/announce/AnnounceConnection.java
@@ -6,6 +6,7 @@
 import io.netty.channel.ChannelHandlerContext;
 import io.netty.channel.ChannelInitializer;
 import io.netty.channel.ChannelOption;
+import io.netty.channel.FixedRecvByteBufAllocator;
 import io.netty.channel.SimpleChannelInboundHandler;
 import io.netty.handler.codec.http.DefaultFullHttpRequest;
 import io.netty.handler.codec.http.FullHttpResponse;
@@ -23,6 +24,8 @@
 final class AnnounceConnection extends SimpleChannelInboundHandler<FullHttpResponse> {
     private static final int CONNECT_TIMEOUT_MS = 500;
     private static final int MAX_RESPONSE_BYTES = 64 * 1024;
+    /** The buffer size of one read; a response is much smaller. */
+    private static final int READ_BUFFER_BYTES = 1024;
 
     /** The callbacks to the client that opened the connection. */
     interface Owner {
@@ -55,6 +58,9 @@
         bootstrap
                 .clone()
                 .option(ChannelOption.CONNECT_TIMEOUT_MILLIS, CONNECT_TIMEOUT_MS)
+                .option(
+                        ChannelOption.RECVBUF_ALLOCATOR,
+                        new FixedRecvByteBufAllocator(READ_BUFFER_BYTES).maxMessagesPerRead(1))
                 .handler(new ChannelInitializer<Channel>() {
                     @Override
                     protected void initChannel(Channel ch) {
@@ -108,6 +114,10 @@
 
     @Override
     protected void channelRead0(ChannelHandlerContext ctx, FullHttpResponse response) {
+        if (!awaitsAnswer) {
+            closeAfterUnexpectedResponse(ctx);
+            return;
+        }
         awaitsAnswer = false;
         int status = response.status().code();
         if (status != HttpResponseStatus.NO_CONTENT.code()) {
@@ -115,6 +125,15 @@
         }
     }
 
+    /** Closes a connection whose responses do not belong to reports; the next report opens another. */
+    private void closeAfterUnexpectedResponse(ChannelHandlerContext ctx) {
+        if (!closed) {
+            log.warn("announce_response_unexpected");
+            close();
+            ctx.channel().config().setAutoRead(false);
+        }
+    }
+
     @Override
     public void channelInactive(ChannelHandlerContext ctx) {
         owner.ended(this);
