--- a/server/src/main/java/wheatspread/core/ActionExecutor.java
+++ b/server/src/main/java/wheatspread/core/ActionExecutor.java
@@ -102,8 +102,8 @@
     }
 
     /**
-     * Claims the idempotency key, or the attempt id if a request without a key may take effect only once, for the run of
-     * an attempt. Returns false if during an upgrade the server's other process has claimed it.
+     * Claims the idempotency key for the run of an attempt, or the attempt id if its request has no key and may take
+     * effect only once. Returns false if during an upgrade the server's other process has claimed it.
      */
     private boolean claimRun(Attempt attempt) {
         InboundRequest request = attempt.request();
--- a/server/src/main/java/wheatspread/core/StartedAttempts.java
+++ b/server/src/main/java/wheatspread/core/StartedAttempts.java
@@ -5,8 +5,8 @@
 import java.util.Map;
 
 /**
- * The ids of attempts that were started, and whose requests must not take effect twice although they have no idempotency
- * key. An id is kept after its attempt has ended, since a client that was disconnected may send the same attempt again.
+ * The ids of started attempts whose requests must not take effect twice although they have no idempotency key. An id is
+ * kept after its attempt has ended, since a client that was disconnected may send the same attempt again.
  * Owned by the core's thread.
  */
 final class StartedAttempts {
