--- a/lab/src/test/java/wheatspread/lab/clients/LeavingClientTest.java
+++ b/lab/src/test/java/wheatspread/lab/clients/LeavingClientTest.java
@@ -16,7 +16,7 @@
 /** Guards against runs for the requests of a client that has closed its connection before the server read them. */
 class LeavingClientTest {
     private static final int REQUESTS = 500;
-    /** The requests that may be open on one connection, which the server may have read before it learns of the close. */
+    /** The requests that may be open on a connection, which the server may have read before it learns of the close. */
     private static final int MAX_OPEN_REQUESTS = 32;
 
     private static final int CLIENTS = 3;
--- a/server/src/main/java/wheatspread/daemon/ProcessIdentity.java
+++ b/server/src/main/java/wheatspread/daemon/ProcessIdentity.java
@@ -9,8 +9,10 @@
  * reused.
  */
 record ProcessIdentity(long number) {
+    private static final SecureRandom RANDOM = new SecureRandom();
+
     static ProcessIdentity random() {
-        return new ProcessIdentity(new SecureRandom().nextLong());
+        return new ProcessIdentity(RANDOM.nextLong());
     }
 
     /** Returns the number as 16 hex digits. */
