--- a/server/src/test/java/wheatspread/core/RequestCountersTest.java
+++ b/server/src/test/java/wheatspread/core/RequestCountersTest.java
@@ -26,9 +26,32 @@
         counters.joined();
         counters.dependencyCallStarted();
         counters.dependencyCallSkipped();
+        counters.attemptRepeated();
         Object[] expected = {
-            "read", 9L, "served", 1L, "refused", 2L, "failed", 3L, "overdue", 1L, "gone", 1L, "runs", 1L, "joins", 1L,
-            "calls", 1L, "skips", 1L, "resumed", 1L
+            "read",
+            9L,
+            "served",
+            1L,
+            "refused",
+            2L,
+            "failed",
+            3L,
+            "overdue",
+            1L,
+            "gone",
+            1L,
+            "runs",
+            1L,
+            "joins",
+            1L,
+            "calls",
+            1L,
+            "skips",
+            1L,
+            "resumed",
+            1L,
+            "repeated",
+            1L
         };
         assertThat(counters.logFields()).containsExactly(expected);
         assertThat(counters.logFieldsSince(start)).containsExactly(expected);
