Count a message against the budget of a read once it is complete

Callers would have seen: with messages_per_read set to 1, a connection whose line came in two parts was never read again, and the event loop spun. Found by reading the change again; the default of 4 is not affected.

Cause: a message counted when its read began, so a part of one used up the budget, and the rest was awaited in the buffer and not from the socket.

Change: a message counts once it is complete.

Measured: PartialLineTest.readsTheRestOfALineIfOneMessageIsReadAtATime failed before (timeout of 60 s), and passes now.

--- a/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
+++ b/server/src/main/java/wheatspread/jsonrpc/RpcConnection.java
@@ -116,6 +116,7 @@
             String line = bytes.toString(bytes.readerIndex(), end, StandardCharsets.UTF_8);
             bytes.skipBytes(length + 1);
             lines++;
+            countMessage();
             handleLine(line);
         }
         return lines;
--- a/server/src/main/java/wheatspread/transport/RequestChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/RequestChannelHandler.java
@@ -11,19 +11,23 @@
         super(listener);
     }
 
-    /** Returns whether the protocol may read another message now; counts it. */
+    /** Returns whether the protocol may read another message now. */
     protected final boolean mayReadMessage() {
-        ReadBudget budget = listener.scheduler().readScheduler().readBudget();
-        if (isDraining() || budget.isExhausted() || !acceptsMoreRequests()) {
-            return false;
-        }
-        budget.countMessage();
-        return true;
+        return !isDraining() && !readBudget().isExhausted() && acceptsMoreRequests();
+    }
+
+    /** Counts a complete message that was read. */
+    protected final void countMessage() {
+        readBudget().countMessage();
+    }
+
+    private ReadBudget readBudget() {
+        return listener.scheduler().readScheduler().readBudget();
     }
 
     /** Counts a message that is answered without the core. */
     protected final void countImmediateAnswer() {
-        listener.scheduler().readScheduler().readBudget().countImmediateAnswer();
+        readBudget().countImmediateAnswer();
     }
 
     /** Counts a message that is answered with an error because it is malformed or exceeds a limit. */
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -108,6 +108,7 @@
                 break;
             }
             requests++;
+            countMessage();
             PendingResponse pending = addPending();
             if (message instanceof UwsgiDecoder.Malformed malformed) {
                 bytes.skipBytes(bytes.readableBytes());
--- a/server/src/test/java/wheatspread/daemon/PartialLineTest.java
+++ b/server/src/test/java/wheatspread/daemon/PartialLineTest.java
@@ -55,6 +55,20 @@
         }
     }
 
+    /** Guards against a connection that is never read again if a read may process one message and gets a part of it. */
+    @ParameterizedTest
+    @MethodSource("transports")
+    void readsTheRestOfALineIfOneMessageIsReadAtATime(String transport) throws Exception {
+        try (ServerFixture fixture = startServer("{\"turns\":{\"messages_per_read\":1}}", transport);
+                FaultyClient client = FaultyClient.connect(fixture.jsonrpc)) {
+            String cutLine = requestLine(2, "ok-2");
+            client.write(requestLine(1, "ok-1") + cutLine.substring(0, 40));
+            assertThat(outcomes(List.of(client.readLine()))).containsExactly("1 served");
+            client.write(cutLine.substring(40));
+            assertThat(outcomes(List.of(client.readLine()))).containsExactly("2 served");
+        }
+    }
+
     /** A line over the length limit is answered with an error, and earlier requests are answered. */
     @ParameterizedTest
     @MethodSource("transports")
