Call the uwsgi encoder and one reader of the deploy file; read uwsgi vars once

The tests of hostile clients encoded uwsgi packets by hand beside UwsgiEncoder, read the deploy file's flags beside StartCommand (now DeployFile, for all commands of the lab), and kept two methods that nothing calls. The decoder read the vars of each request twice. Responses that became ready together were flushed one by one, where the code before the bound of messages flushed them once.

Change: the encoder and DeployFile serve all of them; the vars are read again only if the body comes after them; one flush for all responses that are ready.

--- a/lab/src/main/java/wheatspread/lab/CostCommand.java
+++ b/lab/src/main/java/wheatspread/lab/CostCommand.java
@@ -49,7 +49,7 @@
     @Override
     public Integer call() throws Exception {
         Report report = new Report("membership-cost");
-        List<String> flags = StartCommand.flags(deploy);
+        List<String> flags = DeployFile.flags(deploy);
         boolean passed = true;
         for (int i = 1; i <= times; i++) {
             for (boolean withMembership : new boolean[] {false, true}) {
--- a/lab/src/main/java/wheatspread/lab/FaultsCommand.java
+++ b/lab/src/main/java/wheatspread/lab/FaultsCommand.java
@@ -57,7 +57,7 @@
     @Override
     public Integer call() throws Exception {
         Report report = new Report("faults");
-        List<String> flags = StartCommand.flags(deploy);
+        List<String> flags = DeployFile.flags(deploy);
         boolean passed = true;
         for (long seed : seeds) {
             Map<String, Scenario> runs;
--- a/lab/src/main/java/wheatspread/lab/FleetMeasurementCommand.java
+++ b/lab/src/main/java/wheatspread/lab/FleetMeasurementCommand.java
@@ -71,7 +71,7 @@
         if (unproven) {
             rolloutSettings.put("proven_answers", 0).put("proven_ms", 0).put("patience_ms", 0);
         }
-        FleetRoll fleet = new FleetRoll(jar, StartCommand.flags(deploy), size, rate, rolloutSettings);
+        FleetRoll fleet = new FleetRoll(jar, DeployFile.flags(deploy), size, rate, rolloutSettings);
         Report report = new Report(name);
         Map<String, double[]> valueSharesBySecond = new LinkedHashMap<>();
         long brokenPromises = 0;
--- a/lab/src/main/java/wheatspread/lab/ReloadCommand.java
+++ b/lab/src/main/java/wheatspread/lab/ReloadCommand.java
@@ -56,7 +56,7 @@
     @Override
     public Integer call() throws Exception {
         Report report = new Report(part.equals("all") ? "reload" : "reload-" + part);
-        List<String> flags = StartCommand.flags(deploy);
+        List<String> flags = DeployFile.flags(deploy);
         boolean passed = true;
         for (long seed : seeds) {
             if (!part.equals("handover")) {
--- a/lab/src/main/java/wheatspread/lab/ScaleCommand.java
+++ b/lab/src/main/java/wheatspread/lab/ScaleCommand.java
@@ -140,7 +140,7 @@
         double requestsPerSecond = rate == null ? REQUESTS_PER_S_PER_REAL_SERVER * real : rate;
         Report report = new Report("scale");
         measure(
-                new ScaleSettings(jar, StartCommand.flags(deploy), real, requestsPerSecond, seed, batch, chosen),
+                new ScaleSettings(jar, DeployFile.flags(deploy), real, requestsPerSecond, seed, batch, chosen),
                 beginTime.plus(Duration.ofMinutes(limitMinutes)),
                 report);
         JSONObject run = new JSONObject()
--- a/lab/src/main/java/wheatspread/lab/SettingsCommand.java
+++ b/lab/src/main/java/wheatspread/lab/SettingsCommand.java
@@ -138,7 +138,7 @@
             command.addAll(List.of("taskset", "-c", Integer.toString(core)));
         }
         command.add(Path.of(System.getProperty("java.home"), "bin", "java").toString());
-        command.addAll(StartCommand.flags(deploy));
+        command.addAll(DeployFile.flags(deploy));
         command.addAll(List.of("-jar", jar.toString(), "serve"));
         return command;
     }
--- a/lab/src/main/java/wheatspread/lab/SoakCommand.java
+++ b/lab/src/main/java/wheatspread/lab/SoakCommand.java
@@ -63,8 +63,7 @@
     }
 
     private boolean play(long seed) throws Exception {
-        List<String> flags =
-                planted == PlantedFault.LOOP_ENDED ? flagsWithSmallMetaspace() : StartCommand.flags(deploy);
+        List<String> flags = planted == PlantedFault.LOOP_ENDED ? flagsWithSmallMetaspace() : DeployFile.flags(deploy);
         SoakRun.Outcome outcome = new SoakRun(jar, flags, seed, planted).run();
         System.out.println("soak seed " + seed + " " + (outcome.violations().isEmpty() ? "passed" : "FAILED") + " "
                 + outcome.figures());
@@ -91,7 +90,7 @@
 
     /** Returns the deployed flags with a metaspace that is too small, without a class data sharing archive. */
     private List<String> flagsWithSmallMetaspace() throws IOException {
-        return StartCommand.flags(deploy).stream()
+        return DeployFile.flags(deploy).stream()
                 .filter(flag -> !flag.startsWith("-XX:SharedArchiveFile="))
                 .map(flag -> flag.startsWith("-XX:MaxMetaspaceSize=") ? "-XX:MaxMetaspaceSize=12m" : flag)
                 .toList();
--- a/lab/src/main/java/wheatspread/lab/StartCommand.java
+++ b/lab/src/main/java/wheatspread/lab/StartCommand.java
@@ -5,14 +5,11 @@
 import java.io.InputStreamReader;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
-import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.Callable;
 import java.util.concurrent.TimeUnit;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.json.JSONObject;
 import picocli.CommandLine.Command;
 import picocli.CommandLine.Option;
@@ -59,10 +56,10 @@
 
     @Override
     public Integer call() throws Exception {
-        List<String> flags = flags(deploy);
+        List<String> flags = DeployFile.flags(deploy);
         List<JSONObject> starts = new ArrayList<>();
         List<JSONObject> startsBefore = new ArrayList<>();
-        List<String> beforeFlags = beforeDeploy == null ? flags : flags(beforeDeploy);
+        List<String> beforeFlags = beforeDeploy == null ? flags : DeployFile.flags(beforeDeploy);
         Process spinner = half
                 ? new ProcessBuilder("taskset", "-c", Integer.toString(core), "sh", "-c", "while :; do :; done").start()
                 : null;
@@ -88,15 +85,6 @@
         return 0;
     }
 
-    /** Reads the JVM flags from the {@code run} line of a deploy file. */
-    static List<String> flags(Path deploy) throws IOException {
-        Matcher runLine = Pattern.compile("run = \"exec java (.*) -jar ").matcher(Files.readString(deploy));
-        if (!runLine.find()) {
-            throw new IOException(deploy + ": no line of the form run = \"exec java FLAGS -jar ...\"");
-        }
-        return List.of(runLine.group(1).split(" "));
-    }
-
     private JSONObject start(Path server, List<String> flags) throws Exception {
         long beganNanos = System.nanoTime();
         try (StandInServices standIns = new StandInServices(15_000, 5_000);
--- a/lab/src/test/java/wheatspread/lab/WithoutArchiveTest.java
+++ b/lab/src/test/java/wheatspread/lab/WithoutArchiveTest.java
@@ -38,7 +38,7 @@
     private Path folder;
 
     private List<String> flagsWithoutArchive() throws IOException {
-        return StartCommand.flags(DEPLOY).stream()
+        return DeployFile.flags(DEPLOY).stream()
                 .map(flag -> flag.startsWith("-XX:SharedArchiveFile=")
                         ? "-XX:SharedArchiveFile=" + folder.resolve("missing.jsa")
                         : flag)
--- a/lab/src/test/java/wheatspread/lab/clients/DeployedServer.java
+++ b/lab/src/test/java/wheatspread/lab/clients/DeployedServer.java
@@ -5,10 +5,9 @@
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.List;
-import java.util.regex.Matcher;
-import java.util.regex.Pattern;
 import org.json.JSONArray;
 import org.json.JSONObject;
+import wheatspread.lab.DeployFile;
 import wheatspread.lab.Sites;
 import wheatspread.lab.rig.Ports;
 import wheatspread.lab.rig.ProcessFigures;
@@ -65,13 +64,11 @@
         return operator.toString();
     }
 
+    /** Returns the deployed flags, with paths as they are seen from the folder of this module. */
     private static List<String> deployedFlags() throws IOException {
-        Matcher runLine = Pattern.compile("run = \"exec java (.*) -jar ").matcher(Files.readString(DEPLOY));
-        if (!runLine.find()) {
-            throw new IOException(DEPLOY + " has no line that starts the server");
-        }
-        return List.of(
-                runLine.group(1).replace("server/target", "../server/target").split(" "));
+        return DeployFile.flags(DEPLOY).stream()
+                .map(flag -> flag.replace("server/target", "../server/target"))
+                .toList();
     }
 
     /** Returns the address of one of the ports that the constants above number. */
@@ -87,10 +84,6 @@
         return services;
     }
 
-    long pid() {
-        return process.pid();
-    }
-
     List<String> log() {
         return process.log();
     }
--- a/lab/src/test/java/wheatspread/lab/clients/FastClientTest.java
+++ b/lab/src/test/java/wheatspread/lab/clients/FastClientTest.java
@@ -2,8 +2,8 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
-import java.nio.charset.StandardCharsets;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import java.util.function.IntFunction;
 import org.junit.jupiter.api.Test;
@@ -29,15 +29,17 @@
 
     /** The messages of the client. */
     enum Flood {
-        JSON_RPC_MALFORMED(DeployedServer.JSON_RPC, number -> text("x\n")),
-        JSON_RPC_EMPTY_LINES(DeployedServer.JSON_RPC, number -> text("\n")),
-        JSON_RPC_NO_METHOD(DeployedServer.JSON_RPC, number -> text("{}\n")),
-        JSON_RPC_HEALTH_CHECKS(DeployedServer.JSON_RPC, number -> text("{\"id\":1,\"method\":\"check\"}\n")),
+        JSON_RPC_MALFORMED(DeployedServer.JSON_RPC, number -> HostileBytes.ascii("x\n")),
+        JSON_RPC_EMPTY_LINES(DeployedServer.JSON_RPC, number -> HostileBytes.ascii("\n")),
+        JSON_RPC_NO_METHOD(DeployedServer.JSON_RPC, number -> HostileBytes.ascii("{}\n")),
+        JSON_RPC_HEALTH_CHECKS(
+                DeployedServer.JSON_RPC, number -> HostileBytes.ascii("{\"id\":1,\"method\":\"check\"}\n")),
         JSON_RPC_CANCELLATIONS(
                 DeployedServer.JSON_RPC,
-                number -> text("{\"method\":\"interrupt\",\"params\":{\"id\":" + number + "}}\n")),
+                number -> HostileBytes.ascii("{\"method\":\"interrupt\",\"params\":{\"id\":" + number + "}}\n")),
         JSON_RPC_NEW_METHODS(
-                DeployedServer.JSON_RPC, number -> text("{\"id\":" + number + ",\"method\":\"m" + number + "\"}\n")),
+                DeployedServer.JSON_RPC,
+                number -> HostileBytes.ascii("{\"id\":" + number + ",\"method\":\"m" + number + "\"}\n")),
         JSON_RPC_REQUESTS(DeployedServer.JSON_RPC, number -> jsonRpcRequest(number, Sites.KINDS.get(1))),
         JSON_RPC_NEW_KEYS(DeployedServer.JSON_RPC, number -> jsonRpcRequest(number, Sites.KINDS.get(3))),
         UWSGI_PINGS(DeployedServer.UWSGI, number -> new byte[] {100, 0, 0, 0}),
@@ -45,7 +47,7 @@
         UWSGI_HEALTH_CHECKS(DeployedServer.UWSGI, number -> HostileBytes.uwsgiRequest("/health")),
         UWSGI_REQUESTS(DeployedServer.UWSGI, number -> HostileBytes.uwsgiRequest("/search" + number)),
         UWSGI_NEW_LONG_KEYS(DeployedServer.UWSGI, Flood::longKey),
-        CONTROL_MALFORMED(DeployedServer.CONTROL, number -> text("x\r\n\r\n")),
+        CONTROL_MALFORMED(DeployedServer.CONTROL, number -> HostileBytes.ascii("x\r\n\r\n")),
         MEMBERSHIP_MALFORMED(DeployedServer.MEMBERSHIP, number -> new byte[] {0, 0, 0, 2, 1, 1});
 
         private final int port;
@@ -56,18 +58,15 @@
             this.messages = messages;
         }
 
-        private static byte[] text(String text) {
-            return text.getBytes(StandardCharsets.US_ASCII);
-        }
-
         private static byte[] jsonRpcRequest(int number, Sites.Kind kind) {
             String attempt = String.format("%016x", number);
-            return text(Sites.request(number, kind, Sites.TENANTS.get(0), attempt, System.currentTimeMillis()));
+            return HostileBytes.ascii(
+                    Sites.request(number, kind, Sites.TENANTS.get(0), attempt, System.currentTimeMillis()));
         }
 
         private static byte[] longKey(int number) {
             String key = "k".repeat(LONG_KEY_CHARS) + number;
-            return HostileBytes.packet(HostileBytes.vars("PATH_INFO", "/plans", "RECIPE_UNIQUE", key));
+            return HostileBytes.uwsgiPacket(Map.of("PATH_INFO", "/plans", "RECIPE_UNIQUE", key));
         }
     }
 
--- a/lab/src/test/java/wheatspread/lab/clients/HostileBytes.java
+++ b/lab/src/test/java/wheatspread/lab/clients/HostileBytes.java
@@ -1,52 +1,42 @@
 package wheatspread.lab.clients;
 
-import java.io.ByteArrayOutputStream;
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashMap;
+import java.util.Map;
+import wheatspread.uwsgi.UwsgiEncoder;
+import wheatspread.uwsgi.UwsgiPacket;
 
-/** Messages that strain a server: large, of very many short fields, incomplete or malformed. */
+/** Messages that strain a server: large, of very many short fields, or incomplete. */
 final class HostileBytes {
-    private static final int UWSGI_HEADER_BYTES = 4;
     /** The bytes of a var with a name of two characters and no value. */
     private static final int SHORT_VAR_BYTES = 6;
+    /** More than the vars of a path and of the size of a body take. */
+    private static final int OTHER_VARS_BYTES = 64;
 
     private HostileBytes() {}
 
     static byte[] uwsgiRequest(String path) {
-        return packet(vars("PATH_INFO", path));
+        return uwsgiPacket(Map.of("PATH_INFO", path));
     }
 
-    /** Returns a packet of {@code varsBytes} at most, with as many short vars as fit, that announces a body. */
-    static byte[] uwsgiRequestOfShortVars(int varsBytes, int announcedBodyBytes) {
-        ByteArrayOutputStream vars = new ByteArrayOutputStream();
-        vars.writeBytes(vars("PATH_INFO", "/search", "CONTENT_LENGTH", Integer.toString(announcedBodyBytes)));
-        for (int number = 0; vars.size() + SHORT_VAR_BYTES <= varsBytes; number++) {
-            vars.writeBytes(vars(name(number), ""));
-        }
-        return packet(vars.toByteArray());
-    }
-
-    private static String name(int number) {
-        return "" + (char) ('!' + number % 90) + (char) ('!' + number / 90);
+    static byte[] uwsgiPacket(Map<String, String> vars) {
+        ByteBuf packet = Unpooled.buffer();
+        UwsgiEncoder.write(new UwsgiPacket(UwsgiPacket.REQUEST_MODIFIER, 0, vars), packet);
+        return ByteBufUtil.getBytes(packet);
     }
 
-    static byte[] vars(String... namesAndValues) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        for (String text : namesAndValues) {
-            out.write(text.length());
-            out.write(text.length() >> 8);
-            out.writeBytes(text.getBytes(StandardCharsets.ISO_8859_1));
+    /** Returns a packet of {@code varsBytes} at most, of very many short vars, that announces a body. */
+    static byte[] uwsgiRequestOfShortVars(int varsBytes, int announcedBodyBytes) {
+        Map<String, String> vars = new LinkedHashMap<>();
+        vars.put("PATH_INFO", "/search");
+        vars.put("CONTENT_LENGTH", Integer.toString(announcedBodyBytes));
+        for (int number = 0; number < (varsBytes - OTHER_VARS_BYTES) / SHORT_VAR_BYTES; number++) {
+            vars.put("" + (char) ('!' + number % 90) + (char) ('!' + number / 90), "");
         }
-        return out.toByteArray();
-    }
-
-    static byte[] packet(byte[] vars) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream(UWSGI_HEADER_BYTES + vars.length);
-        out.write(0);
-        out.write(vars.length);
-        out.write(vars.length >> 8);
-        out.write(0);
-        out.writeBytes(vars);
-        return out.toByteArray();
+        return uwsgiPacket(vars);
     }
 
     /** Returns a JSON object of {@code bytes} at most with as many short members as fit, without its end. */
@@ -55,15 +45,10 @@
         for (int number = 0; line.length() + 8 <= bytes; number++) {
             line.append(",\"").append(Integer.toString(number, 36)).append("\":1");
         }
-        return line.toString().getBytes(StandardCharsets.US_ASCII);
+        return ascii(line.toString());
     }
 
-    /** Returns {@code message} repeated until it is {@code bytes} long or longer. */
-    static byte[] repeat(byte[] message, int bytes) {
-        ByteArrayOutputStream out = new ByteArrayOutputStream();
-        while (out.size() < bytes) {
-            out.writeBytes(message);
-        }
-        return out.toByteArray();
+    static byte[] ascii(String text) {
+        return text.getBytes(StandardCharsets.US_ASCII);
     }
 }
--- a/lab/src/test/java/wheatspread/lab/clients/IncompleteRequestsTest.java
+++ b/lab/src/test/java/wheatspread/lab/clients/IncompleteRequestsTest.java
@@ -4,10 +4,10 @@
 
 import java.net.InetSocketAddress;
 import java.nio.ByteBuffer;
-import java.nio.charset.StandardCharsets;
 import java.util.Arrays;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.concurrent.TimeUnit;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -20,6 +20,9 @@
 class IncompleteRequestsTest {
     private static final int UWSGI_MAX_VARS_BYTES = 16_384;
     private static final int UWSGI_MAX_BODY_BYTES = 2_048;
+    /** The bytes of a var with a name of one character, without its value. */
+    private static final int ONE_VAR_OVERHEAD_BYTES = 5;
+
     private static final int LINE_BYTES = 16_000;
     private static final int HEAD_BYTES = 8_000;
     private static final int FRAME_BYTES = 2 << 20;
@@ -41,17 +44,20 @@
                 UWSGI_CLIENTS,
                 WHOLE,
                 HostileBytes.uwsgiRequestOfShortVars(UWSGI_MAX_VARS_BYTES, UWSGI_MAX_BODY_BYTES)),
-        JSON_RPC_STOPPED(DeployedServer.JSON_RPC, OTHER_CLIENTS, WHOLE, text("x".repeat(LINE_BYTES))),
-        JSON_RPC_SLOW(DeployedServer.JSON_RPC, OTHER_CLIENTS, SLOW_BYTES, text("x".repeat(LINE_BYTES))),
+        JSON_RPC_STOPPED(DeployedServer.JSON_RPC, OTHER_CLIENTS, WHOLE, HostileBytes.ascii("x".repeat(LINE_BYTES))),
+        JSON_RPC_SLOW(DeployedServer.JSON_RPC, OTHER_CLIENTS, SLOW_BYTES, HostileBytes.ascii("x".repeat(LINE_BYTES))),
         JSON_RPC_SHORT_MEMBERS(
                 DeployedServer.JSON_RPC, OTHER_CLIENTS, WHOLE, HostileBytes.unfinishedJsonOfShortMembers(LINE_BYTES)),
         CONTROL_STOPPED(
-                DeployedServer.CONTROL, OTHER_CLIENTS, WHOLE, text("GET / HTTP/1.1\r\nx: " + "y".repeat(HEAD_BYTES))),
+                DeployedServer.CONTROL,
+                OTHER_CLIENTS,
+                WHOLE,
+                HostileBytes.ascii("GET / HTTP/1.1\r\nx: " + "y".repeat(HEAD_BYTES))),
         CONTROL_SHORT_FIELDS(
                 DeployedServer.CONTROL,
                 OTHER_CLIENTS,
                 WHOLE,
-                text("GET / HTTP/1.1\r\n" + "x:\r\n".repeat(HEAD_BYTES / 4))),
+                HostileBytes.ascii("GET / HTTP/1.1\r\n" + "x:\r\n".repeat(HEAD_BYTES / 4))),
         MEMBERSHIP_STOPPED(DeployedServer.MEMBERSHIP, OTHER_CLIENTS, WHOLE, halfFrame()),
         MEMBERSHIP_SLOW(DeployedServer.MEMBERSHIP, OTHER_CLIENTS, SLOW_BYTES, halfFrame());
 
@@ -68,7 +74,8 @@
         }
 
         private static byte[] halfUwsgiPacket() {
-            byte[] packet = HostileBytes.packet(new byte[UWSGI_MAX_VARS_BYTES]);
+            String value = "y".repeat(UWSGI_MAX_VARS_BYTES - ONE_VAR_OVERHEAD_BYTES);
+            byte[] packet = HostileBytes.uwsgiPacket(Map.of("x", value));
             return Arrays.copyOf(packet, packet.length - 1);
         }
 
@@ -78,10 +85,6 @@
                     .putInt(FRAME_BYTES)
                     .array();
         }
-
-        private static byte[] text(String text) {
-            return text.getBytes(StandardCharsets.US_ASCII);
-        }
     }
 
     @ParameterizedTest
--- a/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/ClientChannelHandler.java
@@ -167,7 +167,7 @@
     }
 
     private int readWithinBudget(ByteBuf bytes) {
-        ReadBudget budget = listener.scheduler().readScheduler().readBudget();
+        ReadBudget budget = readBudget();
         budget.beginRead();
         readingMessages = true;
         int messages;
@@ -184,6 +184,11 @@
         return messages;
     }
 
+    /** Returns the budget of the read in progress. */
+    final ReadBudget readBudget() {
+        return listener.scheduler().readScheduler().readBudget();
+    }
+
     /** Reads the whole messages that the last read left in the buffer. */
     private void readBuffered() {
         bufferedReadScheduled = false;
@@ -366,6 +371,11 @@
     /** Writes bytes to the client, and flushes them once no messages are being read; takes ownership of the buffer. */
     protected final void write(ByteBuf bytes) {
         ctx.write(bytes, ctx.voidPromise());
+        flushUnlessReading();
+    }
+
+    /** Flushes the answers written so far, unless messages are being read, after which they are flushed together. */
+    protected final void flushUnlessReading() {
         if (!readingMessages) {
             ctx.flush();
         }
--- a/server/src/main/java/wheatspread/transport/RequestChannelHandler.java
+++ b/server/src/main/java/wheatspread/transport/RequestChannelHandler.java
@@ -3,7 +3,6 @@
 import wheatspread.core.Answer;
 import wheatspread.core.Core;
 import wheatspread.core.Reply;
-import wheatspread.scheduling.ReadBudget;
 
 /** The handler of a client's channel in a protocol whose requests go to the core. Used on the event loop only. */
 public abstract class RequestChannelHandler extends ClientChannelHandler {
@@ -21,10 +20,6 @@
         readBudget().countMessage();
     }
 
-    private ReadBudget readBudget() {
-        return listener.scheduler().readScheduler().readBudget();
-    }
-
     /** Counts a message that is answered without the core. */
     protected final void countImmediateAnswer() {
         readBudget().countImmediateAnswer();
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiConnection.java
@@ -219,12 +219,13 @@
     /** Writes the pending responses in order, up to the first request that is not answered yet. */
     private void writeReadyResponses() {
         while (firstPending != null && firstPending.bytes != null) {
-            write(firstPending.bytes);
+            ctx.write(firstPending.bytes, ctx.voidPromise());
             firstPending = firstPending.next;
             lastPending = firstPending == null ? null : lastPending;
             openRequests--;
             hasResponded = true;
         }
+        flushUnlessReading();
         answerWritten();
         drainIfIdle();
     }
--- a/server/src/main/java/wheatspread/uwsgi/UwsgiDecoder.java
+++ b/server/src/main/java/wheatspread/uwsgi/UwsgiDecoder.java
@@ -43,25 +43,30 @@
         if (in.readableBytes() < packetBytes) {
             return null;
         }
-        if (bodyBytes == UNKNOWN) {
-            Malformed malformed = readBodySize(in, varsBytes);
-            if (malformed != null) {
-                return malformed;
-            }
-        }
-        return in.readableBytes() < packetBytes + bodyBytes ? null : readRequest(in, varsBytes);
+        boolean bodyIncomplete = bodyBytes != UNKNOWN && in.readableBytes() < packetBytes + bodyBytes;
+        return bodyIncomplete ? null : decodePacket(in, varsBytes);
     }
 
-    /** Determines the size of the body from a complete packet. Returns the error if it is malformed, otherwise null. */
-    private Malformed readBodySize(ByteBuf in, int varsBytes) {
+    /** Decodes a complete packet; returns null if its body is incomplete. */
+    private Object decodePacket(ByteBuf in, int varsBytes) {
         int modifier1 = in.getUnsignedByte(in.readerIndex());
         if (modifier1 != UwsgiPacket.REQUEST_MODIFIER && modifier1 != UwsgiPacket.PING_MODIFIER) {
             return new Malformed("unknown modifier " + modifier1, false);
         }
+        int packetBytes = UwsgiPacket.HEADER_BYTES + varsBytes;
         Map<String, String> vars = wantedVars.read(in, in.readerIndex() + UwsgiPacket.HEADER_BYTES, varsBytes);
         if (vars == null) {
             return new Malformed("a var runs over the end of its packet", false);
         }
+        Malformed malformed = readBodySize(vars);
+        if (malformed != null) {
+            return malformed;
+        }
+        return in.readableBytes() < packetBytes + bodyBytes ? null : readRequest(in, vars, packetBytes);
+    }
+
+    /** Reads the size of the body from the vars. Returns the error if it is invalid, otherwise null. */
+    private Malformed readBodySize(Map<String, String> vars) {
         String length = vars.getOrDefault(UwsgiWireNames.CONTENT_LENGTH, "");
         if (!length.matches("\\d{0,9}")) {
             return new Malformed("CONTENT_LENGTH is not a length", false);
@@ -74,12 +79,11 @@
         return null;
     }
 
-    private Request readRequest(ByteBuf in, int varsBytes) {
-        int modifier1 = in.readUnsignedByte();
-        in.skipBytes(2);
-        int modifier2 = in.readUnsignedByte();
-        Map<String, String> vars = wantedVars.read(in, in.readerIndex(), varsBytes);
-        in.skipBytes(varsBytes);
+    private Request readRequest(ByteBuf in, Map<String, String> vars, int packetBytes) {
+        int start = in.readerIndex();
+        int modifier1 = in.getUnsignedByte(start);
+        int modifier2 = in.getUnsignedByte(start + UwsgiPacket.HEADER_BYTES - 1);
+        in.skipBytes(packetBytes);
         byte[] body = new byte[bodyBytes];
         in.readBytes(body);
         bodyBytes = UNKNOWN;
--- a/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
+++ b/server/src/test/java/wheatspread/daemon/ProcessIdentityTest.java
@@ -2,12 +2,15 @@
 
 import static org.assertj.core.api.Assertions.assertThat;
 
+import io.netty.buffer.ByteBuf;
+import io.netty.buffer.ByteBufUtil;
+import io.netty.buffer.Unpooled;
 import java.io.IOException;
-import java.nio.charset.StandardCharsets;
 import java.nio.file.Files;
 import java.nio.file.Path;
 import java.util.Collections;
 import java.util.List;
+import java.util.Map;
 import java.util.function.Consumer;
 import org.json.JSONObject;
 import org.junit.jupiter.api.Test;
@@ -15,6 +18,8 @@
 import org.junit.jupiter.api.io.TempDir;
 import wheatspread.config.JsonFields;
 import wheatspread.config.ServerConfig;
+import wheatspread.uwsgi.UwsgiEncoder;
+import wheatspread.uwsgi.UwsgiPacket;
 
 /** Tests the identifiers that must differ between two processes that read the same configuration. */
 @Timeout(60)
@@ -52,7 +57,7 @@
 
     private static List<String> startedKeyedJobs(RunningServer server) throws IOException {
         try (TestConnection client = TestConnection.connect(server.fixture.uwsgi)) {
-            client.write(uwsgiRequest("/plans", "RECIPE_UNIQUE", "key"));
+            client.write(uwsgiRequest(Map.of("PATH_INFO", "/plans", "RECIPE_UNIQUE", "key")));
             return server.awaitStartedJob();
         }
     }
@@ -60,21 +65,15 @@
     private static List<String> startedUwsgiJobs() throws IOException, InterruptedException {
         try (RunningServer server = new RunningServer(configuration -> {});
                 TestConnection client = TestConnection.connect(server.fixture.uwsgi)) {
-            client.write(uwsgiRequest("/stews/1"));
+            client.write(uwsgiRequest(Map.of("PATH_INFO", "/stews/1")));
             return server.awaitStartedJob();
         }
     }
 
-    private static byte[] uwsgiRequest(String path, String... additionalVars) {
-        String vars = text("REQUEST_URI") + text(path);
-        for (String nameOrValue : additionalVars) {
-            vars += text(nameOrValue);
-        }
-        return ("\0" + (char) vars.length() + "\0\0" + vars).getBytes(StandardCharsets.ISO_8859_1);
-    }
-
-    private static String text(String value) {
-        return (char) value.length() + "\0" + value;
+    private static byte[] uwsgiRequest(Map<String, String> vars) {
+        ByteBuf packet = Unpooled.buffer();
+        UwsgiEncoder.write(new UwsgiPacket(UwsgiPacket.REQUEST_MODIFIER, 0, vars), packet);
+        return ByteBufUtil.getBytes(packet);
     }
 
     /** A server whose kernel starts no run: the test reads the kernel's commands. */
