Let the tests of hostile clients see a request that is not answered yet

Cause: IncompleteRequestsTest and FastClientTest asserted on the answers that had come.

Change: both tests also assert that the open request has waited for less than the latency objective. No assertion is dropped.

--- a/lab/src/test/java/wheatspread/lab/clients/FastClientTest.java
+++ b/lab/src/test/java/wheatspread/lab/clients/FastClientTest.java
@@ -119,6 +119,7 @@
 
     private static double median(Probe probe) {
         assertThat(probe.failure()).isNull();
+        assertThat(probe.openRequestMillis()).isLessThan(Probe.LATENCY_OBJECTIVE_MS);
         List<Double> latenciesMillis = probe.takeLatencies();
         assertThat(latenciesMillis).isNotEmpty();
         return latenciesMillis.get(latenciesMillis.size() / 2);
--- a/lab/src/test/java/wheatspread/lab/clients/IncompleteRequestsTest.java
+++ b/lab/src/test/java/wheatspread/lab/clients/IncompleteRequestsTest.java
@@ -111,6 +111,7 @@
 
     private static void assertAnswered(Probe probe) {
         assertThat(probe.failure()).isNull();
+        assertThat(probe.openRequestMillis()).isLessThan(Probe.LATENCY_OBJECTIVE_MS);
         List<Double> latenciesMillis = probe.takeLatencies();
         assertThat(latenciesMillis).isNotEmpty();
         assertThat(Collections.max(latenciesMillis)).isLessThan(Probe.LATENCY_OBJECTIVE_MS);
--- a/lab/src/test/java/wheatspread/lab/clients/Probe.java
+++ b/lab/src/test/java/wheatspread/lab/clients/Probe.java
@@ -35,6 +35,9 @@
     private Socket socket;
     private BufferedReader lines;
     private long lastId;
+    /** The time when the open request was first sent; 0 if no request is open. */
+    private volatile long openSinceNanos;
+
     private volatile boolean stopped;
     private volatile String failure;
 
@@ -56,6 +59,12 @@
         }
     }
 
+    /** Returns how long the open request has waited for its answer; 0 if none is open. */
+    double openRequestMillis() {
+        long sinceNanos = openSinceNanos;
+        return sinceNanos == 0 ? 0 : (System.nanoTime() - sinceNanos) / 1e6;
+    }
+
     /** Returns why the probe ended; null while it goes on. */
     String failure() {
         return failure;
@@ -65,6 +74,7 @@
         try {
             while (!stopped) {
                 long beganNanos = System.nanoTime();
+                openSinceNanos = beganNanos;
                 String answer = null;
                 for (int attempts = 0; answer == null && attempts < MAX_ATTEMPTS; attempts++) {
                     answer = exchange();
@@ -73,6 +83,7 @@
                     throw new IOException("no answer on " + MAX_ATTEMPTS + " connections");
                 }
                 latenciesMillis.add((System.nanoTime() - beganNanos) / 1e6);
+                openSinceNanos = 0;
                 TimeUnit.MILLISECONDS.sleep(INTERVAL_MS);
             }
         } catch (IOException | InterruptedException e) {
